--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -387,6 +387,7 @@
   decide_key_state_t state;   /* COPY, OUTCOME, COLLECT_REPLY */
   bool more;                  /* COLLECT_REPLY: further entries follow */
   bool empty;                 /* COLLECT_REPLY without an entry */
+  clock_ms_t running_ms;      /* COLLECT_REPLY: age of the sender's process */
   bool has_answer;
   decide_answer_t answer;
 } decide_msg_key_t;
