Add the catalog, idempotency keys and their claims

Cause: a confirmation that is repeated through another instance must not run twice, also when the owner of its key has been lost.

--- /dev/null
+++ b/lib/decide/catalog.c
@@ -0,0 +1,526 @@
+#include "catalog.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define NAME_MAX_FULL (3 * DECIDE_NAME_MAX)
+
+typedef struct object
+{
+  char *name;
+  char *body;
+  uint64_t version;
+  uint64_t revision;
+  bool deleted;
+} object_t;
+
+struct catalog
+{
+  uint64_t revision;
+  GHashTable *objects;  /* name -> object_t */
+  GHashTable *names;    /* id -> name, to find collisions */
+  GHashTable *profiles; /* id of name -> decide_profile_t */
+  GHashTable *out;      /* id -> id; data centres */
+  GHashTable *out_instances;
+  GArray *services;       /* catalog_service_t */
+  GArray *pools;          /* catalog_pool_t */
+  GArray *endpoints;      /* catalog_endpoint_t */
+  GHashTable *by_service; /* id -> index + 1 */
+  GHashTable *by_pool;
+  GHashTable *by_endpoint;
+};
+
+/* Applied when a service names a profile that is not there yet.  */
+static const decide_profile_t default_profile = {
+  .name = "default",
+  .priority = 3,
+  .timeout_ms = 3000,
+  .run_ms = 2000,
+  .queue_max = 64,
+  .retry = true,
+  .key_retention_ms = 600000,
+};
+
+static void apply_out (GHashTable *set, const decide_object_t *object);
+static void apply_profile (catalog_t *catalog, const decide_object_t *object);
+static int apply_service (catalog_t *catalog, const decide_object_t *object);
+static int check_name (catalog_t *catalog, const char *name);
+static int compare_revision (const void *a, const void *b);
+static void free_object (void *data);
+static uint32_t index_of (GHashTable *table, decide_id_t id);
+static uint32_t place_endpoint (catalog_t *catalog, decide_id_t service,
+                                const char *service_name,
+                                const decide_endpoint_t *endpoint);
+static pool_handle_t place_pool (catalog_t *catalog, const char *service_name,
+                                 const char *centre, uint32_t number);
+static void list_pools (catalog_t *catalog, catalog_service_t *service);
+static void rebuild_pools (catalog_t *catalog,
+                           const decide_service_t *service);
+static void remember (GHashTable *table, decide_id_t id, uint32_t index);
+static void retire (catalog_t *catalog, decide_id_t service);
+
+catalog_t *
+catalog_new (void)
+{
+  catalog_t *c = g_new0 (catalog_t, 1);
+
+  c->objects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_object);
+  c->names
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  c->profiles
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  c->out = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  c->out_instances
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  c->services = g_array_new (FALSE, TRUE, sizeof (catalog_service_t));
+  c->pools = g_array_new (FALSE, TRUE, sizeof (catalog_pool_t));
+  c->endpoints = g_array_new (FALSE, TRUE, sizeof (catalog_endpoint_t));
+  c->by_service
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  c->by_pool
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  c->by_endpoint
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  return c;
+}
+
+void
+catalog_free (catalog_t *c)
+{
+  if (c == NULL)
+    return;
+  g_hash_table_destroy (c->objects);
+  g_hash_table_destroy (c->names);
+  g_hash_table_destroy (c->profiles);
+  g_hash_table_destroy (c->out);
+  g_hash_table_destroy (c->out_instances);
+  g_hash_table_destroy (c->by_service);
+  g_hash_table_destroy (c->by_pool);
+  g_hash_table_destroy (c->by_endpoint);
+  g_array_free (c->services, TRUE);
+  g_array_free (c->pools, TRUE);
+  g_array_free (c->endpoints, TRUE);
+  g_free (c);
+}
+
+static void
+free_object (void *data)
+{
+  object_t *object = data;
+
+  g_free (object->name);
+  g_free (object->body);
+  g_free (object);
+}
+
+static uint32_t
+index_of (GHashTable *table, decide_id_t id)
+{
+  uint32_t found = GPOINTER_TO_UINT (g_hash_table_lookup (table, &id));
+
+  return found == 0 ? DECIDE_NO_HANDLE : found - 1;
+}
+
+static void
+remember (GHashTable *table, decide_id_t id, uint32_t index)
+{
+  g_hash_table_replace (table, g_memdup2 (&id, sizeof id),
+                        GUINT_TO_POINTER (index + 1));
+}
+
+static int
+check_name (catalog_t *c, const char *name)
+{
+  decide_id_t id = decide_id (name);
+  const char *known = g_hash_table_lookup (c->names, &id);
+
+  if (known != NULL)
+    return strcmp (known, name) == 0 ? 0 : -EEXIST;
+  g_hash_table_insert (c->names, g_memdup2 (&id, sizeof id), g_strdup (name));
+  return 0;
+}
+
+int
+catalog_apply (catalog_t *c, uint64_t previous, const decide_object_t *object)
+{
+  object_t *known = g_hash_table_lookup (c->objects, object->name);
+  int changed = 0;
+  int error = 0;
+
+  if (known != NULL && known->revision >= object->revision)
+    {
+      catalog_complete (c, previous, object->revision);
+      return -ESTALE;
+    }
+  switch (object->kind)
+    {
+    case DECIDE_OBJECT_PROFILE:
+      apply_profile (c, object);
+      changed = CATALOG_CHANGED_PROFILE;
+      break;
+    case DECIDE_OBJECT_SERVICE:
+      error = apply_service (c, object);
+      changed = CATALOG_CHANGED_SERVICE;
+      break;
+    case DECIDE_OBJECT_OUT_CENTRE:
+      apply_out (c->out, object);
+      changed = CATALOG_CHANGED_OUT;
+      break;
+    case DECIDE_OBJECT_OUT_INSTANCE:
+      apply_out (c->out_instances, object);
+      changed = CATALOG_CHANGED_OUT;
+      break;
+    case DECIDE_OBJECT_RECORD:
+      changed = CATALOG_CHANGED_RECORD;
+      break;
+    }
+  if (error != 0)
+    return error;
+
+  known = g_new0 (object_t, 1);
+  known->name = g_strdup (object->name);
+  known->body = g_strdup (object->body);
+  known->version = object->version;
+  known->revision = object->revision;
+  known->deleted = object->deleted;
+  g_hash_table_replace (c->objects, known->name, known);
+  catalog_complete (c, previous, object->revision);
+  return changed;
+}
+
+void
+catalog_complete (catalog_t *c, uint64_t previous, uint64_t revision)
+{
+  if (previous <= c->revision && revision > c->revision)
+    c->revision = revision;
+}
+
+uint64_t
+catalog_revision (const catalog_t *c)
+{
+  return c->revision;
+}
+
+static int
+compare_revision (const void *a, const void *b)
+{
+  const object_t *x = *(object_t *const *)a;
+  const object_t *y = *(object_t *const *)b;
+
+  return (x->revision > y->revision) - (x->revision < y->revision);
+}
+
+void
+catalog_each_since (const catalog_t *c, uint64_t since,
+                    void (*visit) (void *context,
+                                   const decide_msg_object_t *object),
+                    void *context)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  GHashTableIter iter;
+  uint64_t previous = since;
+  void *value;
+
+  g_hash_table_iter_init (&iter, c->objects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((object_t *)value)->revision > since)
+      g_ptr_array_add (list, value);
+  g_ptr_array_sort (list, compare_revision);
+  for (uint32_t i = 0; i < list->len; i++)
+    {
+      const object_t *o = g_ptr_array_index (list, i);
+      decide_msg_object_t object = {
+        .previous = previous,
+        .version = o->version,
+        .revision = o->revision,
+        .deleted = o->deleted,
+        .name = o->name,
+        .body = o->body,
+      };
+
+      /* Objects beyond the complete revision are known only in part; what
+         lies between them may be missing.  */
+      if (o->revision > c->revision)
+        break;
+      visit (context, &object);
+      previous = o->revision;
+    }
+  g_ptr_array_free (list, TRUE);
+}
+
+static void
+apply_out (GHashTable *set, const decide_object_t *object)
+{
+  decide_id_t id = decide_id (object->u.out);
+
+  if (object->deleted)
+    g_hash_table_remove (set, &id);
+  else
+    g_hash_table_add (set, g_memdup2 (&id, sizeof id));
+}
+
+static void
+apply_profile (catalog_t *c, const decide_object_t *object)
+{
+  const char *name = strrchr (object->name, '/');
+  decide_id_t id = decide_id (name == NULL ? object->name : name + 1);
+
+  if (object->deleted)
+    g_hash_table_remove (c->profiles, &id);
+  else
+    g_hash_table_replace (
+        c->profiles, g_memdup2 (&id, sizeof id),
+        g_memdup2 (object->u.profile, sizeof *object->u.profile));
+}
+
+/* Takes the service's pools and endpoints out of use; handles stay valid.  */
+static void
+retire (catalog_t *c, decide_id_t service)
+{
+  for (uint32_t i = 0; i < c->pools->len; i++)
+    {
+      catalog_pool_t *pool = &g_array_index (c->pools, catalog_pool_t, i);
+
+      if (pool->service == service)
+        pool->count = 0;
+    }
+  for (uint32_t i = 0; i < c->endpoints->len; i++)
+    {
+      catalog_endpoint_t *e
+          = &g_array_index (c->endpoints, catalog_endpoint_t, i);
+
+      if (e->service == service)
+        e->live = false;
+    }
+}
+
+static int
+apply_service (catalog_t *c, const decide_object_t *object)
+{
+  const char *slash = strrchr (object->name, '/');
+  const char *name = slash == NULL ? object->name : slash + 1;
+  decide_id_t id = decide_id (name);
+  uint32_t index = index_of (c->by_service, id);
+  catalog_service_t *service;
+  int error = check_name (c, name);
+
+  if (error != 0)
+    return error;
+  if (index == DECIDE_NO_HANDLE)
+    {
+      index = c->services->len;
+      g_array_set_size (c->services, index + 1);
+      remember (c->by_service, id, index);
+    }
+  service = &g_array_index (c->services, catalog_service_t, index);
+  service->id = id;
+  g_strlcpy (service->name, name, sizeof service->name);
+  service->live = !object->deleted;
+  service->pool_count = 0;
+  retire (c, id);
+  if (object->deleted)
+    return 0;
+  g_strlcpy (service->profile_name, object->u.service->profile,
+             sizeof service->profile_name);
+  rebuild_pools (c, object->u.service);
+  list_pools (c, service);
+  return 0;
+}
+
+static void
+list_pools (catalog_t *c, catalog_service_t *service)
+{
+  for (uint32_t i = 0; i < c->pools->len; i++)
+    {
+      const catalog_pool_t *pool = catalog_pool (c, i);
+
+      if (pool->service == service->id && pool->count > 0
+          && service->pool_count < CATALOG_SERVICE_POOLS_MAX)
+        service->pools[service->pool_count++] = i;
+    }
+}
+
+static uint32_t
+place_endpoint (catalog_t *c, decide_id_t service, const char *service_name,
+                const decide_endpoint_t *endpoint)
+{
+  char full[NAME_MAX_FULL];
+  catalog_endpoint_t *entry;
+  decide_id_t id;
+  uint32_t index;
+
+  snprintf (full, sizeof full, "%s/%s", service_name, endpoint->name);
+  id = decide_id (full);
+  index = index_of (c->by_endpoint, id);
+  if (index == DECIDE_NO_HANDLE)
+    {
+      index = c->endpoints->len;
+      g_array_set_size (c->endpoints, index + 1);
+      remember (c->by_endpoint, id, index);
+    }
+  entry = &g_array_index (c->endpoints, catalog_endpoint_t, index);
+  entry->endpoint = *endpoint;
+  entry->id = id;
+  entry->service = service;
+  entry->live = true;
+  return index;
+}
+
+static pool_handle_t
+place_pool (catalog_t *c, const char *service_name, const char *centre,
+            uint32_t number)
+{
+  char full[NAME_MAX_FULL];
+  catalog_pool_t *pool;
+  decide_id_t id;
+  uint32_t index;
+
+  snprintf (full, sizeof full, "%s/%s/%u", service_name, centre, number);
+  id = decide_id (full);
+  index = index_of (c->by_pool, id);
+  if (index == DECIDE_NO_HANDLE)
+    {
+      index = c->pools->len;
+      g_array_set_size (c->pools, index + 1);
+      remember (c->by_pool, id, index);
+    }
+  pool = &g_array_index (c->pools, catalog_pool_t, index);
+  pool->id = id;
+  pool->service = decide_id (service_name);
+  pool->centre = decide_id (centre);
+  g_strlcpy (pool->centre_name, centre, sizeof pool->centre_name);
+  pool->slice = (uint32_t)(id % DECIDE_SLICES);
+  return index;
+}
+
+/* Endpoints of a data centre are divided in the order of their ids, evenly
+   over the fewest pools that hold them.  */
+static void
+rebuild_pools (catalog_t *c, const decide_service_t *service)
+{
+  decide_id_t id = decide_id (service->name);
+  uint32_t count = service->endpoint_count;
+  g_autofree uint32_t *handles = g_new (uint32_t, count + 1);
+
+  for (uint32_t i = 0; i < count; i++)
+    handles[i] = place_endpoint (c, id, service->name, &service->endpoints[i]);
+  for (uint32_t i = 1; i < count; i++)
+    for (uint32_t j = i; j > 0; j--)
+      {
+        decide_id_t a = catalog_endpoint (c, handles[j - 1])->id;
+        decide_id_t b = catalog_endpoint (c, handles[j])->id;
+        uint32_t swap = handles[j];
+
+        if (a <= b)
+          break;
+        handles[j] = handles[j - 1];
+        handles[j - 1] = swap;
+      }
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const char *centre
+          = catalog_endpoint (c, handles[i])->endpoint.data_centre;
+      uint32_t total = 0;
+      uint32_t before = 0;
+      uint32_t pools;
+      pool_handle_t handle;
+      catalog_pool_t *pool;
+      catalog_endpoint_t *entry;
+
+      for (uint32_t j = 0; j < count; j++)
+        if (strcmp (catalog_endpoint (c, handles[j])->endpoint.data_centre,
+                    centre)
+            == 0)
+          {
+            total++;
+            before += j < i;
+          }
+      pools = (total + DECIDE_POOL_ENDPOINTS_MAX - 1)
+              / DECIDE_POOL_ENDPOINTS_MAX;
+      handle = place_pool (c, service->name, centre, before % pools);
+      pool = &g_array_index (c->pools, catalog_pool_t, handle);
+      pool->endpoints[pool->count++] = handles[i];
+      entry = &g_array_index (c->endpoints, catalog_endpoint_t, handles[i]);
+      entry->moved |= entry->placed && entry->pool != handle;
+      entry->placed = true;
+      entry->pool = handle;
+    }
+}
+
+const catalog_service_t *
+catalog_find_service (const catalog_t *c, decide_id_t service)
+{
+  uint32_t index = index_of (c->by_service, service);
+  const catalog_service_t *found;
+
+  if (index == DECIDE_NO_HANDLE)
+    return NULL;
+  found = &g_array_index (c->services, catalog_service_t, index);
+  return found->live ? found : NULL;
+}
+
+const decide_profile_t *
+catalog_profile (const catalog_t *c, decide_id_t service)
+{
+  const catalog_service_t *found = catalog_find_service (c, service);
+  const decide_profile_t *profile;
+  decide_id_t id;
+
+  if (found == NULL)
+    return NULL;
+  id = decide_id (found->profile_name);
+  profile = g_hash_table_lookup (c->profiles, &id);
+  return profile == NULL ? &default_profile : profile;
+}
+
+uint32_t
+catalog_pool_count (const catalog_t *c)
+{
+  return c->pools->len;
+}
+
+const catalog_pool_t *
+catalog_pool (const catalog_t *c, pool_handle_t pool)
+{
+  return &g_array_index (c->pools, catalog_pool_t, pool);
+}
+
+pool_handle_t
+catalog_find_pool (const catalog_t *c, decide_id_t pool)
+{
+  return index_of (c->by_pool, pool);
+}
+
+uint32_t
+catalog_endpoint_count (const catalog_t *c)
+{
+  return c->endpoints->len;
+}
+
+const catalog_endpoint_t *
+catalog_endpoint (const catalog_t *c, endpoint_handle_t endpoint)
+{
+  return &g_array_index (c->endpoints, catalog_endpoint_t, endpoint);
+}
+
+endpoint_handle_t
+catalog_find_endpoint (const catalog_t *c, decide_id_t endpoint)
+{
+  return index_of (c->by_endpoint, endpoint);
+}
+
+bool
+catalog_centre_is_out (const catalog_t *c, decide_id_t centre)
+{
+  return g_hash_table_contains (c->out, &centre);
+}
+
+bool
+catalog_instance_is_out (const catalog_t *c, decide_id_t instance)
+{
+  return g_hash_table_contains (c->out_instances, &instance);
+}
--- /dev/null
+++ b/lib/decide/catalog.h
@@ -0,0 +1,116 @@
+#ifndef PERIDOT_CATALOG_H
+#define PERIDOT_CATALOG_H
+
+/* Configuration known to this instance: objects by name with their revisions,
+   and the tables of services, pools and endpoints made from them.  Revisions
+   only go up.  */
+
+#include "decide.h"
+
+/* Enough for the most endpoints of a service spread over all data centres.  */
+#define CATALOG_SERVICE_POOLS_MAX 96
+
+typedef struct catalog catalog_t;
+
+/* Index into the pool table.  */
+typedef uint32_t pool_handle_t;
+
+typedef struct catalog_endpoint
+{
+  decide_endpoint_t endpoint;
+  decide_id_t id; /* of "service/endpoint" */
+  decide_id_t service;
+  pool_handle_t pool;
+  bool live;   /* false once removed from its service */
+  bool placed; /* has been in a pool */
+  bool moved;  /* was in another pool before */
+} catalog_endpoint_t;
+
+typedef struct catalog_pool
+{
+  decide_id_t id; /* of "service/data centre/index" */
+  decide_id_t service;
+  decide_id_t centre;
+  char centre_name[DECIDE_NAME_MAX];
+  uint32_t slice;
+  uint32_t count; /* 0 once the pool is no longer used */
+  endpoint_handle_t endpoints[DECIDE_POOL_ENDPOINTS_MAX];
+} catalog_pool_t;
+
+typedef struct catalog_service
+{
+  decide_id_t id;
+  char name[DECIDE_NAME_MAX];
+  char profile_name[DECIDE_NAME_MAX];
+  bool live;
+  uint32_t pool_count;
+  pool_handle_t pools[CATALOG_SERVICE_POOLS_MAX];
+} catalog_service_t;
+
+/* What an accepted object changed.  */
+typedef enum catalog_change
+{
+  CATALOG_CHANGED_SERVICE = 1,
+  CATALOG_CHANGED_PROFILE = 2,
+  CATALOG_CHANGED_OUT = 4,
+  CATALOG_CHANGED_RECORD = 8
+} catalog_change_t;
+
+catalog_t *catalog_new (void);
+void catalog_free (catalog_t *catalog);
+
+/**
+ * catalog_apply() - take over an object that is newer than the known one
+ * @previous: revision up to which the source knew everything before this
+ *   object, or UINT64_MAX when the source is a read that is still going on
+ *
+ * Return: a set of catalog_change_t bits; -ESTALE when an equal or newer
+ * version is known; -EEXIST when the id of a name belongs to another name.
+ */
+int catalog_apply (catalog_t *catalog, uint64_t previous,
+                   const decide_object_t *object);
+
+/**
+ * catalog_complete() - everything up to a revision has been applied
+ * @previous: as for catalog_apply()
+ */
+void catalog_complete (catalog_t *catalog, uint64_t previous,
+                       uint64_t revision);
+
+/* Revision up to which every change is known.  */
+uint64_t catalog_revision (const catalog_t *catalog);
+
+/**
+ * catalog_each_since() - visit objects changed after a revision, oldest first
+ * @visit: gets the object's fields with the previous revision filled in
+ */
+void catalog_each_since (const catalog_t *catalog, uint64_t since,
+                         void (*visit) (void *context,
+                                        const decide_msg_object_t *object),
+                         void *context);
+
+const catalog_service_t *catalog_find_service (const catalog_t *catalog,
+                                               decide_id_t service);
+
+/* Return: the service's profile, or NULL when the service is not known.  A
+   profile that does not exist yet is replaced by safe defaults.  */
+const decide_profile_t *catalog_profile (const catalog_t *catalog,
+                                         decide_id_t service);
+
+uint32_t catalog_pool_count (const catalog_t *catalog);
+const catalog_pool_t *catalog_pool (const catalog_t *catalog,
+                                    pool_handle_t pool);
+
+/* Return: the handle, or DECIDE_NO_HANDLE.  */
+pool_handle_t catalog_find_pool (const catalog_t *catalog, decide_id_t pool);
+
+uint32_t catalog_endpoint_count (const catalog_t *catalog);
+const catalog_endpoint_t *catalog_endpoint (const catalog_t *catalog,
+                                            endpoint_handle_t endpoint);
+endpoint_handle_t catalog_find_endpoint (const catalog_t *catalog,
+                                         decide_id_t endpoint);
+
+bool catalog_centre_is_out (const catalog_t *catalog, decide_id_t centre);
+bool catalog_instance_is_out (const catalog_t *catalog, decide_id_t instance);
+
+#endif
--- /dev/null
+++ b/lib/decide/claim.c
@@ -0,0 +1,300 @@
+#include "claim.h"
+
+#include <glib.h>
+
+#include "keys.h"
+
+#define RESEND_MS 40
+/* Longer than the owner's own attempts to place a copy.  */
+#define ASK_MS 500
+#define REPORT_RESEND_MS 200
+/* After this the owner has set the key's state to unknown by itself.  */
+#define REPORT_MS 10000
+/* A takeover of the slice takes seconds.  */
+#define RETRY_AFTER_MS 1000
+
+typedef enum phase
+{
+  PHASE_ASKING,
+  PHASE_RUNNING,
+  PHASE_REPORTING
+} phase_t;
+
+typedef struct claim
+{
+  uint64_t request;
+  decide_key_t key;
+  uint32_t slice;
+  phase_t phase;
+  clock_ms_t started;
+  clock_ms_t deadline;
+  clock_ms_t expires; /* of the key's entry */
+  clock_ms_t sent;
+  decide_key_state_t state;
+  decide_answer_t *answer;
+} claim_t;
+
+struct claims
+{
+  claims_callbacks_t callbacks;
+  uint64_t incarnation;
+  GHashTable *by_request; /* request -> claim_t */
+};
+
+static void ask (claims_t *claims, clock_ms_t now, claim_t *claim);
+static void free_claim (gpointer data);
+static void handle_reply (claims_t *claims, clock_ms_t now, claim_t *claim,
+                          const decide_msg_key_t *msg);
+static void refuse (claims_t *claims, claim_t *claim, decide_reason_t reason,
+                    decide_ran_t ran, clock_ms_t retry_after_ms);
+static void report (claims_t *claims, clock_ms_t now, claim_t *claim);
+static void start_report (claims_t *claims, clock_ms_t now, claim_t *claim,
+                          decide_key_state_t state);
+static bool tick_claim (claims_t *claims, clock_ms_t now, claim_t *claim);
+
+claims_t *
+claims_new (const claims_callbacks_t *callbacks, uint64_t incarnation)
+{
+  claims_t *claims = g_new0 (claims_t, 1);
+
+  claims->callbacks = *callbacks;
+  claims->incarnation = incarnation;
+  claims->by_request
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_claim);
+  return claims;
+}
+
+void
+claims_free (claims_t *claims)
+{
+  if (claims == NULL)
+    return;
+  g_hash_table_destroy (claims->by_request);
+  g_free (claims);
+}
+
+static void
+free_claim (gpointer data)
+{
+  claim_t *claim = data;
+
+  g_free (claim->answer);
+  g_free (claim);
+}
+
+void
+claims_start (claims_t *claims, clock_ms_t now, uint64_t request,
+              const decide_key_t *key, clock_ms_t deadline,
+              clock_ms_t retention_ms)
+{
+  claim_t *claim = g_new0 (claim_t, 1);
+
+  claim->request = request;
+  claim->key = *key;
+  claim->slice = keys_slice (key);
+  claim->started = now;
+  claim->deadline = deadline;
+  claim->expires = now + retention_ms;
+  g_hash_table_replace (claims->by_request, &claim->request, claim);
+  ask (claims, now, claim);
+}
+
+static decide_msg_t
+claim_message (const claims_t *claims, clock_ms_t now, const claim_t *claim,
+               decide_msg_type_t type)
+{
+  decide_msg_t msg = { .type = type, .incarnation = claims->incarnation };
+
+  msg.u.key.request = claim->request;
+  msg.u.key.slice = claim->slice;
+  msg.u.key.key = claim->key;
+  msg.u.key.left_ms = claim->deadline - now;
+  msg.u.key.retention_ms = claim->expires - now;
+  return msg;
+}
+
+static void
+ask (claims_t *claims, clock_ms_t now, claim_t *claim)
+{
+  decide_id_t target
+      = claims->callbacks.target (claims->callbacks.context, claim->slice);
+  decide_msg_t msg = claim_message (claims, now, claim, DECIDE_MSG_KEY_CLAIM);
+
+  claim->sent = now;
+  if (target != 0)
+    claims->callbacks.send (claims->callbacks.context, target, &msg);
+}
+
+static void
+refuse (claims_t *claims, claim_t *claim, decide_reason_t reason,
+        decide_ran_t ran, clock_ms_t retry_after_ms)
+{
+  decide_refusal_t refusal = {
+    .request = claim->request,
+    .reason = reason,
+    .ran = ran,
+    .retry_after_ms = retry_after_ms,
+  };
+
+  claims->callbacks.refuse (claims->callbacks.context, &refusal);
+}
+
+static void
+report (claims_t *claims, clock_ms_t now, claim_t *claim)
+{
+  decide_id_t target
+      = claims->callbacks.target (claims->callbacks.context, claim->slice);
+  decide_msg_t msg
+      = claim_message (claims, now, claim, DECIDE_MSG_KEY_OUTCOME);
+
+  claim->sent = now;
+  if (target == 0)
+    return;
+  msg.u.key.state = claim->state;
+  if (claim->answer != NULL)
+    {
+      msg.u.key.has_answer = true;
+      msg.u.key.answer = *claim->answer;
+    }
+  claims->callbacks.send (claims->callbacks.context, target, &msg);
+}
+
+static void
+start_report (claims_t *claims, clock_ms_t now, claim_t *claim,
+              decide_key_state_t state)
+{
+  claim->phase = PHASE_REPORTING;
+  claim->state = state;
+  claim->started = now;
+  report (claims, now, claim);
+}
+
+void
+claims_message (claims_t *claims, clock_ms_t now, const decide_msg_t *msg)
+{
+  const decide_msg_key_t *key = &msg->u.key;
+  claim_t *claim = g_hash_table_lookup (claims->by_request, &key->request);
+
+  /* A reply to a request that is not known any more is ignored: it must not
+     be reported as not run, because it may be a repeated reply.  */
+  if (claim == NULL || claim->key.hash[0] != key->key.hash[0]
+      || claim->key.hash[1] != key->key.hash[1])
+    return;
+  if (msg->type == DECIDE_MSG_KEY_CLAIM_REPLY && claim->phase == PHASE_ASKING)
+    handle_reply (claims, now, claim, key);
+  else if (msg->type == DECIDE_MSG_KEY_COPY_ACK
+           && claim->phase == PHASE_REPORTING && key->state == claim->state)
+    g_hash_table_remove (claims->by_request, &claim->request);
+}
+
+static void
+handle_reply (claims_t *claims, clock_ms_t now, claim_t *claim,
+              const decide_msg_key_t *msg)
+{
+  switch (msg->status)
+    {
+    case DECIDE_KEY_RUN:
+      claim->phase = PHASE_RUNNING;
+      claims->callbacks.run (claims->callbacks.context, claim->request);
+      return;
+    case DECIDE_KEY_NOT_OWNER:
+      return; /* asked again by the tick, of the owner known then */
+    case DECIDE_KEY_ANSWERED:
+      claims->callbacks.replay (claims->callbacks.context, claim->request,
+                                &msg->answer);
+      break;
+    case DECIDE_KEY_IN_PROGRESS:
+      refuse (claims, claim, DECIDE_REASON_KEY_IN_PROGRESS, DECIDE_RAN_UNKNOWN,
+              RETRY_AFTER_MS);
+      break;
+    case DECIDE_KEY_CONFLICT:
+      refuse (claims, claim, DECIDE_REASON_KEY_CONFLICT, DECIDE_RAN_NO, 0);
+      break;
+    case DECIDE_KEY_UNCERTAIN:
+      refuse (claims, claim, DECIDE_REASON_KEY_UNCERTAIN, DECIDE_RAN_UNKNOWN,
+              RETRY_AFTER_MS);
+      break;
+    case DECIDE_KEY_NO_COPY:
+      refuse (claims, claim, DECIDE_REASON_KEY_NO_COPY, DECIDE_RAN_NO,
+              RETRY_AFTER_MS);
+      break;
+    }
+  g_hash_table_remove (claims->by_request, &claim->request);
+  (void)now;
+}
+
+void
+claims_ended (claims_t *claims, clock_ms_t now, uint64_t request,
+              decide_key_state_t state, const decide_answer_t *answer)
+{
+  claim_t *claim = g_hash_table_lookup (claims->by_request, &request);
+
+  if (claim == NULL || claim->phase != PHASE_RUNNING)
+    return;
+  if (answer != NULL)
+    claim->answer = g_memdup2 (answer, sizeof *answer);
+  start_report (claims, now, claim, state);
+}
+
+bool
+claims_gone (claims_t *claims, clock_ms_t now, uint64_t request)
+{
+  claim_t *claim = g_hash_table_lookup (claims->by_request, &request);
+
+  if (claim == NULL)
+    return false;
+  if (claim->phase != PHASE_ASKING)
+    return true;
+  start_report (claims, now, claim, DECIDE_KEY_STATE_NOT_RUN);
+  return false;
+}
+
+/* Return: false when the claim is to be removed.  */
+static bool
+tick_claim (claims_t *claims, clock_ms_t now, claim_t *claim)
+{
+  switch (claim->phase)
+    {
+    case PHASE_RUNNING:
+      return true;
+    case PHASE_REPORTING:
+      if (now - claim->started >= REPORT_MS)
+        return false;
+      if (now - claim->sent >= REPORT_RESEND_MS)
+        report (claims, now, claim);
+      return true;
+    case PHASE_ASKING:
+      break;
+    }
+  if (now >= claim->deadline || now - claim->started >= ASK_MS)
+    {
+      /* Without an answer of the owner it is not known whether an earlier
+         request with this key ran.  */
+      refuse (claims, claim, DECIDE_REASON_KEY_UNCERTAIN, DECIDE_RAN_UNKNOWN,
+              RETRY_AFTER_MS);
+      start_report (claims, now, claim, DECIDE_KEY_STATE_NOT_RUN);
+    }
+  else if (now - claim->sent >= RESEND_MS)
+    ask (claims, now, claim);
+  return true;
+}
+
+clock_ms_t
+claims_tick (claims_t *claims, clock_ms_t now)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, claims->by_request);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!tick_claim (claims, now, value))
+      g_hash_table_iter_remove (&iter);
+  return g_hash_table_size (claims->by_request) > 0 ? now + RESEND_MS / 2
+                                                    : INT64_MAX;
+}
+
+uint32_t
+claims_unreported (const claims_t *claims)
+{
+  return g_hash_table_size (claims->by_request);
+}
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -37,7 +37,9 @@
 #define DECIDE_LEND_MS 500
 #define DECIDE_OWNER_REPLY_MS 40
 #define DECIDE_CONTACT_MS 2000
-#define DECIDE_ADDRESS_LIFETIME_MS 5000
+/* With a configuration poll of 1 s, callers have left an instance 3 s after it
+   was taken out.  */
+#define DECIDE_ADDRESS_LIFETIME_MS 2000
 
 /* Seeded xoshiro256++ generator.  */
 typedef struct decide_rng
@@ -377,6 +379,8 @@
 typedef struct decide_msg_key
 {
   uint64_t request;
+  decide_id_t runner; /* COPY, COLLECT_REPLY: instance of the claim */
+  uint64_t round;     /* COLLECT, echoed in COLLECT_REPLY */
   uint32_t centre;
   uint32_t slice;
   uint64_t record_version;
@@ -387,6 +391,7 @@
   decide_key_state_t state;   /* COPY, OUTCOME, COLLECT_REPLY */
   bool more;                  /* COLLECT_REPLY: further entries follow */
   bool empty;                 /* COLLECT_REPLY without an entry */
+  bool authoritative;         /* last COLLECT_REPLY: sender served the slice */
   clock_ms_t running_ms;      /* COLLECT_REPLY: age of the sender's process */
   bool has_answer;
   decide_answer_t answer;
@@ -470,24 +475,29 @@
                  const decide_endpoint_t *target);
 } decide_callbacks_t;
 
+typedef struct decide_instance
+{
+  char name[DECIDE_NAME_MAX];
+  char data_centre[DECIDE_NAME_MAX];
+} decide_instance_t;
+
 typedef struct decide_settings
 {
   char instance[DECIDE_NAME_MAX];
   char data_centre[DECIDE_NAME_MAX];
-  uint64_t incarnation;
+  char group[DECIDE_NAME_MAX]; /* ownership group */
+  uint64_t incarnation;        /* random, not 0 */
   uint64_t seed;
+  /* All configured instances, this one included; copied.  */
+  uint32_t instance_count;
+  const decide_instance_t *instances;
 } decide_settings_t;
 
+/* Return: the node, or NULL when the settings are contradictory.  */
 decide_t *decide_new (const decide_settings_t *settings,
                       const decide_callbacks_t *callbacks, clock_ms_t now);
 void decide_free (decide_t *node);
 
-/**
- * decide_peer() - add an instance that messages may be sent to
- * Return: 0, -EEXIST, or -ENOSPC.
- */
-int decide_peer (decide_t *node, const char *name, const char *data_centre);
-
 /**
  * decide_tick() - do what is due
  * Return: the next time in ms at which something is due.
@@ -516,9 +526,11 @@
 /**
  * decide_attempt_done() - an attempt ended
  * @answer: answer to keep for a keyed request, or NULL
+ *
+ * Return: whether the request has ended with this attempt's answer.
  */
-void decide_attempt_done (decide_t *node, clock_ms_t now, uint64_t attempt,
-                          const decide_attempt_end_t *end,
+bool decide_attempt_done (decide_t *node, clock_ms_t now, uint64_t request,
+                          uint64_t attempt, const decide_attempt_end_t *end,
                           const decide_answer_t *answer);
 void decide_probed (decide_t *node, clock_ms_t now, endpoint_handle_t endpoint,
                     bool ok, clock_ms_t latency_ms, const decide_load_t *load);
--- /dev/null
+++ b/lib/decide/keys.h
@@ -0,0 +1,72 @@
+#ifndef PERIDOT_KEYS_H
+#define PERIDOT_KEYS_H
+
+/* Idempotency keys: the owner of a key's slice lets a request run once, after
+   a second member has confirmed its copy of the claim.  */
+
+#include "decide.h"
+
+typedef struct keys keys_t;
+
+/* A member that may hold copies.  */
+typedef struct keys_member
+{
+  decide_id_t id;
+  uint64_t incarnation;
+} keys_member_t;
+
+typedef struct keys_callbacks
+{
+  void *context;
+  void (*send) (void *context, decide_id_t to, const decide_msg_t *msg);
+  /* Whether this instance holds a valid lease on the slice.  */
+  bool (*may_serve) (void *context, uint32_t slice);
+  /* Member that keeps the copies of a slice; false when there is none.  */
+  bool (*second) (void *context, uint32_t slice, keys_member_t *member);
+  /* Other members of the record; returns their number.  */
+  uint32_t (*others) (void *context, keys_member_t *members, uint32_t max);
+  uint64_t (*record_version) (void *context);
+} keys_callbacks_t;
+
+/**
+ * keys_new() - create an empty table
+ * @incarnation: this process's incarnation, for messages
+ */
+keys_t *keys_new (const keys_callbacks_t *callbacks, uint64_t incarnation,
+                  clock_ms_t now);
+void keys_free (keys_t *keys);
+
+uint32_t keys_slice (const decide_key_t *key);
+
+/**
+ * keys_message() - handle KEY_CLAIM, KEY_COPY, KEY_COPY_ACK, KEY_OUTCOME,
+ * KEY_COLLECT or KEY_COLLECT_REPLY
+ */
+void keys_message (keys_t *keys, clock_ms_t now, decide_id_t from,
+                   const decide_msg_t *msg);
+
+/* How a slice came to this instance.  */
+typedef enum keys_origin
+{
+  KEYS_FIRST_OWNER, /* nobody served it before */
+  KEYS_HANDED_OVER, /* the previous owner is alive and knows all entries */
+  KEYS_TAKEN_OVER   /* the entries are collected from the other members */
+} keys_origin_t;
+
+/**
+ * keys_slice_gained() - the slice is served by this instance from now on
+ * @previous: id of the previous owner; 0 when there is none
+ */
+void keys_slice_gained (keys_t *keys, clock_ms_t now, uint32_t slice,
+                        keys_origin_t origin, decide_id_t previous);
+void keys_slice_lost (keys_t *keys, clock_ms_t now, uint32_t slice);
+
+/**
+ * keys_tick() - resend, expire, collect
+ * Return: the next time in ms at which something is due.
+ */
+clock_ms_t keys_tick (keys_t *keys, clock_ms_t now);
+
+uint32_t keys_count (const keys_t *keys);
+
+#endif
