--- a/lib/decide/ownership.h
+++ b/lib/decide/ownership.h
@@ -100,6 +100,15 @@
  */
 int ownership_add_centre (ownership_t *o, const char *name);
 
+/**
+ * ownership_set_longest_grant() - longest grant of any configured pool
+ * @grant_ms: lend time and run time in ms; 60,000 until it is set
+ *
+ * A slice is handed over only when this time would have passed for a new
+ * owner, since the successor of a handover does not wait again.
+ */
+void ownership_set_longest_grant (ownership_t *o, clock_ms_t grant_ms);
+
 /**
  * ownership_record() - a record read from the store or a peer
  * @record: copied; its version is the one that the store assigned
--- /dev/null
+++ b/lib/decide/ownership_view.c
@@ -0,0 +1,150 @@
+#include "ownership_private.h"
+
+#include <string.h>
+
+static clock_ms_t read_left (const ownership_t *o, clock_ms_t now);
+
+/* Time left of the evidence by a read of the store.  */
+static clock_ms_t
+read_left (const ownership_t *o, clock_ms_t now)
+{
+  clock_ms_t age = ownership_age (now, o->read_sent);
+
+  return o->member && age < DECIDE_FENCE_MS ? DECIDE_FENCE_MS - age : 0;
+}
+
+clock_ms_t
+ownership_lease_left (const ownership_t *o, clock_ms_t now)
+{
+  clock_ms_t read = read_left (o, now);
+  clock_ms_t majority = ownership_majority_left (o, now, 0);
+
+  return read > majority ? read : majority;
+}
+
+bool
+ownership_may_grant (const ownership_t *o, clock_ms_t now, uint32_t centre,
+                     uint32_t slice, clock_ms_t grant_ms)
+{
+  const ownership_slice_t *own;
+
+  if (centre >= o->record.centre_count || slice >= DECIDE_SLICES)
+    return false;
+  own = &o->slices[centre][slice];
+  if (own->owned)
+    return !own->offered && ownership_waited (own, now, grant_ms)
+           && ownership_lease_left (o, now) > 0;
+  return own->delegate
+         && !ownership_supported (o, own->from, own->from_incarnation)
+         && ownership_majority_left (o, now, own->first_sequence) > 0;
+}
+
+decide_id_t
+ownership_target (const ownership_t *o, clock_ms_t now, uint32_t centre,
+                  uint32_t slice)
+{
+  const decide_slice_t *recorded;
+  const ownership_slice_t *own;
+
+  if (centre >= o->record.centre_count || slice >= DECIDE_SLICES)
+    return 0;
+  recorded = &o->record.centres[centre].slices[slice];
+  own = &o->slices[centre][slice];
+  if (own->delegate)
+    return o->self;
+  if (own->owned && own->acked)
+    return own->target;
+  for (uint32_t i = 0; i < OWNERSHIP_PEERS_MAX; i++)
+    {
+      const ownership_peer_t *peer = &o->peers[i];
+
+      if (peer->id == 0
+          || ownership_age (now, peer->spoke) >= DECIDE_CONTACT_MS)
+        continue;
+      for (uint32_t j = 0; j < peer->acting_count; j++)
+        if (peer->acting[j].owner == recorded->owner
+            && peer->acting[j].owner_incarnation == recorded->incarnation
+            && peer->acting[j].centre == centre
+            && peer->acting[j].slice == slice)
+          return peer->id;
+    }
+  return recorded->owner;
+}
+
+bool
+ownership_holds (const ownership_t *o, uint32_t centre, uint32_t slice)
+{
+  return centre < o->record.centre_count && slice < DECIDE_SLICES
+         && (o->slices[centre][slice].owned
+             || o->slices[centre][slice].delegate);
+}
+
+uint32_t
+ownership_centre (const ownership_t *o, const char *name)
+{
+  for (uint32_t c = 0; c < o->record.centre_count; c++)
+    if (strcmp (o->record.centres[c].name, name) == 0)
+      return c;
+  return DECIDE_NO_HANDLE;
+}
+
+const decide_record_t *
+ownership_get_record (const ownership_t *o)
+{
+  return o->record.version == 0 ? NULL : &o->record;
+}
+
+bool
+ownership_heard (const ownership_t *o, clock_ms_t now, decide_id_t instance)
+{
+  const ownership_peer_t *peer = ownership_peer_find (o, instance);
+
+  return peer != NULL && ownership_age (now, peer->spoke) < DECIDE_CONTACT_MS;
+}
+
+bool
+ownership_leaving (const ownership_t *o, decide_id_t instance)
+{
+  const ownership_peer_t *peer = ownership_peer_find (o, instance);
+
+  return peer != NULL && peer->state == DECIDE_MEMBER_LEAVING;
+}
+
+uint64_t
+ownership_revision (const ownership_t *o, decide_id_t instance)
+{
+  const ownership_peer_t *peer = ownership_peer_find (o, instance);
+
+  return peer == NULL ? 0 : peer->revision;
+}
+
+clock_ms_t
+ownership_last_contact (const ownership_t *o)
+{
+  clock_ms_t last = OWNERSHIP_NEVER;
+
+  for (uint32_t i = 0; i < OWNERSHIP_PEERS_MAX; i++)
+    if (o->peers[i].id != 0 && o->peers[i].spoke > last)
+      last = o->peers[i].spoke;
+  return last;
+}
+
+void
+ownership_get_status (const ownership_t *o, clock_ms_t now,
+                      ownership_status_t *status)
+{
+  memset (status, 0, sizeof *status);
+  status->record_version = o->record.version;
+  status->member = o->member;
+  status->store_fresh = read_left (o, now) > 0;
+  status->majority_fresh = ownership_majority_left (o, now, 0) > 0;
+  status->stopping = o->stopping;
+  for (uint32_t i = 0; i < o->record.member_count; i++)
+    status->members_heard += ownership_heard (o, now, o->member_ids[i]);
+  for (uint32_t c = 0; c < o->record.centre_count; c++)
+    for (uint32_t s = 0; s < DECIDE_SLICES; s++)
+      {
+        status->slices_owned += o->slices[c][s].owned;
+        status->slices_serving += ownership_may_grant (o, now, c, s, 0);
+      }
+}
--- /dev/null
+++ b/lib/decide/record.c
@@ -0,0 +1,245 @@
+#include "ownership_private.h"
+
+#include <errno.h>
+#include <string.h>
+
+static bool name_valid (const char *name);
+static void spread (decide_record_t *record, uint32_t centre);
+static bool usable (const ownership_t *o, clock_ms_t now,
+                    const decide_member_t *member, decide_id_t id);
+
+static bool
+name_valid (const char *name)
+{
+  return name[0] != '\0' && memchr (name, '\0', DECIDE_NAME_MAX) != NULL;
+}
+
+int
+ownership_record_check (const decide_record_t *record)
+{
+  if (record->version == 0 || record->member_count > DECIDE_MEMBERS_MAX
+      || record->centre_count > DECIDE_DATA_CENTRES_MAX)
+    return -EINVAL;
+  for (uint32_t i = 0; i < record->member_count; i++)
+    {
+      const decide_member_t *member = &record->members[i];
+
+      if (!name_valid (member->name) || !name_valid (member->data_centre)
+          || ownership_record_find (record, decide_id (member->name))
+                 != (int)i)
+        return -EINVAL;
+    }
+  for (uint32_t i = 0; i < record->centre_count; i++)
+    {
+      if (!name_valid (record->centres[i].name))
+        return -EINVAL;
+      for (uint32_t j = 0; j < i; j++)
+        if (strcmp (record->centres[i].name, record->centres[j].name) == 0)
+          return -EINVAL;
+    }
+  return 0;
+}
+
+int
+ownership_record_find (const decide_record_t *record, decide_id_t id)
+{
+  for (uint32_t i = 0; i < record->member_count; i++)
+    if (decide_id (record->members[i].name) == id)
+      return (int)i;
+  return -1;
+}
+
+uint32_t
+ownership_record_count (const decide_record_t *record, uint32_t centre,
+                        decide_id_t owner, uint64_t incarnation)
+{
+  uint32_t count = 0;
+
+  for (uint32_t s = 0; s < DECIDE_SLICES; s++)
+    {
+      const decide_slice_t *slice = &record->centres[centre].slices[s];
+
+      if (slice->owner == owner && slice->incarnation == incarnation)
+        count++;
+    }
+  return count;
+}
+
+bool
+ownership_record_owns (const decide_record_t *record, decide_id_t owner,
+                       uint64_t incarnation)
+{
+  for (uint32_t c = 0; c < record->centre_count; c++)
+    if (ownership_record_count (record, c, owner, incarnation) > 0)
+      return true;
+  return false;
+}
+
+/* Distributes a centre that nobody has owned yet over its members, or over
+   all members when it has none.  An assignment of 0 marks a slice that only
+   its present owner can have been active in.  */
+static void
+spread (decide_record_t *record, uint32_t centre)
+{
+  decide_record_centre_t *c = &record->centres[centre];
+  uint32_t eligible[DECIDE_MEMBERS_MAX];
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < record->member_count; i++)
+    if (strcmp (record->members[i].data_centre, c->name) == 0)
+      eligible[count++] = i;
+  if (count == 0)
+    for (uint32_t i = 0; i < record->member_count; i++)
+      eligible[count++] = i;
+  for (uint32_t s = 0; s < DECIDE_SLICES && count > 0; s++)
+    {
+      const decide_member_t *member
+          = &record->members[eligible[(s + centre) % count]];
+
+      c->slices[s].owner = decide_id (member->name);
+      c->slices[s].incarnation = member->incarnation;
+      c->slices[s].assigned = 0;
+    }
+}
+
+void
+ownership_record_create (const ownership_t *o, decide_record_t *record)
+{
+  memset (record, 0, sizeof *record);
+  for (uint32_t i = 0; i < o->instance_count; i++)
+    {
+      decide_member_t *member = &record->members[record->member_count++];
+
+      memcpy (member->name, o->instances[i].name, sizeof member->name);
+      memcpy (member->data_centre, o->instances[i].data_centre,
+              sizeof member->data_centre);
+      member->state = DECIDE_MEMBER_ACTIVE;
+    }
+  (void)ownership_record_add_centres (o, record);
+}
+
+bool
+ownership_record_add_centres (const ownership_t *o, decide_record_t *record)
+{
+  bool added = false;
+
+  for (uint32_t i = 0; i < o->centre_count; i++)
+    {
+      uint32_t c = 0;
+
+      while (c < record->centre_count
+             && strcmp (record->centres[c].name, o->centres[i]) != 0)
+        c++;
+      if (c < record->centre_count || c == DECIDE_DATA_CENTRES_MAX)
+        continue;
+      record->centre_count++;
+      memcpy (record->centres[c].name, o->centres[i],
+              sizeof record->centres[c].name);
+      spread (record, c);
+      added = true;
+    }
+  return added;
+}
+
+void
+ownership_record_claim (const ownership_t *o, decide_record_t *record)
+{
+  decide_member_t *member = &record->members[o->self_index];
+
+  member->incarnation = o->incarnation;
+  member->state = DECIDE_MEMBER_ACTIVE;
+  memcpy (member->data_centre, o->data_centre, sizeof member->data_centre);
+  for (uint32_t c = 0; c < record->centre_count; c++)
+    for (uint32_t s = 0; s < DECIDE_SLICES; s++)
+      {
+        decide_slice_t *slice = &record->centres[c].slices[s];
+
+        if (slice->owner == o->self && slice->incarnation == 0)
+          slice->incarnation = o->incarnation;
+      }
+}
+
+void
+ownership_record_join (const ownership_t *o, decide_record_t *record)
+{
+  decide_member_t *member = &record->members[record->member_count++];
+
+  memset (member, 0, sizeof *member);
+  memcpy (member->name, o->name, sizeof member->name);
+  memcpy (member->data_centre, o->data_centre, sizeof member->data_centre);
+  member->incarnation = o->incarnation;
+  member->state = DECIDE_MEMBER_ACTIVE;
+}
+
+void
+ownership_record_remove (decide_record_t *record, decide_id_t id)
+{
+  int index = ownership_record_find (record, id);
+
+  if (index < 0)
+    return;
+  record->member_count--;
+  memmove (&record->members[index], &record->members[index + 1],
+           (record->member_count - (uint32_t)index)
+               * sizeof record->members[0]);
+  memset (&record->members[record->member_count], 0,
+          sizeof record->members[0]);
+}
+
+static bool
+usable (const ownership_t *o, clock_ms_t now, const decide_member_t *member,
+        decide_id_t id)
+{
+  const ownership_peer_t *peer;
+
+  if (member->incarnation == 0)
+    return false;
+  if (id == o->self)
+    return member->incarnation == o->incarnation && !o->stopping;
+  peer = ownership_peer_find (o, id);
+  return peer != NULL && peer->incarnation == member->incarnation
+         && peer->state == DECIDE_MEMBER_ACTIVE
+         && ownership_age (now, peer->spoke) < DECIDE_CONTACT_MS;
+}
+
+int
+ownership_record_successor (const ownership_t *o, clock_ms_t now,
+                            const decide_record_t *record, uint32_t centre,
+                            bool others)
+{
+  int best = -1;
+  bool best_local = false;
+  uint32_t best_count = 0;
+
+  for (uint32_t i = 0; i < record->member_count; i++)
+    {
+      const decide_member_t *member = &record->members[i];
+      decide_id_t id = decide_id (member->name);
+      bool local;
+      uint32_t count;
+
+      if ((others && id == o->self) || !usable (o, now, member, id))
+        continue;
+      local = strcmp (member->data_centre, record->centres[centre].name) == 0;
+      count = ownership_record_count (record, centre, id, member->incarnation);
+      if (best >= 0
+          && (local != best_local ? best_local : count >= best_count))
+        continue;
+      best = (int)i;
+      best_local = local;
+      best_count = count;
+    }
+  return best;
+}
+
+void
+ownership_record_give (decide_record_t *record, uint32_t centre,
+                       uint32_t slice, decide_id_t owner, uint64_t incarnation)
+{
+  decide_slice_t *s = &record->centres[centre].slices[slice];
+
+  /* A slice under incarnation 0 was never active, nor is it now.  */
+  s->assigned = s->incarnation == 0 ? 0 : record->version + 1;
+  s->owner = owner;
+  s->incarnation = incarnation;
+}
