--- /dev/null
+++ b/lib/decide/limit.h
@@ -0,0 +1,68 @@
+#ifndef PERIDOT_DECIDE_LIMIT_H
+#define PERIDOT_DECIDE_LIMIT_H
+
+/* Concurrency limit of one endpoint: adaptive, from 1 to its slots, 0 while
+   the endpoint drains or is suspended.  */
+
+#include "decide.h"
+
+typedef struct limit
+{
+  uint32_t slots;
+  uint32_t limit;
+  uint32_t good; /* good answers since the last change */
+  uint32_t slow; /* slow answers in a row */
+  bool cold;
+  bool draining;
+  bool suspended; /* ended by a successful probe only */
+  bool probing;
+  clock_ms_t cut_at;     /* time of the last reduction */
+  clock_ms_t used_at;    /* last grant or answer */
+  clock_ms_t probe_from; /* earliest time of the next probe */
+  clock_ms_t backoff_ms;
+  uint64_t identity; /* 0 until reported */
+  /* Moving average of the latency in 1/16 ms; 0 without a sample.  */
+  int64_t latency_16;
+  clock_ms_t latency_at;
+} limit_t;
+
+/* Starts cold.  */
+void limit_init (limit_t *limit, uint32_t slots, clock_ms_t now);
+void limit_set_slots (limit_t *limit, uint32_t slots);
+void limit_set_cold (limit_t *limit);
+
+/**
+ * limit_current() - slots that may be in use now
+ * Return: 0 while draining or suspended, else 1 to the endpoint's slots.
+ */
+uint32_t limit_current (const limit_t *limit);
+
+/* A grant is about to be made; an endpoint that was idle turns cold.  */
+void limit_used (limit_t *limit, clock_ms_t now);
+
+/**
+ * limit_ended() - an attempt ended
+ * @median_16: median of the pool's latency averages in 1/16 ms, or 0 when
+ *   there is no other endpoint to compare with
+ */
+void limit_ended (limit_t *limit, clock_ms_t now,
+                  const decide_attempt_end_t *end, int64_t median_16);
+
+/* A probe is due when the endpoint is suspended or drains.  */
+bool limit_probe_due (const limit_t *limit, clock_ms_t now);
+void limit_probe_started (limit_t *limit, clock_ms_t now);
+void limit_probed (limit_t *limit, clock_ms_t now, bool ok,
+                   const decide_load_t *load);
+
+/* Time of the next probe, or INT64_MAX.  */
+clock_ms_t limit_due (const limit_t *limit);
+
+/**
+ * limit_score() - recent latency, for the choice among endpoints
+ *
+ * Return: latency in 1/16 ms; it fades to @median_16 without new samples, so
+ * that an endpoint that was slow is tried again.
+ */
+int64_t limit_score (const limit_t *limit, clock_ms_t now, int64_t median_16);
+
+#endif
