--- /dev/null
+++ b/lib/decide/limit.c
@@ -0,0 +1,325 @@
+#include "limit.h"
+
+/* Good answers before the limit rises by one.  */
+#define RAMP_GOOD 8
+#define RAISE_GOOD 4
+/* A server that still calls itself cold needs this many times more good
+   answers; the report alone does not hold it back because it may be wrong. */
+#define COLD_REPORT_FACTOR 4
+/* Caches and pools of a server without work for this long are taken as gone.
+ */
+#define IDLE_COLD_MS 10000
+/* An answer is slow when it takes this many times the pool's median, and at
+   least SLOW_MIN_MS longer: small differences of fast answers are noise.  */
+#define SLOW_FACTOR 4
+#define SLOW_MIN_MS 4
+/* One slow answer may be a large request; two in a row are the endpoint.  */
+#define SLOW_RUN 2
+/* Resets, broken or failing answers in a row that suspend the endpoint.  */
+#define FAILURE_RUN 3
+#define BACKOFF_MIN_MS 100
+#define BACKOFF_MAX_MS 5000
+/* Probe budget of one endpoint.  */
+#define PROBE_INTERVAL_MS 1000
+/* Load endpoints lag, so a probe without the drain mark ends draining of the
+   same process only this long after the last mark.  */
+#define DRAIN_HOLD_MS 30000
+/* Time in which a latency average loses its weight in the score.  */
+#define SCORE_FADE_MS 200
+#define STATUS_SERVER_ERROR 500
+#define SIXTEENTHS 16
+/* Weight of the newest latency sample is 1 / AVERAGE_WEIGHT.  */
+#define AVERAGE_WEIGHT 2
+
+static void turn_cold (limit_t *limit);
+static void cut (limit_t *limit);
+static void suspend (limit_t *limit, clock_ms_t now, clock_ms_t at_least_ms);
+static void failed (limit_t *limit, clock_ms_t now);
+static void good (limit_t *limit);
+static bool is_slow (int64_t latency_16, int64_t median_16);
+static void sample (limit_t *limit, clock_ms_t now, int64_t latency_16);
+static void read_load (limit_t *limit, clock_ms_t now,
+                       const decide_load_t *load);
+
+static uint32_t
+ceiling (const limit_t *limit)
+{
+  if (limit->reported_slots > 0 && limit->reported_slots < limit->slots)
+    return limit->reported_slots;
+  return limit->slots;
+}
+
+void
+limit_init (limit_t *limit, uint32_t slots, clock_ms_t now)
+{
+  *limit = (limit_t){
+    .slots = slots, .cold = true, .used_at = now, .limit = slots > 0 ? 1 : 0
+  };
+  limit->probed_at = now - PROBE_INTERVAL_MS;
+}
+
+void
+limit_set_slots (limit_t *limit, uint32_t slots)
+{
+  limit->slots = slots;
+  if (limit->limit > slots)
+    limit->limit = slots;
+  /* Slots of 0 take an endpoint out of use; it returns with one.  */
+  if (limit->limit == 0 && slots > 0)
+    limit->limit = 1;
+}
+
+static void
+turn_cold (limit_t *limit)
+{
+  limit->cold = true;
+  limit->limit = limit->slots > 0 ? 1 : 0;
+  limit->good = 0;
+  limit->slow = 0;
+}
+
+void
+limit_set_cold (limit_t *limit)
+{
+  turn_cold (limit);
+}
+
+uint32_t
+limit_current (const limit_t *limit)
+{
+  if (limit->draining || limit->suspended)
+    return 0;
+  return limit->limit;
+}
+
+void
+limit_used (limit_t *limit, clock_ms_t now, uint32_t in_flight)
+{
+  if (in_flight == 0 && now - limit->used_at >= IDLE_COLD_MS)
+    turn_cold (limit);
+  limit->used_at = now;
+}
+
+static void
+cut (limit_t *limit)
+{
+  limit->good = 0;
+  if (limit->limit > 1)
+    limit->limit /= 2;
+}
+
+static void
+suspend (limit_t *limit, clock_ms_t now, clock_ms_t at_least_ms)
+{
+  clock_ms_t wait;
+
+  /* Answers of attempts that ran before the suspension do not prolong it. */
+  if (limit->suspended)
+    return;
+  limit->backoff_ms
+      = limit->backoff_ms == 0 ? BACKOFF_MIN_MS : 2 * limit->backoff_ms;
+  if (limit->backoff_ms > BACKOFF_MAX_MS)
+    limit->backoff_ms = BACKOFF_MAX_MS;
+  wait = limit->backoff_ms;
+  if (wait < at_least_ms)
+    wait = at_least_ms < BACKOFF_MAX_MS ? at_least_ms : BACKOFF_MAX_MS;
+  turn_cold (limit);
+  limit->suspended = true;
+  limit->probe_from = now + wait;
+}
+
+static void
+failed (limit_t *limit, clock_ms_t now)
+{
+  limit->failures++;
+  if (limit->failures >= FAILURE_RUN)
+    suspend (limit, now, 0);
+}
+
+static void
+good (limit_t *limit)
+{
+  uint32_t needed = limit->cold ? RAMP_GOOD : RAISE_GOOD;
+
+  if (limit->cold && limit->reported_cold)
+    needed *= COLD_REPORT_FACTOR;
+  limit->failures = 0;
+  limit->slow = 0;
+  limit->good++;
+  if (limit->good < needed)
+    return;
+  limit->good = 0;
+  limit->backoff_ms = 0;
+  if (limit->limit < ceiling (limit))
+    limit->limit++;
+  if (limit->limit >= ceiling (limit))
+    limit->cold = false;
+}
+
+static bool
+is_slow (int64_t latency_16, int64_t median_16)
+{
+  return median_16 > 0 && latency_16 > SLOW_FACTOR * median_16
+         && latency_16 > median_16 + (int64_t)SLOW_MIN_MS * SIXTEENTHS;
+}
+
+static void
+sample (limit_t *limit, clock_ms_t now, int64_t latency_16)
+{
+  if (limit->latency_16 == 0)
+    limit->latency_16 = latency_16;
+  else
+    limit->latency_16 += (latency_16 - limit->latency_16) / AVERAGE_WEIGHT;
+  if (limit->latency_16 < 1)
+    limit->latency_16 = 1;
+  limit->latency_at = now;
+}
+
+static void
+read_load (limit_t *limit, clock_ms_t now, const decide_load_t *load)
+{
+  bool replaced;
+
+  if (!load->present)
+    return;
+  replaced = load->identity != 0 && limit->identity != 0
+             && load->identity != limit->identity;
+  if (load->identity != 0)
+    limit->identity = load->identity;
+  if (replaced || (load->cold && !limit->reported_cold))
+    turn_cold (limit);
+  limit->reported_cold = load->cold;
+  limit->reported_slots = load->slots;
+  if (limit->limit > ceiling (limit))
+    limit->limit = ceiling (limit);
+  if (load->draining)
+    {
+      if (!limit->draining)
+        limit->probe_from = now + PROBE_INTERVAL_MS;
+      limit->draining = true;
+      limit->drained_at = now;
+    }
+}
+
+void
+limit_ended (limit_t *limit, clock_ms_t now, const decide_attempt_end_t *end,
+             int64_t median_16)
+{
+  int64_t latency_16 = (int64_t)end->latency_ms * SIXTEENTHS;
+  bool slow = is_slow (latency_16, median_16);
+
+  limit->used_at = now;
+  read_load (limit, now, &end->load);
+  switch (end->result)
+    {
+    case DECIDE_ATTEMPT_ANSWERED:
+      if (end->status >= STATUS_SERVER_ERROR)
+        {
+          /* The latency is left out: failing fast is not being fast.  */
+          failed (limit, now);
+          return;
+        }
+      sample (limit, now, latency_16);
+      break;
+    case DECIDE_ATTEMPT_SHED:
+      if (limit->limit <= 1)
+        suspend (limit, now, end->retry_after_ms);
+      else
+        cut (limit);
+      return;
+    case DECIDE_ATTEMPT_NOT_SENT:
+      suspend (limit, now, 0);
+      return;
+    case DECIDE_ATTEMPT_RESET:
+    case DECIDE_ATTEMPT_BROKEN:
+      turn_cold (limit);
+      failed (limit, now);
+      return;
+    case DECIDE_ATTEMPT_TIMEOUT:
+    case DECIDE_ATTEMPT_CANCELLED:
+      /* The latency is a lower bound: it tells something only if it is
+         slow.  A caller with little time left ends many attempts early.  */
+      if (!slow)
+        return;
+      sample (limit, now, latency_16);
+      break;
+    case DECIDE_ATTEMPT_UNUSED:
+    default:
+      return;
+    }
+  if (!slow)
+    {
+      good (limit);
+      return;
+    }
+  limit->slow++;
+  limit->good = 0;
+  if (limit->slow >= SLOW_RUN)
+    turn_cold (limit);
+}
+
+bool
+limit_probe_due (const limit_t *limit, clock_ms_t now)
+{
+  return now >= limit_due (limit);
+}
+
+clock_ms_t
+limit_due (const limit_t *limit)
+{
+  clock_ms_t from = limit->probe_from;
+
+  if ((!limit->suspended && !limit->draining) || limit->probing
+      || limit->slots == 0)
+    return INT64_MAX;
+  if (from < limit->probed_at + PROBE_INTERVAL_MS)
+    from = limit->probed_at + PROBE_INTERVAL_MS;
+  return from;
+}
+
+void
+limit_probe_started (limit_t *limit, clock_ms_t now)
+{
+  limit->probing = true;
+  limit->probed_at = now;
+}
+
+void
+limit_probed (limit_t *limit, clock_ms_t now, bool ok,
+              const decide_load_t *load)
+{
+  uint64_t identity = limit->identity;
+  bool replaced;
+
+  limit->probing = false;
+  limit->backoff_ms
+      = limit->backoff_ms == 0 ? BACKOFF_MIN_MS : 2 * limit->backoff_ms;
+  if (limit->backoff_ms > BACKOFF_MAX_MS)
+    limit->backoff_ms = BACKOFF_MAX_MS;
+  limit->probe_from = now + limit->backoff_ms;
+  if (!ok)
+    return;
+  read_load (limit, now, load);
+  replaced = load->present && load->identity != 0 && identity != 0
+             && load->identity != identity;
+  if (load->present && load->draining)
+    return;
+  if (limit->draining && !replaced && now - limit->drained_at < DRAIN_HOLD_MS)
+    return;
+  limit->draining = false;
+  limit->suspended = false;
+  limit->failures = 0;
+  turn_cold (limit);
+}
+
+int64_t
+limit_score (const limit_t *limit, clock_ms_t now, int64_t median_16)
+{
+  clock_ms_t age = now - limit->latency_at;
+
+  if (limit->latency_16 == 0 || age >= SCORE_FADE_MS)
+    return median_16;
+  return median_16
+         + (limit->latency_16 - median_16) * (SCORE_FADE_MS - age)
+               / SCORE_FADE_MS;
+}
--- a/lib/decide/limit.h
+++ b/lib/decide/limit.h
@@ -10,15 +10,19 @@
 {
   uint32_t slots;
   uint32_t limit;
-  uint32_t good; /* good answers since the last change */
-  uint32_t slow; /* slow answers in a row */
+  uint32_t good;           /* good answers since the last change */
+  uint32_t slow;           /* slow answers in a row */
+  uint32_t failures;       /* failed attempts in a row */
+  uint32_t reported_slots; /* 0 until reported */
   bool cold;
+  bool reported_cold;
   bool draining;
   bool suspended; /* ended by a successful probe only */
   bool probing;
-  clock_ms_t cut_at;     /* time of the last reduction */
   clock_ms_t used_at;    /* last grant or answer */
+  clock_ms_t drained_at; /* last sign of draining */
   clock_ms_t probe_from; /* earliest time of the next probe */
+  clock_ms_t probed_at;  /* start of the last probe */
   clock_ms_t backoff_ms;
   uint64_t identity; /* 0 until reported */
   /* Moving average of the latency in 1/16 ms; 0 without a sample.  */
@@ -37,8 +41,12 @@
  */
 uint32_t limit_current (const limit_t *limit);
 
-/* A grant is about to be made; an endpoint that was idle turns cold.  */
-void limit_used (limit_t *limit, clock_ms_t now);
+/**
+ * limit_used() - a grant is about to be made
+ * @in_flight: outstanding grants without the new one; an endpoint that has
+ *   none and was idle for long turns cold
+ */
+void limit_used (limit_t *limit, clock_ms_t now, uint32_t in_flight);
 
 /**
  * limit_ended() - an attempt ended
--- /dev/null
+++ b/lib/decide/pool_queue.c
@@ -0,0 +1,59 @@
+#include "pool_queue.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+int
+pool_queue_resize (pool_queue_t *queue, uint32_t max)
+{
+  /* One entry more, so that a bound of 0 allocates too.  */
+  pool_waiter_t *waiters
+      = realloc (queue->waiters, ((size_t)max + 1) * sizeof *waiters);
+
+  if (waiters == NULL)
+    return -ENOMEM;
+  queue->waiters = waiters;
+  queue->max = max;
+  return 0;
+}
+
+static bool
+is_before (const pool_waiter_t *a, const pool_waiter_t *b)
+{
+  if (a->priority != b->priority)
+    return a->priority < b->priority;
+  return a->deadline < b->deadline;
+}
+
+uint32_t
+pool_queue_place (const pool_queue_t *queue, const pool_waiter_t *waiter)
+{
+  uint32_t place = queue->count;
+
+  while (place > 0 && is_before (waiter, &queue->waiters[place - 1]))
+    place--;
+  return place;
+}
+
+void
+pool_queue_insert (pool_queue_t *queue, const pool_waiter_t *waiter)
+{
+  uint32_t place = pool_queue_place (queue, waiter);
+
+  memmove (&queue->waiters[place + 1], &queue->waiters[place],
+           (queue->count - place) * sizeof *waiter);
+  queue->waiters[place] = *waiter;
+  queue->count++;
+}
+
+pool_waiter_t
+pool_queue_remove (pool_queue_t *queue, uint32_t index)
+{
+  pool_waiter_t waiter = queue->waiters[index];
+
+  queue->count--;
+  memmove (&queue->waiters[index], &queue->waiters[index + 1],
+           (queue->count - index) * sizeof waiter);
+  return waiter;
+}
--- /dev/null
+++ b/lib/decide/router_attempt.c
@@ -0,0 +1,288 @@
+#include "router_state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#define SIXTEENTHS 16
+/* Weight of the newest latency sample is 1 / AVERAGE_WEIGHT.  */
+#define AVERAGE_WEIGHT 8
+/* A lent grant goes back after an answer that took this many times the
+   service's average: the owner may know a faster endpoint.  */
+#define SLOW_FACTOR 2
+#define STATUS_SERVER_ERROR 500
+
+static void release (router_t *router, router_held_t *held,
+                     const decide_attempt_end_t *end, bool keep);
+static bool may_reuse (const router_t *router, clock_ms_t now,
+                       const router_service_t *service,
+                       const router_held_t *held,
+                       const decide_attempt_end_t *end);
+static void give_back (router_t *router, clock_ms_t now,
+                       router_service_t *service, router_held_t *held,
+                       const decide_attempt_end_t *end);
+static bool is_not_run (decide_attempt_result_t result);
+static void retry_or_refuse (router_t *router, clock_ms_t now,
+                             router_pending_t *pending,
+                             const decide_attempt_end_t *end);
+
+void
+router_start (router_t *router, clock_ms_t now, router_pending_t *pending)
+{
+  router_held_t *held = router_take_idle (router, now, pending);
+
+  if (held != NULL)
+    {
+      if (router_forward_with (router, now, pending, held, false) < 0)
+        router_refuse (router, now, pending, DECIDE_REASON_NO_CAPACITY);
+      return;
+    }
+  if (!router_ask_owner (router, now, pending, false))
+    router_refuse (router, now, pending,
+                   pending->attempted > 0 ? DECIDE_REASON_FAILED
+                                          : pending->reason);
+}
+
+static void
+release (router_t *router, router_held_t *held,
+         const decide_attempt_end_t *end, bool keep)
+{
+  decide_msg_release_t msg = {
+    .grant = held->key.number, .pool = held->pool, .keep = keep, .end = *end
+  };
+  decide_id_t owner = held->key.owner;
+
+  if (!keep)
+    {
+      router_remove (&router->helds, held);
+      router->held_count--;
+      free (held);
+    }
+  router->callbacks.release (router->callbacks.context, owner, &msg);
+}
+
+void
+router_release_unknown (router_t *router, decide_id_t owner,
+                        const decide_msg_grant_t *msg)
+{
+  decide_msg_release_t unused = { .grant = msg->grant,
+                                  .pool = msg->pool,
+                                  .end.result = DECIDE_ATTEMPT_UNUSED };
+
+  router->callbacks.release (router->callbacks.context, owner, &unused);
+}
+
+static void
+unlink_idle (router_held_t *held)
+{
+  if (!held->idle)
+    return;
+  TAILQ_REMOVE (&held->service->idle, held, link);
+  held->idle = false;
+}
+
+void
+router_return_unused (router_t *router, router_held_t *held)
+{
+  decide_attempt_end_t unused = { .result = DECIDE_ATTEMPT_UNUSED };
+
+  unlink_idle (held);
+  release (router, held, &unused, false);
+}
+
+router_held_t *
+router_take_idle (router_t *router, clock_ms_t now,
+                  const router_pending_t *pending)
+{
+  router_service_t *service = pending->service;
+  const router_attempt_t *running = TAILQ_FIRST (&pending->attempts);
+  router_held_t *held = TAILQ_FIRST (&service->idle);
+
+  while (held != NULL)
+    {
+      router_held_t *next = TAILQ_NEXT (held, link);
+
+      if (now >= held->start_by
+          || !router->callbacks.usable (router->callbacks.context,
+                                        service->key.number, held->pool,
+                                        held->endpoint))
+        router_return_unused (router, held);
+      else if (held->endpoint != pending->failed_on
+               && (running == NULL
+                   || running->held->endpoint != held->endpoint))
+        {
+          unlink_idle (held);
+          return held;
+        }
+      held = next;
+    }
+  return NULL;
+}
+
+int
+router_forward_with (router_t *router, clock_ms_t now,
+                     router_pending_t *pending, router_held_t *held,
+                     bool hedge)
+{
+  const router_request_t *request = &pending->request;
+  router_attempt_t *attempt = calloc (1, sizeof *attempt);
+  router_forward_t forward = { .request = request->id,
+                               .service = request->service,
+                               .pool = held->pool,
+                               .endpoint = held->endpoint,
+                               .start_by = held->start_by,
+                               .deadline = held->expires,
+                               .hedge = hedge };
+
+  if (attempt != NULL)
+    attempt->key.number = ++router->next;
+  if (attempt == NULL || router_add (&router->attempts, attempt) < 0)
+    {
+      free (attempt);
+      router_return_unused (router, held);
+      return -ENOMEM;
+    }
+  if (forward.deadline > request->deadline)
+    forward.deadline = request->deadline;
+  if (request->run_ms > 0 && forward.deadline > now + request->run_ms)
+    forward.deadline = now + request->run_ms;
+  if (forward.start_by >= forward.deadline)
+    forward.start_by = forward.deadline - 1;
+  forward.attempt = attempt->key.number;
+  attempt->pending = pending;
+  attempt->service = pending->service;
+  attempt->held = held;
+  TAILQ_INSERT_TAIL (&pending->attempts, attempt, link);
+  pending->attempted++;
+  if (pending->attempted == 1 && request->idempotent && request->hedge
+      && request->hedge_after_ms > 0)
+    {
+      pending->hedge_at = now + request->hedge_after_ms;
+      router_due_by (router, pending->hedge_at);
+    }
+  router->callbacks.forward (router->callbacks.context, &forward);
+  return 0;
+}
+
+static bool
+may_reuse (const router_t *router, clock_ms_t now,
+           const router_service_t *service, const router_held_t *held,
+           const decide_attempt_end_t *end)
+{
+  /* After any other end the attempt may still run at the backend server, so
+     a second use could put it above its slots.  */
+  if (end->result != DECIDE_ATTEMPT_ANSWERED
+      || end->status >= STATUS_SERVER_ERROR || end->load.draining)
+    return false;
+  return held->lent && !held->recalled && !router->stopping
+         && now < held->start_by
+         && end->latency_ms * SIXTEENTHS <= SLOW_FACTOR * service->latency_16;
+}
+
+static void
+give_back (router_t *router, clock_ms_t now, router_service_t *service,
+           router_held_t *held, const decide_attempt_end_t *end)
+{
+  int64_t latency_16 = (int64_t)end->latency_ms * SIXTEENTHS;
+
+  if (end->result == DECIDE_ATTEMPT_ANSWERED)
+    {
+      if (service->latency_16 == 0)
+        service->latency_16 = latency_16 > 0 ? latency_16 : 1;
+      else
+        service->latency_16
+            += (latency_16 - service->latency_16) / AVERAGE_WEIGHT;
+    }
+  if (!may_reuse (router, now, service, held, end))
+    {
+      release (router, held, end, false);
+      return;
+    }
+  held->idle = true;
+  held->service = service;
+  TAILQ_INSERT_HEAD (&service->idle, held, link);
+  router_due_by (router, held->start_by);
+  release (router, held, end, true);
+}
+
+static bool
+is_not_run (decide_attempt_result_t result)
+{
+  return result == DECIDE_ATTEMPT_SHED || result == DECIDE_ATTEMPT_NOT_SENT
+         || result == DECIDE_ATTEMPT_UNUSED;
+}
+
+static void
+retry_or_refuse (router_t *router, clock_ms_t now, router_pending_t *pending,
+                 const decide_attempt_end_t *end)
+{
+  const router_request_t *request = &pending->request;
+  /* Nothing was sent, so a further try adds no load.  */
+  bool unused = end->result == DECIDE_ATTEMPT_UNUSED;
+
+  if (now >= request->deadline)
+    {
+      router_refuse (router, now, pending, DECIDE_REASON_DEADLINE);
+      return;
+    }
+  if ((!request->idempotent && pending->ran != DECIDE_RAN_NO)
+      || pending->attempted >= ROUTER_ATTEMPTS_MAX
+      || (!unused
+          && (!request->retry
+              || !budget_spend (&pending->service->retry, now))))
+    {
+      router_refuse (router, now, pending, DECIDE_REASON_FAILED);
+      return;
+    }
+  router_start (router, now, pending);
+}
+
+bool
+router_attempt_done (router_t *router, clock_ms_t now, uint64_t number,
+                     const decide_attempt_end_t *end)
+{
+  router_attempt_t *attempt = router_find (&router->attempts, number, 0);
+  router_pending_t *pending;
+
+  if (attempt == NULL)
+    return false;
+  pending = attempt->pending;
+  router_remove (&router->attempts, attempt);
+  if (pending != NULL)
+    {
+      TAILQ_REMOVE (&pending->attempts, attempt, link);
+      pending->failed_on = attempt->held->endpoint;
+    }
+  give_back (router, now, attempt->service, attempt->held, end);
+  free (attempt);
+  if (pending == NULL)
+    return false;
+  if (end->result == DECIDE_ATTEMPT_ANSWERED)
+    {
+      router_end (router, now, pending);
+      return true;
+    }
+  if (!is_not_run (end->result))
+    pending->ran = DECIDE_RAN_UNKNOWN;
+  router_note_retry (pending, end->retry_after_ms);
+  /* The other attempt, or the one that is being asked for, goes on.  */
+  if (!TAILQ_EMPTY (&pending->attempts) || pending->ask.key.number != 0)
+    return false;
+  retry_or_refuse (router, now, pending, end);
+  return false;
+}
+
+void
+router_recall (router_t *router, clock_ms_t now, decide_id_t owner,
+               const decide_msg_grant_t *msg)
+{
+  router_held_t *held = router_find (&router->helds, msg->grant, owner);
+
+  (void)now;
+  /* A grant that is not known may still be on its way; a release of it now
+     would free a slot that is used later.  */
+  if (held == NULL)
+    return;
+  held->recalled = true;
+  if (held->idle)
+    router_return_unused (router, held);
+}
