Add the platform stand-in

Cause: the store client and the daemon need an object API and a lagging instance list to run against, with faults that tests can switch.

Ruled out: an own HTTP server, and SO_LINGER for all connections, which would also cut answers that end normally.

An update that is delayed by apply_put_after_ms takes effect even when the caller has given up. A tombstone is answered with 404 and the object, so that its change id can be read back.

--- /dev/null
+++ b/test/standin/platform.c
@@ -0,0 +1,587 @@
+/* Test double of the platform: object API and lagging instance list.  */
+
+#include "standin.h"
+
+#include <err.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <time.h>
+
+#define VALUE_MAX (1 << 20)
+#define NAME_LENGTH_MAX 256
+
+typedef struct object
+{
+  char *name;
+  char *body;
+  size_t length;
+  char *change_id;
+  int64_t version;
+  int64_t revision;
+  bool deleted;
+} object_t;
+
+typedef enum down
+{
+  DOWN_NO,
+  DOWN_REFUSING,
+  DOWN_SILENT
+} down_t;
+
+typedef struct faults
+{
+  down_t down;
+  int64_t delay_ms;
+  int64_t lose_put_answers;
+  int64_t apply_put_after_ms;
+} faults_t;
+
+typedef struct platform
+{
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
+  object_t *objects;
+  size_t count;
+  int64_t revision;
+  json_object *instances; /* changes of the instance list, oldest first */
+  int64_t instance_lag_ms;
+  faults_t faults;
+  int64_t reads;
+  int64_t writes;
+  int64_t watches;
+  int64_t bytes;
+  bool stopping;
+} platform_t;
+
+static int handle (struct mg_connection *conn, void *context);
+static int control (platform_t *platform, struct mg_connection *conn,
+                    const char *uri);
+static int read_object (platform_t *platform, struct mg_connection *conn,
+                        const char *name);
+static int read_changes (platform_t *platform, struct mg_connection *conn);
+static int write_object (platform_t *platform, struct mg_connection *conn,
+                         const char *name, bool delete);
+static int instances (platform_t *platform, struct mg_connection *conn,
+                      const char *name);
+
+/* Sends the value and counts its bytes.  */
+static int
+answer (platform_t *platform, struct mg_connection *conn, int status,
+        json_object *value)
+{
+  size_t length;
+
+  json_object_to_json_string_length (
+      value, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &length);
+  pthread_mutex_lock (&platform->lock);
+  platform->bytes += (int64_t)length;
+  pthread_mutex_unlock (&platform->lock);
+  return standin_json (conn, status, value);
+}
+
+static int
+fail (platform_t *platform, struct mg_connection *conn, int status,
+      const char *detail)
+{
+  json_object *problem = json_object_new_object ();
+
+  json_object_object_add (problem, "status", json_object_new_int (status));
+  json_object_object_add (problem, "detail", json_object_new_string (detail));
+  return answer (platform, conn, status, problem);
+}
+
+static bool
+is_method (const struct mg_connection *conn, const char *method)
+{
+  return strcmp (mg_get_request_info (conn)->request_method, method) == 0;
+}
+
+/* Called with the lock held.  */
+static object_t *
+find_object (platform_t *platform, const char *name)
+{
+  for (size_t i = 0; i < platform->count; i++)
+    if (strcmp (platform->objects[i].name, name) == 0)
+      return &platform->objects[i];
+  return NULL;
+}
+
+/* Called with the lock held.  */
+static object_t *
+add_object (platform_t *platform, const char *name)
+{
+  size_t count = platform->count;
+  object_t *objects
+      = reallocarray (platform->objects, count + 1, sizeof *objects);
+
+  if (objects == NULL)
+    err (1, "object %s", name);
+  objects[count] = (object_t){ .name = strdup (name), .deleted = true };
+  platform->objects = objects;
+  platform->count = count + 1;
+  return &objects[count];
+}
+
+static json_object *
+object_json (const object_t *object)
+{
+  json_object *value = json_object_new_object ();
+
+  json_object_object_add (value, "name",
+                          json_object_new_string (object->name));
+  json_object_object_add (value, "version",
+                          json_object_new_int64 (object->version));
+  json_object_object_add (value, "revision",
+                          json_object_new_int64 (object->revision));
+  json_object_object_add (value, "deleted",
+                          json_object_new_boolean (object->deleted));
+  json_object_object_add (
+      value, "change_id",
+      json_object_new_string (object->change_id ? object->change_id : ""));
+  json_object_object_add (
+      value, "body",
+      json_object_new_string_len (object->body ? object->body : "",
+                                  (int)object->length));
+  return value;
+}
+
+static int
+read_object (platform_t *platform, struct mg_connection *conn,
+             const char *name)
+{
+  const object_t *object;
+  json_object *value = NULL;
+  int status = 200;
+
+  pthread_mutex_lock (&platform->lock);
+  platform->reads++;
+  object = find_object (platform, name);
+  if (object != NULL)
+    value = object_json (object);
+  if (object == NULL || object->deleted)
+    status = 404;
+  pthread_mutex_unlock (&platform->lock);
+  if (value == NULL)
+    return fail (platform, conn, 404, "no such object");
+  return answer (platform, conn, status, value);
+}
+
+/* Changes after @since below @prefix.  Called with the lock held.  */
+static json_object *
+changes (platform_t *platform, const char *prefix, int64_t since)
+{
+  json_object *list = json_object_new_array ();
+  json_object *value = json_object_new_object ();
+
+  for (size_t i = 0; i < platform->count; i++)
+    {
+      const object_t *object = &platform->objects[i];
+
+      if (object->revision > since
+          && strncmp (object->name, prefix, strlen (prefix)) == 0)
+        json_object_array_add (list, object_json (object));
+    }
+  json_object_object_add (value, "revision",
+                          json_object_new_int64 (platform->revision));
+  json_object_object_add (value, "objects", list);
+  return value;
+}
+
+static size_t
+change_count (json_object *value)
+{
+  return json_object_array_length (json_object_object_get (value, "objects"));
+}
+
+static void
+get_prefix (const struct mg_connection *conn, char *prefix, size_t size)
+{
+  const char *query = mg_get_request_info (conn)->query_string;
+
+  if (query == NULL
+      || mg_get_var (query, strlen (query), "prefix", prefix, size) < 0)
+    prefix[0] = '\0';
+}
+
+static int
+read_changes (platform_t *platform, struct mg_connection *conn)
+{
+  char prefix[NAME_LENGTH_MAX];
+  json_object *value;
+
+  get_prefix (conn, prefix, sizeof prefix);
+  pthread_mutex_lock (&platform->lock);
+  platform->reads++;
+  value = changes (platform, prefix, standin_query (conn, "since", 0));
+  pthread_mutex_unlock (&platform->lock);
+  return answer (platform, conn, 200, value);
+}
+
+static int
+watch (platform_t *platform, struct mg_connection *conn)
+{
+  int64_t since = standin_query (conn, "since", 0);
+  int64_t timeout_ms = standin_query (conn, "timeout_ms", 30000);
+  char prefix[NAME_LENGTH_MAX];
+  json_object *value;
+  struct timespec until;
+
+  clock_gettime (CLOCK_MONOTONIC, &until);
+  until.tv_sec += timeout_ms / 1000;
+  until.tv_nsec += timeout_ms % 1000 * 1000000;
+  if (until.tv_nsec >= 1000000000)
+    {
+      until.tv_sec++;
+      until.tv_nsec -= 1000000000;
+    }
+  get_prefix (conn, prefix, sizeof prefix);
+  pthread_mutex_lock (&platform->lock);
+  platform->watches++;
+  value = changes (platform, prefix, since);
+  while (
+      change_count (value) == 0 && !platform->stopping
+      && pthread_cond_timedwait (&platform->changed, &platform->lock, &until)
+             == 0)
+    {
+      json_object_put (value);
+      value = changes (platform, prefix, since);
+    }
+  pthread_mutex_unlock (&platform->lock);
+  return answer (platform, conn, 200, value);
+}
+
+/* Whether the request's conditions hold; @object may be NULL.  */
+static bool
+conditions_hold (const struct mg_connection *conn, const object_t *object)
+{
+  const char *match = mg_get_header (conn, "If-Match");
+  const char *none_match = mg_get_header (conn, "If-None-Match");
+  bool exists = object != NULL && !object->deleted;
+
+  if (none_match != NULL && exists)
+    return false;
+  if (match == NULL)
+    return true;
+  return exists
+         && strtoll (match + (match[0] == '"'), NULL, 10) == object->version;
+}
+
+/* Takes over @body unless the update is refused.  Called with the lock held.
+   Returns the status and the answer.  */
+static int
+update (platform_t *platform, const struct mg_connection *conn,
+        const char *name, char **body, size_t length, json_object **value)
+{
+  const char *change_id = mg_get_header (conn, "Change-Id");
+  object_t *object = find_object (platform, name);
+
+  if (!conditions_hold (conn, object))
+    {
+      object_t missing = { .name = (char *)name, .deleted = true };
+
+      *value = object_json (object != NULL ? object : &missing);
+      return 409;
+    }
+  if (*body == NULL && (object == NULL || object->deleted))
+    {
+      *value = json_object_new_object ();
+      return 404;
+    }
+  if (object == NULL)
+    object = add_object (platform, name);
+  free (object->body);
+  free (object->change_id);
+  object->body = *body;
+  object->length = length;
+  object->deleted = *body == NULL;
+  object->change_id = strdup (change_id != NULL ? change_id : "");
+  object->version++;
+  object->revision = ++platform->revision;
+  *body = NULL;
+  pthread_cond_broadcast (&platform->changed);
+  *value = json_object_new_object ();
+  json_object_object_add (*value, "version",
+                          json_object_new_int64 (object->version));
+  json_object_object_add (*value, "revision",
+                          json_object_new_int64 (object->revision));
+  return 200;
+}
+
+static int
+write_object (platform_t *platform, struct mg_connection *conn,
+              const char *name, bool delete)
+{
+  json_object *value = NULL;
+  char *body = NULL;
+  size_t length = 0;
+  int64_t apply_after_ms;
+  bool lose = false;
+  int status;
+
+  if (!delete &&(body = standin_read (conn, VALUE_MAX, &length)) == NULL)
+    return fail (platform, conn, 413, "value too long or incomplete");
+  pthread_mutex_lock (&platform->lock);
+  platform->writes++;
+  platform->bytes += (int64_t)length;
+  apply_after_ms = platform->faults.apply_put_after_ms;
+  pthread_mutex_unlock (&platform->lock);
+
+  /* The update takes effect even if the caller gives up meanwhile.  */
+  if (apply_after_ms > 0)
+    {
+      struct timespec wait
+          = { apply_after_ms / 1000, apply_after_ms % 1000 * 1000000 };
+
+      nanosleep (&wait, NULL);
+    }
+  pthread_mutex_lock (&platform->lock);
+  status = update (platform, conn, name, &body, length, &value);
+  if (status == 200 && platform->faults.lose_put_answers > 0)
+    {
+      platform->faults.lose_put_answers--;
+      lose = true;
+    }
+  pthread_mutex_unlock (&platform->lock);
+  free (body);
+  if (!lose)
+    return answer (platform, conn, status, value);
+  json_object_put (value);
+  standin_reset (conn);
+  return status;
+}
+
+/* The list as it was a lag ago.  */
+static json_object *
+lagging_instances (platform_t *platform)
+{
+  int64_t shown = standin_now_us () - platform->instance_lag_ms * 1000;
+  json_object *by_name = json_object_new_object ();
+  json_object *list = json_object_new_array ();
+  json_object *value = json_object_new_object ();
+
+  for (size_t i = 0; i < json_object_array_length (platform->instances); i++)
+    {
+      json_object *change = json_object_array_get_idx (platform->instances, i);
+      const char *name
+          = json_object_get_string (json_object_object_get (change, "name"));
+      json_object *entry = json_object_object_get (change, "entry");
+
+      if (json_object_get_int64 (json_object_object_get (change, "at"))
+          > shown)
+        break;
+      if (entry == NULL)
+        json_object_object_del (by_name, name);
+      else
+        json_object_object_add (by_name, name, json_object_get (entry));
+    }
+  json_object_object_foreach (by_name, key, member)
+  {
+    (void)key;
+    json_object_array_add (list, json_object_get (member));
+  }
+  json_object_put (by_name);
+  json_object_object_add (value, "instances", list);
+  return value;
+}
+
+static int
+instances (platform_t *platform, struct mg_connection *conn, const char *name)
+{
+  json_object *entry = NULL;
+  json_object *change;
+  json_object *value;
+  size_t length;
+  char *body;
+
+  if (name[0] == '\0')
+    {
+      pthread_mutex_lock (&platform->lock);
+      platform->reads++;
+      value = lagging_instances (platform);
+      pthread_mutex_unlock (&platform->lock);
+      return answer (platform, conn, 200, value);
+    }
+  if (is_method (conn, "PUT"))
+    {
+      body = standin_read (conn, VALUE_MAX, &length);
+      entry = body != NULL ? json_tokener_parse (body) : NULL;
+      free (body);
+      if (!json_object_is_type (entry, json_type_object))
+        {
+          json_object_put (entry);
+          return fail (platform, conn, 400, "not a JSON object");
+        }
+      json_object_object_add (entry, "name", json_object_new_string (name));
+    }
+  change = json_object_new_object ();
+  json_object_object_add (change, "name", json_object_new_string (name));
+  json_object_object_add (change, "entry", entry);
+  pthread_mutex_lock (&platform->lock);
+  json_object_object_add (change, "at",
+                          json_object_new_int64 (standin_now_us ()));
+  json_object_array_add (platform->instances, change);
+  pthread_mutex_unlock (&platform->lock);
+  return answer (platform, conn, 200, json_object_new_object ());
+}
+
+static int
+set_faults (platform_t *platform, struct mg_connection *conn)
+{
+  size_t length;
+  char *body = standin_read (conn, VALUE_MAX, &length);
+  json_object *value = body != NULL ? json_tokener_parse (body) : NULL;
+  json_object *member;
+  faults_t *faults = &platform->faults;
+
+  free (body);
+  if (!json_object_is_type (value, json_type_object))
+    {
+      json_object_put (value);
+      return fail (platform, conn, 400, "not a JSON object");
+    }
+  pthread_mutex_lock (&platform->lock);
+  if (json_object_object_get_ex (value, "down", &member))
+    {
+      faults->down
+          = json_object_get_boolean (member) ? DOWN_REFUSING : DOWN_NO;
+      if (json_object_is_type (member, json_type_string))
+        faults->down = DOWN_SILENT;
+    }
+  if (json_object_object_get_ex (value, "delay_ms", &member))
+    faults->delay_ms = json_object_get_int64 (member);
+  if (json_object_object_get_ex (value, "lose_put_answers", &member))
+    faults->lose_put_answers = json_object_get_int64 (member);
+  if (json_object_object_get_ex (value, "apply_put_after_ms", &member))
+    faults->apply_put_after_ms = json_object_get_int64 (member);
+  pthread_mutex_unlock (&platform->lock);
+  json_object_put (value);
+  return standin_json (conn, 200, json_object_new_object ());
+}
+
+static int
+control (platform_t *platform, struct mg_connection *conn, const char *uri)
+{
+  json_object *value;
+
+  if (strcmp (uri, "/control/faults") == 0 && is_method (conn, "PUT"))
+    return set_faults (platform, conn);
+  if (strcmp (uri, "/control/counters") != 0)
+    return fail (platform, conn, 404, "no such control");
+  value = json_object_new_object ();
+  pthread_mutex_lock (&platform->lock);
+  json_object_object_add (value, "reads",
+                          json_object_new_int64 (platform->reads));
+  json_object_object_add (value, "writes",
+                          json_object_new_int64 (platform->writes));
+  json_object_object_add (value, "watches",
+                          json_object_new_int64 (platform->watches));
+  json_object_object_add (value, "bytes",
+                          json_object_new_int64 (platform->bytes));
+  pthread_mutex_unlock (&platform->lock);
+  return standin_json (conn, 200, value);
+}
+
+/* Returns false when the request was dealt with by a fault.  */
+static bool
+pass_faults (platform_t *platform, struct mg_connection *conn)
+{
+  faults_t faults;
+
+  pthread_mutex_lock (&platform->lock);
+  faults = platform->faults;
+  pthread_mutex_unlock (&platform->lock);
+  if (faults.down == DOWN_REFUSING)
+    {
+      fail (platform, conn, 503, "the platform is down");
+      return false;
+    }
+  if (faults.down == DOWN_SILENT)
+    {
+      /* The wait ends when the caller gives up or the server stops.  */
+      (void)standin_pause (conn, (int64_t)86400 * 1000000);
+      standin_reset (conn);
+      return false;
+    }
+  return faults.delay_ms == 0 || standin_pause (conn, faults.delay_ms * 1000);
+}
+
+static int
+handle (struct mg_connection *conn, void *context)
+{
+  platform_t *platform = context;
+  const char *uri = mg_get_request_info (conn)->local_uri;
+
+  if (strncmp (uri, "/control/", 9) == 0)
+    return control (platform, conn, uri);
+  if (!pass_faults (platform, conn))
+    return 503;
+  if (strncmp (uri, "/objects/", 9) == 0 && uri[9] != '\0')
+    {
+      if (strlen (uri + 9) >= NAME_LENGTH_MAX)
+        return fail (platform, conn, 400, "name too long");
+      if (is_method (conn, "GET"))
+        return read_object (platform, conn, uri + 9);
+      if (is_method (conn, "PUT"))
+        return write_object (platform, conn, uri + 9, false);
+      if (is_method (conn, "DELETE"))
+        return write_object (platform, conn, uri + 9, true);
+      return fail (platform, conn, 405, "method not allowed");
+    }
+  if (strcmp (uri, "/objects") == 0)
+    return read_changes (platform, conn);
+  if (strcmp (uri, "/watch") == 0)
+    return watch (platform, conn);
+  if (strncmp (uri, "/instances", 10) == 0
+      && (uri[10] == '\0' || uri[10] == '/'))
+    return instances (platform, conn, uri + 10 + (uri[10] == '/'));
+  return fail (platform, conn, 404, "no such path");
+}
+
+int
+main (int argc, const char **argv)
+{
+  platform_t platform = { .lock = PTHREAD_MUTEX_INITIALIZER };
+  int port = 0;
+  int threads = 128;
+  int lag_ms = 0;
+  struct poptOption options[]
+      = { { "port", 0, POPT_ARG_INT, &port, 0, "port, 0 for a free one", "N" },
+          { "threads", 0, POPT_ARG_INT, &threads, 0, "connections at a time",
+            "N" },
+          { "instance-lag-ms", 0, POPT_ARG_INT, &lag_ms, 0,
+            "delay of the instance list", "MS" },
+          POPT_AUTOHELP POPT_TABLEEND };
+  pthread_condattr_t attributes;
+  struct mg_context *server;
+  char ports[16];
+
+  standin_options (argc, argv, options);
+  standin_block_signals ();
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&platform.changed, &attributes);
+  platform.instances = json_object_new_array ();
+  platform.instance_lag_ms = lag_ms;
+  snprintf (ports, sizeof ports, "%d", port);
+  server = standin_start (ports, threads, handle, &platform);
+  standin_ready (standin_port (server, 0));
+  standin_wait_stop ();
+
+  pthread_mutex_lock (&platform.lock);
+  platform.stopping = true;
+  pthread_cond_broadcast (&platform.changed);
+  pthread_mutex_unlock (&platform.lock);
+  standin_stop (server);
+  for (size_t i = 0; i < platform.count; i++)
+    {
+      free (platform.objects[i].name);
+      free (platform.objects[i].body);
+      free (platform.objects[i].change_id);
+    }
+  free (platform.objects);
+  json_object_put (platform.instances);
+  return 0;
+}
--- /dev/null
+++ b/test/standin/standin.h
@@ -0,0 +1,88 @@
+#ifndef PERIDOT_STANDIN_H
+#define PERIDOT_STANDIN_H
+
+/* What the test doubles share: HTTP server, connections, answer bodies.  */
+
+#include <civetweb.h>
+#include <json-c/json.h>
+#include <popt.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Longest identity of an answer body; longer ones are cut.  */
+#define STANDIN_IDENTITY_MAX 128
+/* Shortest body that standin_body() can make.  */
+#define STANDIN_BODY_MIN (STANDIN_IDENTITY_MAX + 64)
+
+/* Microseconds on CLOCK_BOOTTIME.  */
+int64_t standin_now_us (void);
+
+/* Parses all options into their variables; exits with usage on an error.  */
+void standin_options (int argc, const char **argv,
+                      const struct poptOption *options);
+
+/* Blocks the stop signals; called before any thread starts.  */
+void standin_block_signals (void);
+
+/* Waits for SIGTERM or SIGINT.  */
+void standin_wait_stop (void);
+
+/**
+ * standin_start() - start an HTTP server on loopback; exits on failure
+ * @ports: port numbers separated by commas; 0 takes a free one
+ * @threads: worker threads, one for each open connection
+ * @handler: called for every request
+ */
+struct mg_context *standin_start (const char *ports, int threads,
+                                  mg_request_handler handler, void *context);
+
+/**
+ * standin_port() - port number of a listener
+ * @index: position in the list given to standin_start()
+ */
+int standin_port (struct mg_context *server, int index);
+
+/* Resets all connections and stops the server.  */
+void standin_stop (struct mg_context *server);
+
+/* Prints "ready PORT".  */
+void standin_ready (int port);
+
+/**
+ * standin_pause() - wait while the caller stays connected
+ * Return: false when the caller has closed the connection.
+ */
+bool standin_pause (const struct mg_connection *conn, int64_t wait_us);
+
+/* Resets the connection; the handler then returns without an answer.  */
+void standin_reset (struct mg_connection *conn);
+
+/* Resets all connections to a port of this process.  */
+void standin_reset_port (int port);
+
+/**
+ * standin_read() - read a request body
+ * @length: receives its length
+ *
+ * Return: the body with a NUL after it, freed by the caller; NULL when it is
+ *   longer than @max or incomplete.
+ */
+char *standin_read (struct mg_connection *conn, size_t max, size_t *length);
+
+/* Sends @value as JSON and releases it; returns the status.  */
+int standin_json (struct mg_connection *conn, int status, json_object *value);
+
+/* Number in the query string, or @otherwise.  */
+long long standin_query (const struct mg_connection *conn, const char *name,
+                         long long otherwise);
+
+/**
+ * standin_body() - body that depends on its identity and length only
+ * @body: buffer of @length bytes, at least STANDIN_BODY_MIN
+ *
+ * The body is one JSON object.
+ */
+void standin_body (char *body, size_t length, const char *identity);
+
+#endif
