Add the caller stand-in

Cause: tests need open-loop arrivals and a check that every caller got the whole answer to its own request.

--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -94,14 +94,11 @@
       const run_t *run = &backend->runs[i];
       json_object *entry = json_object_new_object ();
 
-      json_object_object_add (entry, "key", json_object_new_string (run->key));
-      json_object_object_add (entry, "request_id",
-                              json_object_new_string (run->request_id));
-      json_object_object_add (entry, "port", json_object_new_int (run->port));
-      json_object_object_add (entry, "start_us",
-                              json_object_new_int64 (run->start_us));
-      json_object_object_add (entry, "completed",
-                              json_object_new_boolean (run->completed));
+      standin_add_text (entry, "key", run->key);
+      standin_add_text (entry, "request_id", run->request_id);
+      standin_add (entry, "port", run->port);
+      standin_add (entry, "start_us", run->start_us);
+      standin_add_flag (entry, "completed", run->completed);
       json_object_array_add (list, entry);
     }
   pthread_mutex_unlock (&backend->journal_lock);
@@ -377,16 +374,12 @@
     }
   load = endpoint_get_load (endpoint, false, true);
   snprintf (identity, sizeof identity, "%016" PRIx64, load.identity);
-  json_object_object_add (value, "in_flight",
-                          json_object_new_int (load.in_flight));
-  json_object_object_add (value, "queued", json_object_new_int (load.queued));
-  json_object_object_add (value, "slots",
-                          json_object_new_int (backend->options.slots));
-  json_object_object_add (value, "cold", json_object_new_int (load.cold));
-  json_object_object_add (value, "draining",
-                          json_object_new_int (load.draining));
-  json_object_object_add (value, "identity",
-                          json_object_new_string (identity));
+  standin_add (value, "in_flight", load.in_flight);
+  standin_add (value, "queued", load.queued);
+  standin_add (value, "slots", backend->options.slots);
+  standin_add (value, "cold", load.cold);
+  standin_add (value, "draining", load.draining);
+  standin_add_text (value, "identity", identity);
   return standin_json (conn, 200, value);
 }
 
@@ -421,9 +414,7 @@
 
   for (int i = 0; i < backend->count; i++)
     json_object_array_add (list, endpoint_stats (&backend->endpoints[i]));
-  json_object_object_add (
-      value, "repeated_keys",
-      json_object_new_int64 (count_repeated_keys (backend)));
+  standin_add (value, "repeated_keys", count_repeated_keys (backend));
   json_object_object_add (value, "endpoints", list);
   return value;
 }
@@ -434,8 +425,6 @@
   backend_t *backend = context;
   const char *uri = mg_get_request_info (conn)->local_uri;
   json_object *value;
-  size_t length;
-  char *body;
   int index;
 
   if (strcmp (uri, "/control/journal") == 0)
@@ -447,14 +436,9 @@
   index = (int)strtol (uri + 18, NULL, 10);
   if (index < 0 || index >= backend->count)
     return standin_json (conn, 404, json_object_new_object ());
-  body = standin_read (conn, REQUEST_BODY_MAX, &length);
-  value = body != NULL ? json_tokener_parse (body) : NULL;
-  free (body);
-  if (!json_object_is_type (value, json_type_object))
-    {
-      json_object_put (value);
-      return standin_json (conn, 400, json_object_new_object ());
-    }
+  value = standin_read_json (conn);
+  if (value == NULL)
+    return standin_json (conn, 400, json_object_new_object ());
   endpoint_control (&backend->endpoints[index], value);
   json_object_put (value);
   return standin_json (conn, 200, endpoint_stats (&backend->endpoints[index]));
--- a/test/standin/endpoint.c
+++ b/test/standin/endpoint.c
@@ -12,14 +12,6 @@
 static void remove_work (endpoint_t *endpoint, work_t *work);
 static double service_time_ms (endpoint_t *endpoint, double mean_ms);
 
-static double
-uniform (endpoint_t *endpoint)
-{
-  endpoint->random
-      = endpoint->random * 6364136223846793005U + 1442695040888963407U;
-  return ((double)(endpoint->random >> 11) + 1) / 9007199254740993.0;
-}
-
 void
 endpoint_init (endpoint_t *endpoint, const endpoint_options_t *options,
                int port)
@@ -28,7 +20,7 @@
 
   *endpoint = (endpoint_t){ .options = options,
                             .port = port,
-                            .random = XXH64 (seed, sizeof seed, 0),
+                            .random = { XXH64 (seed, sizeof seed, 0) },
                             .slow_factor = 1 };
   endpoint->identity = XXH64 (seed, sizeof seed, 1);
   pthread_mutex_init (&endpoint->lock, NULL);
@@ -234,8 +226,8 @@
 service_time_ms (endpoint_t *endpoint, double mean_ms)
 {
   double sigma = endpoint->options->sigma;
-  double normal = sqrt (-2 * log (uniform (endpoint)))
-                  * cos (2 * M_PI * uniform (endpoint));
+  double normal = sqrt (-2 * log (standin_uniform (&endpoint->random)))
+                  * cos (2 * M_PI * standin_uniform (&endpoint->random));
   double time_ms = mean_ms * exp (sigma * normal - sigma * sigma / 2);
   int concurrency = endpoint->in_flight + endpoint->queued;
 
@@ -355,32 +347,26 @@
     standin_reset_port (endpoint->port);
 }
 
-static void
-add_number (json_object *value, const char *name, int64_t number)
-{
-  json_object_object_add (value, name, json_object_new_int64 (number));
-}
-
 json_object *
 endpoint_stats (endpoint_t *endpoint)
 {
   json_object *value = json_object_new_object ();
 
   pthread_mutex_lock (&endpoint->lock);
-  add_number (value, "port", endpoint->port);
-  add_number (value, "in_flight", endpoint->in_flight);
-  add_number (value, "queued", endpoint->queued);
-  add_number (value, "requests", endpoint->requests);
-  add_number (value, "max_concurrency", endpoint->max_concurrency);
-  add_number (value, "max_over_bearing", endpoint->max_over_bearing);
-  add_number (value, "shed", endpoint->shed_count);
-  add_number (value, "cancelled", endpoint->cancelled);
-  add_number (value, "expired", endpoint->expired);
-  add_number (value, "cold_overloads", endpoint->cold_overloads);
-  add_number (value, "late_after_drain", endpoint->late_after_drain);
-  add_number (value, "work_after_out", endpoint->work_after_out);
-  add_number (value, "late_after_out", endpoint->late_after_out);
-  add_number (value, "last_after_out_ms", endpoint->last_after_out_us / 1000);
+  standin_add (value, "port", endpoint->port);
+  standin_add (value, "in_flight", endpoint->in_flight);
+  standin_add (value, "queued", endpoint->queued);
+  standin_add (value, "requests", endpoint->requests);
+  standin_add (value, "max_concurrency", endpoint->max_concurrency);
+  standin_add (value, "max_over_bearing", endpoint->max_over_bearing);
+  standin_add (value, "shed", endpoint->shed_count);
+  standin_add (value, "cancelled", endpoint->cancelled);
+  standin_add (value, "expired", endpoint->expired);
+  standin_add (value, "cold_overloads", endpoint->cold_overloads);
+  standin_add (value, "late_after_drain", endpoint->late_after_drain);
+  standin_add (value, "work_after_out", endpoint->work_after_out);
+  standin_add (value, "late_after_out", endpoint->late_after_out);
+  standin_add (value, "last_after_out_ms", endpoint->last_after_out_us / 1000);
   pthread_mutex_unlock (&endpoint->lock);
   return value;
 }
--- a/test/standin/endpoint.h
+++ b/test/standin/endpoint.h
@@ -53,7 +53,7 @@
   work_t *work;
   int in_flight;
   int queued;
-  uint64_t random;
+  standin_random_t random;
   uint64_t identity;
   int64_t cold_until_us;
   int64_t fallen_until_us;
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -88,8 +88,8 @@
 {
   json_object *problem = json_object_new_object ();
 
-  json_object_object_add (problem, "status", json_object_new_int (status));
-  json_object_object_add (problem, "detail", json_object_new_string (detail));
+  standin_add (problem, "status", status);
+  standin_add_text (problem, "detail", detail);
   return answer (platform, conn, status, problem);
 }
 
@@ -130,17 +130,12 @@
 {
   json_object *value = json_object_new_object ();
 
-  json_object_object_add (value, "name",
-                          json_object_new_string (object->name));
-  json_object_object_add (value, "version",
-                          json_object_new_int64 (object->version));
-  json_object_object_add (value, "revision",
-                          json_object_new_int64 (object->revision));
-  json_object_object_add (value, "deleted",
-                          json_object_new_boolean (object->deleted));
-  json_object_object_add (
-      value, "change_id",
-      json_object_new_string (object->change_id ? object->change_id : ""));
+  standin_add_text (value, "name", object->name);
+  standin_add (value, "version", object->version);
+  standin_add (value, "revision", object->revision);
+  standin_add_flag (value, "deleted", object->deleted);
+  standin_add_text (value, "change_id",
+                    object->change_id ? object->change_id : "");
   json_object_object_add (
       value, "body",
       json_object_new_string_len (object->body ? object->body : "",
@@ -184,8 +179,7 @@
           && strncmp (object->name, prefix, strlen (prefix)) == 0)
         json_object_array_add (list, object_json (object));
     }
-  json_object_object_add (value, "revision",
-                          json_object_new_int64 (platform->revision));
+  standin_add (value, "revision", platform->revision);
   json_object_object_add (value, "objects", list);
   return value;
 }
@@ -393,8 +387,6 @@
   json_object *entry = NULL;
   json_object *change;
   json_object *value;
-  size_t length;
-  char *body;
 
   if (name[0] == '\0')
     {
@@ -406,22 +398,16 @@
     }
   if (is_method (conn, "PUT"))
     {
-      body = standin_read (conn, VALUE_MAX, &length);
-      entry = body != NULL ? json_tokener_parse (body) : NULL;
-      free (body);
-      if (!json_object_is_type (entry, json_type_object))
-        {
-          json_object_put (entry);
-          return fail (platform, conn, 400, "not a JSON object");
-        }
-      json_object_object_add (entry, "name", json_object_new_string (name));
+      entry = standin_read_json (conn);
+      if (entry == NULL)
+        return fail (platform, conn, 400, "not a JSON object");
+      standin_add_text (entry, "name", name);
     }
   change = json_object_new_object ();
-  json_object_object_add (change, "name", json_object_new_string (name));
+  standin_add_text (change, "name", name);
   json_object_object_add (change, "entry", entry);
   pthread_mutex_lock (&platform->lock);
-  json_object_object_add (change, "at",
-                          json_object_new_int64 (standin_now_us ()));
+  standin_add (change, "at", standin_now_us ());
   json_object_array_add (platform->instances, change);
   pthread_mutex_unlock (&platform->lock);
   return answer (platform, conn, 200, json_object_new_object ());
@@ -430,18 +416,12 @@
 static int
 set_faults (platform_t *platform, struct mg_connection *conn)
 {
-  size_t length;
-  char *body = standin_read (conn, VALUE_MAX, &length);
-  json_object *value = body != NULL ? json_tokener_parse (body) : NULL;
+  json_object *value = standin_read_json (conn);
   json_object *member;
   faults_t *faults = &platform->faults;
 
-  free (body);
-  if (!json_object_is_type (value, json_type_object))
-    {
-      json_object_put (value);
-      return fail (platform, conn, 400, "not a JSON object");
-    }
+  if (value == NULL)
+    return fail (platform, conn, 400, "not a JSON object");
   pthread_mutex_lock (&platform->lock);
   if (json_object_object_get_ex (value, "down", &member))
     {
@@ -472,14 +452,10 @@
     return fail (platform, conn, 404, "no such control");
   value = json_object_new_object ();
   pthread_mutex_lock (&platform->lock);
-  json_object_object_add (value, "reads",
-                          json_object_new_int64 (platform->reads));
-  json_object_object_add (value, "writes",
-                          json_object_new_int64 (platform->writes));
-  json_object_object_add (value, "watches",
-                          json_object_new_int64 (platform->watches));
-  json_object_object_add (value, "bytes",
-                          json_object_new_int64 (platform->bytes));
+  standin_add (value, "reads", platform->reads);
+  standin_add (value, "writes", platform->writes);
+  standin_add (value, "watches", platform->watches);
+  standin_add (value, "bytes", platform->bytes);
   pthread_mutex_unlock (&platform->lock);
   return standin_json (conn, 200, value);
 }
--- a/test/standin/standin.c
+++ b/test/standin/standin.c
@@ -16,6 +16,7 @@
 
 #define DESCRIPTORS_MAX 65536
 #define PORTS_MAX 1024
+#define JSON_MAX (1 << 20)
 
 /* CivetWeb does not give out the descriptor of a connection, which is needed
    to notice that the caller has gone and to reset the connection.  It is
@@ -30,6 +31,20 @@
 static int descriptor (const struct mg_connection *conn);
 static void abort_connection (int fd);
 
+/* Step of the MMIX generator.  */
+static uint64_t
+next_random (uint64_t state)
+{
+  return state * 6364136223846793005U + 1442695040888963407U;
+}
+
+double
+standin_uniform (standin_random_t *random)
+{
+  random->state = next_random (random->state);
+  return ((double)(random->state >> 11) + 0.5) / 9007199254740992.0;
+}
+
 int64_t
 standin_now_us (void)
 {
@@ -285,6 +300,38 @@
   return body;
 }
 
+void
+standin_add (json_object *value, const char *name, int64_t number)
+{
+  json_object_object_add (value, name, json_object_new_int64 (number));
+}
+
+void
+standin_add_text (json_object *value, const char *name, const char *text)
+{
+  json_object_object_add (value, name, json_object_new_string (text));
+}
+
+void
+standin_add_flag (json_object *value, const char *name, bool flag)
+{
+  json_object_object_add (value, name, json_object_new_boolean (flag));
+}
+
+json_object *
+standin_read_json (struct mg_connection *conn)
+{
+  size_t length;
+  char *body = standin_read (conn, JSON_MAX, &length);
+  json_object *value = body != NULL ? json_tokener_parse (body) : NULL;
+
+  free (body);
+  if (json_object_is_type (value, json_type_object))
+    return value;
+  json_object_put (value);
+  return NULL;
+}
+
 int
 standin_json (struct mg_connection *conn, int status, json_object *value)
 {
@@ -331,8 +378,7 @@
       size_t part = last - used < 8 ? last - used : 8;
       uint64_t letters;
 
-      /* Multiplier and increment of the MMIX generator.  */
-      state = state * 6364136223846793005U + 1442695040888963407U;
+      state = next_random (state);
       letters = (state >> 4 & 0x0f0f0f0f0f0f0f0fU) + 0x6161616161616161U;
       memcpy (body + used, &letters, part);
       used += part;
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -15,6 +15,15 @@
 /* Shortest body that standin_body() can make.  */
 #define STANDIN_BODY_MIN (STANDIN_IDENTITY_MAX + 64)
 
+/* Seeded generator.  */
+typedef struct standin_random
+{
+  uint64_t state;
+} standin_random_t;
+
+/* Uniform between 0 and 1, without either end.  */
+double standin_uniform (standin_random_t *random);
+
 /* Microseconds on CLOCK_BOOTTIME.  */
 int64_t standin_now_us (void);
 
@@ -70,6 +79,14 @@
  */
 char *standin_read (struct mg_connection *conn, size_t max, size_t *length);
 
+/* Add a member to a JSON object.  */
+void standin_add (json_object *value, const char *name, int64_t number);
+void standin_add_text (json_object *value, const char *name, const char *text);
+void standin_add_flag (json_object *value, const char *name, bool flag);
+
+/* Reads a request body that must be a JSON object; NULL when it is not.  */
+json_object *standin_read_json (struct mg_connection *conn);
+
 /* Sends @value as JSON and releases it; returns the status.  */
 int standin_json (struct mg_connection *conn, int status, json_object *value);
 
--- /dev/null
+++ b/test/standin/tally.c
@@ -0,0 +1,85 @@
+#include "tally.h"
+
+#include <err.h>
+#include <stdlib.h>
+
+const char *
+outcome_name (outcome_t outcome)
+{
+  static const char *const names[OUTCOMES]
+      = { "whole",  "refused_no", "refused_unknown",
+          "broken", "wrong",      "timeout" };
+
+  return names[outcome];
+}
+
+void
+tally_add (tally_t *tally, outcome_t outcome, int64_t latency_us)
+{
+  tally->counts[outcome]++;
+  if (outcome != OUTCOME_WHOLE)
+    return;
+  if (tally->used == tally->capacity)
+    {
+      tally->capacity = tally->capacity * 2 + 1024;
+      tally->latencies_us = reallocarray (tally->latencies_us, tally->capacity,
+                                          sizeof *tally->latencies_us);
+      if (tally->latencies_us == NULL)
+        err (1, "latencies");
+    }
+  tally->latencies_us[tally->used++] = latency_us;
+}
+
+void
+tally_merge (tally_t *tally, const tally_t *from)
+{
+  for (int i = 0; i < OUTCOMES; i++)
+    if (i != OUTCOME_WHOLE)
+      tally->counts[i] += from->counts[i];
+  for (size_t i = 0; i < from->used; i++)
+    tally_add (tally, OUTCOME_WHOLE, from->latencies_us[i]);
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  int64_t x = *(const int64_t *)a;
+  int64_t y = *(const int64_t *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* Nearest rank in thousandths of the sorted latencies.  */
+static int64_t
+percentile (const tally_t *tally, size_t thousandths)
+{
+  size_t rank = (tally->used * thousandths + 999) / 1000;
+
+  return tally->used == 0 ? 0 : tally->latencies_us[rank - 1];
+}
+
+void
+tally_report (tally_t *tally, json_object *value)
+{
+  int64_t requests = 0;
+
+  if (tally->used > 0)
+    qsort (tally->latencies_us, tally->used, sizeof *tally->latencies_us,
+           compare);
+  for (int i = 0; i < OUTCOMES; i++)
+    requests += tally->counts[i];
+  standin_add (value, "requests", requests);
+  for (int i = 0; i < OUTCOMES; i++)
+    standin_add (value, outcome_name ((outcome_t)i), tally->counts[i]);
+  standin_add (value, "p50_us", percentile (tally, 500));
+  standin_add (value, "p99_us", percentile (tally, 990));
+  standin_add (value, "p999_us", percentile (tally, 999));
+  standin_add (value, "max_us", percentile (tally, 1000));
+}
+
+void
+tally_clear (tally_t *tally)
+{
+  free (tally->latencies_us);
+  *tally = (tally_t){ 0 };
+}
