Join the aggregates of the decision library in one node

Cause: the daemon, tests and other harnesses need one interface that takes events and gives decisions. Messages of an instance to itself go through a queue, because the aggregates must not be entered again from a callback.

--- /dev/null
+++ b/lib/decide/node.h
@@ -0,0 +1,127 @@
+#ifndef PERIDOT_NODE_H
+#define PERIDOT_NODE_H
+
+/* Joins the aggregates of one instance.  Internal to the library.  */
+
+#include <glib.h>
+
+#include "catalog.h"
+#include "claim.h"
+#include "decide.h"
+#include "keys.h"
+#include "ownership.h"
+#include "pool.h"
+#include "router.h"
+
+/* Pool that this instance owns, or owned while its grants last.  */
+typedef struct node_pool
+{
+  decide_id_t id;
+  pool_handle_t handle;
+  pool_t *pool;
+} node_pool_t;
+
+/* What owners last said of a pool.  */
+typedef struct node_load
+{
+  uint16_t free;
+  uint16_t queued;
+} node_load_t;
+
+typedef struct node_peer
+{
+  decide_id_t id;
+  char name[DECIDE_NAME_MAX];
+  char data_centre[DECIDE_NAME_MAX];
+} node_peer_t;
+
+/* Request with an idempotency key, until its outcome is reported.  */
+typedef struct node_keyed
+{
+  uint64_t id;
+  router_request_t request;
+} node_keyed_t;
+
+/* Message of this instance to itself.  */
+typedef struct node_loop
+{
+  decide_msg_t msg;
+} node_loop_t;
+
+struct decide
+{
+  decide_settings_t settings;
+  decide_id_t id;
+  decide_callbacks_t callbacks;
+  decide_rng_t rng;
+  clock_ms_t now;
+  catalog_t *catalog;
+  ownership_t *ownership;
+  router_t *router;
+  keys_t *keys;
+  claims_t *claims;
+  GArray *peers;     /* node_peer_t */
+  GHashTable *pools; /* id -> node_pool_t */
+  GHashTable *loads; /* id -> node_load_t */
+  GHashTable *keyed; /* request -> node_keyed_t */
+  GQueue loop;       /* node_loop_t; messages to this instance */
+  bool in_loop;
+  uint32_t load_turn; /* first pool of the next heartbeat's loads */
+  bool syncing;
+  bool sync_wanted;
+  bool record_seen;
+  bool record_failed; /* a record of the read under way was malformed */
+  clock_ms_t sync_at;
+  clock_ms_t sync_started;
+  clock_ms_t store_contact;
+  clock_ms_t pulled_at;
+  clock_ms_t stopping_at;
+  bool stopping;
+  bool pools_changed;
+  /* Incarnation of the last recorded owner of each key slice, to tell a first
+     owner from one that follows another.  */
+  decide_id_t key_owner[DECIDE_SLICES];
+  uint64_t key_incarnation[DECIDE_SLICES];
+  bool key_delegated[DECIDE_SLICES];
+};
+
+/* node_pools.c */
+pool_t *node_ready_pool (decide_t *node, decide_id_t pool);
+void node_update_pools (decide_t *node);
+clock_ms_t node_tick_pools (decide_t *node);
+void node_fill_loads (decide_t *node, decide_msg_heartbeat_t *heartbeat);
+uint32_t node_export_grants (void *context, uint32_t centre, uint32_t slice,
+                             decide_handover_grant_t *grants, uint32_t max);
+void node_import_grants (void *context, uint32_t centre, uint32_t slice,
+                         decide_id_t from,
+                         const decide_handover_grant_t *grants,
+                         uint32_t count);
+void node_free_pool (void *pool);
+uint32_t node_pool_centre (const decide_t *node, const catalog_pool_t *pool);
+
+/* node_requests.c */
+uint32_t node_list_candidates (void *context, decide_id_t service,
+                               router_candidate_t *candidates, uint32_t max);
+bool node_is_usable (void *context, decide_id_t service, decide_id_t pool,
+                     decide_id_t endpoint);
+void node_forward (void *context, const router_forward_t *forward);
+void node_refuse (void *context, const decide_refusal_t *refusal);
+void node_claim_run (void *context, uint64_t request);
+void node_claim_replay (void *context, uint64_t request,
+                        const decide_answer_t *answer);
+void node_claim_refuse (void *context, const decide_refusal_t *refusal);
+
+/* node_messages.c */
+void node_send (decide_t *node, decide_id_t to, const decide_msg_t *msg);
+void node_run_loop (decide_t *node);
+bool node_has_contact (const decide_t *node);
+
+/* node_config.c */
+void node_note_loads (decide_t *node, decide_id_t pool, uint16_t free,
+                      uint16_t queued);
+void node_pull (decide_t *node, decide_id_t from, uint64_t revision);
+void node_push (decide_t *node, decide_id_t to, uint64_t since);
+void node_sync (decide_t *node);
+void node_add_centres (decide_t *node);
+
+#endif
--- /dev/null
+++ b/lib/decide/node_config.c
@@ -0,0 +1,183 @@
+#include "node.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* Objects in one push; a sender's ring holds 1,024 messages.  */
+#define PUSH_MAX 256
+#define PULL_INTERVAL_MS 100
+/* Soonest further read of the store when one is asked for in between.  */
+#define SYNC_AGAIN_MS 50
+/* A read that the daemon never ends is given up.  */
+#define SYNC_LOST_MS 10000
+
+typedef struct push
+{
+  decide_t *node;
+  decide_id_t to;
+  uint64_t last;
+  uint32_t count;
+} push_t;
+
+static void push_object (void *context, const decide_msg_object_t *object);
+
+void
+node_note_loads (decide_t *node, decide_id_t pool, uint16_t free,
+                 uint16_t queued)
+{
+  node_load_t *load = g_hash_table_lookup (node->loads, &pool);
+
+  if (load == NULL)
+    {
+      load = g_new0 (node_load_t, 1);
+      g_hash_table_insert (node->loads, g_memdup2 (&pool, sizeof pool), load);
+    }
+  load->free = free;
+  load->queued = queued;
+}
+
+void
+node_pull (decide_t *node, decide_id_t from, uint64_t revision)
+{
+  decide_msg_t msg = { .type = DECIDE_MSG_OBJECT_PULL,
+                       .incarnation = node->settings.incarnation };
+
+  if (revision <= catalog_revision (node->catalog)
+      || node->now - node->pulled_at < PULL_INTERVAL_MS)
+    return;
+  node->pulled_at = node->now;
+  msg.u.pull_since = catalog_revision (node->catalog);
+  node_send (node, from, &msg);
+}
+
+static void
+push_object (void *context, const decide_msg_object_t *object)
+{
+  push_t *push = context;
+  decide_msg_t msg = { .type = DECIDE_MSG_OBJECT_PUSH,
+                       .incarnation = push->node->settings.incarnation };
+
+  if (push->count >= PUSH_MAX)
+    return;
+  push->count++;
+  push->last = object->revision;
+  msg.u.object = *object;
+  push->node->callbacks.send (push->node->callbacks.context, push->to, &msg);
+}
+
+/* The last message has no name and states the complete revision; it is left
+   out when the push was cut off, so that the peer pulls again.  */
+void
+node_push (decide_t *node, decide_id_t to, uint64_t since)
+{
+  push_t push = { .node = node, .to = to, .last = since };
+  decide_msg_t msg = { .type = DECIDE_MSG_OBJECT_PUSH,
+                       .incarnation = node->settings.incarnation };
+
+  if (to == node->id || since >= catalog_revision (node->catalog))
+    return;
+  catalog_each_since (node->catalog, since, push_object, &push);
+  if (push.count >= PUSH_MAX)
+    return;
+  msg.u.object.previous = push.last;
+  msg.u.object.revision = catalog_revision (node->catalog);
+  msg.u.object.name = "";
+  msg.u.object.body = "";
+  node->callbacks.send (node->callbacks.context, to, &msg);
+}
+
+/* Tells the ownership record of data centres that only endpoints are in.  */
+void
+node_add_centres (decide_t *node)
+{
+  for (pool_handle_t i = 0; i < catalog_pool_count (node->catalog); i++)
+    {
+      const catalog_pool_t *pool = catalog_pool (node->catalog, i);
+
+      if (pool->count > 0)
+        ownership_add_centre (node->ownership, pool->centre_name);
+    }
+}
+
+int
+decide_object (decide_t *node, clock_ms_t now, uint64_t previous,
+               const decide_object_t *object)
+{
+  int changed;
+  int error;
+
+  node->now = now;
+  if (object->kind == DECIDE_OBJECT_RECORD)
+    {
+      const char *slash = strrchr (object->name, '/');
+
+      if (slash == NULL || strcmp (slash + 1, node->settings.group) != 0)
+        return 0;
+      if (!object->deleted)
+        {
+          error = ownership_record (node->ownership, now, object->u.record);
+          if (error == -EINVAL)
+            {
+              node->record_failed = true;
+              return error;
+            }
+          node->record_seen = true;
+          node->pools_changed = true;
+        }
+    }
+  changed = catalog_apply (node->catalog, previous, object);
+  if (changed < 0)
+    return changed;
+  if (changed & CATALOG_CHANGED_SERVICE)
+    node_add_centres (node);
+  if (changed != 0)
+    node->pools_changed = true;
+  node_run_loop (node);
+  return 0;
+}
+
+void
+node_sync (decide_t *node)
+{
+  if (node->syncing && node->now - node->sync_started < SYNC_LOST_MS)
+    {
+      node->sync_wanted = true;
+      return;
+    }
+  node->syncing = true;
+  node->sync_wanted = false;
+  node->record_failed = false;
+  node->sync_started = node->now;
+  node->sync_at = node->now + DECIDE_STORE_SYNC_MS;
+  node->callbacks.store_sync (node->callbacks.context,
+                              catalog_revision (node->catalog));
+}
+
+void
+decide_store_synced (decide_t *node, clock_ms_t now, clock_ms_t sent, bool ok,
+                     uint64_t revision)
+{
+  node->now = now;
+  node->syncing = false;
+  if (ok)
+    {
+      catalog_complete (node->catalog, 0, revision);
+      node->store_contact = sent;
+    }
+  ownership_store_synced (node->ownership, now, sent,
+                          ok && !node->record_failed, node->record_seen);
+  if (node->sync_wanted && node->sync_at > now + SYNC_AGAIN_MS)
+    node->sync_at = now + SYNC_AGAIN_MS;
+  node_run_loop (node);
+}
+
+void
+decide_store_put_done (decide_t *node, clock_ms_t now, uint64_t operation,
+                       decide_store_result_t result, uint64_t version)
+{
+  node->now = now;
+  ownership_put_done (node->ownership, now, operation, result, version);
+  node->pools_changed = true;
+  node_sync (node);
+  node_run_loop (node);
+}
--- /dev/null
+++ b/lib/decide/node_messages.c
@@ -0,0 +1,182 @@
+#include "node.h"
+
+static void handle_grant_request (decide_t *node, decide_id_t from,
+                                  const decide_msg_t *msg);
+static void handle_router_message (decide_t *node, decide_id_t from,
+                                   const decide_msg_t *msg);
+static void handle_heartbeat (decide_t *node, decide_id_t from,
+                              const decide_msg_t *msg);
+
+/* Messages to this instance are delivered after the current call, because the
+   aggregates must not be entered again from their callbacks.  */
+void
+node_send (decide_t *node, decide_id_t to, const decide_msg_t *msg)
+{
+  node_loop_t *entry;
+
+  if (to != node->id)
+    {
+      node->callbacks.send (node->callbacks.context, to, msg);
+      return;
+    }
+  entry = g_new (node_loop_t, 1);
+  entry->msg = *msg;
+  g_queue_push_tail (&node->loop, entry);
+}
+
+void
+node_run_loop (decide_t *node)
+{
+  node_loop_t *entry;
+
+  if (node->in_loop)
+    return;
+  node->in_loop = true;
+  while ((entry = g_queue_pop_head (&node->loop)) != NULL)
+    {
+      decide_message (node, node->now, node->id, &entry->msg);
+      g_free (entry);
+    }
+  node->in_loop = false;
+}
+
+/* Without contact the configuration may be stale: a data centre may have been
+   taken out.  */
+bool
+node_has_contact (const decide_t *node)
+{
+  const decide_record_t *record = ownership_get_record (node->ownership);
+  clock_ms_t oldest = node->now - DECIDE_CONTACT_MS;
+
+  return node->store_contact > oldest
+         || ownership_last_contact (node->ownership) > oldest
+         || (record != NULL && record->member_count == 1);
+}
+
+static void
+handle_grant_request (decide_t *node, decide_id_t from,
+                      const decide_msg_t *msg)
+{
+  const decide_msg_grant_t *grant = &msg->u.grant;
+  pool_t *pool = node_ready_pool (node, grant->pool);
+  decide_msg_t refused = { .type = DECIDE_MSG_REFUSED,
+                           .incarnation = node->settings.incarnation };
+
+  if (pool != NULL)
+    {
+      pool_request (pool, node->now, from, grant);
+      return;
+    }
+  refused.u.grant.request = grant->request;
+  refused.u.grant.pool = grant->pool;
+  refused.u.grant.reason = DECIDE_REASON_NO_CAPACITY;
+  node_send (node, from, &refused);
+}
+
+static void
+handle_router_message (decide_t *node, decide_id_t from,
+                       const decide_msg_t *msg)
+{
+  const decide_msg_grant_t *grant = &msg->u.grant;
+
+  switch (msg->type)
+    {
+    case DECIDE_MSG_GRANT:
+      node_note_loads (node, grant->pool, grant->free, grant->queued);
+      router_granted (node->router, node->now, from, grant);
+      break;
+    case DECIDE_MSG_QUEUED:
+      node_note_loads (node, grant->pool, grant->free, grant->queued);
+      router_queued (node->router, node->now, from, grant);
+      break;
+    case DECIDE_MSG_REFUSED:
+      node_note_loads (node, grant->pool, grant->free, grant->queued);
+      router_refused (node->router, node->now, from, grant);
+      break;
+    default:
+      router_recall (node->router, node->now, from, grant);
+      break;
+    }
+}
+
+static void
+handle_heartbeat (decide_t *node, decide_id_t from, const decide_msg_t *msg)
+{
+  const decide_msg_heartbeat_t *beat = &msg->u.heartbeat;
+
+  for (uint32_t i = 0; i < beat->load_count; i++)
+    node_note_loads (node, beat->loads[i].pool, beat->loads[i].free,
+                     beat->loads[i].queued);
+  node_pull (node, from, beat->revision);
+}
+
+void
+decide_message (decide_t *node, clock_ms_t now, decide_id_t from,
+                const decide_msg_t *msg)
+{
+  node_pool_t *entry;
+
+  node->now = now;
+  switch (msg->type)
+    {
+    case DECIDE_MSG_HEARTBEAT:
+      ownership_message (node->ownership, now, from, msg);
+      handle_heartbeat (node, from, msg);
+      break;
+    case DECIDE_MSG_HEARTBEAT_ACK:
+      ownership_message (node->ownership, now, from, msg);
+      node_pull (node, from, msg->u.ack.revision);
+      break;
+    case DECIDE_MSG_SUPPORT_REQUEST:
+    case DECIDE_MSG_SUPPORT_REPLY:
+    case DECIDE_MSG_HANDOVER:
+    case DECIDE_MSG_HANDOVER_ACK:
+      ownership_message (node->ownership, now, from, msg);
+      break;
+    case DECIDE_MSG_OBJECT_PULL:
+      node_push (node, from, msg->u.pull_since);
+      break;
+    case DECIDE_MSG_OBJECT_PUSH:
+      /* Objects come through decide_object(); only the end of a push, which
+         has no name, comes here.  */
+      catalog_complete (node->catalog, msg->u.object.previous,
+                        msg->u.object.revision);
+      break;
+    case DECIDE_MSG_GRANT_REQUEST:
+      handle_grant_request (node, from, msg);
+      break;
+    case DECIDE_MSG_GRANT_CANCEL:
+      node_ready_pool (node, msg->u.grant.pool);
+      entry = g_hash_table_lookup (node->pools, &msg->u.grant.pool);
+      if (entry != NULL)
+        pool_cancel (entry->pool, now, from, msg->u.grant.request);
+      break;
+    case DECIDE_MSG_RELEASE:
+      node_ready_pool (node, msg->u.release.pool);
+      entry = g_hash_table_lookup (node->pools, &msg->u.release.pool);
+      if (entry != NULL)
+        pool_release (entry->pool, now, from, &msg->u.release);
+      break;
+    case DECIDE_MSG_GRANT:
+    case DECIDE_MSG_QUEUED:
+    case DECIDE_MSG_REFUSED:
+    case DECIDE_MSG_RECALL:
+      handle_router_message (node, from, msg);
+      break;
+    case DECIDE_MSG_KEY_CLAIM_REPLY:
+      claims_message (node->claims, now, msg);
+      break;
+    case DECIDE_MSG_KEY_COPY_ACK:
+      claims_message (node->claims, now, msg);
+      keys_message (node->keys, now, from, msg);
+      break;
+    case DECIDE_MSG_KEY_CLAIM:
+    case DECIDE_MSG_KEY_COPY:
+    case DECIDE_MSG_KEY_OUTCOME:
+    case DECIDE_MSG_KEY_COLLECT:
+    case DECIDE_MSG_KEY_COLLECT_REPLY:
+      keys_message (node->keys, now, from, msg);
+      break;
+    }
+  node_run_loop (node);
+}
--- /dev/null
+++ b/lib/decide/node_pools.c
@@ -0,0 +1,322 @@
+#include "node.h"
+
+/* An endpoint that moves to another pool is not granted there before all
+   instances have learnt of the move (4 s) and the old grants have ended.  */
+#define MOVE_HOLD_MS 4000
+/* Pools are looked at this often for a change of ownership evidence.  */
+#define POOL_CHECK_MS 50
+
+static node_pool_t *create_pool (decide_t *node, pool_handle_t handle);
+static void fill_settings (decide_t *node, const catalog_pool_t *pool,
+                           const pool_t *current, pool_settings_t *settings);
+static bool may_grant (const decide_t *node, const catalog_pool_t *pool);
+static void pool_granted (void *context, decide_id_t holder,
+                          const decide_msg_grant_t *msg);
+static void pool_probe (void *context, decide_id_t pool, decide_id_t endpoint);
+static void pool_queued (void *context, decide_id_t holder,
+                         const decide_msg_grant_t *msg);
+static void pool_recalled (void *context, decide_id_t holder,
+                           const decide_msg_grant_t *msg);
+static void pool_refused (void *context, decide_id_t holder,
+                          const decide_msg_grant_t *msg);
+
+static void
+send_grant (decide_t *node, decide_id_t holder, decide_msg_type_t type,
+            const decide_msg_grant_t *grant)
+{
+  decide_msg_t msg
+      = { .type = type, .incarnation = node->settings.incarnation };
+
+  msg.u.grant = *grant;
+  node_send (node, holder, &msg);
+}
+
+static void
+pool_granted (void *context, decide_id_t holder, const decide_msg_grant_t *msg)
+{
+  send_grant (context, holder, DECIDE_MSG_GRANT, msg);
+}
+
+static void
+pool_queued (void *context, decide_id_t holder, const decide_msg_grant_t *msg)
+{
+  send_grant (context, holder, DECIDE_MSG_QUEUED, msg);
+}
+
+static void
+pool_refused (void *context, decide_id_t holder, const decide_msg_grant_t *msg)
+{
+  send_grant (context, holder, DECIDE_MSG_REFUSED, msg);
+}
+
+static void
+pool_recalled (void *context, decide_id_t holder,
+               const decide_msg_grant_t *msg)
+{
+  send_grant (context, holder, DECIDE_MSG_RECALL, msg);
+}
+
+static void
+pool_probe (void *context, decide_id_t pool, decide_id_t endpoint)
+{
+  decide_t *node = context;
+  endpoint_handle_t handle = catalog_find_endpoint (node->catalog, endpoint);
+
+  (void)pool;
+  if (handle != DECIDE_NO_HANDLE)
+    node->callbacks.probe (
+        node->callbacks.context, handle,
+        &catalog_endpoint (node->catalog, handle)->endpoint);
+}
+
+void
+node_free_pool (void *data)
+{
+  node_pool_t *entry = data;
+
+  pool_free (entry->pool);
+  g_free (entry);
+}
+
+uint32_t
+node_pool_centre (const decide_t *node, const catalog_pool_t *pool)
+{
+  return ownership_centre (node->ownership, pool->centre_name);
+}
+
+static bool
+may_grant (const decide_t *node, const catalog_pool_t *pool)
+{
+  const decide_profile_t *profile
+      = catalog_profile (node->catalog, pool->service);
+  uint32_t centre = node_pool_centre (node, pool);
+
+  return profile != NULL && pool->count > 0 && centre != DECIDE_NO_HANDLE
+         && ownership_may_grant (node->ownership, node->now, centre,
+                                 pool->slice,
+                                 DECIDE_LEND_MS + profile->run_ms);
+}
+
+static bool
+has_endpoint (const pool_t *pool, decide_id_t endpoint)
+{
+  pool_endpoint_view_t view;
+
+  for (uint32_t i = 0; pool_get_endpoint (pool, i, &view) == 0; i++)
+    if (view.id == endpoint)
+      return true;
+  return false;
+}
+
+static void
+fill_settings (decide_t *node, const catalog_pool_t *pool,
+               const pool_t *current, pool_settings_t *settings)
+{
+  const decide_profile_t *profile
+      = catalog_profile (node->catalog, pool->service);
+  clock_ms_t run_ms = profile == NULL ? 0 : profile->run_ms;
+
+  *settings = (pool_settings_t){
+    .id = pool->id,
+    .run_ms = run_ms,
+    .queue_max = profile == NULL ? 0 : profile->queue_max,
+    .out = catalog_centre_is_out (node->catalog, pool->centre),
+    .endpoint_count = pool->count,
+  };
+  for (uint32_t i = 0; i < pool->count; i++)
+    {
+      const catalog_endpoint_t *e
+          = catalog_endpoint (node->catalog, pool->endpoints[i]);
+      pool_endpoint_t *target = &settings->endpoints[i];
+
+      target->id = e->id;
+      target->slots = e->endpoint.slots;
+      if (current != NULL && !has_endpoint (current, e->id) && e->moved)
+        target->hold_until
+            = node->now + MOVE_HOLD_MS + DECIDE_LEND_MS + run_ms;
+    }
+}
+
+static node_pool_t *
+create_pool (decide_t *node, pool_handle_t handle)
+{
+  static const pool_callbacks_t template = {
+    .granted = pool_granted,
+    .queued = pool_queued,
+    .refused = pool_refused,
+    .recall = pool_recalled,
+    .probe = pool_probe,
+  };
+  const catalog_pool_t *known = catalog_pool (node->catalog, handle);
+  pool_callbacks_t callbacks = template;
+  pool_settings_t settings;
+  node_pool_t *entry = g_new0 (node_pool_t, 1);
+
+  callbacks.context = node;
+  fill_settings (node, known, NULL, &settings);
+  entry->id = known->id;
+  entry->handle = handle;
+  entry->pool = pool_new (&settings, &callbacks, decide_rng_next (&node->rng),
+                          node->now);
+  if (entry->pool == NULL)
+    g_error ("out of memory for a pool");
+  g_hash_table_insert (node->pools, &entry->id, entry);
+  return entry;
+}
+
+/* Return: the pool if this instance may grant in it now, else NULL.  The
+   check is made for each event, since the process may have been paused.  */
+pool_t *
+node_ready_pool (decide_t *node, decide_id_t id)
+{
+  node_pool_t *entry = g_hash_table_lookup (node->pools, &id);
+
+  if (entry == NULL)
+    return NULL;
+  if (!may_grant (node, catalog_pool (node->catalog, entry->handle)))
+    {
+      if (!pool_is_suspended (entry->pool))
+        pool_suspend (entry->pool, node->now);
+      return NULL;
+    }
+  if (pool_is_suspended (entry->pool))
+    pool_resume (entry->pool, node->now);
+  return entry->pool;
+}
+
+/* Creates the pools of held slices, applies changed settings and drops pools
+   that are neither held nor have grants left.  */
+void
+node_update_pools (decide_t *node)
+{
+  GHashTableIter iter;
+  void *value;
+
+  node->pools_changed = false;
+  for (pool_handle_t i = 0; i < catalog_pool_count (node->catalog); i++)
+    {
+      const catalog_pool_t *pool = catalog_pool (node->catalog, i);
+      uint32_t centre = node_pool_centre (node, pool);
+      node_pool_t *entry = g_hash_table_lookup (node->pools, &pool->id);
+      bool held = pool->count > 0 && centre != DECIDE_NO_HANDLE
+                  && ownership_holds (node->ownership, centre, pool->slice);
+      pool_settings_t settings;
+
+      if (entry == NULL)
+        {
+          if (held)
+            create_pool (node, i);
+          continue;
+        }
+      fill_settings (node, pool, entry->pool, &settings);
+      if (pool_configure (entry->pool, node->now, &settings) != 0)
+        g_error ("out of memory for a pool");
+    }
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      node_pool_t *entry = value;
+      const catalog_pool_t *pool = catalog_pool (node->catalog, entry->handle);
+      uint32_t centre = node_pool_centre (node, pool);
+      bool held = pool->count > 0 && centre != DECIDE_NO_HANDLE
+                  && ownership_holds (node->ownership, centre, pool->slice);
+
+      node_ready_pool (node, entry->id);
+      if (!held && pool_grant_count (entry->pool) == 0)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+clock_ms_t
+node_tick_pools (decide_t *node)
+{
+  clock_ms_t due = node->now + POOL_CHECK_MS;
+  GHashTableIter iter;
+  void *value;
+
+  if (node->pools_changed)
+    node_update_pools (node);
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      node_pool_t *entry = value;
+      clock_ms_t next;
+
+      node_ready_pool (node, entry->id);
+      next = pool_tick (entry->pool, node->now);
+      if (next < due)
+        due = next;
+    }
+  return due;
+}
+
+/* States up to DECIDE_LOADS_MAX pools, in turn when there are more.  */
+void
+node_fill_loads (decide_t *node, decide_msg_heartbeat_t *heartbeat)
+{
+  uint32_t count = g_hash_table_size (node->pools);
+  uint32_t first = count > DECIDE_LOADS_MAX ? node->load_turn % count : 0;
+  uint32_t index = 0;
+  GHashTableIter iter;
+  void *value;
+
+  heartbeat->load_count = 0;
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const node_pool_t *entry = value;
+      uint32_t place = (index++ + count - first) % count;
+
+      if (place >= DECIDE_LOADS_MAX || pool_is_suspended (entry->pool))
+        continue;
+      pool_get_load (entry->pool, &heartbeat->loads[heartbeat->load_count++]);
+    }
+  node->load_turn = first + DECIDE_LOADS_MAX;
+}
+
+uint32_t
+node_export_grants (void *context, uint32_t centre, uint32_t slice,
+                    decide_handover_grant_t *grants, uint32_t max)
+{
+  decide_t *node = context;
+  uint32_t count = 0;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      node_pool_t *entry = value;
+      const catalog_pool_t *pool = catalog_pool (node->catalog, entry->handle);
+
+      if (pool->slice != slice || node_pool_centre (node, pool) != centre)
+        continue;
+      if (!pool_is_suspended (entry->pool))
+        pool_suspend (entry->pool, node->now);
+      if (count < max)
+        pool_export (entry->pool, node->now, 0, grants + count, max - count);
+      count += pool_grant_count (entry->pool);
+    }
+  return count;
+}
+
+void
+node_import_grants (void *context, uint32_t centre, uint32_t slice,
+                    decide_id_t from, const decide_handover_grant_t *grants,
+                    uint32_t count)
+{
+  decide_t *node = context;
+
+  (void)centre;
+  (void)slice;
+  (void)from;
+  node_update_pools (node);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      node_pool_t *entry = g_hash_table_lookup (node->pools, &grants[i].pool);
+
+      if (entry != NULL
+          && pool_import (entry->pool, node->now, &grants[i]) != 0)
+        g_error ("out of memory for a grant");
+    }
+}
--- /dev/null
+++ b/lib/decide/node_requests.c
@@ -0,0 +1,254 @@
+#include "node.h"
+
+/* An owner that has missed two heartbeats is asked last: each request to a
+   dead owner costs the reply timeout.  */
+#define OWNER_SILENT_MS 600
+#define REFUSE_RETRY_MS 1000
+
+static void route (decide_t *node, const router_request_t *request);
+static void refuse (decide_t *node, uint64_t request, decide_reason_t reason,
+                    clock_ms_t retry_after_ms);
+
+uint32_t
+node_list_candidates (void *context, decide_id_t service,
+                      router_candidate_t *candidates, uint32_t max)
+{
+  decide_t *node = context;
+  const catalog_service_t *found
+      = catalog_find_service (node->catalog, service);
+  decide_id_t own_centre = decide_id (node->settings.data_centre);
+  uint32_t count = 0;
+
+  if (found == NULL)
+    return 0;
+  for (uint32_t i = 0; i < found->pool_count && count < max; i++)
+    {
+      const catalog_pool_t *pool
+          = catalog_pool (node->catalog, found->pools[i]);
+      uint32_t centre = node_pool_centre (node, pool);
+      router_candidate_t *candidate = &candidates[count];
+      const node_load_t *load = g_hash_table_lookup (node->loads, &pool->id);
+      decide_id_t owner;
+
+      if (centre == DECIDE_NO_HANDLE)
+        continue;
+      owner
+          = ownership_target (node->ownership, node->now, centre, pool->slice);
+      if (owner == 0
+          || (owner != node->id
+              && !ownership_heard (node->ownership, node->now, owner)))
+        continue;
+      candidate->pool = pool->id;
+      candidate->owner = owner;
+      candidate->local = pool->centre == own_centre;
+      candidate->out = catalog_centre_is_out (node->catalog, pool->centre);
+      candidate->free = load == NULL ? 0 : load->free;
+      candidate->queued = load == NULL ? 0 : load->queued;
+      count++;
+    }
+  return count;
+}
+
+bool
+node_is_usable (void *context, decide_id_t service, decide_id_t pool,
+                decide_id_t endpoint)
+{
+  decide_t *node = context;
+  endpoint_handle_t handle = catalog_find_endpoint (node->catalog, endpoint);
+  const catalog_endpoint_t *found;
+
+  (void)pool;
+  if (handle == DECIDE_NO_HANDLE || !node_has_contact (node))
+    return false;
+  found = catalog_endpoint (node->catalog, handle);
+  return found->live && found->service == service
+         && !catalog_centre_is_out (node->catalog,
+                                    decide_id (found->endpoint.data_centre));
+}
+
+void
+node_forward (void *context, const router_forward_t *forward)
+{
+  decide_t *node = context;
+  endpoint_handle_t handle
+      = catalog_find_endpoint (node->catalog, forward->endpoint);
+  decide_forward_t out = {
+    .request = forward->request,
+    .attempt = forward->attempt,
+    .endpoint = handle,
+    .target = &catalog_endpoint (node->catalog, handle)->endpoint,
+    .start_by = forward->start_by,
+    .deadline = forward->deadline,
+    .hedge = forward->hedge,
+  };
+
+  node->callbacks.forward (node->callbacks.context, &out);
+}
+
+void
+node_refuse (void *context, const decide_refusal_t *refusal)
+{
+  decide_t *node = context;
+
+  if (g_hash_table_contains (node->keyed, &refusal->request))
+    {
+      claims_ended (node->claims, node->now, refusal->request,
+                    refusal->ran == DECIDE_RAN_NO ? DECIDE_KEY_STATE_NOT_RUN
+                                                  : DECIDE_KEY_STATE_UNKNOWN,
+                    NULL);
+      g_hash_table_remove (node->keyed, &refusal->request);
+    }
+  node->callbacks.refuse (node->callbacks.context, refusal);
+}
+
+static void
+refuse (decide_t *node, uint64_t request, decide_reason_t reason,
+        clock_ms_t retry_after_ms)
+{
+  decide_refusal_t refusal = { .request = request,
+                               .reason = reason,
+                               .ran = DECIDE_RAN_NO,
+                               .retry_after_ms = retry_after_ms };
+
+  node->callbacks.refuse (node->callbacks.context, &refusal);
+}
+
+static void
+route (decide_t *node, const router_request_t *request)
+{
+  router_request (node->router, node->now, request);
+}
+
+void
+node_claim_run (void *context, uint64_t request)
+{
+  decide_t *node = context;
+  const node_keyed_t *keyed = g_hash_table_lookup (node->keyed, &request);
+
+  if (keyed != NULL)
+    route (node, &keyed->request);
+}
+
+void
+node_claim_replay (void *context, uint64_t request,
+                   const decide_answer_t *answer)
+{
+  decide_t *node = context;
+
+  g_hash_table_remove (node->keyed, &request);
+  node->callbacks.replay (node->callbacks.context, request, answer);
+}
+
+void
+node_claim_refuse (void *context, const decide_refusal_t *refusal)
+{
+  decide_t *node = context;
+
+  g_hash_table_remove (node->keyed, &refusal->request);
+  node->callbacks.refuse (node->callbacks.context, refusal);
+}
+
+void
+decide_request (decide_t *node, clock_ms_t now,
+                const decide_request_t *request)
+{
+  const decide_profile_t *profile
+      = catalog_profile (node->catalog, request->service);
+  router_request_t out = {
+    .id = request->id,
+    .service = request->service,
+    .idempotent = request->idempotent,
+    .deadline = request->deadline,
+  };
+
+  node->now = now;
+  if (profile == NULL)
+    {
+      refuse (node, request->id, DECIDE_REASON_UNKNOWN_SERVICE, 0);
+      return;
+    }
+  if (!node_has_contact (node))
+    {
+      refuse (node, request->id, DECIDE_REASON_NO_CONTACT, REFUSE_RETRY_MS);
+      return;
+    }
+  if (now >= request->deadline)
+    {
+      refuse (node, request->id, DECIDE_REASON_DEADLINE, 0);
+      return;
+    }
+  out.retry = profile->retry;
+  out.hedge = profile->hedge && request->idempotent;
+  out.hedge_after_ms = profile->hedge_after_ms;
+  out.priority = profile->priority;
+  out.run_ms = profile->run_ms;
+  if (request->keyed && !request->idempotent)
+    {
+      node_keyed_t *keyed = g_new0 (node_keyed_t, 1);
+
+      keyed->id = request->id;
+      keyed->request = out;
+      g_hash_table_replace (node->keyed, &keyed->id, keyed);
+      claims_start (node->claims, now, request->id, &request->key,
+                    request->deadline, profile->key_retention_ms);
+    }
+  else
+    route (node, &out);
+  node_run_loop (node);
+}
+
+void
+decide_request_gone (decide_t *node, clock_ms_t now, uint64_t request)
+{
+  node->now = now;
+  if (g_hash_table_contains (node->keyed, &request))
+    {
+      /* A request that may run goes on, so that its outcome is recorded for
+         a repeat with the same key.  */
+      if (!claims_gone (node->claims, now, request))
+        g_hash_table_remove (node->keyed, &request);
+    }
+  else
+    router_gone (node->router, now, request);
+  node_run_loop (node);
+}
+
+bool
+decide_attempt_done (decide_t *node, clock_ms_t now, uint64_t request,
+                     uint64_t attempt, const decide_attempt_end_t *end,
+                     const decide_answer_t *answer)
+{
+  bool answered;
+
+  node->now = now;
+  answered = router_attempt_done (node->router, now, attempt, end);
+  if (answered && g_hash_table_contains (node->keyed, &request))
+    {
+      claims_ended (node->claims, now, request, DECIDE_KEY_STATE_DONE, answer);
+      g_hash_table_remove (node->keyed, &request);
+    }
+  node_run_loop (node);
+  return answered;
+}
+
+void
+decide_probed (decide_t *node, clock_ms_t now, endpoint_handle_t endpoint,
+               bool ok, clock_ms_t latency_ms, const decide_load_t *load)
+{
+  const catalog_endpoint_t *found;
+  const catalog_pool_t *known;
+  node_pool_t *entry;
+
+  node->now = now;
+  if (endpoint >= catalog_endpoint_count (node->catalog))
+    return;
+  found = catalog_endpoint (node->catalog, endpoint);
+  known = catalog_pool (node->catalog, found->pool);
+  entry = g_hash_table_lookup (node->pools, &known->id);
+  if (entry != NULL)
+    {
+      node_ready_pool (node, entry->id);
+      pool_probed (entry->pool, now, found->id, ok, latency_ms, load);
+    }
+  node_run_loop (node);
+}
