Add the backend library: one attempt over libcurl, with a pool

Cause: the daemon's workers execute attempts themselves and need a streaming client whose outcomes can be trusted: "not sent" only without a byte sent, "answered" only with a complete answer, and no repeat behind its back.

libcurl sends a request again when a reused connection turns out to be closed before the first byte, also for POST. CURLOPT_PREREQFUNCTION marks the moment of sending, and CURLOPT_OPENSOCKETFUNCTION refuses a socket after it unless the request is idempotent; then it is counted. The same callback checks start_by again. The header line with the time left is written there too, since connecting takes time.

Ruled out: CURLOPT_FRESH_CONNECT for all non-idempotent requests (1 ms each); curl_easy_perform(), which asks its progress callback only once a second while it waits, too slow for a cancellation; hence a multi handle of one transfer with curl_multi_poll() and a descriptor for cancellation. One multi handle for several threads is not allowed, so each connection has its own. An answer without Content-Length and chunked framing is rejected at its head as broken, as are two lengths or both framings.

--- /dev/null
+++ b/lib/backend/answer.c
@@ -0,0 +1,205 @@
+#include "attempt.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define HEADERS_MAX 256
+/* A shed's body is read to its end for the sake of the connection, unless it
+   is larger than this.  */
+#define SHED_BODY_MAX 65536
+#define RETRY_AFTER_MAX_S 3600
+
+static const char *
+find (CURL *easy, const char *name)
+{
+  struct curl_header *header;
+
+  if (curl_easy_header (easy, name, 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
+static bool
+is_of_connection (const char *name)
+{
+  static const char *const names[]
+      = { "Connection", "Content-Length",    "Keep-Alive",
+          "Trailer",    "Transfer-Encoding", "Upgrade" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcasecmp (name, names[i]) == 0)
+      return true;
+  return false;
+}
+
+/* Return: whether the answer's end can be recognised.  An answer that ends
+   with the connection can't be told from one that was cut short.  */
+static bool
+read_framing (attempt_t *attempt, uint32_t status, int64_t *length)
+{
+  CURL *easy = attempt->conn->easy;
+  struct curl_header *header;
+  const char *coding = find (easy, "Transfer-Encoding");
+  char first[32];
+  size_t amount = 1;
+
+  *length = -1;
+  if (curl_easy_header (easy, "Content-Length", 0, CURLH_HEADER, -1, &header)
+      == CURLHE_OK)
+    {
+      /* Both forms, or two lengths, make the end ambiguous.  */
+      if (coding != NULL
+          || snprintf (first, sizeof first, "%s", header->value)
+                 >= (int)sizeof first)
+        return false;
+      amount = header->amount;
+      for (size_t i = 1; i < amount; i++)
+        if (curl_easy_header (easy, "Content-Length", i, CURLH_HEADER, -1,
+                              &header)
+                != CURLHE_OK
+            || strcmp (header->value, first) != 0)
+          return false;
+      *length = strtoll (first, NULL, 10);
+      return true;
+    }
+  if (coding != NULL)
+    return strcasecmp (coding, "chunked") == 0;
+  if (status == 204 || status == 304
+      || strcmp (attempt->request->method, "HEAD") == 0)
+    {
+      *length = 0;
+      return true;
+    }
+  return false;
+}
+
+static void
+read_load (attempt_t *attempt)
+{
+  decide_attempt_end_t *end = &attempt->result->end;
+  CURL *easy = attempt->conn->easy;
+  const char *value = find (easy, "Server-Load");
+  char *rest;
+
+  if (value != NULL)
+    backend_load_parse (value, &end->load);
+  value = find (easy, "Retry-After");
+  if (value != NULL)
+    {
+      long seconds = strtol (value, &rest, 10);
+
+      if (rest != value && *rest == '\0' && seconds > 0)
+        end->retry_after_ms
+            = (seconds < RETRY_AFTER_MAX_S ? seconds : RETRY_AFTER_MAX_S)
+              * 1000;
+    }
+}
+
+static int
+deliver (attempt_t *attempt, uint32_t status, int64_t length)
+{
+  const backend_request_t *request = attempt->request;
+  backend_header_t headers[HEADERS_MAX];
+  backend_head_t head
+      = { .status = status, .content_length = length, .headers = headers };
+  struct curl_header *header = NULL;
+
+  while ((header = curl_easy_nextheader (attempt->conn->easy, CURLH_HEADER, -1,
+                                         header))
+         != NULL)
+    {
+      if (is_of_connection (header->name))
+        continue;
+      if (head.header_count == HEADERS_MAX)
+        {
+          attempt->stop = STOP_MALFORMED;
+          return -1;
+        }
+      headers[head.header_count++]
+          = (backend_header_t){ header->name, header->value };
+    }
+  attempt->result->head_delivered = true;
+  if (request->on_head == NULL
+      || request->on_head (request->context, &head) >= 0)
+    return 0;
+  attempt->stop = STOP_CANCELLED;
+  return -1;
+}
+
+/* Called with the empty line after the header.  */
+static int
+end_head (attempt_t *attempt)
+{
+  CURL *easy = attempt->conn->easy;
+  const char *value;
+  int64_t length;
+  long status = 0;
+  long version = 0;
+
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (easy, CURLINFO_HTTP_VERSION, &version);
+  if (status >= 100 && status < 200 && status != 101)
+    return 0;
+  attempt->result->end.status = (uint32_t)status;
+  read_load (attempt);
+  value = find (easy, "Request-Ran");
+  attempt->shed
+      = status == 503 && value != NULL && strcasecmp (value, "no") == 0;
+  value = find (easy, "Connection");
+  attempt->closes = version != CURL_HTTP_VERSION_1_1
+                    || (value != NULL && strcasestr (value, "close") != NULL);
+  if (status < 200 || !read_framing (attempt, (uint32_t)status, &length))
+    {
+      attempt->stop = STOP_MALFORMED;
+      return -1;
+    }
+  attempt->head_complete = true;
+  return attempt->shed ? 0 : deliver (attempt, (uint32_t)status, length);
+}
+
+size_t
+backend_on_header (char *data, size_t size, size_t count, void *context)
+{
+  attempt_t *attempt = context;
+  backend_result_t *result = attempt->result;
+  size_t length = size * count;
+
+  if (!result->first_byte)
+    {
+      result->first_byte = true;
+      result->latency_us = backend_now_us () - attempt->sent_us;
+      result->end.latency_ms = (result->latency_us + 999) / 1000;
+    }
+  attempt->header_bytes += length;
+  if (attempt->header_bytes > backend_pool_get_header_max (attempt->pool))
+    {
+      attempt->stop = STOP_MALFORMED;
+      return 0;
+    }
+  /* After the head, this is a trailer, which is not passed on.  */
+  if (attempt->head_complete || (data[0] != '\r' && data[0] != '\n'))
+    return length;
+  return end_head (attempt) == 0 ? length : 0;
+}
+
+size_t
+backend_on_data (char *data, size_t size, size_t count, void *context)
+{
+  attempt_t *attempt = context;
+  const backend_request_t *request = attempt->request;
+  size_t length = size * count;
+
+  if (attempt->shed)
+    {
+      attempt->discarded += length;
+      return attempt->discarded <= SHED_BODY_MAX ? length : 0;
+    }
+  attempt->result->body_bytes += length;
+  if (request->on_body == NULL
+      || request->on_body (request->context, data, length) >= 0)
+    return length;
+  attempt->stop = STOP_CANCELLED;
+  return 0;
+}
--- /dev/null
+++ b/lib/backend/attempt.c
@@ -0,0 +1,306 @@
+#include "attempt.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* A non-idempotent request uses a pooled connection only if an answer ended
+   on it within this time; open connections can go silent for good.  */
+#define PROOF_US 250000
+#define CANCEL_CHECK_MS 20
+#define WAIT_MAX_MS 1000
+
+static bool
+is_cancelled (const attempt_t *attempt)
+{
+  const backend_request_t *request = attempt->request;
+
+  return request->cancelled != NULL && request->cancelled (request->context);
+}
+
+/* libcurl calls this when it is about to send the request, for a pooled
+   connection too.  */
+static int
+on_sending (void *context, char *peer_address, char *local_address,
+            int peer_port, int local_port)
+{
+  attempt_t *attempt = context;
+  const backend_request_t *request = attempt->request;
+  backend_result_t *result = attempt->result;
+  int64_t now_us = backend_now_us ();
+
+  (void)peer_address;
+  (void)local_address;
+  (void)peer_port;
+  (void)local_port;
+  if (result->sent && !request->idempotent)
+    {
+      atomic_fetch_add (
+          &backend_pool_get_counters (attempt->pool)->repeats_refused, 1);
+      return CURL_PREREQFUNC_ABORT;
+    }
+  /* Checked here, since the process may have been paused at any time since
+     the grant was given.  */
+  if (now_us / 1000 > request->start_by || now_us / 1000 >= request->deadline)
+    {
+      attempt->stop = STOP_LATE;
+      return CURL_PREREQFUNC_ABORT;
+    }
+  if (is_cancelled (attempt))
+    {
+      attempt->stop = STOP_CANCELLED;
+      return CURL_PREREQFUNC_ABORT;
+    }
+  backend_headers_set_left (attempt, now_us);
+  attempt->sent_us = now_us;
+  result->connect_us = now_us - attempt->begin_us;
+  result->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+/* A socket that is opened after the request was sent belongs to a repeat:
+   libcurl sends again when a reused connection turns out to be closed.  */
+static curl_socket_t
+on_open_socket (void *context, curlsocktype purpose,
+                struct curl_sockaddr *address)
+{
+  attempt_t *attempt = context;
+  backend_result_t *result = attempt->result;
+  counters_t *counters = backend_pool_get_counters (attempt->pool);
+
+  (void)purpose;
+  if (result->sent && !attempt->request->idempotent)
+    {
+      atomic_fetch_add (&counters->repeats_refused, 1);
+      return CURL_SOCKET_BAD;
+    }
+  if (result->sent)
+    {
+      result->repeats++;
+      atomic_fetch_add (&counters->repeats, 1);
+    }
+  atomic_fetch_add (&counters->connections, 1);
+  attempt->pooled = false;
+  return socket (address->family, address->socktype | SOCK_CLOEXEC,
+                 address->protocol);
+}
+
+static void
+set_method (CURL *easy, const backend_request_t *request)
+{
+  bool post = strcmp (request->method, "POST") == 0
+              || strcmp (request->method, "PUT") == 0
+              || strcmp (request->method, "PATCH") == 0;
+
+  if (strcmp (request->method, "HEAD") == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+      return;
+    }
+  if (post || request->body_length > 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)request->body_length);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
+                        request->body_length > 0 ? request->body : "");
+    }
+  else
+    curl_easy_setopt (easy, CURLOPT_HTTPGET, 1L);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static int
+set_options (attempt_t *attempt)
+{
+  const backend_request_t *request = attempt->request;
+  CURL *easy = attempt->conn->easy;
+  char url[DECIDE_ADDRESS_MAX + 16];
+
+  if (snprintf (url, sizeof url, "http://%s/", request->address)
+      >= (int)sizeof url)
+    return -EINVAL;
+  if (curl_easy_setopt (easy, CURLOPT_URL, url) != CURLE_OK
+      || curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->path)
+             != CURLE_OK)
+    return -ENOMEM;
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, attempt->error);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, &attempt->deadline_line);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_sending);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, backend_on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, backend_on_data);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
+  set_method (easy, request);
+  return 0;
+}
+
+/* Return: the next time in ms at which the attempt is given up.  */
+static clock_ms_t
+get_limit (const attempt_t *attempt)
+{
+  const backend_request_t *request = attempt->request;
+  const backend_result_t *result = attempt->result;
+  clock_ms_t limit = request->deadline;
+
+  /* start_by itself is still in time.  */
+  if (!result->sent && request->start_by + 1 < limit)
+    limit = request->start_by + 1;
+  if (!result->first_byte && request->first_byte_by != 0
+      && request->first_byte_by < limit)
+    limit = request->first_byte_by;
+  return limit;
+}
+
+/* Waits for the connection, the cancellation or the time limit.  */
+static void
+wait_for_event (attempt_t *attempt)
+{
+  const backend_request_t *request = attempt->request;
+  struct curl_waitfd extra
+      = { .fd = request->cancel_fd, .events = CURL_WAIT_POLLIN };
+  clock_ms_t wait = get_limit (attempt) - backend_now_us () / 1000;
+
+  if (wait > WAIT_MAX_MS)
+    wait = WAIT_MAX_MS;
+  if (request->cancelled != NULL && wait > CANCEL_CHECK_MS)
+    wait = CANCEL_CHECK_MS;
+  if (wait > 0)
+    curl_multi_poll (attempt->conn->multi, &extra, request->cancel_fd >= 0,
+                     (int)wait, NULL);
+  if ((extra.revents & CURL_WAIT_POLLIN) != 0 || is_cancelled (attempt))
+    attempt->stop = STOP_CANCELLED;
+  else if (backend_now_us () / 1000 >= get_limit (attempt))
+    attempt->stop = attempt->result->sent ? STOP_TIMEOUT : STOP_LATE;
+}
+
+/* Runs the transfer.  Return: its code; CURLE_ABORTED_BY_CALLBACK when it was
+   ended from this side.  */
+static CURLcode
+transfer (attempt_t *attempt)
+{
+  conn_t *conn = attempt->conn;
+  CURLcode code = CURLE_ABORTED_BY_CALLBACK;
+  CURLMsg *msg;
+  int running = 1;
+  int left;
+
+  if (curl_multi_add_handle (conn->multi, conn->easy) != CURLM_OK)
+    return CURLE_OUT_OF_MEMORY;
+  for (;;)
+    {
+      if (curl_multi_perform (conn->multi, &running) != CURLM_OK)
+        break;
+      if (running == 0 || attempt->stop != STOP_NONE)
+        break;
+      wait_for_event (attempt);
+      if (attempt->stop != STOP_NONE)
+        break;
+    }
+  while ((msg = curl_multi_info_read (conn->multi, &left)) != NULL)
+    if (msg->msg == CURLMSG_DONE)
+      code = msg->data.result;
+  curl_multi_remove_handle (conn->multi, conn->easy);
+  return code;
+}
+
+static decide_attempt_result_t
+classify (const attempt_t *attempt, CURLcode code)
+{
+  if (attempt->stop == STOP_CANCELLED)
+    return DECIDE_ATTEMPT_CANCELLED;
+  if (!attempt->result->sent)
+    return DECIDE_ATTEMPT_NOT_SENT;
+  if (attempt->shed)
+    return DECIDE_ATTEMPT_SHED;
+  if (attempt->stop == STOP_TIMEOUT)
+    return DECIDE_ATTEMPT_TIMEOUT;
+  if (attempt->stop == STOP_MALFORMED || attempt->head_complete)
+    return code == CURLE_OK && attempt->stop == STOP_NONE
+               ? DECIDE_ATTEMPT_ANSWERED
+               : DECIDE_ATTEMPT_BROKEN;
+  if (code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL)
+    return DECIDE_ATTEMPT_BROKEN;
+  return DECIDE_ATTEMPT_RESET;
+}
+
+static void
+describe (const attempt_t *attempt, CURLcode code)
+{
+  static const char *const stops[]
+      = { NULL, "cancelled", "start time or deadline passed before sending",
+          "timeout", "header too large, or answer without clear framing" };
+  const char *cause = stops[attempt->stop];
+
+  if (cause == NULL && code != CURLE_OK)
+    cause = attempt->error[0] != '\0' ? attempt->error
+                                      : curl_easy_strerror (code);
+  if (cause != NULL)
+    snprintf (attempt->result->error, sizeof attempt->result->error, "%.127s",
+              cause);
+}
+
+static void
+end (attempt_t *attempt, CURLcode code)
+{
+  backend_result_t *result = attempt->result;
+  const char *address = attempt->request->address;
+  counters_t *counters = backend_pool_get_counters (attempt->pool);
+
+  result->end.result = classify (attempt, code);
+  result->reused = result->sent && attempt->pooled;
+  if (result->reused)
+    atomic_fetch_add (&counters->reused, 1);
+  describe (attempt, code);
+  if (attempt->stop == STOP_TIMEOUT && !result->first_byte)
+    backend_pool_drop_silent (attempt->pool, address, attempt->sent_us);
+  if (code != CURLE_OK || attempt->stop != STOP_NONE || attempt->closes
+      || !attempt->head_complete)
+    return;
+  /* The options refer to the attempt, which ends before the connection.  */
+  curl_easy_reset (attempt->conn->easy);
+  backend_pool_put (attempt->pool, address, attempt->conn);
+  attempt->conn = NULL;
+}
+
+int
+backend_attempt (backend_pool_t *pool, const backend_request_t *request,
+                 backend_result_t *result)
+{
+  attempt_t attempt = { .pool = pool, .request = request, .result = result };
+  int err;
+
+  *result = (backend_result_t){ .end.result = DECIDE_ATTEMPT_NOT_SENT };
+  if (!backend_request_check (request))
+    {
+      snprintf (result->error, sizeof result->error, "malformed request");
+      return -EINVAL;
+    }
+  atomic_fetch_add (&backend_pool_get_counters (pool)->attempts, 1);
+  attempt.begin_us = backend_now_us ();
+  if (!request->fresh)
+    attempt.conn = backend_pool_take (
+        pool, request->address,
+        request->idempotent ? 0 : attempt.begin_us - PROOF_US);
+  attempt.pooled = attempt.conn != NULL;
+  if (attempt.conn == NULL)
+    attempt.conn = backend_conn_new ();
+  err = attempt.conn == NULL ? -ENOMEM : backend_headers_add (&attempt);
+  if (err == 0)
+    err = set_options (&attempt);
+  if (err == 0)
+    end (&attempt, transfer (&attempt));
+  backend_conn_free (attempt.conn);
+  backend_headers_clear (&attempt);
+  return err;
+}
--- /dev/null
+++ b/lib/backend/headers.c
@@ -0,0 +1,181 @@
+#include "attempt.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Headers that belong to one connection or that this library sets.  */
+static const char *const left_out[] = { "Connection",
+                                        "Content-Length",
+                                        "Expect",
+                                        "Host",
+                                        "Idempotency-Key",
+                                        "Keep-Alive",
+                                        "Proxy-Authorization",
+                                        "Proxy-Connection",
+                                        "Request-Deadline-Ms",
+                                        "Request-Timeout-Ms",
+                                        "TE",
+                                        "Traceparent",
+                                        "Trailer",
+                                        "Transfer-Encoding",
+                                        "Upgrade" };
+
+static bool
+is_token (const char *text)
+{
+  if (*text == '\0')
+    return false;
+  for (; *text != '\0'; text++)
+    if (*text <= ' ' || *text >= 0x7f
+        || strchr ("()<>@,;:\\\"/[]?={}", *text) != NULL)
+      return false;
+  return true;
+}
+
+/* Control characters would end the header line early.  */
+static bool
+is_value (const char *text)
+{
+  for (; *text != '\0'; text++)
+    if (((unsigned char)*text < ' ' && *text != '\t') || *text == 0x7f)
+      return false;
+  return true;
+}
+
+static bool
+is_target (const char *text)
+{
+  if (*text != '/')
+    return false;
+  for (; *text != '\0'; text++)
+    if (*text <= ' ' || *text >= 0x7f)
+      return false;
+  return true;
+}
+
+static bool
+is_left_out (const backend_request_t *request, const char *name)
+{
+  if (request->range != NULL && strcasecmp (name, "Range") == 0)
+    return true;
+  if (request->if_range != NULL && strcasecmp (name, "If-Range") == 0)
+    return true;
+  for (size_t i = 0; i < sizeof left_out / sizeof left_out[0]; i++)
+    if (strcasecmp (name, left_out[i]) == 0)
+      return true;
+  return false;
+}
+
+bool
+backend_request_check (const backend_request_t *request)
+{
+  const char *values[] = { request->idempotency_key, request->traceparent,
+                           request->range, request->if_range };
+
+  if (request->address == NULL || request->address[0] == '\0'
+      || strpbrk (request->address, "/?#@ \r\n\t") != NULL)
+    return false;
+  if (!is_token (request->method) || !is_target (request->path))
+    return false;
+  for (size_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    if (values[i] != NULL && !is_value (values[i]))
+      return false;
+  for (size_t i = 0; i < request->header_count; i++)
+    if (!is_token (request->headers[i].name)
+        || !is_value (request->headers[i].value))
+      return false;
+  return true;
+}
+
+static int
+add (attempt_t *attempt, const char *name, const char *value)
+{
+  struct curl_slist *list;
+  char *line;
+  int length;
+
+  if (value == NULL)
+    return 0;
+  /* libcurl's form for a header without value is "Name;".  */
+  if (value[0] == '\0')
+    length = asprintf (&line, "%s;", name);
+  else
+    length = asprintf (&line, "%s: %s", name, value);
+  if (length < 0)
+    return -ENOMEM;
+  list = curl_slist_append (attempt->headers, line);
+  free (line);
+  if (list == NULL)
+    return -ENOMEM;
+  attempt->headers = list;
+  return 0;
+}
+
+/* Keeps libcurl from adding a header of its own.  */
+static int
+suppress (attempt_t *attempt, const char *line)
+{
+  struct curl_slist *list = curl_slist_append (attempt->headers, line);
+
+  if (list == NULL)
+    return -ENOMEM;
+  attempt->headers = list;
+  return 0;
+}
+
+int
+backend_headers_add (attempt_t *attempt)
+{
+  const backend_request_t *request = attempt->request;
+  bool accept = false;
+  bool type = false;
+  int err = 0;
+
+  for (size_t i = 0; i < request->header_count && err == 0; i++)
+    {
+      const backend_header_t *header = &request->headers[i];
+
+      if (is_left_out (request, header->name))
+        continue;
+      accept |= strcasecmp (header->name, "Accept") == 0;
+      type |= strcasecmp (header->name, "Content-Type") == 0;
+      err = add (attempt, header->name, header->value);
+    }
+  if (err == 0)
+    err = add (attempt, "Idempotency-Key", request->idempotency_key);
+  if (err == 0)
+    err = add (attempt, "traceparent", request->traceparent);
+  if (err == 0)
+    err = add (attempt, "Range", request->range);
+  if (err == 0)
+    err = add (attempt, "If-Range", request->if_range);
+  if (err == 0)
+    err = suppress (attempt, "Expect:");
+  if (err == 0 && !accept)
+    err = suppress (attempt, "Accept:");
+  if (err == 0 && !type)
+    err = suppress (attempt, "Content-Type:");
+  attempt->deadline_line.data = attempt->deadline_text;
+  attempt->deadline_line.next = attempt->headers;
+  backend_headers_set_left (attempt, backend_now_us ());
+  return err;
+}
+
+void
+backend_headers_clear (attempt_t *attempt)
+{
+  curl_slist_free_all (attempt->headers);
+  attempt->headers = NULL;
+}
+
+void
+backend_headers_set_left (attempt_t *attempt, int64_t now_us)
+{
+  int64_t left = attempt->request->deadline - now_us / 1000;
+
+  snprintf (attempt->deadline_text, sizeof attempt->deadline_text,
+            "Request-Deadline-Ms: %lld", left > 0 ? (long long)left : 0LL);
+}
