Add the conf library

Settings and objects need every field checked, with place and reason. json-c parses; strict mode was ruled out because it refuses comments, so repeated keys and trailing commas pass as json-c takes them (the last key counts). Addresses are accepted in canonical spelling only: equal addresses are then equal strings, and one backend server can't be listed twice and get twice its slots. A key's retention below the request timeout is refused, because a key forgotten while its request runs could let it run twice.

unit-conf passes plain and with address and undefined sanitizers; lint is clean.

--- /dev/null
+++ b/test/unit/conf.c
@@ -0,0 +1,375 @@
+#include "conf.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LISTEN                                                                \
+  "\"listen\":{\"callers\":\"127.0.0.1:1\",\"admin\":\"127.0.0.1:2\","        \
+  "\"peers\":\"127.0.0.1:3\"}"
+#define STORE "\"store\":{\"url\":\"http://127.0.0.1:9\"}"
+#define HEAD "\"instance\":\"a\",\"data_centre\":\"q\""
+#define ITEM(name, port)                                                      \
+  "{\"name\":\"" name                                                         \
+  "\",\"data_centre\":\"q\",\"callers\":\"10.0.0.1:1" port                    \
+  "\",\"peers\":\"10.0.0.1:2" port "\"}"
+#define LIST "\"instances\":[" ITEM ("a", "1") "]"
+#define WITH(more) "{" HEAD "," LISTEN "," LIST "," STORE "," more "}"
+#define INSTANCES(list)                                                       \
+  "{" HEAD "," LISTEN "," STORE ",\"instances\":[" list "]}"
+
+static const struct
+{
+  const char *text;
+  const char *message; /* after "f" */
+} bad_settings[] = {
+  { "", ":1:1: unexpected end of text" },
+  { "{\n  \"instance\": x}", ":2:15: unexpected character" },
+  { "{\"instance\":\"\xff\"}", ":1:14: invalid utf-8 string" },
+  { "{} {}", ":1:4: text after the end" },
+  { "{} \"", ":1:4: text after the end" },
+  { "{} /* open", ":1:11: unexpected end of text" },
+  { "12", ": $: must be an object" },
+  { "[[[[[[[[[[[[[[[[", ":1:13: nesting too deep" },
+  { "[]", ": $: must be an object" },
+  { "{}", ": $.instance: missing" },
+  { "{" HEAD ",\"colour\":1}", ": $: unknown key \"colour\"" },
+  { "{" HEAD ",\"\\u0001\xc3\xa5\":1}", ": $: unknown key \"???\"" },
+  { "{\"instance\":3}", ": $.instance: must be a string" },
+  { "{\"instance\":null}", ": $.instance: must be a string" },
+  { "{\"instance\":\"a b\"}",
+    ": $.instance: \"a b\" is not a name (letters, digits, '-', '_', '.')" },
+  { "{\"instance\":\"\"}",
+    ": $.instance: \"\" is not a name (letters, digits, '-', '_', '.')" },
+  { "{\"instance\":\"a\\u0000b\"}", ": $.instance: contains a NUL character" },
+  { "{\"instance\":\"0123456789012345678901234567890123456789012345678901234"
+    "567890123\"}",
+    ": $.instance: longer than 63 bytes" },
+  { "{" HEAD "}", ": $.listen: missing" },
+  { "{" HEAD ",\"listen\":[]}", ": $.listen: must be an object" },
+  { "{" HEAD ",\"listen\":{\"callers\":\"localhost:80\"}}",
+    ": $.listen.callers: \"localhost:80\" is not IP:PORT" },
+  { "{" HEAD ",\"listen\":{\"callers\":\"127.0.0.1:1\"}}",
+    ": $.listen.admin: missing" },
+  { "{" HEAD ",\"listen\":{\"callers\":\"127.0.0.1:1\",\"admin\":"
+    "\"127.0.0.1:2\",\"peers\":\"127.0.0.1:1\"}}",
+    ": $.listen: two of the addresses are equal" },
+  { INSTANCES (""), ": $.instances: must have 1 to 16 items" },
+  { INSTANCES ("7"), ": $.instances[0]: must be an object" },
+  { INSTANCES (ITEM ("a", "1") "," ITEM ("a", "2")),
+    ": $.instances[1].name: duplicate instance \"a\"" },
+  { INSTANCES (ITEM ("a", "1") "," ITEM ("b", "1")),
+    ": $.instances[1].callers: same address as instance \"a\"" },
+  { INSTANCES (ITEM ("b", "1")),
+    ": $.instances: own instance \"a\" is not listed" },
+  { INSTANCES ("{\"name\":\"a\",\"data_centre\":\"z\",\"callers\":"
+               "\"10.0.0.1:1\",\"peers\":\"10.0.0.1:2\"}"),
+    ": $.instances[0].data_centre: differs from $.data_centre \"q\"" },
+  { INSTANCES ("{\"name\":\"a\",\"data_centre\":\"q\",\"callers\":"
+               "\"10.0.0.1:0\"}"),
+    ": $.instances[0].callers: \"10.0.0.1:0\" is not IP:PORT" },
+  { "{" HEAD "," LISTEN "," LIST "}", ": $.store: missing" },
+  { "{" HEAD "," LISTEN "," LIST ",\"store\":{\"url\":\"http://h/\"}}",
+    ": $.store.url: \"http://h/\" is not an http or https URL with an IP "
+    "number" },
+  { "{" HEAD "," LISTEN "," LIST
+    ",\"store\":{\"url\":\"http://127.0.0.1:9\",\"timeout_ms\":49}}",
+    ": $.store.timeout_ms: must be from 50 to 5000" },
+  { WITH ("\"workers\":0"), ": $.workers: must be from 1 to 4096" },
+  { WITH ("\"workers\":4097"), ": $.workers: must be from 1 to 4096" },
+  { WITH ("\"workers\":99999999999999999999999"),
+    ": $.workers: must be from 1 to 4096" },
+  { WITH ("\"workers\":8.0"), ": $.workers: must be a whole number" },
+  { WITH ("\"workers\":\"8\""), ": $.workers: must be a whole number" },
+  { WITH ("\"limits\":{\"body_bytes\":1023}"),
+    ": $.limits.body_bytes: must be from 1024 to 67108864" },
+  { WITH ("\"limits\":{\"x\":1}"), ": $.limits: unknown key \"x\"" },
+  { WITH ("\"trace\":1.01"), ": $.trace: must be from 0 to 1" },
+  { WITH ("\"trace\":NaN"), ": $.trace: must be from 0 to 1" },
+  { WITH ("\"trace\":true"), ": $.trace: must be a number" },
+  { WITH ("\"log_level\":\"loud\""),
+    ": $.log_level: must be error, critical, warning, notice, info or debug" },
+  { WITH ("\"policy\":\"best\""),
+    ": $.policy: must be owner, random, round-robin, least-outstanding or "
+    "power-of-two" },
+  { WITH ("\"seed\":-1"), ": $.seed: must be from 0 to 9223372036854775807" },
+  { WITH ("\"advertise\":\"[::1]:080\""),
+    ": $.advertise: \"[::1]:080\" is not IP:PORT" },
+};
+
+/* Guards against settings that are accepted with a fault, and against errors
+   that do not name the place.  */
+static void
+test_bad_settings (void)
+{
+  conf_settings_t settings;
+  conf_error_t error;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad_settings); i++)
+    {
+      const char *text = bad_settings[i].text;
+      g_autofree char *message
+          = g_strconcat ("f", bad_settings[i].message, NULL);
+
+      g_assert_cmpint (
+          conf_parse_settings ("f", text, strlen (text), &settings, &error),
+          ==, -EINVAL);
+      g_assert_cmpstr (error.text, ==, message);
+    }
+  g_assert_cmpint (conf_parse_settings ("f", "{}\0 ", 4, &settings, &error),
+                   ==, -EINVAL);
+  g_assert_cmpstr (error.text, ==, "f:1:3: NUL byte");
+  g_assert_cmpint (conf_read_settings ("/nonexistent", &settings, &error), ==,
+                   -ENOENT);
+  g_assert_cmpstr (error.text, ==, "/nonexistent: No such file or directory");
+}
+
+/* Guards against comments that are refused, defaults that change, and edge
+   values that are refused.  */
+static void
+test_good_settings (void)
+{
+  static const char full[] = "// head\n" WITH (
+      "\"advertise\":\"[::1]:65535\",\"group\":\"g\",\"workers\":4096,"
+      "\"limits\":{\"body_bytes\":1024,\"header_bytes\":65536,"
+      "\"request_header_ms\":100},/* inner */\"log_level\":\"debug\","
+      "\"trace\":1,\"policy\":\"power-of-two\","
+      "\"seed\":9223372036854775807") " // tail";
+  static const char minimal[] = WITH ("\"trace\":0.5");
+  conf_settings_t s;
+  conf_error_t error;
+
+  g_assert_cmpint (conf_parse_settings ("f", full, strlen (full), &s, &error),
+                   ==, 0);
+  g_assert_cmpstr (error.text, ==, "");
+  g_assert_cmpstr (s.advertise, ==, "[::1]:65535");
+  g_assert_cmpstr (s.group, ==, "g");
+  g_assert_cmpuint (s.workers, ==, 4096);
+  g_assert_cmpuint (s.body_bytes, ==, 1024);
+  g_assert_cmpuint (s.header_bytes, ==, 65536);
+  g_assert_cmpint (s.request_header_ms, ==, 100);
+  g_assert_cmpint (s.log_level, ==, G_LOG_LEVEL_DEBUG);
+  g_assert_cmpfloat (s.trace, ==, 1.0);
+  g_assert_cmpint (s.policy, ==, CONF_POLICY_POWER_OF_TWO);
+  g_assert_true (s.has_seed);
+  g_assert_cmpuint (s.seed, ==, INT64_MAX);
+
+  g_assert_cmpint (
+      conf_parse_settings ("f", minimal, strlen (minimal), &s, &error), ==, 0);
+  g_assert_cmpstr (s.advertise, ==, "10.0.0.1:11");
+  g_assert_cmpstr (s.listen_peers, ==, "127.0.0.1:3");
+  g_assert_cmpstr (s.group, ==, "default");
+  g_assert_cmpstr (s.store_url, ==, "http://127.0.0.1:9");
+  g_assert_cmpint (s.store_timeout_ms, ==, 800);
+  g_assert_cmpint (s.log_level, ==, G_LOG_LEVEL_INFO);
+  g_assert_cmpint (s.policy, ==, CONF_POLICY_OWNER);
+  g_assert_cmpuint (s.instance_count, ==, 1);
+  g_assert_false (s.has_seed);
+}
+
+#define P "shared/profile/p"
+#define S "shared/service/s"
+#define ENDPOINT(id, port, slots)                                             \
+  "{\"id\":\"" id "\",\"data_centre\":\"q\",\"address\":\"10.0.0.1:" port     \
+  "\",\"slots\":" slots "}"
+#define SERVICE(list) "{\"profile\":\"p\",\"endpoints\":[" list "]}"
+
+static const struct
+{
+  const char *name;
+  const char *body;
+  const char *message;
+} bad_objects[] = {
+  { "shared/other/x", "{}", "shared/other/x: not a kind of object" },
+  { "shared/profile/", "{}",
+    "shared/profile/\"\" is not a name (letters, digits, '-', '_', '.', at "
+    "most 63 bytes)" },
+  { "shared/profile/a/b", "{}",
+    "shared/profile/\"a/b\" is not a name (letters, digits, '-', '_', '.', "
+    "at most 63 bytes)" },
+  { P, "{", P ":1:2: unexpected end of text" },
+  { P, "{\"priority\":8}", P ": $.priority: must be from 0 to 7" },
+  { P, "{\"priority\":-1}", P ": $.priority: must be from 0 to 7" },
+  { P, "{\"timeout_ms\":9}", P ": $.timeout_ms: must be from 10 to 600000" },
+  { P, "{\"run_ms\":60001}", P ": $.run_ms: must be from 10 to 60000" },
+  { P, "{\"queue_max\":10001}", P ": $.queue_max: must be from 0 to 10000" },
+  { P, "{\"retry\":1}", P ": $.retry: must be true or false" },
+  { P, "{\"hedge\":true,\"hedge_after_ms\":2000}",
+    P ": $.hedge_after_ms: must be less than run_ms (2000) when hedge is "
+      "true" },
+  { P, "{\"key_retention_ms\":2999}",
+    P ": $.key_retention_ms: must be at least timeout_ms (3000)" },
+  { P, "{\"idempotent_prefix\":\"x\"}",
+    P ": $.idempotent_prefix: must begin with '/'" },
+  { P, "{\"run\":1}", P ": $: unknown key \"run\"" },
+  { S, "{}", S ": $.profile: missing" },
+  { S, SERVICE (""), S ": $.endpoints: must have 1 to 256 items" },
+  { S, SERVICE (ENDPOINT ("e", "1", "0")),
+    S ": $.endpoints[0].slots: must be from 1 to 64" },
+  { S, SERVICE (ENDPOINT ("e", "1", "65")),
+    S ": $.endpoints[0].slots: must be from 1 to 64" },
+  { S, SERVICE (ENDPOINT ("e", "1", "1") "," ENDPOINT ("e", "2", "1")),
+    S ": $.endpoints[1].id: duplicate endpoint \"e\"" },
+  { S, SERVICE (ENDPOINT ("e", "1", "1") "," ENDPOINT ("f", "1", "1")),
+    S ": $.endpoints[1].address: same address as endpoint \"e\"" },
+  { "shared/out/instance/i", "{\"x\":1}",
+    "shared/out/instance/i: $: unknown key \"x\"" },
+  { "shared/ownership/g", "{\"members\":[],\"data_centres\":[]}",
+    "shared/ownership/g: $.members: must have 1 to 16 items" },
+  { "shared/ownership/g",
+    "{\"members\":[{\"name\":\"a\",\"data_centre\":\"q\",\"incarnation\":"
+    "\"0x00000000000001\",\"state\":\"active\"}],\"data_centres\":[]}",
+    "shared/ownership/g: $.members[0].incarnation: must be 16 hexadecimal "
+    "digits" },
+  { "shared/ownership/g",
+    "{\"members\":[{\"name\":\"a\",\"data_centre\":\"q\",\"incarnation\":"
+    "\"0000000000000001\",\"state\":\"gone\"}],\"data_centres\":[]}",
+    "shared/ownership/g: $.members[0].state: must be active or leaving" },
+};
+
+/* Guards against configuration objects that are accepted with a fault.  */
+static void
+test_bad_objects (void)
+{
+  conf_object_t *object;
+  conf_error_t error;
+  g_autofree char *large = g_strnfill (2 << 20, ' ');
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad_objects); i++)
+    {
+      g_assert_cmpint (conf_parse_object (bad_objects[i].name,
+                                          bad_objects[i].body, 1, 1, false,
+                                          &object, &error),
+                       ==, i == 0 ? -ENOENT : -EINVAL);
+      g_assert_cmpstr (error.text, ==, bad_objects[i].message);
+      g_assert_null (object);
+    }
+  g_assert_cmpint (conf_parse_object (P, large, 1, 1, false, &object, &error),
+                   ==, -EINVAL);
+  g_assert_cmpstr (error.text, ==, P ": longer than 1048576 bytes");
+}
+
+/* Guards against changed defaults and lost fields when a profile is
+   formatted and parsed again.  */
+static void
+test_profile (void)
+{
+  conf_object_t *object;
+  conf_error_t error;
+  char *text;
+
+  g_assert_cmpint (conf_parse_object (P, "{ /* defaults */ }", 4, 9, false,
+                                      &object, &error),
+                   ==, 0);
+  g_assert_cmpstr (object->object.name, ==, P);
+  g_assert_cmpuint (object->object.version, ==, 4);
+  g_assert_cmpuint (object->object.revision, ==, 9);
+  g_assert_cmpstr (object->object.u.profile->name, ==, "p");
+  text = conf_format_profile (object->object.u.profile);
+  g_assert_cmpstr (
+      text, ==,
+      "{\"priority\":3,\"timeout_ms\":3000,\"run_ms\":2000,\"queue_max\":64,"
+      "\"retry\":true,\"hedge\":false,\"hedge_after_ms\":100,"
+      "\"key_retention_ms\":600000,\"idempotent_prefix\":\"\"}");
+  conf_object_free (object);
+  free (text);
+  g_assert_cmpint (
+      conf_parse_object (
+          P,
+          "{\"priority\":7,\"timeout_ms\":10,\"run_ms\":60000,\"queue_max\":0,"
+          "\"retry\":false,\"hedge\":true,\"hedge_after_ms\":1,"
+          "\"key_retention_ms\":1000,\"idempotent_prefix\":\"/find\"}",
+          4, 9, false, &object, &error),
+      ==, 0);
+  text = conf_format_profile (object->object.u.profile);
+  g_assert_cmpstr (text, ==,
+                   "{\"priority\":7,\"timeout_ms\":10,\"run_ms\":60000,"
+                   "\"queue_max\":0,\"retry\":false,\"hedge\":true,"
+                   "\"hedge_after_ms\":1,\"key_retention_ms\":1000,"
+                   "\"idempotent_prefix\":\"/find\"}");
+  conf_object_free (object);
+  free (text);
+}
+
+/* Guards against services whose endpoints are lost or mixed up, and
+   tombstones that need a body.  */
+static void
+test_service_and_tombstone (void)
+{
+  conf_object_t *object;
+  conf_error_t error;
+
+  g_assert_cmpint (
+      conf_parse_object (
+          S, SERVICE (ENDPOINT ("e", "1", "64") "," ENDPOINT ("f", "2", "1")),
+          1, 1, false, &object, &error),
+      ==, 0);
+  g_assert_cmpint (object->object.kind, ==, DECIDE_OBJECT_SERVICE);
+  g_assert_cmpuint (object->object.u.service->endpoint_count, ==, 2);
+  g_assert_cmpuint (object->object.u.service->endpoints[0].slots, ==, 64);
+  g_assert_cmpstr (object->object.u.service->endpoints[1].address, ==,
+                   "10.0.0.1:2");
+  conf_object_free (object);
+  g_assert_cmpint (conf_parse_object (S, NULL, 2, 3, true, &object, &error),
+                   ==, 0);
+  g_assert_true (object->object.deleted);
+  g_assert_null (object->object.u.service);
+  conf_object_free (object);
+  g_assert_cmpint (conf_parse_object ("shared/out/data-centre/q", NULL, 2, 3,
+                                      true, &object, &error),
+                   ==, 0);
+  g_assert_cmpstr (object->object.u.out, ==, "q");
+  conf_object_free (object);
+}
+
+/* Guards against 64-bit values that change on the way through the store.  */
+static void
+test_record (void)
+{
+  static decide_record_t record;
+  conf_object_t *object;
+  conf_error_t error;
+  char *text;
+  const decide_record_t *read;
+
+  record.member_count = DECIDE_MEMBERS_MAX;
+  for (int i = 0; i < DECIDE_MEMBERS_MAX; i++)
+    {
+      (void)g_snprintf (record.members[i].name, DECIDE_NAME_MAX, "m%d", i);
+      memcpy (record.members[i].data_centre, "q", 2);
+      record.members[i].incarnation = UINT64_MAX - (uint64_t)i;
+      record.members[i].state = i % 2;
+    }
+  record.centre_count = 2;
+  memcpy (record.centres[0].name, DECIDE_KEY_CENTRE, 2);
+  memcpy (record.centres[1].name, "q", 2);
+  for (int i = 0; i < DECIDE_SLICES; i++)
+    record.centres[1].slices[i]
+        = (decide_slice_t){ .owner = decide_id ("m1") + (uint64_t)i,
+                            .incarnation = INT64_MAX + 7ULL,
+                            .assigned = INT64_MAX };
+  text = conf_format_record (&record);
+  g_assert_cmpint (conf_parse_object ("shared/ownership/g", text, 12, 13,
+                                      false, &object, &error),
+                   ==, 0);
+  read = object->object.u.record;
+  g_assert_cmpuint (read->version, ==, 12);
+  record.version = 12;
+  g_assert_cmpmem (read, sizeof *read, &record, sizeof record);
+  conf_object_free (object);
+  free (text);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/conf/settings/bad", test_bad_settings);
+  g_test_add_func ("/conf/settings/good", test_good_settings);
+  g_test_add_func ("/conf/object/bad", test_bad_objects);
+  g_test_add_func ("/conf/object/profile", test_profile);
+  g_test_add_func ("/conf/object/service", test_service_and_tombstone);
+  g_test_add_func ("/conf/object/record", test_record);
+  return g_test_run ();
+}
