Tick only the pools that were called or are due

Cause: each tick visited every pool.

Ruled out: the ticks of router and keys; they return at once when nothing is due.

The rise with the number of endpoints that one instance owns remains; at target size an instance owns about 14.

--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -364,6 +364,7 @@
   decide_rng_seed (&node->rng, settings->seed);
   g_queue_init (&node->loop);
   node->catalog = catalog_new ();
+  node->touched = g_ptr_array_new ();
   node->peers = g_array_new (FALSE, TRUE, sizeof (node_peer_t));
   node->pools = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        node_free_pool);
@@ -406,6 +407,7 @@
   g_hash_table_destroy (node->pools);
   g_hash_table_destroy (node->loads);
   g_hash_table_destroy (node->keyed);
+  g_ptr_array_free (node->touched, TRUE);
   g_array_free (node->peers, TRUE);
   catalog_free (node->catalog);
   g_free (node);
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -19,6 +19,8 @@
   decide_id_t id;
   pool_handle_t handle;
   pool_t *pool;
+  clock_ms_t due; /* of the next pool_tick() */
+  bool touched;   /* in the list of touched pools */
 } node_pool_t;
 
 /* What owners last said of a pool.  */
@@ -78,6 +80,8 @@
   clock_ms_t stopping_at;
   bool stopping;
   bool pools_changed;
+  clock_ms_t pools_due; /* earliest due time of all pools */
+  GPtrArray *touched;   /* node_pool_t that were called since their tick */
   /* Incarnation of the last recorded owner of each key slice, to tell a first
      owner from one that follows another.  */
   decide_id_t key_owner[DECIDE_SLICES];
@@ -87,6 +91,7 @@
 
 /* node_pools.c */
 pool_t *node_ready_pool (decide_t *node, decide_id_t pool);
+pool_t *node_touch_pool (decide_t *node, decide_id_t pool);
 void node_update_pools (decide_t *node);
 clock_ms_t node_tick_pools (decide_t *node);
 void node_fill_loads (decide_t *node, decide_msg_heartbeat_t *heartbeat);
--- a/lib/decide/node_messages.c
+++ b/lib/decide/node_messages.c
@@ -58,11 +58,11 @@
                       const decide_msg_t *msg)
 {
   const decide_msg_grant_t *grant = &msg->u.grant;
-  pool_t *pool = node_ready_pool (node, grant->pool);
+  pool_t *pool = node_touch_pool (node, grant->pool);
   decide_msg_t refused = { .type = DECIDE_MSG_REFUSED,
                            .incarnation = node->settings.incarnation };
 
-  if (pool != NULL)
+  if (pool != NULL && !pool_is_suspended (pool))
     {
       pool_request (pool, node->now, from, grant);
       return;
@@ -114,7 +114,7 @@
 decide_message (decide_t *node, clock_ms_t now, decide_id_t from,
                 const decide_msg_t *msg)
 {
-  node_pool_t *entry;
+  pool_t *pool;
 
   node->now = now;
   switch (msg->type)
@@ -146,16 +146,14 @@
       handle_grant_request (node, from, msg);
       break;
     case DECIDE_MSG_GRANT_CANCEL:
-      node_ready_pool (node, msg->u.grant.pool);
-      entry = g_hash_table_lookup (node->pools, &msg->u.grant.pool);
-      if (entry != NULL)
-        pool_cancel (entry->pool, now, from, msg->u.grant.request);
+      pool = node_touch_pool (node, msg->u.grant.pool);
+      if (pool != NULL)
+        pool_cancel (pool, now, from, msg->u.grant.request);
       break;
     case DECIDE_MSG_RELEASE:
-      node_ready_pool (node, msg->u.release.pool);
-      entry = g_hash_table_lookup (node->pools, &msg->u.release.pool);
-      if (entry != NULL)
-        pool_release (entry->pool, now, from, &msg->u.release);
+      pool = node_touch_pool (node, msg->u.release.pool);
+      if (pool != NULL)
+        pool_release (pool, now, from, &msg->u.release);
       break;
     case DECIDE_MSG_GRANT:
     case DECIDE_MSG_QUEUED:
--- a/lib/decide/node_pools.c
+++ b/lib/decide/node_pools.c
@@ -193,6 +193,10 @@
   void *value;
 
   node->pools_changed = false;
+  node->pools_due = node->now;
+  for (uint32_t i = 0; i < node->touched->len; i++)
+    ((node_pool_t *)g_ptr_array_index (node->touched, i))->touched = false;
+  g_ptr_array_set_size (node->touched, 0);
   for (pool_handle_t i = 0; i < catalog_pool_count (node->catalog); i++)
     {
       const catalog_pool_t *pool = catalog_pool (node->catalog, i);
@@ -209,6 +213,7 @@
           continue;
         }
       fill_settings (node, pool, entry->pool, &settings);
+      entry->due = node->now;
       if (pool_configure (entry->pool, node->now, &settings) != 0)
         g_error ("out of memory for a pool");
     }
@@ -227,27 +232,65 @@
     }
 }
 
+/* Return: the pool, whether it may grant or not, or NULL.  Its timers are
+   looked at by the next tick.  */
+pool_t *
+node_touch_pool (decide_t *node, decide_id_t id)
+{
+  node_pool_t *entry = g_hash_table_lookup (node->pools, &id);
+
+  if (entry == NULL)
+    return NULL;
+  node_ready_pool (node, id);
+  if (!entry->touched)
+    {
+      entry->touched = true;
+      g_ptr_array_add (node->touched, entry);
+    }
+  return entry->pool;
+}
+
+static void
+tick_pool (decide_t *node, node_pool_t *entry)
+{
+  node_ready_pool (node, entry->id);
+  entry->due = pool_tick (entry->pool, node->now);
+  if (entry->due < node->pools_due)
+    node->pools_due = entry->due;
+}
+
+/* Visits the pools that were called, and all of them only when one of their
+   timers is due: most ticks follow an event of a single pool.  */
 clock_ms_t
 node_tick_pools (decide_t *node)
 {
-  clock_ms_t due = node->now + POOL_CHECK_MS;
   GHashTableIter iter;
   void *value;
 
   if (node->pools_changed)
     node_update_pools (node);
+  for (uint32_t i = 0; i < node->touched->len; i++)
+    {
+      node_pool_t *entry = g_ptr_array_index (node->touched, i);
+
+      entry->touched = false;
+      tick_pool (node, entry);
+    }
+  g_ptr_array_set_size (node->touched, 0);
+  if (node->now < node->pools_due)
+    return node->pools_due;
+  node->pools_due = node->now + POOL_CHECK_MS;
   g_hash_table_iter_init (&iter, node->pools);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       node_pool_t *entry = value;
-      clock_ms_t next;
 
-      node_ready_pool (node, entry->id);
-      next = pool_tick (entry->pool, node->now);
-      if (next < due)
-        due = next;
+      if (entry->due <= node->now || pool_is_suspended (entry->pool))
+        tick_pool (node, entry);
+      else if (entry->due < node->pools_due)
+        node->pools_due = entry->due;
     }
-  return due;
+  return node->pools_due;
 }
 
 /* States up to DECIDE_LOADS_MAX pools, in turn when there are more.  */
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -237,18 +237,15 @@
 {
   const catalog_endpoint_t *found;
   const catalog_pool_t *known;
-  node_pool_t *entry;
+  pool_t *pool;
 
   node->now = now;
   if (endpoint >= catalog_endpoint_count (node->catalog))
     return;
   found = catalog_endpoint (node->catalog, endpoint);
   known = catalog_pool (node->catalog, found->pool);
-  entry = g_hash_table_lookup (node->pools, &known->id);
-  if (entry != NULL)
-    {
-      node_ready_pool (node, entry->id);
-      pool_probed (entry->pool, now, found->id, ok, latency_ms, load);
-    }
+  pool = node_touch_pool (node, known->id);
+  if (pool != NULL)
+    pool_probed (pool, now, found->id, ok, latency_ms, load);
   node_run_loop (node);
 }
