--- a/lib/decide/handover.c
+++ b/lib/decide/handover.c
@@ -32,6 +32,8 @@
 static void offer_surplus (ownership_t *o, clock_ms_t now);
 static void balance_centre (ownership_t *o, clock_ms_t now,
                             decide_record_t *plan, uint32_t c);
+static bool target_listed (const ownership_t *o,
+                           const ownership_slice_t *slice);
 static void send_offer (ownership_t *o, clock_ms_t now, uint32_t c,
                         uint32_t s);
 static bool change_due (const ownership_t *o, clock_ms_t now, uint32_t c,
@@ -319,6 +321,19 @@
     balance_centre (o, now, &plan, c);
 }
 
+/* Whether the record names the process that the slice was offered to.  A
+   later process of the name accepts only a HANDOVER of a version that names
+   it, so it cannot accept an offer to the earlier one, whose grants may still
+   be outstanding.  */
+static bool
+target_listed (const ownership_t *o, const ownership_slice_t *slice)
+{
+  int index = ownership_member (o, slice->target);
+
+  return index >= 0
+         && o->record.members[index].incarnation == slice->target_incarnation;
+}
+
 static void
 send_offer (ownership_t *o, clock_ms_t now, uint32_t c, uint32_t s)
 {
@@ -328,7 +343,7 @@
   uint32_t count;
 
   if (!slice->owned || !slice->offered || slice->acked || slice->target == 0
-      || now < slice->resend_at
+      || now < slice->resend_at || !target_listed (o, slice)
       || !ownership_waited (slice, now, o->longest_grant))
     return;
   slice->resend_at = now + RESEND_MS;
@@ -355,16 +370,12 @@
 change_due (const ownership_t *o, clock_ms_t now, uint32_t c, uint32_t s)
 {
   const ownership_slice_t *slice = &o->slices[c][s];
-  int index;
 
   if (slice->delegate)
     return now - slice->delegated_at >= DELEGATE_WAIT_MS;
-  if (!slice->owned || !slice->offered || slice->target == 0
-      || (!slice->acked && now - slice->offered_at < ACK_WAIT_MS))
-    return false;
-  index = ownership_member (o, slice->target);
-  return index >= 0
-         && o->record.members[index].incarnation == slice->target_incarnation;
+  return slice->owned && slice->offered && slice->target != 0
+         && (slice->acked || now - slice->offered_at >= ACK_WAIT_MS)
+         && target_listed (o, slice);
 }
 
 static void
--- a/lib/decide/takeover.c
+++ b/lib/decide/takeover.c
@@ -26,7 +26,7 @@
                                 decide_id_t owner, uint64_t incarnation);
 static void add_candidate (const ownership_t *o, clock_ms_t now,
                            candidates_t *list, decide_id_t owner,
-                           uint64_t incarnation);
+                           uint64_t incarnation, clock_ms_t limit);
 static bool find_candidate (const ownership_t *o, clock_ms_t now,
                             ownership_support_t *candidate);
 static void begin (ownership_t *o, clock_ms_t now, decide_id_t owner,
@@ -88,7 +88,6 @@
              uint64_t from_incarnation, const decide_msg_support_t *request)
 {
   int index = ownership_member (o, from);
-  clock_ms_t limit = DECIDE_FENCE_MS;
 
   if (!o->member || request->record_version != o->record.version
       || ownership_age (now, o->started) <= DECIDE_FENCE_MS)
@@ -103,11 +102,8 @@
     return false;
   if (acts_for (o, request->owner, request->owner_incarnation))
     return false;
-  if (!ownership_record_owns (&o->record, request->owner,
-                              request->owner_incarnation))
-    limit = OWNERSHIP_REMOVE_MS;
   return ownership_peer_silent (o, now, request->owner,
-                                request->owner_incarnation, limit);
+                                request->owner_incarnation, DECIDE_FENCE_MS);
 }
 
 void
@@ -162,11 +158,11 @@
 
 static void
 add_candidate (const ownership_t *o, clock_ms_t now, candidates_t *list,
-               decide_id_t owner, uint64_t incarnation)
+               decide_id_t owner, uint64_t incarnation, clock_ms_t limit)
 {
   /* Most owners are heard; this keeps the common case cheap.  */
   if (owner == 0 || list->count == CANDIDATES_MAX
-      || !ownership_peer_silent (o, now, owner, incarnation, DECIDE_FENCE_MS))
+      || !ownership_peer_silent (o, now, owner, incarnation, limit))
     return;
   for (uint32_t i = 0; i < list->count; i++)
     if (list->entries[i].owner == owner
@@ -197,13 +193,15 @@
         const ownership_slice_t *own = &o->slices[c][s];
 
         if (own->owned && own->offered)
-          add_candidate (o, now, &list, own->target, own->target_incarnation);
+          add_candidate (o, now, &list, own->target, own->target_incarnation,
+                         DECIDE_FENCE_MS);
         else if (!own->owned)
-          add_candidate (o, now, &list, slice->owner, slice->incarnation);
+          add_candidate (o, now, &list, slice->owner, slice->incarnation,
+                         DECIDE_FENCE_MS);
       }
   for (uint32_t i = 0; i < record->member_count; i++)
     add_candidate (o, now, &list, o->member_ids[i],
-                   record->members[i].incarnation);
+                   record->members[i].incarnation, OWNERSHIP_REMOVE_MS);
   if (list.count == 0)
     return false;
   *candidate = list.entries[o->attempt.term % list.count];
