Add the telemetry library

Log lines, spans and metrics of one process. Lines go through the bounded mailbox to one thread, so that a stalled reader of standard error costs lines (counted, and reported in the log) and never blocks a request.

--- /dev/null
+++ b/lib/telemetry/metrics.c
@@ -0,0 +1,330 @@
+#include "telemetry.h"
+
+#include <stdatomic.h>
+
+/* Room for the largest label, the message types, and for "other".  */
+#define LABELS_MAX 32
+#define OTHER (LABELS_MAX - 1)
+#define BUCKETS_MAX 24
+
+typedef struct family
+{
+  const char *name;
+  const char *help;
+  const char *label;         /* NULL: none */
+  const char *const *values; /* ends with NULL; "" is skipped */
+} family_t;
+
+/* In the order of decide.h; test/unit/telemetry.c compares them.  */
+static const char *const reasons[]
+    = { "unknown_service", "queue_full",  "deadline",     "no_capacity",
+        "no_contact",      "failed",      "key_conflict", "key_in_progress",
+        "key_uncertain",   "key_no_copy", "stopping",     NULL };
+static const char *const attempts[]
+    = { "answered", "shed",      "not_sent", "reset", "timeout",
+        "broken",   "cancelled", "unused",   NULL };
+static const char *const messages[] = { "",
+                                        "heartbeat",
+                                        "heartbeat_ack",
+                                        "support_request",
+                                        "support_reply",
+                                        "handover",
+                                        "handover_ack",
+                                        "object_pull",
+                                        "object_push",
+                                        "grant_request",
+                                        "grant",
+                                        "queued",
+                                        "refused",
+                                        "release",
+                                        "recall",
+                                        "grant_cancel",
+                                        "key_claim",
+                                        "key_claim_reply",
+                                        "key_copy",
+                                        "key_copy_ack",
+                                        "key_outcome",
+                                        "key_collect",
+                                        "key_collect_reply",
+                                        NULL };
+static const char *const directions[] = { "sent", "received", NULL };
+static const char *const probes[] = { "ok", "failed", NULL };
+static const char *const calls[] = { "ok", "conflict", "failed", NULL };
+
+static const family_t counters[TELEMETRY_COUNTERS] = {
+  [TELEMETRY_REQUESTS]
+  = { "peridot_requests_total", "Requests of callers.", NULL, NULL },
+  [TELEMETRY_ANSWERED]
+  = { "peridot_requests_answered_total",
+      "Requests answered by a backend server.", NULL, NULL },
+  [TELEMETRY_REFUSED] = { "peridot_requests_refused_total",
+                          "Requests refused, by reason.", "reason", reasons },
+  [TELEMETRY_BAD_REQUESTS]
+  = { "peridot_bad_requests_total",
+      "Requests with a fault of the caller, before any decision.", NULL,
+      NULL },
+  [TELEMETRY_ATTEMPTS]
+  = { "peridot_attempts_total", "Attempts against endpoints, by result.",
+      "result", attempts },
+  [TELEMETRY_RETRIES]
+  = { "peridot_retries_total", "Attempts after the first.", NULL, NULL },
+  [TELEMETRY_HEDGES]
+  = { "peridot_hedges_total", "Second attempts beside a slow first one.", NULL,
+      NULL },
+  [TELEMETRY_REPLAYS]
+  = { "peridot_replays_total", "Recorded answers given to repeats of a key.",
+      NULL, NULL },
+  [TELEMETRY_RESUMES]
+  = { "peridot_resumes_total", "Downloads resumed from another endpoint.",
+      NULL, NULL },
+  [TELEMETRY_CUT_ANSWERS]
+  = { "peridot_cut_answers_total",
+      "Answers to callers that ended short of their length.", NULL, NULL },
+  [TELEMETRY_PROBES]
+  = { "peridot_probes_total", "Probes of endpoints.", "result", probes },
+  [TELEMETRY_STORE_CALLS] = { "peridot_store_calls_total",
+                              "Calls of the object API.", "result", calls },
+  [TELEMETRY_OBJECTS_REJECTED]
+  = { "peridot_objects_rejected_total",
+      "Configuration objects that failed the checks.", NULL, NULL },
+  [TELEMETRY_PEER_SENT]
+  = { "peridot_peer_messages_sent_total", "Messages to instances, by type.",
+      "type", messages },
+  [TELEMETRY_PEER_RECEIVED]
+  = { "peridot_peer_messages_received_total",
+      "Messages from instances, by type.", "type", messages },
+  [TELEMETRY_PEER_DROPPED]
+  = { "peridot_peer_messages_dropped_total",
+      "Messages to instances that were dropped or not confirmed.", NULL,
+      NULL },
+  [TELEMETRY_PEER_BYTES]
+  = { "peridot_peer_bytes_total", "Bytes of messages between instances.",
+      "direction", directions },
+  [TELEMETRY_CONTROL_BYTES]
+  = { "peridot_control_bytes_total",
+      "Bytes for control, of the store and of messages between instances.",
+      "direction", directions },
+  [TELEMETRY_EVENTS_DROPPED]
+  = { "peridot_events_dropped_total",
+      "Events that found the ring to the decision thread full.", NULL, NULL },
+};
+
+static const family_t gauges[TELEMETRY_GAUGES] = {
+  [TELEMETRY_IN_FLIGHT]
+  = { "peridot_in_flight", "Requests of callers in flight.", NULL, NULL },
+  [TELEMETRY_CONNECTIONS]
+  = { "peridot_connections", "Open connections of callers.", NULL, NULL },
+  [TELEMETRY_REVISION]
+  = { "peridot_revision", "Store revision known completely.", NULL, NULL },
+  [TELEMETRY_RECORD_VERSION]
+  = { "peridot_record_version", "Version of the ownership record.", NULL,
+      NULL },
+  [TELEMETRY_SLICES_OWNED]
+  = { "peridot_slices_owned", "Slices the record names this instance for.",
+      NULL, NULL },
+  [TELEMETRY_SLICES_SERVING]
+  = { "peridot_slices_serving", "Slices this instance may grant in.", NULL,
+      NULL },
+  [TELEMETRY_MEMBERS_HEARD]
+  = { "peridot_members_heard", "Members heard from lately.", NULL, NULL },
+  [TELEMETRY_STORE_FRESH]
+  = { "peridot_store_fresh", "1 while the last store read is evidence.", NULL,
+      NULL },
+  [TELEMETRY_MAJORITY_FRESH]
+  = { "peridot_majority_fresh",
+      "1 while a majority's acknowledgements are evidence.", NULL, NULL },
+  [TELEMETRY_STOPPING]
+  = { "peridot_stopping", "1 during a planned stop.", NULL, NULL },
+  [TELEMETRY_CONTROL_CPU_US]
+  = { "peridot_control_cpu_microseconds",
+      "CPU time of the threads for control.", NULL, NULL },
+  [TELEMETRY_RESIDENT_BYTES]
+  = { "peridot_resident_bytes", "Resident memory of the process.", NULL,
+      NULL },
+};
+
+static const family_t histograms[TELEMETRY_HISTOGRAMS] = {
+  [TELEMETRY_ANSWERED_US] = { "peridot_answered_seconds",
+                              "Whole time of answered requests.", NULL, NULL },
+  [TELEMETRY_REFUSED_US] = { "peridot_refused_seconds",
+                             "Whole time of refused requests.", NULL, NULL },
+  [TELEMETRY_ADDED_US]
+  = { "peridot_added_seconds",
+      "Whole time of answered requests less the attempt that answered.", NULL,
+      NULL },
+  [TELEMETRY_FIRST_BYTE_US]
+  = { "peridot_first_byte_seconds",
+      "Time of attempts from sending to the first byte.", NULL, NULL },
+  [TELEMETRY_DECIDE_US]
+  = { "peridot_decide_seconds", "Time from a request to its decision.", NULL,
+      NULL },
+  [TELEMETRY_STORE_US] = { "peridot_store_seconds",
+                           "Time of calls of the object API.", NULL, NULL },
+};
+
+/* Upper bounds in microseconds.  1,300 is the goal for the time added to a
+   call; the bounds are closest around it.  */
+static const int64_t bounds[]
+    = { 50,     100,    200,    300,     500,     700,     1000,
+        1300,   2000,   3000,   5000,    10000,   20000,   50000,
+        100000, 200000, 500000, 1000000, 2000000, 5000000, 10000000 };
+
+#define BOUNDS G_N_ELEMENTS (bounds)
+G_STATIC_ASSERT (BOUNDS < BUCKETS_MAX);
+G_STATIC_ASSERT (G_N_ELEMENTS (messages) <= OTHER);
+
+static atomic_uint_fast64_t counts[TELEMETRY_COUNTERS][LABELS_MAX];
+static atomic_int_fast64_t levels[TELEMETRY_GAUGES];
+static struct
+{
+  atomic_uint_fast64_t buckets[BUCKETS_MAX]; /* the last used is +Inf */
+  atomic_uint_fast64_t sum_us;
+} observed[TELEMETRY_HISTOGRAMS];
+
+static unsigned int label_index (telemetry_counter_t counter,
+                                 unsigned int label);
+static void append_head (GString *text, const family_t *family,
+                         const char *type);
+static void append_counter (GString *text, telemetry_counter_t counter);
+static void append_histogram (GString *text, telemetry_histogram_t histogram);
+
+static unsigned int
+label_index (telemetry_counter_t counter, unsigned int label)
+{
+  const char *const *values = counters[counter].values;
+
+  if (values == NULL)
+    return label == 0 ? 0 : OTHER;
+  for (unsigned int i = 0; values[i] != NULL; i++)
+    if (i == label && values[i][0] != '\0')
+      return i;
+  return OTHER;
+}
+
+void
+telemetry_add (telemetry_counter_t counter, unsigned int label, uint64_t n)
+{
+  atomic_fetch_add_explicit (&counts[counter][label_index (counter, label)], n,
+                             memory_order_relaxed);
+}
+
+uint64_t
+telemetry_read (telemetry_counter_t counter, unsigned int label)
+{
+  return atomic_load_explicit (&counts[counter][label_index (counter, label)],
+                               memory_order_relaxed);
+}
+
+void
+telemetry_gauge_set (telemetry_gauge_t gauge, int64_t value)
+{
+  atomic_store_explicit (&levels[gauge], value, memory_order_relaxed);
+}
+
+void
+telemetry_gauge_add (telemetry_gauge_t gauge, int64_t n)
+{
+  atomic_fetch_add_explicit (&levels[gauge], n, memory_order_relaxed);
+}
+
+void
+telemetry_observe (telemetry_histogram_t histogram, int64_t us)
+{
+  size_t i = 0;
+
+  us = MAX (us, 0);
+  while (i < BOUNDS && us > bounds[i])
+    i++;
+  atomic_fetch_add_explicit (&observed[histogram].buckets[i], 1,
+                             memory_order_relaxed);
+  atomic_fetch_add_explicit (&observed[histogram].sum_us, (uint64_t)us,
+                             memory_order_relaxed);
+}
+
+char *
+telemetry_format_metrics (void)
+{
+  static const family_t dropped
+      = { "peridot_log_lines_dropped_total",
+          "Log lines and spans that found the ring full.", NULL, NULL };
+  GString *text = g_string_sized_new (16384);
+
+  for (int i = 0; i < TELEMETRY_COUNTERS; i++)
+    append_counter (text, (telemetry_counter_t)i);
+  append_head (text, &dropped, "counter");
+  g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", dropped.name,
+                          telemetry_dropped ());
+  for (int i = 0; i < TELEMETRY_GAUGES; i++)
+    {
+      append_head (text, &gauges[i], "gauge");
+      g_string_append_printf (
+          text, "%s %" G_GINT64_FORMAT "\n", gauges[i].name,
+          atomic_load_explicit (&levels[i], memory_order_relaxed));
+    }
+  for (int i = 0; i < TELEMETRY_HISTOGRAMS; i++)
+    append_histogram (text, (telemetry_histogram_t)i);
+  return g_string_free (text, FALSE);
+}
+
+static void
+append_head (GString *text, const family_t *family, const char *type)
+{
+  g_string_append_printf (text, "# HELP %s %s\n# TYPE %s %s\n", family->name,
+                          family->help, family->name, type);
+}
+
+static void
+append_counter (GString *text, telemetry_counter_t counter)
+{
+  const family_t *family = &counters[counter];
+  uint64_t other = telemetry_read (counter, OTHER);
+
+  append_head (text, family, "counter");
+  if (family->values == NULL)
+    {
+      g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", family->name,
+                              telemetry_read (counter, 0));
+      return;
+    }
+  for (unsigned int i = 0; family->values[i] != NULL; i++)
+    if (family->values[i][0] != '\0')
+      g_string_append_printf (text, "%s{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                              family->name, family->label, family->values[i],
+                              telemetry_read (counter, i));
+  if (other != 0)
+    g_string_append_printf (text, "%s{%s=\"other\"} %" G_GUINT64_FORMAT "\n",
+                            family->name, family->label, other);
+}
+
+/* Buckets are read one by one while others write; the count is their sum, so
+   that it always agrees with the last bucket.  */
+static void
+append_histogram (GString *text, telemetry_histogram_t histogram)
+{
+  const family_t *family = &histograms[histogram];
+  uint64_t total = 0;
+
+  append_head (text, family, "histogram");
+  for (size_t i = 0; i <= BOUNDS; i++)
+    {
+      char bound[G_ASCII_DTOSTR_BUF_SIZE] = "+Inf";
+
+      total += atomic_load_explicit (&observed[histogram].buckets[i],
+                                     memory_order_relaxed);
+      if (i < BOUNDS)
+        g_ascii_formatd (bound, sizeof bound, "%g", (double)bounds[i] / 1e6);
+      g_string_append_printf (text,
+                              "%s_bucket{le=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                              family->name, bound, total);
+    }
+  g_string_append_printf (
+      text,
+      "%s_sum %" G_GUINT64_FORMAT ".%06u\n%s_count %" G_GUINT64_FORMAT "\n",
+      family->name,
+      atomic_load_explicit (&observed[histogram].sum_us, memory_order_relaxed)
+          / 1000000,
+      (unsigned int)(atomic_load_explicit (&observed[histogram].sum_us,
+                                           memory_order_relaxed)
+                     % 1000000),
+      family->name, total);
+}
--- /dev/null
+++ b/test/unit/telemetry.c
@@ -0,0 +1,402 @@
+#include "telemetry.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <json-c/json.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "decide.h"
+
+#undef G_LOG_DOMAIN
+#define G_LOG_DOMAIN "test"
+#define THREADS 4
+#define ROUNDS 500
+
+/* Standard error or output redirected into a pipe.  */
+typedef struct capture
+{
+  int target;
+  int saved;
+  int pipe[2];
+} capture_t;
+
+static void
+capture_begin (capture_t *capture, int target)
+{
+  capture->target = target;
+  capture->saved = dup (target);
+  g_assert_cmpint (pipe (capture->pipe), ==, 0);
+  g_assert_cmpint (dup2 (capture->pipe[1], target), ==, target);
+}
+
+/* Restores the descriptor and returns what was written.  */
+static char *
+capture_end (capture_t *capture)
+{
+  GString *text = g_string_new (NULL);
+  char buffer[4096];
+  ssize_t n;
+
+  dup2 (capture->saved, capture->target);
+  close (capture->saved);
+  close (capture->pipe[1]);
+  while ((n = read (capture->pipe[0], buffer, sizeof buffer)) > 0)
+    g_string_append_len (text, buffer, n);
+  close (capture->pipe[0]);
+  return g_string_free (text, FALSE);
+}
+
+static void
+start (unsigned int ring, double share)
+{
+  telemetry_settings_t settings = { .instance = "entry-1",
+                                    .log_level = G_LOG_LEVEL_INFO,
+                                    .trace_share = share,
+                                    .ring = ring };
+
+  g_assert_cmpint (telemetry_start (&settings), ==, 0);
+  g_assert_cmpint (telemetry_start (&settings), ==, -EALREADY);
+}
+
+static const char *
+member (json_object *line, const char *key)
+{
+  json_object *value = NULL;
+
+  json_object_object_get_ex (line, key, &value);
+  return value == NULL ? NULL : json_object_get_string (value);
+}
+
+/* Guards against lines that are no JSON, lost fields and levels that are not
+   filtered.  */
+static void
+test_log_lines (void)
+{
+  capture_t capture;
+  g_auto (GStrv) lines = NULL;
+  g_autofree char *text = NULL;
+  json_object *line;
+
+  capture_begin (&capture, STDERR_FILENO);
+  start (64, 0);
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SERVICE", "booking",
+                    "MESSAGE", "quote \" slash \\ line\n tab\t bad \xff %d",
+                    7);
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_DEBUG, "MESSAGE", "hidden");
+  telemetry_set_log_level (G_LOG_LEVEL_DEBUG);
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_DEBUG, "MESSAGE", "shown");
+  telemetry_stop ();
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "MESSAGE", "late");
+  text = capture_end (&capture);
+  lines = g_strsplit (text, "\n", -1);
+  g_assert_cmpuint (g_strv_length (lines), ==, 4);
+  line = json_tokener_parse (lines[0]);
+  g_assert_nonnull (line);
+  g_assert_cmpuint (strlen (member (line, "time")), ==,
+                    strlen ("2026-12-04T02:52:48.000000Z"));
+  g_assert_cmpstr (member (line, "level"), ==, "info");
+  g_assert_cmpstr (member (line, "instance"), ==, "entry-1");
+  g_assert_cmpstr (member (line, "service"), ==, "booking");
+  g_assert_cmpstr (member (line, "domain"), ==, "test");
+  g_assert_cmpstr (member (line, "message"), ==,
+                   "quote \" slash \\ line\n tab\t bad \xef\xbf\xbd 7");
+  g_assert_null (member (line, "code_file"));
+  json_object_put (line);
+  g_assert_nonnull (strstr (lines[1], "\"level\":\"debug\""));
+  g_assert_nonnull (strstr (lines[2], "\"late\""));
+}
+
+/* Fills the ring while nobody reads; returns the number of dropped lines.  */
+static int
+overflow (capture_t *capture)
+{
+  uint64_t before = telemetry_dropped ();
+  g_autofree char *large = g_strnfill (4000, 'x');
+
+  capture_begin (capture, STDERR_FILENO);
+  g_assert_cmpint (fcntl (capture->pipe[1], F_SETPIPE_SZ, 4096), >=, 4096);
+  start (128, 0);
+  for (int i = 0; i < 300; i++)
+    g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE", "%s", large);
+  return (int)(telemetry_dropped () - before);
+}
+
+/* Guards against a writer that blocks its caller, or loses lines without
+   saying so, when nobody reads standard error.  */
+static void
+test_log_overflow (void)
+{
+  static const char key[] = "\"dropped\":";
+  int64_t begin = g_get_monotonic_time ();
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_autofree char *rest = NULL;
+  capture_t capture;
+  char buffer[4096];
+  ssize_t n = 0;
+  int dropped = overflow (&capture);
+  int reported = 0;
+
+  /* The ring, the line being written and what the pipe holds are kept.  */
+  g_assert_cmpint (dropped, >=, 300 - 127 - 3);
+  g_assert_cmpint (dropped, <, 300);
+  g_assert_cmpint (g_get_monotonic_time () - begin, <, 5 * G_USEC_PER_SEC);
+  while (strstr (text->str, key) == NULL
+         && (n = read (capture.pipe[0], buffer, sizeof buffer)) > 0)
+    g_string_append_len (text, buffer, n);
+  telemetry_stop ();
+  rest = capture_end (&capture);
+  g_string_append (text, rest);
+  for (const char *p = text->str; (p = strstr (p, key)) != NULL; p++)
+    reported += atoi (p + strlen (key));
+  g_assert_cmpint (reported, ==, dropped);
+}
+
+/* Guards against a stop that takes long, or never ends, when nobody reads
+   standard error.  */
+static void
+test_stalled_stop (void)
+{
+  int64_t begin = g_get_monotonic_time ();
+  capture_t capture;
+
+  overflow (&capture);
+  telemetry_stop ();
+  g_assert_cmpint (g_get_monotonic_time () - begin, <, 5 * G_USEC_PER_SEC);
+  g_free (capture_end (&capture));
+}
+
+static void *
+use_everything (void *arg)
+{
+  telemetry_trace_t trace;
+  telemetry_span_t span = { .trace = &trace,
+                            .name = "attempt",
+                            .service = "booking",
+                            .outcome = "answered",
+                            .start_us = 1,
+                            .duration_us = 2 };
+
+  (void)arg;
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      telemetry_new_trace (&trace);
+      telemetry_count (TELEMETRY_REQUESTS, 0);
+      telemetry_observe (TELEMETRY_ADDED_US, i);
+      telemetry_gauge_add (TELEMETRY_IN_FLIGHT, 1);
+      telemetry_write_span (&span);
+      g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE", "m");
+      if (i % 100 == 0)
+        g_free (telemetry_format_metrics ());
+      telemetry_gauge_add (TELEMETRY_IN_FLIGHT, -1);
+    }
+  return NULL;
+}
+
+/* Guards against data races and counts lost between threads.  */
+static void
+test_threads (void)
+{
+  pthread_t threads[THREADS];
+  uint64_t before = telemetry_read (TELEMETRY_REQUESTS, 0);
+  capture_t out;
+  capture_t err;
+  int null;
+
+  capture_begin (&out, STDOUT_FILENO);
+  capture_begin (&err, STDERR_FILENO);
+  /* Nobody reads while the threads run.  */
+  null = open ("/dev/null", O_WRONLY);
+  dup2 (null, STDOUT_FILENO);
+  dup2 (null, STDERR_FILENO);
+  start (8192, 1);
+  for (int i = 0; i < THREADS; i++)
+    pthread_create (&threads[i], NULL, use_everything, NULL);
+  for (int i = 0; i < THREADS; i++)
+    pthread_join (threads[i], NULL);
+  telemetry_stop ();
+  close (null);
+  g_free (capture_end (&err));
+  g_free (capture_end (&out));
+  g_assert_cmpuint (telemetry_read (TELEMETRY_REQUESTS, 0) - before, ==,
+                    THREADS * ROUNDS);
+}
+
+/* Guards against labels that are shifted against decide.h, text that
+   Prometheus refuses, and values beyond the tables.  */
+static void
+test_metrics (void)
+{
+  g_autofree char *text = NULL;
+  g_auto (GStrv) lines = NULL;
+
+  telemetry_add (TELEMETRY_REFUSED, DECIDE_REASON_STOPPING, 11);
+  telemetry_add (TELEMETRY_REFUSED, DECIDE_REASON_KEY_NO_COPY, 10);
+  telemetry_count (TELEMETRY_REFUSED, DECIDE_REASON_STOPPING + 1);
+  telemetry_add (TELEMETRY_ATTEMPTS, DECIDE_ATTEMPT_UNUSED, 8);
+  telemetry_count (TELEMETRY_PEER_SENT, 0);
+  telemetry_count (TELEMETRY_PEER_SENT, 5000);
+  telemetry_add (TELEMETRY_PEER_SENT, DECIDE_MSG_HEARTBEAT, 3);
+  telemetry_add (TELEMETRY_PEER_SENT, DECIDE_MSG_KEY_COLLECT_REPLY, 22);
+  telemetry_gauge_set (TELEMETRY_REVISION, -5);
+  telemetry_observe (TELEMETRY_STORE_US, -1);
+  telemetry_observe (TELEMETRY_STORE_US, 1300);
+  telemetry_observe (TELEMETRY_STORE_US, 1301);
+  telemetry_observe (TELEMETRY_STORE_US, INT64_C (20000000));
+  text = telemetry_format_metrics ();
+  lines = g_strsplit (text, "\n", -1);
+#define HAS(line)                                                             \
+  g_assert_true (g_strv_contains ((const char *const *)lines, line))
+  HAS ("# TYPE peridot_requests_refused_total counter");
+  HAS ("peridot_requests_refused_total{reason=\"stopping\"} 11");
+  HAS ("peridot_requests_refused_total{reason=\"key_no_copy\"} 10");
+  HAS ("peridot_requests_refused_total{reason=\"other\"} 1");
+  HAS ("peridot_attempts_total{result=\"unused\"} 8");
+  HAS ("peridot_peer_messages_sent_total{type=\"heartbeat\"} 3");
+  HAS ("peridot_peer_messages_sent_total{type=\"key_collect_reply\"} 22");
+  HAS ("peridot_peer_messages_sent_total{type=\"other\"} 2");
+  HAS ("peridot_revision -5");
+  HAS ("# TYPE peridot_store_seconds histogram");
+  HAS ("peridot_store_seconds_bucket{le=\"5e-05\"} 1");
+  HAS ("peridot_store_seconds_bucket{le=\"0.0013\"} 2");
+  HAS ("peridot_store_seconds_bucket{le=\"0.002\"} 3");
+  HAS ("peridot_store_seconds_bucket{le=\"10\"} 3");
+  HAS ("peridot_store_seconds_bucket{le=\"+Inf\"} 4");
+  HAS ("peridot_store_seconds_sum 20.002601");
+  HAS ("peridot_store_seconds_count 4");
+#undef HAS
+  /* Each family has its HELP and TYPE, and each sample a number.  */
+  for (int i = 0; lines[i][0] != '\0'; i++)
+    if (g_str_has_prefix (lines[i], "# HELP "))
+      g_assert_true (g_str_has_prefix (lines[i + 1], "# TYPE "));
+    else if (lines[i][0] != '#')
+      g_assert_true (g_ascii_isdigit (lines[i][strlen (lines[i]) - 1]));
+  g_assert_true (g_str_has_suffix (text, "\n"));
+}
+
+#define TRACE_ID "0af7651916cd43dd8448eb211c80319c"
+#define GOOD "00-" TRACE_ID "-b7ad6b7169203331-01"
+
+/* Guards against malformed headers that are taken over or read beyond their
+   end.  */
+static void
+test_bad_trace (void)
+{
+  static const char *const bad[] = {
+    "",
+    "00",
+    "00-" TRACE_ID "-b7ad6b7169203331-0",
+    "00-" TRACE_ID "-b7ad6b7169203331-01-x",
+    "00-" TRACE_ID "-b7ad6b7169203331-01 ",
+    "01-" TRACE_ID "-b7ad6b7169203331-01x",
+    "ff-" TRACE_ID "-b7ad6b7169203331-01",
+    "0g-" TRACE_ID "-b7ad6b7169203331-01",
+    "00_" TRACE_ID "-b7ad6b7169203331-01",
+    "00-" TRACE_ID "_b7ad6b7169203331-01",
+    "00-" TRACE_ID "-b7ad6b7169203331_01",
+    "00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+    "00-00000000000000000000000000000000-b7ad6b7169203331-01",
+    "00-" TRACE_ID "-0000000000000000-01",
+    "00-" TRACE_ID "-b7ad6b716920333\xff-01",
+  };
+  telemetry_trace_t trace = { .flags = 0x77 };
+  g_autofree char *large = g_strnfill (1 << 20, '0');
+
+  g_assert_cmpint (telemetry_parse_trace (NULL, &trace), ==, -EINVAL);
+  g_assert_cmpint (telemetry_parse_trace (large, &trace), ==, -EINVAL);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      /* An exact copy lets the address sanitizer see a read too far.  */
+      g_autofree char *copy = g_strdup (bad[i]);
+
+      g_assert_cmpint (telemetry_parse_trace (copy, &trace), ==, -EINVAL);
+    }
+  g_assert_cmpint (trace.flags, ==, 0x77);
+}
+
+/* Guards against a trace that is lost or changed from hop to hop.  */
+static void
+test_trace (void)
+{
+  telemetry_trace_t trace;
+  telemetry_trace_t child;
+  char text[TELEMETRY_TRACEPARENT_SIZE];
+
+  g_assert_cmpint (telemetry_parse_trace (GOOD, &trace), ==, 0);
+  telemetry_format_trace (&trace, text);
+  g_assert_cmpstr (text, ==, GOOD);
+  g_assert_cmpint (telemetry_parse_trace (
+                       "42-" TRACE_ID "-b7ad6b7169203331-ff-more", &trace),
+                   ==, 0);
+  telemetry_format_trace (&trace, text);
+  g_assert_cmpstr (text, ==, GOOD);
+  telemetry_new_child (&trace, &child);
+  g_assert_cmpmem (child.trace_id, 16, trace.trace_id, 16);
+  g_assert_cmpmem (child.parent_id, 8, trace.span_id, 8);
+  g_assert_cmpint (memcmp (child.span_id, trace.span_id, 8), !=, 0);
+  telemetry_new_trace (&trace);
+  telemetry_format_trace (&trace, text);
+  g_assert_cmpint (telemetry_parse_trace (text, &child), ==, 0);
+}
+
+/* Guards against spans without their fields and a share that is not kept.  */
+static void
+test_spans (void)
+{
+  capture_t capture;
+  telemetry_trace_t parent;
+  telemetry_trace_t trace;
+  telemetry_span_t span = { .trace = &trace,
+                            .name = "request",
+                            .service = "booking",
+                            .start_us = 1500000,
+                            .duration_us = 42,
+                            .outcome = "answered" };
+  g_autofree char *text = NULL;
+  int sampled = 0;
+
+  telemetry_parse_trace (GOOD, &parent);
+  capture_begin (&capture, STDOUT_FILENO);
+  start (64, 1);
+  telemetry_new_child (&parent, &trace);
+  memcpy (trace.span_id, "\0\1\2\3\4\5\6\7", 8);
+  telemetry_write_span (&span);
+  telemetry_stop ();
+  text = capture_end (&capture);
+  g_assert_cmpstr (text, ==,
+                   "{\"trace_id\":\"" TRACE_ID
+                   "\",\"span_id\":\"0001020304050607\","
+                   "\"parent_id\":\"b7ad6b7169203331\",\"name\":\"request\","
+                   "\"service\":\"booking\",\"instance\":\"entry-1\","
+                   "\"start\":\"1970-01-01T00:00:01.500000Z\","
+                   "\"duration_us\":42,\"outcome\":\"answered\"}\n");
+  start (64, 0.25);
+  for (int i = 0; i < 4000; i++)
+    {
+      telemetry_new_trace (&trace);
+      sampled += telemetry_is_sampled (&trace);
+      g_assert_cmpint (telemetry_is_sampled (&trace), ==,
+                       trace.flags & TELEMETRY_SAMPLED);
+    }
+  telemetry_stop ();
+  /* 1,000 expected; the standard deviation is 27.  */
+  g_assert_cmpint (sampled, >, 800);
+  g_assert_cmpint (sampled, <, 1200);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/telemetry/log/lines", test_log_lines);
+  g_test_add_func ("/telemetry/log/overflow", test_log_overflow);
+  g_test_add_func ("/telemetry/log/stalled-stop", test_stalled_stop);
+  g_test_add_func ("/telemetry/threads", test_threads);
+  g_test_add_func ("/telemetry/metrics", test_metrics);
+  g_test_add_func ("/telemetry/trace/bad", test_bad_trace);
+  g_test_add_func ("/telemetry/trace/good", test_trace);
+  g_test_add_func ("/telemetry/spans", test_spans);
+  return g_test_run ();
+}
