Add the peer library: messages between instances over ONC RPC

Cause: instances exchange heartbeats, grants and key copies; a slow, silent or stopped instance must not hold up the links of others.

peer.x describes the messages; rpcgen's code is committed in lib/peer/gen (target peer-gen makes it anew). Received values that the decision library uses as an index or adds to a time are checked; a bad message is dropped and counted, the rest of its batch is delivered. A batch is never sent twice. Before each batch the sender looks whether the peer has closed the connection, so that a restart costs no batch.

The server uses libtirpc's record streams and message routines with a thread for each connection (256 KiB stack, at most 256 connections, 5 s and 2 MiB for a record, 10 s idle).

The first test of a peer that does not read passed without the send timeout too, since loopback took 1 MiB into the socket's buffer. The buffer is now limited to 128 KiB, which also bounds the kernel's memory for each peer.

--- /dev/null
+++ b/lib/peer/encode.c
@@ -0,0 +1,241 @@
+#include "wire.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+_Static_assert((int)WIRE_HEARTBEAT == (int)DECIDE_MSG_HEARTBEAT
+                   && (int)WIRE_OBJECT_PUSH == (int)DECIDE_MSG_OBJECT_PUSH
+                   && (int)WIRE_RELEASE == (int)DECIDE_MSG_RELEASE
+                   && (int)WIRE_KEY_CLAIM == (int)DECIDE_MSG_KEY_CLAIM
+                   && (int)WIRE_KEY_COLLECT_REPLY
+                          == (int)DECIDE_MSG_KEY_COLLECT_REPLY,
+               "message types of peer.x and decide.h differ");
+_Static_assert(WIRE_SLICES == DECIDE_SLICES
+                   && WIRE_LOADS_MAX == DECIDE_LOADS_MAX
+                   && WIRE_GRANTS_MAX == DECIDE_HANDOVER_GRANTS_MAX
+                   && WIRE_ANSWER_MAX == DECIDE_ANSWER_MAX
+                   && WIRE_TYPE_MAX + 1 == DECIDE_NAME_MAX
+                   && WIRE_BATCH_MAX == PEER_BATCH_MESSAGES,
+               "limits of peer.x and decide.h differ");
+
+static int
+encode_heartbeat (const decide_msg_heartbeat_t *from, wire_heartbeat *to)
+{
+  to->sequence = from->sequence;
+  to->sent = from->sent;
+  to->state = from->state;
+  to->record_version = from->record_version;
+  to->revision = from->revision;
+  /* One more than needed, since calloc (0) may return NULL.  */
+  to->acting.acting_val
+      = calloc (from->acting_count + 1, sizeof *to->acting.acting_val);
+  to->loads.loads_val
+      = calloc (from->load_count + 1, sizeof *to->loads.loads_val);
+  if (to->acting.acting_val == NULL || to->loads.loads_val == NULL)
+    return -ENOMEM;
+  to->acting.acting_len = from->acting_count;
+  for (uint32_t i = 0; i < from->acting_count; i++)
+    to->acting.acting_val[i] = (wire_acting){
+      .owner = from->acting[i].owner,
+      .owner_incarnation = from->acting[i].owner_incarnation,
+      .centre = from->acting[i].centre,
+      .slice = from->acting[i].slice,
+    };
+  to->loads.loads_len = from->load_count;
+  for (uint32_t i = 0; i < from->load_count; i++)
+    to->loads.loads_val[i] = (wire_pool_load){
+      .pool = from->loads[i].pool,
+      .free = from->loads[i].free,
+      .queued = from->loads[i].queued,
+    };
+  return 0;
+}
+
+static int
+encode_handover (const decide_msg_handover_t *from, wire_handover *to)
+{
+  to->centre = from->centre;
+  to->slice = from->slice;
+  to->record_version = from->record_version;
+  to->more = from->more;
+  to->grants.grants_val
+      = calloc (from->grant_count + 1, sizeof *to->grants.grants_val);
+  if (to->grants.grants_val == NULL)
+    return -ENOMEM;
+  to->grants.grants_len = from->grant_count;
+  for (uint32_t i = 0; i < from->grant_count; i++)
+    to->grants.grants_val[i] = (wire_handover_grant){
+      .grant = from->grants[i].grant,
+      .pool = from->grants[i].pool,
+      .endpoint = from->grants[i].endpoint,
+      .holder = from->grants[i].holder,
+      .left_ms = from->grants[i].left_ms,
+    };
+  return 0;
+}
+
+static int
+encode_object (const decide_msg_object_t *from, wire_object *to)
+{
+  to->previous = from->previous;
+  to->object_version = from->version;
+  to->revision = from->revision;
+  to->deleted = from->deleted;
+  to->name = strdup (from->name);
+  to->body = strdup (from->body != NULL ? from->body : "");
+  return to->name != NULL && to->body != NULL ? 0 : -ENOMEM;
+}
+
+static void
+encode_grant (const decide_msg_grant_t *from, wire_grant *to)
+{
+  *to = (wire_grant){
+    .request = from->request,
+    .grant = from->grant,
+    .pool = from->pool,
+    .endpoint = from->endpoint,
+    .priority = from->priority,
+    .left_ms = from->left_ms,
+    .run_ms = from->run_ms,
+    .lend_ms = from->lend_ms,
+    .wait_ms = from->wait_ms,
+    .reason = from->reason,
+    .free = from->free,
+    .queued = from->queued,
+  };
+}
+
+static int
+encode_release (const decide_msg_release_t *from, wire_release *to)
+{
+  const decide_load_t *load = &from->end.load;
+
+  *to = (wire_release){
+    .grant = from->grant,
+    .pool = from->pool,
+    .keep = from->keep,
+    .result = from->end.result,
+    .latency_ms = from->end.latency_ms,
+    .status = from->end.status,
+    .retry_after_ms = from->end.retry_after_ms,
+  };
+  if (!load->present)
+    return 0;
+  to->load = malloc (sizeof *to->load);
+  if (to->load == NULL)
+    return -ENOMEM;
+  *to->load = (wire_load){
+    .in_flight = load->in_flight,
+    .queued = load->queued,
+    .slots = load->slots,
+    .cold = load->cold,
+    .draining = load->draining,
+    .identity = load->identity,
+  };
+  return 0;
+}
+
+static int
+encode_answer (const decide_answer_t *from, wire_key *to)
+{
+  wire_answer *answer = calloc (1, sizeof *answer);
+
+  to->answer = answer;
+  if (answer == NULL)
+    return -ENOMEM;
+  answer->status = from->status;
+  answer->content_type = strdup (from->content_type);
+  answer->body.body_val = malloc (from->length + 1);
+  if (answer->content_type == NULL || answer->body.body_val == NULL)
+    return -ENOMEM;
+  memcpy (answer->body.body_val, from->body, from->length);
+  answer->body.body_len = from->length;
+  return 0;
+}
+
+static int
+encode_key (const decide_msg_key_t *from, wire_key *to)
+{
+  *to = (wire_key){
+    .request = from->request,
+    .centre = from->centre,
+    .slice = from->slice,
+    .record_version = from->record_version,
+    .hash = { from->key.hash[0], from->key.hash[1] },
+    .body = from->key.body,
+    .left_ms = from->left_ms,
+    .retention_ms = from->retention_ms,
+    .status = from->status,
+    .state = from->state,
+    .more = from->more,
+    .empty = from->empty,
+    .running_ms = from->running_ms,
+  };
+  return from->has_answer ? encode_answer (&from->answer, to) : 0;
+}
+
+static int
+encode_body (const decide_msg_t *msg, wire_body *body)
+{
+  switch (msg->type)
+    {
+    case DECIDE_MSG_HEARTBEAT:
+      return encode_heartbeat (&msg->u.heartbeat,
+                               &body->wire_body_u.heartbeat);
+    case DECIDE_MSG_HEARTBEAT_ACK:
+      body->wire_body_u.ack = (wire_heartbeat_ack){
+        .sequence = msg->u.ack.sequence,
+        .sent = msg->u.ack.sent,
+        .record_version = msg->u.ack.record_version,
+        .revision = msg->u.ack.revision,
+        .promised = msg->u.ack.promised,
+        .supported_against = msg->u.ack.supported_against,
+      };
+      return 0;
+    case DECIDE_MSG_SUPPORT_REQUEST:
+    case DECIDE_MSG_SUPPORT_REPLY:
+      body->wire_body_u.support = (wire_support){
+        .record_version = msg->u.support.record_version,
+        .owner = msg->u.support.owner,
+        .owner_incarnation = msg->u.support.owner_incarnation,
+        .term = msg->u.support.term,
+        .granted = msg->u.support.granted,
+      };
+      return 0;
+    case DECIDE_MSG_HANDOVER:
+    case DECIDE_MSG_HANDOVER_ACK:
+      return encode_handover (&msg->u.handover, &body->wire_body_u.handover);
+    case DECIDE_MSG_OBJECT_PULL:
+      body->wire_body_u.pull_since = msg->u.pull_since;
+      return 0;
+    case DECIDE_MSG_OBJECT_PUSH:
+      return encode_object (&msg->u.object, &body->wire_body_u.object);
+    case DECIDE_MSG_GRANT_REQUEST:
+    case DECIDE_MSG_GRANT:
+    case DECIDE_MSG_QUEUED:
+    case DECIDE_MSG_REFUSED:
+    case DECIDE_MSG_RECALL:
+    case DECIDE_MSG_GRANT_CANCEL:
+      encode_grant (&msg->u.grant, &body->wire_body_u.grant);
+      return 0;
+    case DECIDE_MSG_RELEASE:
+      return encode_release (&msg->u.release, &body->wire_body_u.release);
+    default:
+      return encode_key (&msg->u.key, &body->wire_body_u.key);
+    }
+}
+
+int
+peer_encode (const decide_msg_t *msg, wire_message *wire)
+{
+  int err;
+
+  memset (wire, 0, sizeof *wire);
+  wire->incarnation = msg->incarnation;
+  wire->body.type = msg->type;
+  err = encode_body (msg, &wire->body);
+  if (err != 0)
+    xdr_free ((xdrproc_t)xdr_wire_message, wire);
+  return err;
+}
--- /dev/null
+++ b/lib/peer/message.c
@@ -0,0 +1,147 @@
+#include "wire.h"
+
+#include <errno.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SIZE(member)                                                          \
+  (offsetof (decide_msg_t, u) + sizeof (((decide_msg_t *)0)->u.member))
+
+/* Return: bytes of the message that its type uses, or 0 for an unknown
+   type.  */
+static size_t
+get_size (const decide_msg_t *msg)
+{
+  switch (msg->type)
+    {
+    case DECIDE_MSG_HEARTBEAT:
+      return SIZE (heartbeat);
+    case DECIDE_MSG_HEARTBEAT_ACK:
+      return SIZE (ack);
+    case DECIDE_MSG_SUPPORT_REQUEST:
+    case DECIDE_MSG_SUPPORT_REPLY:
+      return SIZE (support);
+    case DECIDE_MSG_HANDOVER:
+    case DECIDE_MSG_HANDOVER_ACK:
+      return SIZE (handover);
+    case DECIDE_MSG_OBJECT_PULL:
+      return SIZE (pull_since);
+    case DECIDE_MSG_OBJECT_PUSH:
+      return SIZE (object);
+    case DECIDE_MSG_GRANT_REQUEST:
+    case DECIDE_MSG_GRANT:
+    case DECIDE_MSG_QUEUED:
+    case DECIDE_MSG_REFUSED:
+    case DECIDE_MSG_RECALL:
+    case DECIDE_MSG_GRANT_CANCEL:
+      return SIZE (grant);
+    case DECIDE_MSG_RELEASE:
+      return SIZE (release);
+    case DECIDE_MSG_KEY_CLAIM:
+    case DECIDE_MSG_KEY_CLAIM_REPLY:
+    case DECIDE_MSG_KEY_COPY:
+    case DECIDE_MSG_KEY_COPY_ACK:
+    case DECIDE_MSG_KEY_OUTCOME:
+    case DECIDE_MSG_KEY_COLLECT:
+    case DECIDE_MSG_KEY_COLLECT_REPLY:
+      if (!msg->u.key.has_answer)
+        return SIZE (key) - sizeof (decide_answer_t);
+      return SIZE (key) - DECIDE_ANSWER_MAX + msg->u.key.answer.length;
+    }
+  return 0;
+}
+
+static int
+check_object (const decide_msg_object_t *object)
+{
+  if (object->name == NULL || strlen (object->name) > WIRE_NAME_MAX)
+    return -EINVAL;
+  if (object->body != NULL && strlen (object->body) > WIRE_BODY_MAX)
+    return -EMSGSIZE;
+  return 0;
+}
+
+static int
+check_answer (const decide_answer_t *answer)
+{
+  if (answer->length > DECIDE_ANSWER_MAX
+      || memchr (answer->content_type, '\0', sizeof answer->content_type)
+             == NULL)
+    return -EINVAL;
+  return 0;
+}
+
+int
+peer_msg_check (const decide_msg_t *msg)
+{
+  switch (msg->type)
+    {
+    case DECIDE_MSG_HEARTBEAT:
+      return msg->u.heartbeat.acting_count <= DECIDE_SLICES
+                     && msg->u.heartbeat.load_count <= DECIDE_LOADS_MAX
+                 ? 0
+                 : -EINVAL;
+    case DECIDE_MSG_HANDOVER:
+    case DECIDE_MSG_HANDOVER_ACK:
+      return msg->u.handover.grant_count <= DECIDE_HANDOVER_GRANTS_MAX
+                 ? 0
+                 : -EINVAL;
+    case DECIDE_MSG_OBJECT_PUSH:
+      return check_object (&msg->u.object);
+    case DECIDE_MSG_KEY_CLAIM:
+    case DECIDE_MSG_KEY_CLAIM_REPLY:
+    case DECIDE_MSG_KEY_COPY:
+    case DECIDE_MSG_KEY_COPY_ACK:
+    case DECIDE_MSG_KEY_OUTCOME:
+    case DECIDE_MSG_KEY_COLLECT:
+    case DECIDE_MSG_KEY_COLLECT_REPLY:
+      return msg->u.key.has_answer ? check_answer (&msg->u.key.answer) : 0;
+    default:
+      return get_size (msg) > 0 ? 0 : -EINVAL;
+    }
+}
+
+static decide_msg_t *
+copy (const decide_msg_t *msg, size_t allocated)
+{
+  decide_msg_t *made = calloc (1, allocated);
+
+  if (made == NULL)
+    return NULL;
+  memcpy (made, msg, get_size (msg));
+  if (msg->type != DECIDE_MSG_OBJECT_PUSH)
+    return made;
+  made->u.object.name = strdup (msg->u.object.name);
+  made->u.object.body
+      = strdup (msg->u.object.body != NULL ? msg->u.object.body : "");
+  if (made->u.object.name != NULL && made->u.object.body != NULL)
+    return made;
+  peer_msg_free (made);
+  return NULL;
+}
+
+decide_msg_t *
+peer_msg_copy_short (const decide_msg_t *msg)
+{
+  return copy (msg, get_size (msg));
+}
+
+decide_msg_t *
+peer_msg_copy (const decide_msg_t *msg)
+{
+  return peer_msg_check (msg) == 0 ? copy (msg, sizeof *msg) : NULL;
+}
+
+void
+peer_msg_free (decide_msg_t *msg)
+{
+  if (msg == NULL)
+    return;
+  if (msg->type == DECIDE_MSG_OBJECT_PUSH)
+    {
+      free ((char *)msg->u.object.name);
+      free ((char *)msg->u.object.body);
+    }
+  free (msg);
+}
--- /dev/null
+++ b/lib/peer/peer.x
@@ -0,0 +1,228 @@
+/* Messages between instances.  Names cross as 64-bit ids, times as durations
+   in ms; the clock reading in a heartbeat is only echoed.  */
+
+const WIRE_BATCH_MAX = 64;
+const WIRE_SLICES = 16;
+const WIRE_LOADS_MAX = 32;
+const WIRE_GRANTS_MAX = 128;
+const WIRE_ANSWER_MAX = 4096;
+const WIRE_TYPE_MAX = 63;
+const WIRE_NAME_MAX = 255;
+const WIRE_BODY_MAX = 1048576;
+
+const WIRE_HEARTBEAT = 1;
+const WIRE_HEARTBEAT_ACK = 2;
+const WIRE_SUPPORT_REQUEST = 3;
+const WIRE_SUPPORT_REPLY = 4;
+const WIRE_HANDOVER = 5;
+const WIRE_HANDOVER_ACK = 6;
+const WIRE_OBJECT_PULL = 7;
+const WIRE_OBJECT_PUSH = 8;
+const WIRE_GRANT_REQUEST = 9;
+const WIRE_GRANT = 10;
+const WIRE_QUEUED = 11;
+const WIRE_REFUSED = 12;
+const WIRE_RELEASE = 13;
+const WIRE_RECALL = 14;
+const WIRE_GRANT_CANCEL = 15;
+const WIRE_KEY_CLAIM = 16;
+const WIRE_KEY_CLAIM_REPLY = 17;
+const WIRE_KEY_COPY = 18;
+const WIRE_KEY_COPY_ACK = 19;
+const WIRE_KEY_OUTCOME = 20;
+const WIRE_KEY_COLLECT = 21;
+const WIRE_KEY_COLLECT_REPLY = 22;
+
+struct wire_acting
+{
+  unsigned hyper owner;
+  unsigned hyper owner_incarnation;
+  unsigned int centre;
+  unsigned int slice;
+};
+
+struct wire_pool_load
+{
+  unsigned hyper pool;
+  unsigned int free;
+  unsigned int queued;
+};
+
+struct wire_heartbeat
+{
+  unsigned hyper sequence;
+  hyper sent;
+  unsigned int state;
+  unsigned hyper record_version;
+  unsigned hyper revision;
+  wire_acting acting<WIRE_SLICES>;
+  wire_pool_load loads<WIRE_LOADS_MAX>;
+};
+
+struct wire_heartbeat_ack
+{
+  unsigned hyper sequence;
+  hyper sent;
+  unsigned hyper record_version;
+  unsigned hyper revision;
+  bool promised;
+  bool supported_against;
+};
+
+struct wire_support
+{
+  unsigned hyper record_version;
+  unsigned hyper owner;
+  unsigned hyper owner_incarnation;
+  unsigned hyper term;
+  bool granted;
+};
+
+struct wire_handover_grant
+{
+  unsigned hyper grant;
+  unsigned hyper pool;
+  unsigned hyper endpoint;
+  unsigned hyper holder;
+  hyper left_ms;
+};
+
+struct wire_handover
+{
+  unsigned int centre;
+  unsigned int slice;
+  unsigned hyper record_version;
+  bool more;
+  wire_handover_grant grants<WIRE_GRANTS_MAX>;
+};
+
+struct wire_object
+{
+  unsigned hyper previous;
+  unsigned hyper object_version;
+  unsigned hyper revision;
+  bool deleted;
+  string name<WIRE_NAME_MAX>;
+  string body<WIRE_BODY_MAX>;
+};
+
+struct wire_grant
+{
+  unsigned hyper request;
+  unsigned hyper grant;
+  unsigned hyper pool;
+  unsigned hyper endpoint;
+  unsigned int priority;
+  hyper left_ms;
+  hyper run_ms;
+  hyper lend_ms;
+  hyper wait_ms;
+  unsigned int reason;
+  unsigned int free;
+  unsigned int queued;
+};
+
+struct wire_load
+{
+  unsigned int in_flight;
+  unsigned int queued;
+  unsigned int slots;
+  bool cold;
+  bool draining;
+  unsigned hyper identity;
+};
+
+struct wire_release
+{
+  unsigned hyper grant;
+  unsigned hyper pool;
+  bool keep;
+  unsigned int result;
+  hyper latency_ms;
+  unsigned int status;
+  hyper retry_after_ms;
+  wire_load *load;
+};
+
+struct wire_answer
+{
+  unsigned int status;
+  string content_type<WIRE_TYPE_MAX>;
+  opaque body<WIRE_ANSWER_MAX>;
+};
+
+struct wire_key
+{
+  unsigned hyper request;
+  unsigned int centre;
+  unsigned int slice;
+  unsigned hyper record_version;
+  unsigned hyper hash[2];
+  unsigned hyper body;
+  hyper left_ms;
+  hyper retention_ms;
+  unsigned int status;
+  unsigned int state;
+  bool more;
+  bool empty;
+  hyper running_ms;
+  wire_answer *answer;
+};
+
+union wire_body switch (unsigned int type)
+{
+case WIRE_HEARTBEAT:
+  wire_heartbeat heartbeat;
+case WIRE_HEARTBEAT_ACK:
+  wire_heartbeat_ack ack;
+case WIRE_SUPPORT_REQUEST:
+case WIRE_SUPPORT_REPLY:
+  wire_support support;
+case WIRE_HANDOVER:
+case WIRE_HANDOVER_ACK:
+  wire_handover handover;
+case WIRE_OBJECT_PULL:
+  unsigned hyper pull_since;
+case WIRE_OBJECT_PUSH:
+  wire_object object;
+case WIRE_GRANT_REQUEST:
+case WIRE_GRANT:
+case WIRE_QUEUED:
+case WIRE_REFUSED:
+case WIRE_RECALL:
+case WIRE_GRANT_CANCEL:
+  wire_grant grant;
+case WIRE_RELEASE:
+  wire_release release;
+case WIRE_KEY_CLAIM:
+case WIRE_KEY_CLAIM_REPLY:
+case WIRE_KEY_COPY:
+case WIRE_KEY_COPY_ACK:
+case WIRE_KEY_OUTCOME:
+case WIRE_KEY_COLLECT:
+case WIRE_KEY_COLLECT_REPLY:
+  wire_key key;
+default:
+  void;
+};
+
+struct wire_message
+{
+  unsigned hyper incarnation;
+  wire_body body;
+};
+
+struct wire_batch
+{
+  unsigned hyper sender;
+  wire_message messages<WIRE_BATCH_MAX>;
+};
+
+/* The reply confirms receipt, nothing else.  */
+program PEER_PROGRAM
+{
+  version PEER_VERSION
+  {
+    void PEER_DELIVER (wire_batch) = 1;
+  } = 1;
+} = 0x2a9e0d17;
--- /dev/null
+++ b/test/unit/peer.c
@@ -0,0 +1,355 @@
+#include "peer_fixture.h"
+#include "wire.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stddef.h>
+#include <string.h>
+#include <unistd.h>
+
+static const decide_msg_t heartbeat
+    = { .u.heartbeat
+        = { .sequence = 1,
+            .sent = -2,
+            .state = DECIDE_MEMBER_LEAVING,
+            .record_version = 3,
+            .revision = 4,
+            .acting_count = 2,
+            .acting = { { 5, 6, 7, 8 }, { UINT64_MAX, 10, 15, 15 } },
+            .load_count = 2,
+            .loads = { { 13, 14, 15 }, { 16, UINT16_MAX, 18 } } } };
+static const decide_msg_t ack = { .u.ack = { 1, -2, 3, 4, true, true } };
+static const decide_msg_t support = { .u.support = { 1, 2, 3, 4, true } };
+static const decide_msg_t handover = {
+  .u.handover
+  = { 1, 2, 3, true, 2, { { 4, 5, 6, 7, 8 }, { 9, 10, 11, 12, -13 } } }
+};
+static const decide_msg_t pull = { .u.pull_since = 9 };
+static const decide_msg_t object
+    = { .u.object = { 1, 2, 3, true, "shared/profile/a", "{\"x\":1}" } };
+static const decide_msg_t grant
+    = { .u.grant
+        = { 1, 2, 3, 4, 5, -6, 7, 8, 9, DECIDE_REASON_STOPPING, 10, 11 } };
+static const decide_msg_t release = {
+  .u.release
+  = { 1,
+      2,
+      true,
+      { DECIDE_ATTEMPT_UNUSED, 3, 503, 4, { true, 5, 6, 7, true, true, 8 } } }
+};
+static const decide_msg_t key
+    = { .u.key = { 1,
+                   2,
+                   3,
+                   4,
+                   { { 5, 6 }, 7 },
+                   8,
+                   9,
+                   DECIDE_KEY_NOT_OWNER,
+                   DECIDE_KEY_STATE_NOT_RUN,
+                   true,
+                   true,
+                   10,
+                   true,
+                   { 201, "text/plain", 3, { 'a', 0, 'c' } } } };
+
+static const struct
+{
+  decide_msg_type_t first;
+  decide_msg_type_t last;
+  const decide_msg_t *sample;
+} samples[] = {
+  { DECIDE_MSG_HEARTBEAT, DECIDE_MSG_HEARTBEAT, &heartbeat },
+  { DECIDE_MSG_HEARTBEAT_ACK, DECIDE_MSG_HEARTBEAT_ACK, &ack },
+  { DECIDE_MSG_SUPPORT_REQUEST, DECIDE_MSG_SUPPORT_REPLY, &support },
+  { DECIDE_MSG_HANDOVER, DECIDE_MSG_HANDOVER_ACK, &handover },
+  { DECIDE_MSG_OBJECT_PULL, DECIDE_MSG_OBJECT_PULL, &pull },
+  { DECIDE_MSG_OBJECT_PUSH, DECIDE_MSG_OBJECT_PUSH, &object },
+  { DECIDE_MSG_GRANT_REQUEST, DECIDE_MSG_REFUSED, &grant },
+  { DECIDE_MSG_RELEASE, DECIDE_MSG_RELEASE, &release },
+  { DECIDE_MSG_RECALL, DECIDE_MSG_GRANT_CANCEL, &grant },
+  { DECIDE_MSG_KEY_CLAIM, DECIDE_MSG_KEY_COLLECT_REPLY, &key },
+};
+
+static decide_msg_t
+get_sample (decide_msg_type_t type)
+{
+  size_t i = 0;
+  decide_msg_t msg;
+
+  while (type > samples[i].last)
+    i++;
+  msg = *samples[i].sample;
+  msg.type = type;
+  msg.incarnation = 1000 + type;
+  return msg;
+}
+
+/* Guards against a field that is lost or mixed up on the way, in any type of
+   message.  The samples have no field that is zero.  */
+static void
+test_round_trip (void)
+{
+  inbox_t inbox;
+  peer_server_t *server;
+  peer_sender_t *sender;
+  int count = 0;
+
+  inbox_init (&inbox);
+  server = start_server (&inbox, 0, 0);
+  sender = start_sender (peer_server_get_port (server), 0, 0);
+  for (decide_msg_type_t type = DECIDE_MSG_HEARTBEAT;
+       type <= DECIDE_MSG_KEY_COLLECT_REPLY; type++)
+    {
+      decide_msg_t msg = get_sample (type);
+      decide_msg_t *got;
+
+      g_assert_cmpint (peer_sender_put (sender, &msg), ==, 0);
+      g_assert_cmpint (inbox_wait (&inbox, ++count), ==, count);
+      got = inbox.msgs[count - 1];
+      if (type == DECIDE_MSG_OBJECT_PUSH)
+        {
+          g_assert_cmpstr (got->u.object.name, ==, msg.u.object.name);
+          g_assert_cmpstr (got->u.object.body, ==, msg.u.object.body);
+          g_assert_cmpmem (got, offsetof (decide_msg_t, u.object.name), &msg,
+                           offsetof (decide_msg_t, u.object.name));
+        }
+      else
+        g_assert_cmpmem (got, sizeof *got, &msg, sizeof msg);
+    }
+  g_assert_cmpuint (inbox.from, ==, 77);
+  peer_sender_stop (sender);
+  peer_server_stop (server);
+  inbox_clear (&inbox);
+}
+
+/* Guards against messages out of order, lost or doubled in full batches.  */
+static void
+test_order (void)
+{
+  inbox_t inbox;
+  peer_server_t *server;
+  peer_sender_t *sender;
+  peer_sender_stats_t stats;
+
+  inbox_init (&inbox);
+  server = start_server (&inbox, 0, 0);
+  sender = start_sender (peer_server_get_port (server), 1024, 0);
+  for (uint64_t i = 0; i < 1000; i++)
+    {
+      decide_msg_t msg = make_heartbeat (i);
+
+      g_assert_cmpint (peer_sender_put (sender, &msg), ==, 0);
+    }
+  g_assert_cmpint (inbox_wait (&inbox, 1000), ==, 1000);
+  for (uint64_t i = 0; i < 1000; i++)
+    g_assert_cmpuint (inbox.msgs[i]->u.heartbeat.sequence, ==, i);
+  WAIT_FOR_STAT (sender, messages, 1000);
+  peer_sender_get_stats (sender, &stats);
+  g_assert_cmpuint (stats.batches, <, 500);
+  g_assert_cmpuint (stats.bytes, >=, 1000 * 48);
+  peer_sender_stop (sender);
+  peer_server_stop (server);
+  inbox_clear (&inbox);
+}
+
+/* Guards against an object of the largest size that does not cross, and one
+   above it that ends the connection.  */
+static void
+test_large (void)
+{
+  inbox_t inbox;
+  peer_server_t *server;
+  peer_sender_t *sender;
+  char *body = g_strnfill (1024 * 1024 + 1, 'x');
+  decide_msg_t msg = { .type = DECIDE_MSG_OBJECT_PUSH,
+                       .u.object = { .name = "shared/a", .body = body } };
+
+  inbox_init (&inbox);
+  server = start_server (&inbox, 0, 0);
+  sender = start_sender (peer_server_get_port (server), 0, 0);
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EMSGSIZE);
+  body[1024 * 1024] = '\0';
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, 0);
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, 0);
+  g_assert_cmpint (inbox_wait (&inbox, 2), ==, 2);
+  g_assert_cmpstr (inbox.msgs[1]->u.object.body, ==, body);
+  peer_sender_stop (sender);
+  peer_server_stop (server);
+  inbox_clear (&inbox);
+  g_free (body);
+}
+
+/* Guards against sending what the receiver can't decode.  */
+static void
+test_bad_put (void)
+{
+  uint16_t port;
+  int fd = listen_on (&port);
+  peer_sender_t *sender = start_sender (port, 0, 0);
+  decide_msg_t msg = get_sample (DECIDE_MSG_KEY_COPY);
+
+  msg.u.key.answer.length = DECIDE_ANSWER_MAX + 1;
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EINVAL);
+  msg = get_sample (DECIDE_MSG_KEY_COPY);
+  memset (msg.u.key.answer.content_type, 'x', DECIDE_NAME_MAX);
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EINVAL);
+  msg = get_sample (DECIDE_MSG_HEARTBEAT);
+  msg.u.heartbeat.acting_count = DECIDE_SLICES + 1;
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EINVAL);
+  msg = get_sample (DECIDE_MSG_HANDOVER);
+  msg.u.handover.grant_count = DECIDE_HANDOVER_GRANTS_MAX + 1;
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EINVAL);
+  msg.type = 23;
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EINVAL);
+  peer_sender_stop (sender);
+  close (fd);
+}
+
+static CLIENT *
+make_client (uint16_t port)
+{
+  peer_address_t address;
+  struct netbuf buffer = { .buf = &address.address };
+  char text[32];
+  CLIENT *client;
+
+  g_snprintf (text, sizeof text, "127.0.0.1:%u", port);
+  g_assert_cmpint (peer_address_parse (text, &address), ==, 0);
+  buffer.len = address.length;
+  buffer.maxlen = address.length;
+  client = clnt_vc_create (connect_to (port), &buffer, PEER_PROGRAM,
+                           PEER_VERSION, 0, 0);
+  g_assert_nonnull (client);
+  clnt_control (client, CLSET_FD_CLOSE, NULL);
+  return client;
+}
+
+static enum clnt_stat
+call (CLIENT *client, rpcproc_t procedure, xdrproc_t proc, void *argument)
+{
+  struct timeval timeout = { .tv_sec = 5 };
+
+  return clnt_call (client, procedure, proc, argument,
+                    (xdrproc_t)(void (*) (void))xdr_void, NULL, timeout);
+}
+
+static void
+spoil (wire_message *messages)
+{
+  messages[0].body.wire_body_u.heartbeat.state = 2;
+  messages[1].body.wire_body_u.heartbeat.acting.acting_val[0].slice = 16;
+  messages[2].body.wire_body_u.heartbeat.loads.loads_val[0].free = 65536;
+  messages[3].body.wire_body_u.handover.centre = DECIDE_DATA_CENTRES_MAX;
+  messages[4].body.wire_body_u.grant.priority = 8;
+  messages[5].body.wire_body_u.grant.left_ms = INT64_MIN;
+  messages[6].body.wire_body_u.release.result = DECIDE_ATTEMPT_UNUSED + 1;
+  messages[7].body.wire_body_u.key.status = DECIDE_KEY_NOT_OWNER + 1;
+  messages[8].body.wire_body_u.key.slice = DECIDE_SLICES;
+  messages[9].body.type = 23;
+}
+
+/* Guards against values out of range that reach the decision library, a bad
+   message that takes its batch along, and a call that can't be decoded and
+   ends the connection.  */
+static void
+test_corrupted (void)
+{
+  static const decide_msg_type_t types[]
+      = { DECIDE_MSG_HEARTBEAT, DECIDE_MSG_HEARTBEAT, DECIDE_MSG_HEARTBEAT,
+          DECIDE_MSG_HANDOVER,  DECIDE_MSG_GRANT,     DECIDE_MSG_GRANT,
+          DECIDE_MSG_RELEASE,   DECIDE_MSG_KEY_COPY,  DECIDE_MSG_KEY_COPY,
+          DECIDE_MSG_RECALL,    DECIDE_MSG_RECALL };
+  wire_message messages[G_N_ELEMENTS (types)];
+  wire_batch batch = { 5, { G_N_ELEMENTS (types), messages } };
+  u_int garbage = UINT_MAX;
+  inbox_t inbox;
+  peer_server_t *server;
+  peer_server_stats_t stats;
+  CLIENT *client;
+
+  inbox_init (&inbox);
+  server = start_server (&inbox, 0, 0);
+  client = make_client (peer_server_get_port (server));
+  for (size_t i = 0; i < G_N_ELEMENTS (types); i++)
+    {
+      decide_msg_t msg = get_sample (types[i]);
+
+      g_assert_cmpint (peer_encode (&msg, &messages[i]), ==, 0);
+    }
+  spoil (messages);
+  g_assert_cmpint (call (client, PEER_DELIVER, (xdrproc_t)xdr_u_int, &garbage),
+                   ==, RPC_CANTDECODEARGS);
+  g_assert_cmpint (call (client, 99, (xdrproc_t)xdr_u_int, &garbage), ==,
+                   RPC_PROCUNAVAIL);
+  g_assert_cmpint (
+      call (client, PEER_DELIVER, (xdrproc_t)xdr_wire_batch, &batch), ==,
+      RPC_SUCCESS);
+  g_assert_cmpint (inbox.count, ==, 1);
+  g_assert_cmpint (inbox.msgs[0]->type, ==, DECIDE_MSG_RECALL);
+  peer_server_get_stats (server, &stats);
+  g_assert_cmpuint (stats.rejected, ==, 10);
+  g_assert_cmpuint (stats.garbage, ==, 1);
+  g_assert_cmpuint (stats.connections, ==, 1);
+  clnt_destroy (client);
+  peer_server_stop (server);
+  for (size_t i = 0; i < G_N_ELEMENTS (types); i++)
+    xdr_free ((xdrproc_t)xdr_wire_message, &messages[i]);
+  inbox_clear (&inbox);
+}
+
+/* Guards against memory or time without bound for one endless record.  */
+static void
+test_endless (void)
+{
+  /* Header of a last fragment of 2^31 - 1 bytes, xid, CALL, RPC version,
+     program, version, procedure, no credentials, no verifier, sender and
+     the count of messages.  */
+  uint32_t head[] = { htonl (UINT32_MAX),
+                      1,
+                      0,
+                      htonl (2),
+                      htonl (PEER_PROGRAM),
+                      htonl (1),
+                      htonl (1),
+                      0,
+                      0,
+                      0,
+                      0,
+                      0,
+                      0,
+                      UINT32_MAX };
+  static char part[65536];
+  inbox_t inbox;
+  peer_server_t *server;
+  peer_server_stats_t stats;
+  size_t sent = 0;
+  int fd;
+
+  inbox_init (&inbox);
+  server = start_server (&inbox, 0, 0);
+  fd = connect_to (peer_server_get_port (server));
+  g_assert_cmpint (send (fd, head, sizeof head, 0), ==, sizeof head);
+  while (sent < 64 * 1024 * 1024
+         && send (fd, part, sizeof part, MSG_NOSIGNAL) > 0)
+    sent += sizeof part;
+  g_assert_cmpuint (sent, <, 64 * 1024 * 1024);
+  peer_server_get_stats (server, &stats);
+  g_assert_cmpuint (stats.bytes, <=, 3 * 1024 * 1024);
+  g_assert_cmpuint (stats.garbage, ==, 1);
+  close (fd);
+  peer_server_stop (server);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/peer/round-trip", test_round_trip);
+  g_test_add_func ("/peer/order", test_order);
+  g_test_add_func ("/peer/large", test_large);
+  g_test_add_func ("/peer/bad-put", test_bad_put);
+  g_test_add_func ("/peer/corrupted", test_corrupted);
+  g_test_add_func ("/peer/endless", test_endless);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/unit/peer_fixture.c
@@ -0,0 +1,122 @@
+#include "peer_fixture.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <time.h>
+
+void
+inbox_init (inbox_t *inbox)
+{
+  *inbox = (inbox_t){ .count = 0 };
+  pthread_mutex_init (&inbox->lock, NULL);
+  pthread_cond_init (&inbox->changed, NULL);
+}
+
+void
+inbox_clear (inbox_t *inbox)
+{
+  for (int i = 0; i < inbox->count; i++)
+    peer_msg_free (inbox->msgs[i]);
+  inbox->count = 0;
+}
+
+int
+inbox_wait (inbox_t *inbox, int count)
+{
+  struct timespec end;
+  int now;
+
+  clock_gettime (CLOCK_REALTIME, &end);
+  end.tv_sec += 5;
+  pthread_mutex_lock (&inbox->lock);
+  while (inbox->count < count
+         && pthread_cond_timedwait (&inbox->changed, &inbox->lock, &end) == 0)
+    continue;
+  now = inbox->count;
+  pthread_mutex_unlock (&inbox->lock);
+  return now;
+}
+
+static void
+keep (void *context, decide_id_t from, decide_msg_t *msg)
+{
+  inbox_t *inbox = context;
+
+  pthread_mutex_lock (&inbox->lock);
+  g_assert_cmpint (inbox->count, <, INBOX_MAX);
+  inbox->from = from;
+  inbox->msgs[inbox->count++] = msg;
+  pthread_cond_broadcast (&inbox->changed);
+  pthread_mutex_unlock (&inbox->lock);
+}
+
+peer_server_t *
+start_server (inbox_t *inbox, uint16_t port, clock_ms_t idle_ms)
+{
+  char address[32];
+  peer_server_options_t options = {
+    .address = address, .idle_ms = idle_ms, .context = inbox, .deliver = keep
+  };
+  peer_server_t *server = NULL;
+
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  g_assert_cmpint (peer_server_start (&server, &options), ==, 0);
+  return server;
+}
+
+peer_sender_t *
+start_sender (uint16_t port, uint32_t capacity, clock_ms_t confirm_ms)
+{
+  char address[32];
+  peer_sender_options_t options = { .self = 77,
+                                    .address = address,
+                                    .capacity = capacity,
+                                    .confirm_ms = confirm_ms };
+  peer_sender_t *sender = NULL;
+
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  g_assert_cmpint (peer_sender_start (&sender, &options), ==, 0);
+  return sender;
+}
+
+decide_msg_t
+make_heartbeat (uint64_t sequence)
+{
+  return (decide_msg_t){ .type = DECIDE_MSG_HEARTBEAT,
+                         .u.heartbeat.sequence = sequence };
+}
+
+static struct sockaddr_in
+get_loopback (uint16_t port)
+{
+  return (struct sockaddr_in){ .sin_family = AF_INET,
+                               .sin_port = htons (port),
+                               .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+}
+
+int
+connect_to (uint16_t port)
+{
+  struct sockaddr_in address = get_loopback (port);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&address, sizeof address),
+                   ==, 0);
+  return fd;
+}
+
+int
+listen_on (uint16_t *port)
+{
+  struct sockaddr_in address = get_loopback (0);
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, sizeof address), ==,
+                   0);
+  g_assert_cmpint (listen (fd, 16), ==, 0);
+  getsockname (fd, (struct sockaddr *)&address, &length);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
