--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -536,7 +536,7 @@
       = calloc ((size_t)backend.count, sizeof *backend.endpoints);
   if (backend.endpoints == NULL)
     err (1, "endpoints");
-  server = standin_start (ports, threads, handle, &backend);
+  server = standin_start (ports, threads);
   for (int i = 0; i < backend.count; i++)
     {
       endpoint_init (&backend.endpoints[i], endpoint,
@@ -544,7 +544,9 @@
       printf ("endpoint %d %d\n", i, backend.endpoints[i].port);
     }
   snprintf (control_ports, sizeof control_ports, "%d", control_port);
-  control = standin_start (control_ports, 8, handle_control, &backend);
+  standin_serve (server, handle, &backend);
+  control = standin_start (control_ports, 8);
+  standin_serve (control, handle_control, &backend);
   standin_ready (standin_port (control, 0));
   standin_wait_stop ();
 
--- a/test/standin/caller.c
+++ b/test/standin/caller.c
@@ -74,7 +74,8 @@
   double repeat_share;
   kind_t *kinds;
   size_t kind_count;
-  standin_random_t random;
+  standin_random_t random; /* of the arrivals */
+  standin_random_t ad_hoc; /* of what depends on the answers */
   int64_t sequence;
   addresses_t addresses;
   CURLM *multi;
@@ -436,7 +437,7 @@
     {
       caller->reconnects++;
       request->address = *addresses_choose (
-          &caller->addresses, &caller->random, request->address.text);
+          &caller->addresses, &caller->ad_hoc, request->address.text);
       send_request (caller, request);
       return;
     }
@@ -520,8 +521,9 @@
 run (caller_t *caller, double rate, int64_t duration_ms, int signals)
 {
   int timer = timerfd_create (CLOCK_BOOTTIME, TFD_NONBLOCK);
-  int64_t end_us = standin_now_us () + duration_ms * 1000;
-  double next_us = (double)standin_now_us ();
+  int64_t start_us = standin_now_us ();
+  int64_t end_us = start_us + duration_ms * 1000;
+  double next_us = (double)start_us;
   struct signalfd_siginfo stop;
   int running;
 
@@ -539,7 +541,7 @@
         arrive (caller, (int64_t)next_us);
       while (caller->waiting_count > 0 && caller->waiting[0]->send_us <= now)
         send_request (caller, pop (caller));
-      addresses_refresh (&caller->addresses, &caller->random, caller->multi,
+      addresses_refresh (&caller->addresses, &caller->ad_hoc, caller->multi,
                          now);
       curl_multi_perform (caller->multi, &running);
       take_finished (caller);
@@ -623,17 +625,17 @@
                      { "slip", "slipdesk", "/slip", false, 0, {} },
                      { "filing", "slipdesk", "/filing", true, 0, {} },
                      { "drawer", "drawerstore", "/drawer", false, 0, {} } };
-  caller_t caller = { .addresses = { .data_centre = "" },
-                      .name = "caller",
-                      .seed = 1,
+  caller_t caller = { .seed = 1,
                       .timeout_ms = 2000,
                       .grace_ms = 200,
                       .kinds = kinds,
                       .kind_count = sizeof kinds / sizeof *kinds };
-  const char *direct = NULL;
-  const char *entry = NULL;
-  const char *mix = "slot-check=1";
-  const char *log_name = NULL;
+  char *direct = NULL;
+  char *entry = NULL;
+  char *data_centre = NULL;
+  char *name = NULL;
+  char *mix = NULL;
+  char *log_name = NULL;
   double rate = 100;
   int duration_ms = 1000;
   struct poptOption options[]
@@ -641,10 +643,9 @@
             "IP:PORT,..." },
           { "direct", 0, POPT_ARG_STRING, &direct, 0,
             "backend servers, without entry instances", "IP:PORT,..." },
-          { "data-centre", 0, POPT_ARG_STRING, &caller.addresses.data_centre,
-            0, NULL, "NAME" },
-          { "name", 0, POPT_ARG_STRING, &caller.name, 0,
-            "start of request ids", "NAME" },
+          { "data-centre", 0, POPT_ARG_STRING, &data_centre, 0, NULL, "NAME" },
+          { "name", 0, POPT_ARG_STRING, &name, 0, "start of request ids",
+            "NAME" },
           { "rate", 0, POPT_ARG_DOUBLE, &rate, 0, "requests per second", "X" },
           { "duration-ms", 0, POPT_ARG_INT, &duration_ms, 0, NULL, "MS" },
           { "seed", 0, POPT_ARG_INT, &caller.seed, 0, NULL, "N" },
@@ -665,7 +666,9 @@
   int signals;
 
   standin_options (argc, argv, options);
-  parse_mix (&caller, mix);
+  caller.addresses.data_centre = data_centre != NULL ? data_centre : "";
+  caller.name = name != NULL ? name : "caller";
+  parse_mix (&caller, mix != NULL ? mix : "slot-check=1");
   if ((direct == NULL) == (entry == NULL) || rate <= 0)
     errx (2, "--direct or --entry, and a positive --rate are needed");
   sigemptyset (&stop);
@@ -677,6 +680,7 @@
     err (1, "%s", log_name);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   caller.random.state = XXH64 (&caller.seed, sizeof caller.seed, 0);
+  caller.ad_hoc.state = XXH64 (&caller.seed, sizeof caller.seed, 1);
   caller.multi = curl_multi_init ();
   if (signals < 0 || caller.multi == NULL)
     errx (1, "can't start");
@@ -685,7 +689,7 @@
   if (direct != NULL)
     addresses_fix (&caller.addresses, direct);
   else
-    addresses_find (&caller.addresses, &caller.random, entry);
+    addresses_find (&caller.addresses, &caller.ad_hoc, entry);
   run (&caller, rate, duration_ms, signals);
   addresses_stop (&caller.addresses, caller.multi);
   report (&caller);
@@ -695,6 +699,12 @@
   curl_multi_cleanup (caller.multi);
   curl_global_cleanup ();
   close (signals);
+  free (direct);
+  free (entry);
+  free (data_centre);
+  free (name);
+  free (mix);
+  free (log_name);
   free (caller.waiting);
   free (caller.expected);
   return 0;
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -542,7 +542,8 @@
   platform.instances = json_object_new_array ();
   platform.instance_lag_ms = lag_ms;
   snprintf (ports, sizeof ports, "%d", port);
-  server = standin_start (ports, threads, handle, &platform);
+  server = standin_start (ports, threads);
+  standin_serve (server, handle, &platform);
   standin_ready (standin_port (server, 0));
   standin_wait_stop ();
 
--- a/test/standin/standin.c
+++ b/test/standin/standin.c
@@ -98,8 +98,7 @@
 }
 
 struct mg_context *
-standin_start (const char *ports, int threads, mg_request_handler handler,
-               void *context)
+standin_start (const char *ports, int threads)
 {
   struct mg_callbacks callbacks
       = { .begin_request = begin, .connection_close = closing };
@@ -135,13 +134,19 @@
       next = *end == ',' ? end + 1 : end;
     }
   snprintf (count, sizeof count, "%d", threads);
-  server = mg_start (&callbacks, context, options);
+  server = mg_start (&callbacks, NULL, options);
   if (server == NULL)
     errx (1, "can't listen on ports %s", ports);
-  mg_set_request_handler (server, "**", handler, context);
   return server;
 }
 
+void
+standin_serve (struct mg_context *server, mg_request_handler handler,
+               void *context)
+{
+  mg_set_request_handler (server, "**", handler, context);
+}
+
 int
 standin_port (struct mg_context *server, int index)
 {
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -38,13 +38,15 @@
 void standin_wait_stop (void);
 
 /**
- * standin_start() - start an HTTP server on loopback; exits on failure
+ * standin_start() - listen on loopback; exits on failure
  * @ports: port numbers separated by commas; 0 takes a free one
  * @threads: worker threads, one for each open connection
- * @handler: called for every request
  */
-struct mg_context *standin_start (const char *ports, int threads,
-                                  mg_request_handler handler, void *context);
+struct mg_context *standin_start (const char *ports, int threads);
+
+/* Begins to answer; called when what the handler uses is ready.  */
+void standin_serve (struct mg_context *server, mg_request_handler handler,
+                    void *context);
 
 /**
  * standin_port() - port number of a listener
