--- a/test/unit/conf.c
+++ b/test/unit/conf.c
@@ -217,6 +217,11 @@
     "shared/out/instance/i: $: unknown key \"x\"" },
   { "shared/ownership/g", "{\"members\":[],\"data_centres\":[]}",
     "shared/ownership/g: $.members: must have 1 to 16 items" },
+  { "shared/ownership/g",
+    "{\"members\":[{\"name\":\"a\",\"data_centre\":\"q\",\"incarnation\":"
+    "\"1\",\"state\":\"active\"}],\"data_centres\":[]}",
+    "shared/ownership/g: $.members[0].incarnation: must be 16 hexadecimal "
+    "digits" },
   { "shared/ownership/g",
     "{\"members\":[{\"name\":\"a\",\"data_centre\":\"q\",\"incarnation\":"
     "\"0x00000000000001\",\"state\":\"active\"}],\"data_centres\":[]}",
--- a/test/unit/telemetry.c
+++ b/test/unit/telemetry.c
@@ -14,6 +14,7 @@
 #define G_LOG_DOMAIN "test"
 #define THREADS 4
 #define ROUNDS 500
+#define ADDITIONS 100000
 
 /* Standard error or output redirected into a pipe.  */
 typedef struct capture
@@ -180,6 +181,8 @@
                             .duration_us = 2 };
 
   (void)arg;
+  for (int i = 0; i < ADDITIONS; i++)
+    telemetry_count (TELEMETRY_PROBES, 1);
   for (int i = 0; i < ROUNDS; i++)
     {
       telemetry_new_trace (&trace);
@@ -222,6 +225,8 @@
   g_free (capture_end (&out));
   g_assert_cmpuint (telemetry_read (TELEMETRY_REQUESTS, 0) - before, ==,
                     THREADS * ROUNDS);
+  g_assert_cmpuint (telemetry_read (TELEMETRY_PROBES, 1), ==,
+                    THREADS * ADDITIONS);
 }
 
 /* Guards against labels that are shifted against decide.h, text that
