Carry the claim's instance and the collection's round in key messages

Cause: after a takeover a request that asks again must be recognised as the one that made the claim, and replies to an earlier collection must not count for a later one.

--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -179,6 +179,9 @@
   to->state = from->state;
   to->more = from->more != 0;
   to->empty = from->empty != 0;
+  to->runner = from->runner;
+  to->round = from->round;
+  to->authoritative = from->authoritative;
   to->running_ms = from->running_ms;
   to->has_answer = from->answer != NULL;
   if (to->has_answer)
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -170,6 +170,9 @@
     .state = from->state,
     .more = from->more,
     .empty = from->empty,
+    .runner = from->runner,
+    .round = from->round,
+    .authoritative = from->authoritative,
     .running_ms = from->running_ms,
   };
   return from->has_answer ? encode_answer (&from->answer, to) : 0;
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -187,6 +187,9 @@
 	u_int state;
 	bool_t more;
 	bool_t empty;
+	u_quad_t runner;
+	u_quad_t round;
+	bool_t authoritative;
 	quad_t running_ms;
 	wire_answer *answer;
 };
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -337,6 +337,12 @@
 		IXDR_PUT_BOOL(buf, objp->more);
 		IXDR_PUT_BOOL(buf, objp->empty);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->runner))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->round))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->authoritative))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
 			 return FALSE;
 		 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
@@ -377,6 +383,12 @@
 		objp->more = IXDR_GET_BOOL(buf);
 		objp->empty = IXDR_GET_BOOL(buf);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->runner))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->round))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->authoritative))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
 			 return FALSE;
 		 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
@@ -409,6 +421,12 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->empty))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->runner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->round))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->authoritative))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->running_ms))
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -165,6 +165,9 @@
   unsigned int state;
   bool more;
   bool empty;
+  unsigned hyper runner;
+  unsigned hyper round;
+  bool authoritative;
   hyper running_ms;
   wire_answer *answer;
 };
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -38,20 +38,23 @@
       { DECIDE_ATTEMPT_UNUSED, 3, 503, 4, { true, 5, 6, 7, true, true, 8 } } }
 };
 static const decide_msg_t key
-    = { .u.key = { 1,
-                   2,
-                   3,
-                   4,
-                   { { 5, 6 }, 7 },
-                   8,
-                   9,
-                   DECIDE_KEY_NOT_OWNER,
-                   DECIDE_KEY_STATE_NOT_RUN,
-                   true,
-                   true,
-                   10,
-                   true,
-                   { 201, "text/plain", 3, { 'a', 0, 'c' } } } };
+    = { .u.key = { .request = 1,
+                   .runner = 21,
+                   .round = 22,
+                   .centre = 2,
+                   .slice = 3,
+                   .record_version = 4,
+                   .key = { { 5, 6 }, 7 },
+                   .left_ms = 8,
+                   .retention_ms = 9,
+                   .status = DECIDE_KEY_NOT_OWNER,
+                   .state = DECIDE_KEY_STATE_NOT_RUN,
+                   .more = true,
+                   .empty = true,
+                   .authoritative = true,
+                   .running_ms = 10,
+                   .has_answer = true,
+                   .answer = { 201, "text/plain", 3, { 'a', 0, 'c' } } } };
 
 static const struct
 {
