--- a/lib/decide/catalog.c
+++ b/lib/decide/catalog.c
@@ -19,15 +19,15 @@
 struct catalog
 {
   uint64_t revision;
-  GHashTable *objects;  /* name -> object_t */
-  GHashTable *names;    /* id -> name, to find collisions */
-  GHashTable *profiles; /* id of name -> decide_profile_t */
-  GHashTable *out;      /* id -> id; data centres */
-  GHashTable *out_instances;
-  GArray *services;       /* catalog_service_t */
-  GArray *pools;          /* catalog_pool_t */
-  GArray *endpoints;      /* catalog_endpoint_t */
-  GHashTable *by_service; /* id -> index + 1 */
+  GHashTable *objects;       /* name -> object_t */
+  GHashTable *names;         /* id -> name, to find collisions */
+  GHashTable *profiles;      /* id of name -> decide_profile_t */
+  GHashTable *out;           /* id -> name of a data centre */
+  GHashTable *out_instances; /* id -> name */
+  GArray *services;          /* catalog_service_t */
+  GArray *pools;             /* catalog_pool_t */
+  GArray *endpoints;         /* catalog_endpoint_t */
+  GHashTable *by_service;    /* id -> index + 1 */
   GHashTable *by_pool;
   GHashTable *by_endpoint;
 };
@@ -72,9 +72,9 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   c->profiles
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  c->out = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  c->out = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   c->out_instances
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   c->services = g_array_new (FALSE, TRUE, sizeof (catalog_service_t));
   c->pools = g_array_new (FALSE, TRUE, sizeof (catalog_pool_t));
   c->endpoints = g_array_new (FALSE, TRUE, sizeof (catalog_endpoint_t));
@@ -259,7 +259,8 @@
   if (object->deleted)
     g_hash_table_remove (set, &id);
   else
-    g_hash_table_add (set, g_memdup2 (&id, sizeof id));
+    g_hash_table_replace (set, g_memdup2 (&id, sizeof id),
+                          g_strdup (object->u.out));
 }
 
 static void
@@ -525,3 +526,16 @@
 {
   return g_hash_table_contains (c->out_instances, &instance);
 }
+
+void
+catalog_each_out (const catalog_t *c, bool instances,
+                  void (*visit) (void *context, const char *name),
+                  void *context)
+{
+  GHashTableIter iter;
+  void *name;
+
+  g_hash_table_iter_init (&iter, instances ? c->out_instances : c->out);
+  while (g_hash_table_iter_next (&iter, NULL, &name))
+    visit (context, name);
+}
--- a/lib/decide/catalog.h
+++ b/lib/decide/catalog.h
@@ -113,4 +113,9 @@
 bool catalog_centre_is_out (const catalog_t *catalog, decide_id_t centre);
 bool catalog_instance_is_out (const catalog_t *catalog, decide_id_t instance);
 
+/* Visits the names of the data centres, or instances, that are out.  */
+void catalog_each_out (const catalog_t *catalog, bool instances,
+                       void (*visit) (void *context, const char *name),
+                       void *context);
+
 #endif
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -517,6 +517,10 @@
                           bool ok, uint64_t revision);
 void decide_store_put_done (decide_t *node, clock_ms_t now, uint64_t operation,
                             decide_store_result_t result, uint64_t version);
+
+/* Reads the store soon, besides the periodic reads: after a change that was
+   made through this instance.  */
+void decide_read_store (decide_t *node, clock_ms_t now);
 void decide_message (decide_t *node, clock_ms_t now, decide_id_t from,
                      const decide_msg_t *msg);
 void decide_request (decide_t *node, clock_ms_t now,
@@ -576,10 +580,15 @@
                                           const decide_peer_view_t *view),
                            void *context);
 
+/* Visits the names of the data centres, or instances, that are out.  */
+void decide_each_out (const decide_t *node, bool instances,
+                      void (*visit) (void *context, const char *name),
+                      void *context);
+
 typedef struct decide_endpoint_view
 {
   const decide_endpoint_t *endpoint;
-  decide_id_t service;
+  const char *service;
   decide_id_t owner;
   uint32_t limit;
   uint32_t in_flight;
--- a/lib/decide/node_config.c
+++ b/lib/decide/node_config.c
@@ -181,3 +181,10 @@
   node_sync (node);
   node_run_loop (node);
 }
+
+void
+decide_read_store (decide_t *node, clock_ms_t now)
+{
+  node->now = now;
+  node_sync (node);
+}
--- a/lib/decide/node_view.c
+++ b/lib/decide/node_view.c
@@ -78,6 +78,8 @@
   const catalog_pool_t *pool = catalog_pool (node->catalog, handle);
   const node_pool_t *entry = g_hash_table_lookup (node->pools, &pool->id);
   uint32_t centre = node_pool_centre (node, pool);
+  const catalog_service_t *service
+      = catalog_find_service (node->catalog, pool->service);
 
   for (uint32_t i = 0; i < pool->count; i++)
     {
@@ -85,7 +87,7 @@
           = catalog_endpoint (node->catalog, pool->endpoints[i]);
       decide_endpoint_view_t view = {
         .endpoint = &e->endpoint,
-        .service = pool->service,
+        .service = service == NULL ? "" : service->name,
         .out = catalog_centre_is_out (node->catalog, pool->centre),
       };
       pool_endpoint_view_t state;
@@ -118,3 +120,11 @@
   for (pool_handle_t i = 0; i < catalog_pool_count (node->catalog); i++)
     view_pool (node, i, visit, context);
 }
+
+void
+decide_each_out (const decide_t *node, bool instances,
+                 void (*visit) (void *context, const char *name),
+                 void *context)
+{
+  catalog_each_out (node->catalog, instances, visit, context);
+}
