--- a/peridotrouter/admin.h
+++ b/peridotrouter/admin.h
@@ -96,6 +96,7 @@
   int (*put) (void *context, const char *name, const char *body,
               uint64_t expected, const char *change_id,
               admin_change_t *change);
+  /* With @expected 0: -ENOENT, or -ESTALE when the object exists.  */
   int (*remove) (void *context, const char *name, uint64_t expected,
                  const char *change_id, admin_change_t *change);
   /* Removes a member from the ownership record without a majority.  */
