Add the daemon: a request is served from end to end

Cause: the whole path is to stand before its parts are refined. A caller asks for addresses, connects to an instance, and a slot check is answered by an endpoint under a grant; admin API, metrics and spans are in place.

--- /dev/null
+++ b/peridotrouter/control.c
@@ -0,0 +1,390 @@
+#include "control.h"
+
+#include <civetweb.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admin.h"
+#include "store.h"
+
+#define READ_BACK_MS 2000
+#define FORGET_TRIES 5
+
+struct control
+{
+  struct mg_context *context;
+  admin_callbacks_t callbacks;
+  conf_settings_t settings;
+  engine_t *engine;
+  pthread_mutex_t lock; /* of the store client, which serves one thread */
+  store_t *store;
+};
+
+static int
+store_error (store_result_t result)
+{
+  switch (result)
+    {
+    case STORE_OK:
+      return 0;
+    case STORE_CONFLICT:
+      return -ESTALE;
+    case STORE_UNKNOWN:
+      return -ETIMEDOUT;
+    case STORE_FAILED:
+      break;
+    }
+  return -EAGAIN;
+}
+
+static int
+read_error (int error)
+{
+  return error == 0 || error == -ENOENT ? error : -EAGAIN;
+}
+
+static int
+read_object (void *context, const char *name, admin_object_t *object)
+{
+  control_t *control = context;
+  store_object_t found;
+  int error;
+
+  pthread_mutex_lock (&control->lock);
+  error = store_get (control->store, name, control->settings.store_timeout_ms,
+                     &found);
+  pthread_mutex_unlock (&control->lock);
+  if (error != 0)
+    return read_error (error);
+  object->version = found.version;
+  object->revision = found.revision;
+  object->body = strdup (found.body);
+  store_object_clear (&found);
+  return object->body == NULL ? -ENOMEM : 0;
+}
+
+typedef struct listing
+{
+  admin_visit_t visit;
+  void *arg;
+} listing_t;
+
+static void
+list_object (void *context, const store_object_t *object)
+{
+  const listing_t *listing = context;
+  admin_object_t out = { .version = object->version,
+                         .revision = object->revision,
+                         .body = object->body };
+
+  if (!object->deleted)
+    listing->visit (listing->arg, object->name, &out);
+}
+
+static int
+list_objects (void *context, const char *prefix, admin_visit_t visit,
+              void *arg)
+{
+  control_t *control = context;
+  listing_t listing = { .visit = visit, .arg = arg };
+  uint64_t revision;
+  int error;
+
+  pthread_mutex_lock (&control->lock);
+  error = store_read_since (control->store, prefix, 0,
+                            control->settings.store_timeout_ms, list_object,
+                            &listing, &revision);
+  pthread_mutex_unlock (&control->lock);
+  return read_error (error);
+}
+
+static void
+read_store (void *context, decide_t *node, clock_ms_t now)
+{
+  (void)context;
+  decide_read_store (node, now);
+}
+
+/* Carries out a put, or a delete when there is no body.  */
+static int
+change_object (control_t *control, const char *name, const char *body,
+               uint64_t expected, const char *change_id,
+               admin_change_t *change)
+{
+  store_write_t write = {
+    .name = name,
+    .body = body,
+    .expected = expected,
+    .change_id = change_id,
+    .timeout_ms = control->settings.store_timeout_ms,
+    .read_back_ms = READ_BACK_MS,
+  };
+  store_written_t written = { 0 };
+  store_result_t result;
+
+  pthread_mutex_lock (&control->lock);
+  result = body == NULL ? store_delete (control->store, &write, &written)
+                        : store_put (control->store, &write, &written);
+  pthread_mutex_unlock (&control->lock);
+  change->version = written.version;
+  change->revision = written.revision;
+  /* Brings the change to this instance, and from here to the others, before
+     the next periodic read.  */
+  if (result == STORE_OK)
+    engine_call (control->engine, read_store, NULL);
+  return store_error (result);
+}
+
+static int
+put_object (void *context, const char *name, const char *body,
+            uint64_t expected, const char *change_id, admin_change_t *change)
+{
+  return change_object (context, name, body, expected, change_id, change);
+}
+
+static int
+remove_object (void *context, const char *name, uint64_t expected,
+               const char *change_id, admin_change_t *change)
+{
+  return change_object (context, name, NULL, expected, change_id, change);
+}
+
+/* Return: 0, or -ENOENT when the record has no such member.  */
+static int
+remove_member (decide_record_t *record, const char *name)
+{
+  for (uint32_t i = 0; i < record->member_count; i++)
+    if (strcmp (record->members[i].name, name) == 0)
+      {
+        record->member_count--;
+        memmove (&record->members[i], &record->members[i + 1],
+                 (record->member_count - i) * sizeof record->members[0]);
+        return 0;
+      }
+  return -ENOENT;
+}
+
+static int
+forget_once (control_t *control, const char *name, const char *instance,
+             admin_change_t *change)
+{
+  admin_object_t found;
+  conf_object_t *object = NULL;
+  conf_error_t problem;
+  decide_record_t record;
+  char change_id[3 * DECIDE_NAME_MAX];
+  char *body = NULL;
+  int error = read_object (control, name, &found);
+
+  if (error != 0)
+    return error;
+  error = conf_parse_object (name, found.body, found.version, found.revision,
+                             false, &object, &problem);
+  if (error == 0)
+    {
+      record = *object->object.u.record;
+      error = remove_member (&record, instance);
+    }
+  if (error == 0)
+    {
+      body = conf_format_record (&record);
+      snprintf (change_id, sizeof change_id, "forget-%s-%" G_GINT64_FORMAT,
+                instance, g_get_real_time ());
+      error = body == NULL ? -ENOMEM
+                           : change_object (control, name, body, found.version,
+                                            change_id, change);
+    }
+  free (body);
+  conf_object_free (object);
+  free (found.body);
+  return error;
+}
+
+/* The slices of the forgotten member are then taken over as those of any
+   silent owner.  */
+static int
+forget_member (void *context, const char *instance, admin_change_t *change)
+{
+  control_t *control = context;
+  char name[2 * DECIDE_NAME_MAX];
+  int error = -ESTALE;
+
+  snprintf (name, sizeof name, "%s%s", CONF_PREFIX_OWNERSHIP,
+            control->settings.group);
+  for (int i = 0; i < FORGET_TRIES && error == -ESTALE; i++)
+    error = forget_once (control, name, instance, change);
+  return error;
+}
+
+/* ---- Status ---- */
+
+typedef struct collection
+{
+  const control_t *control;
+  admin_status_t *status;
+} collection_t;
+
+static void
+find_name (const control_t *control, decide_id_t id,
+           char name[DECIDE_NAME_MAX])
+{
+  name[0] = '\0';
+  for (uint32_t i = 0; i < control->settings.instance_count; i++)
+    if (decide_id (control->settings.instances[i].name) == id)
+      g_strlcpy (name, control->settings.instances[i].name, DECIDE_NAME_MAX);
+}
+
+static void
+add_instance (void *context, const decide_peer_view_t *view)
+{
+  const collection_t *collection = context;
+  admin_instance_t instance = { .revision = view->revision,
+                                .heard = view->heard,
+                                .leaving = view->leaving,
+                                .out = view->out };
+
+  g_strlcpy (instance.name, view->name, sizeof instance.name);
+  g_strlcpy (instance.data_centre, view->data_centre,
+             sizeof instance.data_centre);
+  g_array_append_val (collection->status->instances, instance);
+}
+
+static void
+add_endpoint (void *context, const decide_endpoint_view_t *view)
+{
+  const collection_t *collection = context;
+  admin_endpoint_t endpoint = { .limit = view->limit,
+                                .in_flight = view->in_flight,
+                                .cold = view->cold,
+                                .draining = view->draining,
+                                .suspended = view->suspended,
+                                .out = view->out };
+
+  g_strlcpy (endpoint.service, view->service, sizeof endpoint.service);
+  g_strlcpy (endpoint.endpoint, view->endpoint->name,
+             sizeof endpoint.endpoint);
+  g_strlcpy (endpoint.data_centre, view->endpoint->data_centre,
+             sizeof endpoint.data_centre);
+  find_name (collection->control, view->owner, endpoint.owner);
+  g_array_append_val (collection->status->endpoints, endpoint);
+}
+
+static void
+add_out (void *context, const char *name)
+{
+  g_ptr_array_add (context, g_strdup (name));
+}
+
+static void
+add_slices (const collection_t *collection, const decide_record_t *record)
+{
+  for (uint32_t i = 0; record != NULL && i < record->centre_count; i++)
+    for (uint32_t j = 0; j < DECIDE_SLICES; j++)
+      {
+        admin_slice_t slice = { .slice = j };
+
+        g_strlcpy (slice.data_centre, record->centres[i].name,
+                   sizeof slice.data_centre);
+        find_name (collection->control, record->centres[i].slices[j].owner,
+                   slice.owner);
+        g_array_append_val (collection->status->slices, slice);
+      }
+}
+
+static void
+collect (void *context, decide_t *node, clock_ms_t now)
+{
+  collection_t *collection = context;
+  admin_status_t *status = collection->status;
+  decide_status_t own;
+
+  decide_get_status (node, now, &own);
+  status->revision = own.revision;
+  status->record_version = own.record_version;
+  decide_each_instance (node, now, add_instance, collection);
+  decide_each_endpoint (node, now, add_endpoint, collection);
+  decide_each_out (node, false, add_out, status->out_centres);
+  decide_each_out (node, true, add_out, status->out_instances);
+  add_slices (collection, decide_get_record (node));
+}
+
+static int
+collect_status (void *context, admin_status_t *status)
+{
+  control_t *control = context;
+  collection_t collection = { .control = control, .status = status };
+
+  return engine_call (control->engine, collect, &collection);
+}
+
+static int
+log_message (const struct mg_connection *conn, const char *message)
+{
+  (void)conn;
+  g_info ("admin listener: %s", message);
+  return 1;
+}
+
+int
+control_start (control_t **out, const conf_settings_t *settings,
+               engine_t *engine)
+{
+  struct mg_callbacks callbacks = { .log_message = log_message };
+  const char *options[] = { "listening_ports",
+                            settings->listen_admin,
+                            "num_threads",
+                            "4",
+                            "request_timeout_ms",
+                            "5000",
+                            NULL };
+  const char *address = strstr (settings->store_url, "://");
+  control_t *control = calloc (1, sizeof *control);
+
+  if (control == NULL)
+    return -ENOMEM;
+  control->settings = *settings;
+  control->engine = engine;
+  pthread_mutex_init (&control->lock, NULL);
+  control->store
+      = store_new (address == NULL ? settings->store_url : address + 3);
+  if (control->store == NULL)
+    {
+      control_stop (control);
+      return -ENOMEM;
+    }
+  control->context = mg_start (&callbacks, control, options);
+  if (control->context == NULL)
+    {
+      g_critical ("cannot listen for operators on %s", settings->listen_admin);
+      control_stop (control);
+      return -EADDRINUSE;
+    }
+  control->callbacks = (admin_callbacks_t){
+    .context = control,
+    .instance = control->settings.instance,
+    .read = read_object,
+    .list = list_objects,
+    .put = put_object,
+    .remove = remove_object,
+    .forget = forget_member,
+    .collect_status = collect_status,
+  };
+  admin_install (control->context, &control->callbacks);
+  *out = control;
+  return 0;
+}
+
+void
+control_stop (control_t *control)
+{
+  if (control == NULL)
+    return;
+  if (control->context != NULL)
+    mg_stop (control->context);
+  store_free (control->store);
+  pthread_mutex_destroy (&control->lock);
+  free (control);
+}
--- /dev/null
+++ b/peridotrouter/links.c
@@ -0,0 +1,119 @@
+#include "links.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "telemetry.h"
+
+struct links
+{
+  links_callbacks_t callbacks;
+  peer_server_t *server;
+  uint32_t count;
+  struct
+  {
+    decide_id_t id;
+    peer_sender_t *sender;
+  } peers[CONF_INSTANCES_MAX];
+};
+
+static void deliver (void *context, decide_id_t from, decide_msg_t *msg);
+
+int
+links_start (links_t **out, const conf_settings_t *settings,
+             const links_callbacks_t *callbacks)
+{
+  links_t *links = calloc (1, sizeof *links);
+  peer_server_options_t server
+      = { .address = settings->listen_peers, .deliver = deliver };
+  int error = 0;
+
+  if (links == NULL)
+    return -ENOMEM;
+  links->callbacks = *callbacks;
+  server.context = links;
+  for (uint32_t i = 0; i < settings->instance_count && error == 0; i++)
+    {
+      peer_sender_options_t options
+          = { .self = decide_id (settings->instance),
+              .address = settings->instances[i].peers };
+
+      if (i == settings->own)
+        continue;
+      links->peers[links->count].id = decide_id (settings->instances[i].name);
+      error = peer_sender_start (&links->peers[links->count].sender, &options);
+      if (error == 0)
+        links->count++;
+    }
+  if (error == 0)
+    error = peer_server_start (&links->server, &server);
+  if (error != 0)
+    {
+      g_critical ("cannot listen for instances on %s: %s",
+                  settings->listen_peers, g_strerror (-error));
+      links_free (links);
+      return error;
+    }
+  *out = links;
+  return 0;
+}
+
+static void
+deliver (void *context, decide_id_t from, decide_msg_t *msg)
+{
+  links_t *links = context;
+  const decide_msg_object_t *pushed = &msg->u.object;
+  conf_object_t *object;
+  conf_error_t error;
+
+  if (msg->type != DECIDE_MSG_OBJECT_PUSH || pushed->name[0] == '\0')
+    {
+      links->callbacks.message (links->callbacks.context, from, msg);
+      return;
+    }
+  if (conf_parse_object (pushed->name, pushed->body, pushed->version,
+                         pushed->revision, pushed->deleted, &object, &error)
+      == 0)
+    links->callbacks.object (links->callbacks.context, pushed->previous,
+                             object);
+  else
+    {
+      telemetry_count (TELEMETRY_OBJECTS_REJECTED, 0);
+      g_warning ("object of another instance ignored: %s", error.text);
+    }
+  peer_msg_free (msg);
+}
+
+void
+links_send (links_t *links, decide_id_t instance, const decide_msg_t *msg)
+{
+  for (uint32_t i = 0; i < links->count; i++)
+    if (links->peers[i].id == instance)
+      {
+        telemetry_count (TELEMETRY_PEER_SENT, msg->type);
+        if (peer_sender_put (links->peers[i].sender, msg) != 0)
+          telemetry_count (TELEMETRY_PEER_DROPPED, 0);
+        return;
+      }
+}
+
+void
+links_stop_server (links_t *links)
+{
+  if (links == NULL)
+    return;
+  peer_server_stop (links->server);
+  links->server = NULL;
+}
+
+void
+links_free (links_t *links)
+{
+  if (links == NULL)
+    return;
+  links_stop_server (links);
+  for (uint32_t i = 0; i < links->count; i++)
+    peer_sender_stop (links->peers[i].sender);
+  free (links);
+}
--- /dev/null
+++ b/peridotrouter/probes.c
@@ -0,0 +1,131 @@
+#include "probes.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+
+#include "backend.h"
+#include "mailbox.h"
+
+#define RING 1024
+/* A probe takes about 6 ms.  */
+#define PROBE_TIMEOUT_MS 250
+
+typedef struct job
+{
+  bool stop;
+  endpoint_handle_t endpoint;
+  char address[DECIDE_ADDRESS_MAX];
+} job_t;
+
+struct probes
+{
+  backend_pool_t *pool;
+  mailbox_t *jobs;
+  pthread_t thread;
+  probes_done_t done;
+  void *context;
+};
+
+static void *run (void *arg);
+
+int
+probes_start (probes_t **out, probes_done_t done, void *context)
+{
+  probes_t *probes = calloc (1, sizeof *probes);
+  int error = ENOMEM;
+
+  if (probes == NULL)
+    return -ENOMEM;
+  probes->done = done;
+  probes->context = context;
+  probes->pool = backend_pool_new (NULL);
+  probes->jobs = mailbox_new (RING);
+  if (probes->pool != NULL && probes->jobs != NULL)
+    error = pthread_create (&probes->thread, NULL, run, probes);
+  if (error != 0)
+    {
+      mailbox_free (probes->jobs);
+      if (probes->pool != NULL)
+        backend_pool_free (probes->pool);
+      free (probes);
+      return -error;
+    }
+  *out = probes;
+  return 0;
+}
+
+static void
+add_job (probes_t *probes, const job_t *template)
+{
+  job_t *job = g_memdup2 (template, sizeof *template);
+
+  while (mailbox_put (probes->jobs, job) != 0)
+    {
+      if (!job->stop)
+        {
+          probe_result_t result = { .endpoint = job->endpoint };
+
+          probes->done (probes->context, &result);
+          g_free (job);
+          return;
+        }
+      g_usleep (1000);
+    }
+}
+
+void
+probes_start_probe (probes_t *probes, endpoint_handle_t endpoint,
+                    const char *address)
+{
+  job_t job = { .endpoint = endpoint };
+
+  g_strlcpy (job.address, address, sizeof job.address);
+  add_job (probes, &job);
+}
+
+void
+probes_stop (probes_t *probes)
+{
+  job_t stop = { .stop = true };
+  job_t *left;
+
+  if (probes == NULL)
+    return;
+  add_job (probes, &stop);
+  pthread_join (probes->thread, NULL);
+  while ((left = mailbox_get (probes->jobs, 0)) != NULL)
+    g_free (left);
+  mailbox_free (probes->jobs);
+  backend_pool_free (probes->pool);
+  free (probes);
+}
+
+static void *
+run (void *arg)
+{
+  probes_t *probes = arg;
+  bool stop = false;
+
+  while (!stop)
+    {
+      job_t *job = mailbox_get (probes->jobs, -1);
+      probe_result_t result = { 0 };
+
+      if (job == NULL)
+        continue;
+      stop = job->stop;
+      if (!stop)
+        {
+          result.endpoint = job->endpoint;
+          result.ok
+              = backend_probe (probes->pool, job->address, PROBE_TIMEOUT_MS,
+                               &result.load, &result.latency_ms)
+                == 0;
+          probes->done (probes->context, &result);
+        }
+      g_free (job);
+    }
+  return NULL;
+}
--- /dev/null
+++ b/peridotrouter/serve.c
@@ -0,0 +1,547 @@
+#include "serve.h"
+
+#include <civetweb.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/random.h>
+#include <urcu.h>
+#include <xxhash.h>
+
+#include "answer.h"
+#include "request.h"
+
+#define TIMEOUT_MAX_MS 600000
+#define KEY_MAX 255
+/* Time beyond the deadline in which the engine must have decided.  */
+#define DECIDE_GRACE_MS 2000
+/* CivetWeb 1.15 has no call that closes a connection after a request; it
+   closes the connection when the handler states this status.  */
+#define CLOSE_CONNECTION 401
+#define KEEP_CONNECTION 200
+
+struct serve
+{
+  struct mg_context *context;
+  engine_t *engine;
+  attempts_t *attempts;
+  conf_settings_t settings;
+  atomic_uint_fast64_t next_id;
+  atomic_uint_fast32_t active;
+};
+
+static int handle_addresses (struct mg_connection *conn, void *data);
+static int handle_other (struct mg_connection *conn, void *data);
+static int handle_service (struct mg_connection *conn, void *data);
+static int read_body (serve_t *serve, struct mg_connection *conn,
+                      request_t *request);
+static bool serve_request (serve_t *serve, request_t *request);
+static void *start_worker (const struct mg_context *context, int type);
+static void stop_worker (const struct mg_context *context, int type,
+                         void *pointer);
+
+static void *
+start_worker (const struct mg_context *context, int type)
+{
+  (void)context;
+  (void)type;
+  rcu_register_thread ();
+  return NULL;
+}
+
+static void
+stop_worker (const struct mg_context *context, int type, void *pointer)
+{
+  (void)context;
+  (void)type;
+  (void)pointer;
+  rcu_unregister_thread ();
+}
+
+static int
+log_message (const struct mg_connection *conn, const char *message)
+{
+  (void)conn;
+  g_info ("caller listener: %s", message);
+  return 1;
+}
+
+int
+serve_start (serve_t **out, const conf_settings_t *settings, engine_t *engine,
+             attempts_t *attempts)
+{
+  struct mg_callbacks callbacks = { .init_thread = start_worker,
+                                    .exit_thread = stop_worker,
+                                    .log_message = log_message };
+  char workers[16];
+  char header_bytes[16];
+  char header_ms[24];
+  const char *options[] = { "listening_ports",
+                            settings->listen_callers,
+                            "num_threads",
+                            workers,
+                            "max_request_size",
+                            header_bytes,
+                            "request_timeout_ms",
+                            header_ms,
+                            "enable_keep_alive",
+                            "yes",
+                            "keep_alive_timeout_ms",
+                            "30000",
+                            "tcp_nodelay",
+                            "1",
+                            "connection_queue",
+                            "256",
+                            NULL };
+  serve_t *serve = calloc (1, sizeof *serve);
+  uint64_t first;
+
+  if (serve == NULL)
+    return -ENOMEM;
+  serve->engine = engine;
+  serve->attempts = attempts;
+  serve->settings = *settings;
+  if (getrandom (&first, sizeof first, 0) != sizeof first)
+    first = (uint64_t)g_get_real_time ();
+  /* Request numbers differ between instances and processes.  */
+  atomic_init (&serve->next_id, first);
+  snprintf (workers, sizeof workers, "%u", settings->workers);
+  snprintf (header_bytes, sizeof header_bytes, "%u", settings->header_bytes);
+  snprintf (header_ms, sizeof header_ms, "%" PRId64,
+            settings->request_header_ms);
+  serve->context = mg_start (&callbacks, serve, options);
+  if (serve->context == NULL)
+    {
+      g_critical ("cannot listen for callers on %s", settings->listen_callers);
+      free (serve);
+      return -EADDRINUSE;
+    }
+  mg_set_request_handler (serve->context, "/addresses$", handle_addresses,
+                          serve);
+  mg_set_request_handler (serve->context, "/s/", handle_service, serve);
+  mg_set_request_handler (serve->context, "/", handle_other, serve);
+  *out = serve;
+  return 0;
+}
+
+void
+serve_stop (serve_t *serve)
+{
+  if (serve == NULL)
+    return;
+  mg_stop (serve->context);
+  free (serve);
+}
+
+uint32_t
+serve_active (const serve_t *serve)
+{
+  return (uint32_t)atomic_load (&serve->active);
+}
+
+static int
+refuse_input (struct mg_connection *conn, const request_t *request,
+              uint32_t status, const char *type, const char *detail)
+{
+  answer_t answer = { .conn = conn, .closing = true };
+
+  if (request != NULL && request->answer != NULL)
+    answer.request_id = request->answer->request_id;
+  telemetry_count (TELEMETRY_BAD_REQUESTS, 0);
+  answer_problem (&answer, status, type, detail, "no", 0);
+  /* The rest of a body that was not read is not taken for a request.  */
+  return CLOSE_CONNECTION;
+}
+
+static int
+handle_other (struct mg_connection *conn, void *data)
+{
+  (void)data;
+  return refuse_input (conn, NULL, 404, "/problems/not-found",
+                       "the paths here are /addresses and /s/SERVICE/PATH");
+}
+
+static int
+handle_addresses (struct mg_connection *conn, void *data)
+{
+  serve_t *serve = data;
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  char data_centre[DECIDE_NAME_MAX] = "";
+  char *text;
+
+  if (strcmp (info->request_method, "GET") != 0)
+    return refuse_input (conn, NULL, 405, "/problems/method",
+                         "/addresses takes GET only");
+  if (info->query_string != NULL)
+    mg_get_var (info->query_string, strlen (info->query_string), "data_centre",
+                data_centre, sizeof data_centre);
+  text = engine_format_addresses (
+      serve->engine,
+      data_centre[0] != '\0' ? data_centre : serve->settings.data_centre);
+  mg_printf (conn,
+             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+             "Cache-Control: max-age=%d\r\nContent-Length: %zu\r\n\r\n%s",
+             DECIDE_ADDRESS_LIFETIME_MS / 1000, strlen (text), text);
+  free (text);
+  return KEEP_CONNECTION;
+}
+
+/* ---- Reading a request ---- */
+
+/* Splits /s/SERVICE/PATH?QUERY.  */
+static int
+parse_target (const struct mg_request_info *info, request_t *request)
+{
+  const char *uri = info->request_uri;
+  const char *slash;
+  size_t length;
+
+  if (strncmp (uri, "/s/", 3) != 0)
+    return -EINVAL;
+  uri += 3;
+  slash = strchr (uri, '/');
+  length = slash == NULL ? strlen (uri) : (size_t)(slash - uri);
+  if (length == 0 || length >= sizeof request->service)
+    return -EINVAL;
+  memcpy (request->service, uri, length);
+  request->service[length] = '\0';
+  if (conf_check_name (request->service) != 0)
+    return -EINVAL;
+  request->path = info->query_string == NULL
+                      ? g_strdup (slash == NULL ? "/" : slash)
+                      : g_strdup_printf ("%s?%s", slash == NULL ? "/" : slash,
+                                         info->query_string);
+  return 0;
+}
+
+/* Return: 0 with the timeout in ms, 0 when the header is absent.  */
+static int
+parse_timeout (const char *text, clock_ms_t *timeout_ms)
+{
+  char *end;
+  long value;
+
+  *timeout_ms = 0;
+  if (text == NULL)
+    return 0;
+  errno = 0;
+  value = strtol (text, &end, 10);
+  if (errno != 0 || end == text || *end != '\0' || value < 1
+      || value > TIMEOUT_MAX_MS)
+    return -EINVAL;
+  *timeout_ms = value;
+  return 0;
+}
+
+static bool
+is_own_header (const char *name)
+{
+  static const char *const names[] = { "Host",
+                                       "Content-Length",
+                                       "Connection",
+                                       "Keep-Alive",
+                                       "TE",
+                                       "Transfer-Encoding",
+                                       "Upgrade",
+                                       "Trailer",
+                                       "Range",
+                                       "If-Range",
+                                       "Expect",
+                                       "traceparent",
+                                       "Proxy-Connection",
+                                       "Idempotency-Key",
+                                       "Request-Timeout-Ms",
+                                       "Request-Deadline-Ms",
+                                       "Proxy-Authorization" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (strcasecmp (name, names[i]) == 0)
+      return true;
+  return false;
+}
+
+static void
+copy_headers (struct mg_connection *conn, const struct mg_request_info *info,
+              request_t *request)
+{
+  const char *range = mg_get_header (conn, "Range");
+  const char *key = mg_get_header (conn, "Idempotency-Key");
+
+  request->method = g_strdup (info->request_method);
+  request->range = g_strdup (range);
+  request->idempotency_key = g_strdup (key);
+  request->headers = g_new0 (backend_header_t, info->num_headers + 1);
+  for (int i = 0; i < info->num_headers; i++)
+    {
+      backend_header_t *header = &request->headers[request->header_count];
+
+      if (is_own_header (info->http_headers[i].name))
+        continue;
+      header->name = g_strdup (info->http_headers[i].name);
+      header->value = g_strdup (info->http_headers[i].value);
+      request->header_count++;
+    }
+}
+
+static void
+hash_key (request_t *request)
+{
+  g_autofree char *scope
+      = g_strdup_printf ("%s\n%s", request->service, request->idempotency_key);
+  XXH128_hash_t hash = XXH3_128bits (scope, strlen (scope));
+
+  request->key.hash[0] = hash.low64;
+  request->key.hash[1] = hash.high64;
+  request->key.body = XXH64 (request->path, strlen (request->path),
+                             XXH64 (request->body == NULL ? "" : request->body,
+                                    request->body_length, 0));
+}
+
+/* Return: 0, or the HTTP status of the fault.  */
+static int
+read_body (serve_t *serve, struct mg_connection *conn, request_t *request)
+{
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  const char *coding = mg_get_header (conn, "Transfer-Encoding");
+  uint64_t max = serve->settings.body_bytes;
+  size_t room
+      = info->content_length > 0 ? (size_t)info->content_length : 16384;
+
+  if (info->content_length > (long long)max)
+    return 413;
+  if (info->content_length < 0 && coding == NULL)
+    return strcmp (info->request_method, "POST") == 0
+                   || strcmp (info->request_method, "PUT") == 0
+                   || strcmp (info->request_method, "PATCH") == 0
+               ? 411
+               : 0;
+  if (info->content_length == 0)
+    return 0;
+  request->body = malloc (room + 1);
+  while (request->body != NULL)
+    {
+      int got = mg_read (conn, request->body + request->body_length,
+                         room + 1 - request->body_length);
+
+      if (got < 0)
+        return 400;
+      if (got == 0)
+        break;
+      request->body_length += (size_t)got;
+      if (request->body_length > max)
+        return 413;
+      if (request->body_length > room)
+        {
+          char *more = realloc (request->body, 2 * room + 1);
+
+          if (more == NULL)
+            return 503;
+          room *= 2;
+          request->body = more;
+        }
+    }
+  if (request->body == NULL)
+    return 503;
+  if (info->content_length > 0
+      && request->body_length != (size_t)info->content_length)
+    return 400;
+  return 0;
+}
+
+/* Return: 0, or what refuse_input() returned.  */
+static int
+read_request (serve_t *serve, struct mg_connection *conn, request_t *request)
+{
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  const char *trace = mg_get_header (conn, "traceparent");
+  telemetry_trace_t parent;
+  int status;
+
+  if (parse_target (info, request) != 0)
+    return refuse_input (conn, request, 404, "/problems/unknown-service",
+                         "the path is not /s/SERVICE/PATH");
+  if (strcmp (info->request_method, "CONNECT") == 0
+      || strcmp (info->request_method, "TRACE") == 0)
+    return refuse_input (conn, request, 405, "/problems/method",
+                         "this method is not passed on");
+  if (parse_timeout (mg_get_header (conn, "Request-Timeout-Ms"),
+                     &request->timeout_ms)
+      != 0)
+    return refuse_input (conn, request, 400, "/problems/bad-timeout",
+                         "Request-Timeout-Ms is not 1 to 600000");
+  copy_headers (conn, info, request);
+  if (request->idempotency_key != NULL
+      && (request->idempotency_key[0] == '\0'
+          || strlen (request->idempotency_key) > KEY_MAX))
+    return refuse_input (conn, request, 400, "/problems/bad-key",
+                         "Idempotency-Key is not 1 to 255 bytes");
+  status = read_body (serve, conn, request);
+  if (status != 0)
+    return refuse_input (conn, request, (uint32_t)status, "/problems/bad-body",
+                         status == 413 ? "the body is too large"
+                         : status == 411
+                             ? "the request has a body of unknown length"
+                             : "the body could not be read");
+  if (request->idempotency_key != NULL)
+    hash_key (request);
+  if (telemetry_parse_trace (trace, &parent) == 0)
+    telemetry_new_child (&parent, &request->trace);
+  else
+    telemetry_new_trace (&request->trace);
+  return 0;
+}
+
+/* ---- Serving a request ---- */
+
+static bool
+send_refusal (request_t *request)
+{
+  if (request->answer->head_sent)
+    {
+      telemetry_count (TELEMETRY_CUT_ANSWERS, 0);
+      return false;
+    }
+  answer_refuse (request->answer, &request->refusal);
+  telemetry_observe (TELEMETRY_REFUSED_US,
+                     clock_now_us () - request->received_us);
+  return true;
+}
+
+/* Takes the right to answer from the attempts.  */
+static bool
+win_for_router (request_t *request)
+{
+  uint64_t none = 0;
+
+  return atomic_compare_exchange_strong (&request->winner, &none,
+                                         WINNER_ROUTER);
+}
+
+static bool
+send_local (request_t *request, decision_t decision)
+{
+  if (decision == DECISION_REPLAY)
+    {
+      answer_replay (request->answer, &request->replay);
+      return true;
+    }
+  if (decision == DECISION_NEED_KEY)
+    {
+      telemetry_count (TELEMETRY_BAD_REQUESTS, 0);
+      answer_problem (request->answer, 400, "/problems/key-required",
+                      "this method needs an Idempotency-Key", "no", 0);
+      return true;
+    }
+  return send_refusal (request);
+}
+
+/* Follows the engine's decisions until the request has ended.
+   Return: whether the connection can be used further.  */
+static bool
+serve_request (serve_t *serve, request_t *request)
+{
+  clock_ms_t until
+      = clock_now_ms () + DECIDE_GRACE_MS
+        + (request->timeout_ms == 0 ? TIMEOUT_MAX_MS : request->timeout_ms);
+  decision_t final = DECISION_NONE;
+
+  for (;;)
+    {
+      forward_t *forward;
+      decision_t decision = request_wait (request, until, &forward);
+
+      switch (decision)
+        {
+        case DECISION_FORWARD:
+          request->answer->keep = request->keyed;
+          if (attempts_run (serve->attempts, request, forward))
+            return true;
+          if (request->answer->failed)
+            {
+              engine_post_gone (serve->engine, request);
+              return false;
+            }
+          break;
+        case DECISION_HEDGE_ANSWERED:
+          return true;
+        case DECISION_HEDGE_FAILED:
+          break;
+        case DECISION_NONE:
+          g_warning ("no decision for a request of service %s in time",
+                     request->service);
+          engine_post_gone (serve->engine, request);
+          request->refusal
+              = (decide_refusal_t){ .reason = DECIDE_REASON_FAILED,
+                                    .ran = DECIDE_RAN_UNKNOWN };
+          final = DECISION_REFUSE;
+          break;
+        default:
+          final = decision;
+          break;
+        }
+      /* A hedge may be writing the answer; then it reports its end.  */
+      if (final != DECISION_NONE && win_for_router (request))
+        return send_local (request, final);
+      if (decision == DECISION_NONE)
+        return false;
+    }
+}
+
+static int
+handle_service (struct mg_connection *conn, void *data)
+{
+  serve_t *serve = data;
+  request_t *request = request_new (atomic_fetch_add (&serve->next_id, 1));
+  telemetry_span_t span = { .name = "request" };
+  const char *id = mg_get_header (conn, "Request-Id");
+  int64_t real_us = g_get_real_time ();
+  bool closing;
+  bool keep;
+  int result;
+
+  if (request == NULL)
+    return CLOSE_CONNECTION;
+  request->received_us = clock_now_us ();
+  request->answer = g_new0 (answer_t, 1);
+  request->answer->conn = conn;
+  request->answer->request_id = id;
+  request->answer->closing = engine_is_stopping (serve->engine);
+  request->answer->is_head
+      = strcmp (mg_get_request_info (conn)->request_method, "HEAD") == 0;
+  telemetry_count (TELEMETRY_REQUESTS, 0);
+  result = read_request (serve, conn, request);
+  if (result != 0)
+    {
+      request_unref (request);
+      return result;
+    }
+  atomic_fetch_add (&serve->active, 1);
+  if (engine_post_request (serve->engine, request) != 0)
+    {
+      answer_problem (request->answer, 503, "/problems/overload",
+                      "too many requests wait at this instance", "no", 1000);
+      keep = true;
+    }
+  else
+    keep = serve_request (serve, request);
+  span.trace = &request->trace;
+  span.service = request->service;
+  span.outcome = !keep                           ? "cut"
+                 : request->answer->status < 400 ? "answered"
+                                                 : "refused";
+  span.start_us = real_us;
+  span.duration_us = clock_now_us () - request->received_us;
+  telemetry_write_span (&span);
+  if (keep && request->answer->status < 400)
+    {
+      telemetry_count (TELEMETRY_ANSWERED, 0);
+      telemetry_observe (TELEMETRY_ANSWERED_US, span.duration_us);
+    }
+  atomic_fetch_sub (&serve->active, 1);
+  closing = request->answer->closing;
+  request_unref (request);
+  return keep && !closing ? KEEP_CONNECTION : CLOSE_CONNECTION;
+}
--- /dev/null
+++ b/peridotrouter/storage.c
@@ -0,0 +1,240 @@
+#include "storage.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mailbox.h"
+#include "request.h"
+#include "store.h"
+#include "telemetry.h"
+
+#define RING 64
+/* Time for finding out what became of an update whose answer was lost.  */
+#define READ_BACK_MS 1000
+
+typedef enum job_type
+{
+  JOB_SYNC,
+  JOB_PUT,
+  JOB_STOP
+} job_type_t;
+
+typedef struct job
+{
+  job_type_t type;
+  uint64_t since;
+  uint64_t operation;
+  uint64_t expected;
+  char *body;
+} job_t;
+
+struct storage
+{
+  storage_callbacks_t callbacks;
+  conf_settings_t settings;
+  store_t *store;
+  mailbox_t *jobs;
+  pthread_t thread;
+  bool failing; /* the last read failed */
+  uint64_t changes;
+  char record_name[2 * DECIDE_NAME_MAX];
+};
+
+static void put_record (storage_t *storage, const job_t *job);
+static void *run (void *arg);
+static void sync_objects (storage_t *storage, uint64_t since);
+static void visit_object (void *context, const store_object_t *object);
+
+int
+storage_start (storage_t **out, const conf_settings_t *settings,
+               const storage_callbacks_t *callbacks)
+{
+  storage_t *storage = calloc (1, sizeof *storage);
+  const char *address = strstr (settings->store_url, "://");
+  int error;
+
+  if (storage == NULL)
+    return -ENOMEM;
+  storage->callbacks = *callbacks;
+  storage->settings = *settings;
+  snprintf (storage->record_name, sizeof storage->record_name, "%s%s",
+            CONF_PREFIX_OWNERSHIP, settings->group);
+  storage->store
+      = store_new (address == NULL ? settings->store_url : address + 3);
+  storage->jobs = mailbox_new (RING);
+  if (storage->store == NULL || storage->jobs == NULL)
+    {
+      error = ENOMEM;
+      goto fail;
+    }
+  error = pthread_create (&storage->thread, NULL, run, storage);
+  if (error != 0)
+    goto fail;
+  *out = storage;
+  return 0;
+
+fail:
+  mailbox_free (storage->jobs);
+  store_free (storage->store);
+  free (storage);
+  return -error;
+}
+
+static void
+add_job (storage_t *storage, const job_t *template)
+{
+  job_t *job = malloc (sizeof *job);
+
+  if (job == NULL)
+    g_error ("out of memory for a store call");
+  *job = *template;
+  if (mailbox_put (storage->jobs, job) == 0)
+    return;
+  /* The decision library gives up a call that never ends.  */
+  g_warning ("store call dropped: too many calls wait");
+  free (job->body);
+  free (job);
+}
+
+void
+storage_stop (storage_t *storage)
+{
+  job_t job = { .type = JOB_STOP };
+  job_t *left;
+
+  if (storage == NULL)
+    return;
+  add_job (storage, &job);
+  pthread_join (storage->thread, NULL);
+  while ((left = mailbox_get (storage->jobs, 0)) != NULL)
+    {
+      free (left->body);
+      free (left);
+    }
+  mailbox_free (storage->jobs);
+  store_free (storage->store);
+  free (storage);
+}
+
+void
+storage_sync (storage_t *storage, uint64_t since)
+{
+  job_t job = { .type = JOB_SYNC, .since = since };
+
+  add_job (storage, &job);
+}
+
+void
+storage_put_record (storage_t *storage, uint64_t operation, uint64_t expected,
+                    const decide_record_t *record)
+{
+  job_t job
+      = { .type = JOB_PUT, .operation = operation, .expected = expected };
+
+  job.body = conf_format_record (record);
+  if (job.body == NULL)
+    g_error ("out of memory for the ownership record");
+  add_job (storage, &job);
+}
+
+static void *
+run (void *arg)
+{
+  storage_t *storage = arg;
+  bool stop = false;
+
+  while (!stop)
+    {
+      job_t *job = mailbox_get (storage->jobs, -1);
+
+      if (job == NULL)
+        continue;
+      if (job->type == JOB_SYNC)
+        sync_objects (storage, job->since);
+      else if (job->type == JOB_PUT)
+        put_record (storage, job);
+      else
+        stop = true;
+      free (job->body);
+      free (job);
+    }
+  return NULL;
+}
+
+static void
+visit_object (void *context, const store_object_t *object)
+{
+  storage_t *storage = context;
+  conf_object_t *parsed;
+  conf_error_t error;
+
+  if (conf_parse_object (object->name, object->body, object->version,
+                         object->revision, object->deleted, &parsed, &error)
+      == 0)
+    {
+      storage->callbacks.object (storage->callbacks.context, parsed);
+      return;
+    }
+  telemetry_count (TELEMETRY_OBJECTS_REJECTED, 0);
+  g_warning ("object ignored, the last good version stays in force: %s",
+             error.text);
+}
+
+static void
+sync_objects (storage_t *storage, uint64_t since)
+{
+  clock_ms_t sent = clock_now_ms ();
+  int64_t start = clock_now_us ();
+  uint64_t revision = 0;
+  int error = store_read_since (storage->store, CONF_PREFIX, since,
+                                storage->settings.store_timeout_ms,
+                                visit_object, storage, &revision);
+
+  telemetry_observe (TELEMETRY_STORE_US, clock_now_us () - start);
+  telemetry_count (TELEMETRY_STORE_CALLS, error == 0 ? 0 : 2);
+  if ((error != 0) != storage->failing)
+    {
+      storage->failing = error != 0;
+      if (error != 0)
+        g_warning ("store read failed: %s", store_get_error (storage->store));
+      else
+        g_message ("store can be read again");
+    }
+  storage->callbacks.synced (storage->callbacks.context, sent, error == 0,
+                             revision);
+}
+
+static void
+put_record (storage_t *storage, const job_t *job)
+{
+  char change[3 * DECIDE_NAME_MAX];
+  store_write_t write = {
+    .name = storage->record_name,
+    .body = job->body,
+    .expected = job->expected,
+    .change_id = change,
+    .timeout_ms = storage->settings.store_timeout_ms,
+    .read_back_ms = READ_BACK_MS,
+  };
+  store_written_t written = { 0 };
+  decide_store_result_t result = DECIDE_STORE_UNKNOWN;
+  store_result_t stored;
+
+  snprintf (change, sizeof change, "%s-%016" PRIx64 "-%" PRIu64,
+            storage->settings.instance, (uint64_t)g_get_real_time (),
+            ++storage->changes);
+  stored = store_put (storage->store, &write, &written);
+  if (stored == STORE_OK)
+    result = DECIDE_STORE_OK;
+  else if (stored == STORE_CONFLICT)
+    result = DECIDE_STORE_CONFLICT;
+  telemetry_count (TELEMETRY_STORE_CALLS, stored == STORE_OK         ? 0
+                                          : stored == STORE_CONFLICT ? 1
+                                                                     : 2);
+  storage->callbacks.put_done (storage->callbacks.context, job->operation,
+                               result, written.version);
+}
