--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -60,7 +60,7 @@
 typedef struct store_stats
 {
   uint64_t calls;
-  uint64_t failures; /* calls without an answer, or with a bad one */
+  uint64_t failures; /* calls without a complete answer */
   uint64_t timeouts;
   uint64_t connections; /* opened */
   uint64_t bytes_sent;
--- /dev/null
+++ b/test/unit/store.c
@@ -0,0 +1,492 @@
+#include "store.h"
+
+#include "httpserver.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define OBJECT                                                                \
+  "{\"name\":\"shared/a b\",\"version\":%d,\"revision\":%d,\"deleted\":%s,"   \
+  "\"change_id\":\"%s\",\"body\":\"{\\\"x\\\":1}\"}"
+
+/* One object and what the server does with the next write.  */
+typedef enum writing
+{
+  WRITE_OK,
+  WRITE_LOSE_ANSWER, /* takes effect, connection closed */
+  WRITE_LOSE_CALL,   /* no effect, connection closed */
+  WRITE_SILENT,      /* takes effect, no answer */
+  WRITE_MALFORMED,   /* takes effect, answer cut short */
+  WRITE_UNAVAILABLE, /* no effect, 503 */
+  WRITE_INVALID,     /* no effect, 400 */
+  WRITE_OTHER_FIRST, /* another change first, connection closed */
+  WRITE_OTHERS_AFTER /* takes effect, another change, answer lost */
+} writing_t;
+
+static httpserver_t *server;
+static store_t *store;
+static struct
+{
+  pthread_mutex_t lock;
+  int version; /* 0: does not exist */
+  bool deleted;
+  char change_id[64];
+  writing_t writing;
+  int writes;
+  char list[256]; /* what a list request asked for */
+} platform;
+
+static void
+answer (int fd, const char *status, const char *text)
+{
+  httpserver_write (fd, "HTTP/1.1 %s\r\nContent-Length: %zu\r\n\r\n%s", status,
+                    strlen (text), text);
+}
+
+static void
+answer_object (int fd, const char *status, bool list)
+{
+  char *object = g_strdup_printf (
+      OBJECT, platform.version, 100 + platform.version,
+      platform.deleted ? "true" : "false", platform.change_id);
+  const char *entry = platform.version > 0 ? object : "";
+  char *text
+      = list ? g_strdup_printf ("{\"revision\":200,\"objects\":[%s]}", entry)
+             : g_strdup (entry);
+
+  answer (fd, status, text);
+  g_free (text);
+  g_free (object);
+}
+
+static void
+apply (const httpserver_request_t *request)
+{
+  const char *id = strstr (request->text, "Change-Id: ");
+
+  platform.version++;
+  platform.deleted = strcmp (request->method, "DELETE") == 0;
+  g_assert_cmpint (sscanf (id, "Change-Id: %63s", platform.change_id), ==, 1);
+}
+
+static bool
+is_expected (const httpserver_request_t *request)
+{
+  const char *match = strstr (request->text, "\r\nIf-Match: ");
+
+  if (strstr (request->text, "\r\nIf-None-Match: *\r\n") != NULL)
+    return platform.version == 0 || platform.deleted;
+  return match != NULL && atoi (match + 12) == platform.version;
+}
+
+static bool
+handle_write (const httpserver_request_t *request)
+{
+  int fd = request->fd;
+
+  platform.writes++;
+  if (strcmp (request->method, "PUT") == 0)
+    g_assert_cmpstr (request->body, ==, "{\"x\":1}");
+  if (platform.writing == WRITE_OTHER_FIRST)
+    {
+      platform.version++;
+      g_strlcpy (platform.change_id, "other", sizeof platform.change_id);
+      return false;
+    }
+  if (platform.writing == WRITE_LOSE_CALL)
+    return false;
+  if (platform.writing == WRITE_UNAVAILABLE
+      || platform.writing == WRITE_INVALID)
+    {
+      answer (fd, platform.writing == WRITE_INVALID ? "400 Bad" : "503 Busy",
+              "");
+      return true;
+    }
+  if (!is_expected (request))
+    {
+      answer_object (fd, "409 Conflict", false);
+      return true;
+    }
+  apply (request);
+  if (platform.writing == WRITE_OTHERS_AFTER)
+    {
+      platform.version++;
+      g_strlcpy (platform.change_id, "other", sizeof platform.change_id);
+    }
+  if (platform.writing == WRITE_MALFORMED)
+    answer (fd, "200 OK", "{\"version\":");
+  if (platform.writing == WRITE_OK)
+    answer_object (fd, "200 OK", false);
+  if (platform.writing == WRITE_SILENT)
+    {
+      pthread_mutex_unlock (&platform.lock);
+      httpserver_drain (fd);
+      pthread_mutex_lock (&platform.lock);
+    }
+  return platform.writing == WRITE_OK;
+}
+
+/* Answers with @count objects of the given size.  */
+static void
+answer_large (int fd, int count, size_t length)
+{
+  char *value = g_strnfill (length, 'x');
+  GString *text = g_string_new ("{\"revision\":1,\"objects\":[");
+
+  for (int i = 0; i < count; i++)
+    g_string_append_printf (text,
+                            "%s{\"name\":\"a\",\"version\":1,"
+                            "\"revision\":1,\"body\":\"%s\"}",
+                            i > 0 ? "," : "", value);
+  g_string_append (text, "]}");
+  answer (fd, "200 OK", text->str);
+  g_string_free (text, TRUE);
+  g_free (value);
+}
+
+static bool
+handle_read (const httpserver_request_t *request)
+{
+  const char *path = request->path;
+  int fd = request->fd;
+
+  if (strcmp (path, "/objects/shared/a%20b") == 0)
+    answer_object (fd, platform.version > 0 ? "200 OK" : "404 None", false);
+  else if (strcmp (path, "/instances") == 0)
+    answer (fd, "200 OK",
+            "{\"instances\":[{\"name\":\"i1\",\"data_centre\":\"d\","
+            "\"address\":\"127.0.0.1:1\",\"state\":\"live\"},"
+            "{\"name\":\"i2\",\"state\":\"leaving\"}]}");
+  else if (strstr (path, "prefix=silent") != NULL)
+    httpserver_drain (fd);
+  else if (strstr (path, "prefix=cut") != NULL)
+    httpserver_write (fd, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{");
+  else if (strstr (path, "prefix=error") != NULL)
+    answer (fd, "500 Error", "{\"revision\":1,\"objects\":[]}");
+  else if (strstr (path, "prefix=bad") != NULL)
+    answer (fd, "200 OK",
+            "{\"revision\":1,\"objects\":[{\"name\":\"a\",\"version\":1,"
+            "\"revision\":1},{\"name\":\"b\",\"revision\":1}]}");
+  else if (strstr (path, "prefix=large") != NULL)
+    answer_large (fd, 1, STORE_VALUE_MAX + 1);
+  else if (strstr (path, "prefix=full") != NULL)
+    answer_large (fd, 1, STORE_VALUE_MAX);
+  else if (strstr (path, "prefix=huge") != NULL)
+    answer_large (fd, 17, STORE_VALUE_MAX);
+  else
+    {
+      g_strlcpy (platform.list, path, sizeof platform.list);
+      answer_object (fd, "200 OK", true);
+    }
+  return strstr (path, "prefix=cut") == NULL;
+}
+
+static bool
+handle (void *context, const httpserver_request_t *request)
+{
+  bool keep;
+
+  (void)context;
+  if (strstr (request->path, "prefix=silent") != NULL)
+    return handle_read (request);
+  pthread_mutex_lock (&platform.lock);
+  if (strcmp (request->method, "GET") == 0)
+    keep = handle_read (request);
+  else
+    keep = handle_write (request);
+  pthread_mutex_unlock (&platform.lock);
+  return keep;
+}
+
+/* Each test has a platform and a client of its own.  The object has version 3
+   unless the test changes that.  */
+static void
+with_store (gconstpointer test)
+{
+  memset (&platform, 0, sizeof platform);
+  pthread_mutex_init (&platform.lock, NULL);
+  platform.version = 3;
+  g_strlcpy (platform.change_id, "first", sizeof platform.change_id);
+  server = httpserver_start (handle, NULL);
+  store = store_new (httpserver_get_address (server));
+  ((void (*) (void))test) ();
+  store_free (store);
+  httpserver_stop (server);
+}
+
+static store_result_t
+put (uint64_t expected, const char *change_id, store_written_t *written)
+{
+  store_write_t write = { .name = "shared/a b",
+                          .body = "{\"x\":1}",
+                          .expected = expected,
+                          .change_id = change_id,
+                          .timeout_ms = 200,
+                          .read_back_ms = 300 };
+
+  return store_put (store, &write, written);
+}
+
+static void
+check_object (void *context, const store_object_t *object)
+{
+  g_assert_cmpstr (object->name, ==, "shared/a b");
+  g_assert_cmpuint (object->version, ==, 3);
+  g_assert_cmpuint (object->revision, ==, 103);
+  g_assert_true (object->deleted);
+  g_assert_cmpstr (object->change_id, ==, "first");
+  g_assert_cmpstr (object->body, ==, "{\"x\":1}");
+  ++*(int *)context;
+}
+
+static void
+count_object (void *context, const store_object_t *object)
+{
+  (void)object;
+  ++*(int *)context;
+}
+
+/* Guards against fields of the list that are mixed up, and a connection for
+   each call.  */
+static void
+test_read (void)
+{
+  store_stats_t stats;
+  uint64_t revision = 0;
+  int count = 0;
+
+  platform.deleted = true;
+  for (int i = 0; i < 2; i++)
+    g_assert_cmpint (store_read_since (store, "shared/a ", 7, 2000,
+                                       check_object, &count, &revision),
+                     ==, 0);
+  g_assert_cmpstr (platform.list, ==, "/objects?prefix=shared%2Fa%20&since=7");
+  g_assert_cmpint (count, ==, 2);
+  g_assert_cmpuint (revision, ==, 200);
+  store_get_stats (store, &stats);
+  g_assert_cmpuint (stats.calls, ==, 2);
+  g_assert_cmpuint (stats.connections, ==, 1);
+  g_assert_cmpuint (stats.bytes_received, >, 200);
+  g_assert_cmpuint (stats.bytes_sent, >, 100);
+}
+
+/* Guards against the part of a bad answer being taken as the changes up to
+   its revision, and values that are too large for the instance.  */
+static void
+test_bad_read (void)
+{
+  static const struct
+  {
+    const char *prefix;
+    int err;
+    int count;
+  } cases[] = { { "bad", -EPROTO, 0 },    { "cut", -EIO, 0 },
+                { "error", -EIO, 0 },     { "large", -EMSGSIZE, 0 },
+                { "huge", -EMSGSIZE, 0 }, { "full", 0, 1 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      uint64_t revision = 77;
+      int count = 0;
+
+      g_assert_cmpint (store_read_since (store, cases[i].prefix, 0, 3000,
+                                         count_object, &count, &revision),
+                       ==, cases[i].err);
+      g_assert_cmpint (count, ==, cases[i].count);
+      g_assert_cmpuint (revision, ==, cases[i].err == 0 ? 1 : 77);
+      g_assert_cmpstr (store_get_error (store), !=, "");
+    }
+}
+
+/* Guards against a client that waits without limit, or goes on using a
+   connection that has gone silent.  */
+static void
+test_silent (void)
+{
+  store_stats_t stats;
+  uint64_t revision;
+  int count = 0;
+  gint64 begin = g_get_monotonic_time ();
+
+  g_assert_cmpint (store_read_since (store, "silent", 0, 100, count_object,
+                                     &count, &revision),
+                   ==, -ETIMEDOUT);
+  g_assert_cmpint (g_get_monotonic_time () - begin, <, 2000000);
+  g_assert_cmpint (httpserver_wait_closed (server, 1), ==, 1);
+  g_assert_cmpint (
+      store_read_since (store, "a", 0, 2000, count_object, &count, &revision),
+      ==, 0);
+  store_get_stats (store, &stats);
+  g_assert_cmpuint (stats.connections, ==, 2);
+  g_assert_cmpuint (stats.timeouts, ==, 1);
+  g_assert_cmpuint (stats.failures, ==, 1);
+}
+
+/* Guards against an update that ignores the version, and a conflict that
+   doesn't say the current one.  */
+static void
+test_put (void)
+{
+  store_written_t written;
+  store_object_t object;
+
+  g_assert_cmpint (put (3, "c1", &written), ==, STORE_OK);
+  g_assert_cmpuint (written.version, ==, 4);
+  g_assert_cmpuint (written.revision, ==, 104);
+  g_assert_cmpint (written.error, ==, 0);
+  g_assert_cmpint (put (3, "c2", &written), ==, STORE_CONFLICT);
+  g_assert_cmpuint (written.version, ==, 4);
+  g_assert_cmpint (written.error, ==, -EEXIST);
+  g_assert_cmpint (put (0, "c3", &written), ==, STORE_CONFLICT);
+  /* The answer to this change was not seen the first time.  */
+  g_assert_cmpint (put (3, "c1", &written), ==, STORE_OK);
+  g_assert_cmpuint (written.version, ==, 4);
+  g_assert_cmpint (store_get (store, "shared/a b", 2000, &object), ==, 0);
+  g_assert_cmpstr (object.change_id, ==, "c1");
+  g_assert_cmpstr (object.body, ==, "{\"x\":1}");
+  store_object_clear (&object);
+  platform.version = 0;
+  g_assert_cmpint (put (0, "c4", &written), ==, STORE_OK);
+  g_assert_cmpuint (written.version, ==, 1);
+}
+
+/* Guards against a write whose answer was lost being reported as made, or
+   not made, without proof, and against sending it twice on a connection that
+   was used before.  */
+static void
+test_lost_answer (void)
+{
+  static const struct
+  {
+    writing_t writing;
+    store_result_t result;
+    int version;
+    bool read_back;
+  } cases[] = {
+    { WRITE_LOSE_ANSWER, STORE_OK, 4, true },
+    { WRITE_SILENT, STORE_OK, 4, true },
+    { WRITE_MALFORMED, STORE_OK, 4, true },
+    { WRITE_LOSE_CALL, STORE_UNKNOWN, 0, false },
+    { WRITE_UNAVAILABLE, STORE_UNKNOWN, 0, false },
+    { WRITE_INVALID, STORE_FAILED, 0, false },
+    { WRITE_OTHER_FIRST, STORE_CONFLICT, 4, true },
+    { WRITE_OTHERS_AFTER, STORE_UNKNOWN, 5, true },
+  };
+  store_written_t written;
+  store_object_t object;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      gint64 begin = g_get_monotonic_time ();
+
+      platform.version = 3;
+      platform.writing = cases[i].writing;
+      platform.writes = 0;
+      g_strlcpy (platform.change_id, "first", sizeof platform.change_id);
+      g_assert_cmpint (store_get (store, "shared/a b", 2000, &object), ==, 0);
+      store_object_clear (&object);
+      g_assert_cmpint (put (3, "lost", &written), ==, cases[i].result);
+      g_assert_cmpuint (written.version, ==, cases[i].version);
+      g_assert_cmpint (written.read_back, ==, cases[i].read_back);
+      g_assert_cmpint (written.error == 0, ==, cases[i].result == STORE_OK);
+      g_assert_cmpint (platform.writes, ==, 1);
+      g_assert_cmpint (g_get_monotonic_time () - begin, <, 2000000);
+    }
+}
+
+/* Guards against a deleted object that is reported as there, and a delete
+   that ignores the version.  */
+static void
+test_delete (void)
+{
+  store_write_t write = { .name = "shared/a b",
+                          .expected = 2,
+                          .change_id = "d",
+                          .timeout_ms = 200,
+                          .read_back_ms = 300 };
+  store_written_t written;
+  store_object_t object;
+
+  g_assert_cmpint (store_delete (store, &write, &written), ==, STORE_CONFLICT);
+  write.expected = 3;
+  platform.writing = WRITE_LOSE_ANSWER;
+  g_assert_cmpint (store_delete (store, &write, &written), ==, STORE_OK);
+  g_assert_cmpuint (written.version, ==, 4);
+  g_assert_cmpint (store_get (store, "shared/a b", 2000, &object), ==,
+                   -ENOENT);
+  platform.version = 0;
+  g_assert_cmpint (store_get (store, "shared/a b", 2000, &object), ==,
+                   -ENOENT);
+}
+
+/* Guards against "unknown" for a write that was certainly not made, and
+   against waiting for a store that is down.  */
+static void
+test_down (void)
+{
+  char *body = g_strnfill (STORE_VALUE_MAX + 1, 'x');
+  store_write_t write = { .name = "a",
+                          .body = body,
+                          .change_id = "c",
+                          .timeout_ms = 2000,
+                          .read_back_ms = 2000 };
+  gint64 begin = g_get_monotonic_time ();
+  store_written_t written;
+  uint64_t revision;
+  int count = 0;
+
+  g_assert_cmpint (store_put (store, &write, &written), ==, STORE_FAILED);
+  g_assert_cmpint (written.error, ==, -EMSGSIZE);
+  g_assert_cmpint (platform.writes, ==, 0);
+  store_free (store);
+  store = store_new ("127.0.0.1:1");
+  g_assert_cmpint (put (3, "c", &written), ==, STORE_FAILED);
+  g_assert_cmpint (written.error, ==, -ECONNREFUSED);
+  g_assert_cmpint (
+      store_read_since (store, "a", 0, 2000, count_object, &count, &revision),
+      ==, -ECONNREFUSED);
+  g_assert_cmpint (g_get_monotonic_time () - begin, <, 1000000);
+  g_free (body);
+}
+
+static void
+check_instance (void *context, const store_instance_t *instance)
+{
+  int *count = context;
+
+  g_assert_cmpstr (instance->name, ==, *count == 0 ? "i1" : "i2");
+  g_assert_cmpstr (instance->data_centre, ==, *count == 0 ? "d" : "");
+  g_assert_cmpstr (instance->address, ==, *count == 0 ? "127.0.0.1:1" : "");
+  g_assert_cmpint (instance->leaving, ==, *count == 1);
+  ++*count;
+}
+
+/* Guards against an instance that is leaving being taken as live.  */
+static void
+test_instances (void)
+{
+  int count = 0;
+
+  g_assert_cmpint (store_instances (store, 2000, check_instance, &count), ==,
+                   0);
+  g_assert_cmpint (count, ==, 2);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_data_func ("/store/read", test_read, with_store);
+  g_test_add_data_func ("/store/bad-read", test_bad_read, with_store);
+  g_test_add_data_func ("/store/silent", test_silent, with_store);
+  g_test_add_data_func ("/store/put", test_put, with_store);
+  g_test_add_data_func ("/store/lost-answer", test_lost_answer, with_store);
+  g_test_add_data_func ("/store/delete", test_delete, with_store);
+  g_test_add_data_func ("/store/down", test_down, with_store);
+  g_test_add_data_func ("/store/instances", test_instances, with_store);
+  return g_test_run ();
+}
