--- a/lib/store/http.c
+++ b/lib/store/http.c
@@ -14,7 +14,7 @@
 struct store
 {
   char address[DECIDE_ADDRESS_MAX];
-  CURL *easy; /* with its connection; NULL after a failure */
+  CURL *easy; /* with its connection, which libcurl closes on a failure */
   char error[256];
   atomic_uint_fast64_t calls;
   atomic_uint_fast64_t failures;
@@ -54,6 +54,12 @@
       free (store);
       return NULL;
     }
+  store->easy = curl_easy_init ();
+  if (store->easy == NULL)
+    {
+      store_free (store);
+      return NULL;
+    }
   snprintf (store->address, sizeof store->address, "%s", address);
   return store;
 }
@@ -239,9 +245,7 @@
   int err;
 
   *answer = (answer_t){ .text = NULL };
-  if (store->easy == NULL)
-    store->easy = curl_easy_init ();
-  if (store->easy == NULL || set_options (&transfer) != 0)
+  if (set_options (&transfer) != 0)
     return store_fail (store, -ENOMEM, "out of memory");
   atomic_fetch_add (&store->calls, 1);
   code = curl_easy_perform (store->easy);
@@ -255,9 +259,6 @@
   atomic_fetch_add (&store->failures, 1);
   if (err == -ETIMEDOUT)
     atomic_fetch_add (&store->timeouts, 1);
-  /* The connection may be silent; the next call opens a new one.  */
-  curl_easy_cleanup (store->easy);
-  store->easy = NULL;
   if (err == -EMSGSIZE)
     return store_fail (store, err, "%s %s: answer above %d bytes",
                        call->method, call->target, ANSWER_MAX);
--- a/lib/store/write.c
+++ b/lib/store/write.c
@@ -78,7 +78,6 @@
 {
   const char *name;
   const char *change_id;
-  bool found;
   bool ours;
   uint64_t version;
   uint64_t revision;
@@ -91,7 +90,6 @@
 
   if (strcmp (object->name, search->name) != 0)
     return;
-  search->found = true;
   search->ours = strcmp (object->change_id, search->change_id) == 0;
   search->version = object->version;
   search->revision = object->revision;
