--- /dev/null
+++ b/test/run/audit_test.py
@@ -0,0 +1,40 @@
+"""The audit finds each broken promise, and none in a run that kept them."""
+
+from audit import Audit, percentiles
+from harness import main
+
+STATS = {"max_over_bearing": 0, "cold_overloads": 0, "late_after_out": 0,
+         "late_after_drain": 0}
+NAMES = ("requests", "whole", "refused_no", "refused_unknown", "broken",
+         "wrong", "timeout")
+
+
+def audit(told, started, **stats):
+    """Audit of requests with (key, outcome) and keys in the journal."""
+    records = [{"key": key, "outcome": outcome} for key, outcome in told]
+    summary = {name: sum(outcome == name for _, outcome in told)
+               for name in NAMES}
+    summary["requests"] = len(told)
+    return Audit([summary], records, [{"key": key} for key in started],
+                 {"one": STATS, "two": {**STATS, **stats}})
+
+
+def script(run):
+    kept = audit([("", "whole"), ("a", "whole"), ("b", "refused_no"),
+                  ("c", "refused_unknown"), ("d", "refused_no"),
+                  ("d", "whole"), ("e", "timeout")], ["a", "c", "d", "", ""])
+    print("kept:", kept.faults() or "none", "refused:", kept.refused(),
+          "requests:", kept.counts["requests"])
+    print("ran twice:", audit([("a", "whole")], ["a", "a"]).faults())
+    print("refused but ran:", audit([("a", "refused_no")], ["a"]).faults())
+    print("answered but never ran:", audit([("a", "whole")], []).faults())
+    print("wrong and broken:",
+          audit([("", "wrong"), ("", "broken")], []).faults())
+    for name in STATS:
+        print(name + ":", audit([], [], **{name: 2}).faults())
+    times = [{"outcome": "whole", "kind": "k", "start_us": 0,
+              "end_us": 1000 * (i + 1)} for i in range(1000)]
+    print("percentiles:", percentiles(times), percentiles([]))
+
+
+main(script)
--- /dev/null
+++ b/test/run/demo.py
@@ -0,0 +1,87 @@
+"""Demonstration: a data centre leaves and returns under load."""
+
+import time
+
+from audit import Audit, percentiles
+from harness import Caller, main, wait_for
+from topology import KALAMANSI, Topology
+
+RATE = 400  # requests per second and data centre
+DURATION_MS = 20000
+OUT_AFTER_S = 6
+OUT_FOR_S = 6
+LEAVING = "pasig"
+
+
+def wait_until(moment, what):
+    """Waits for a moment of the schedule, not for another process."""
+    wait_for(what, lambda: time.monotonic() >= moment, 60)
+
+
+def table(records, audit, quiet_ms):
+    print(f"{'requests':14}{'count':>8}{'whole':>8}{'refused':>9}"
+          f"{'p50 ms':>9}{'p99 ms':>9}{'p99.9 ms':>10}")
+    for kind in ("slot-check", "confirm", "history", "archive", "all"):
+        own = [record for record in records
+               if kind in ("all", record["kind"])]
+        whole = sum(record["outcome"] == "whole" for record in own)
+        refused = sum(record["outcome"].startswith("refused")
+                      for record in own)
+        times = percentiles(own) or [0, 0, 0]
+        print(f"{kind:14}{len(own):8}{whole:8}{refused:9}{times[0]:9.1f}"
+              f"{times[1]:9.1f}{times[2]:10.1f}")
+    print(f"timeouts: {audit.counts['timeout']}, broken: "
+          f"{audit.counts['broken']}, told not run but ran: "
+          f"{audit.refused_but_ran}")
+    print(f"most requests above what an endpoint bears: "
+          f"{audit.above_slots}, cold overloads: {audit.cold_overloads}")
+    print(f"{LEAVING} got no new work {quiet_ms} ms after it was taken out")
+
+
+def script(run):
+    topology = Topology(run, KALAMANSI, delays=True)
+    topology.start_instances()
+    started = time.monotonic()
+    callers = [Caller(run, "callers-" + centre, "--entry",
+                      topology.entry_list(), "--data-centre", centre,
+                      "--rate", RATE, "--duration-ms", DURATION_MS, "--seed",
+                      seed, "--mix", KALAMANSI.mix, "--delay-ms",
+                      KALAMANSI.client_delay_ms, "--repeat-share", 0.05)
+               for seed, centre in enumerate(KALAMANSI.data_centres, 1)]
+
+    def new_work():
+        stats = topology.stats()
+        return sum(stats[endpoint.name]["requests"]
+                   for endpoint in topology.in_data_centre(LEAVING))
+
+    wait_until(started + OUT_AFTER_S, "time to take the data centre out")
+    for endpoint in topology.in_data_centre(LEAVING):
+        endpoint.control(mark="out")
+    topology.operate(f"/v1/data-centres/{LEAVING}/out")
+    wait_until(started + OUT_AFTER_S + OUT_FOR_S, "time to take it back")
+    stats = topology.stats()
+    quiet_ms = max(stats[endpoint.name]["last_after_out_ms"]
+                   for endpoint in topology.in_data_centre(LEAVING))
+    for endpoint in topology.in_data_centre(LEAVING):
+        endpoint.control(mark="in")
+    before = new_work()
+    topology.operate(f"/v1/data-centres/{LEAVING}/in")
+    wait_for(f"{LEAVING} gets work again", lambda: new_work() > before)
+
+    summaries = [caller.finish() for caller in callers]
+    records = [record for caller in callers for record in caller.records()]
+    statuses = topology.stop_instances()
+    audit = Audit(summaries, records, topology.journal(), topology.stats())
+    table(records, audit, quiet_ms)
+    if any(statuses):
+        print("exit statuses of the instances:", *statuses)
+    faults = audit.faults()
+    if faults:
+        print("did not hold:", ", ".join(faults))
+    print(f"demo: requests={audit.counts['requests']} "
+          f"whole={audit.counts['whole']} refused={audit.refused()} "
+          f"wrong={audit.wrong()} double={audit.double}")
+    return 1 if faults or any(statuses) else 0
+
+
+main(script)
--- a/test/run/harness.py
+++ b/test/run/harness.py
@@ -5,7 +5,6 @@
 run sleeps in the hope that something has happened meanwhile.
 """
 
-import ctypes
 import http.client
 import json
 import os
@@ -20,8 +19,8 @@
 WAIT_S = 10
 STOP_S = 15
 POLL_S = 0.01
-PR_SET_PDEATHSIG = 1
-LIBC = ctypes.CDLL(None)
+# The kernel ends the process when the run itself is killed.
+END_WITH_PARENT = ["setpriv", "--pdeathsig", "KILL", "--"]
 
 
 class RunError(Exception):
@@ -66,11 +65,6 @@
         connection.close()
 
 
-def end_with_parent():
-    """Lets the process end when the run itself is killed."""
-    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
 class Process:
     """A process that the run started; its outputs are files of the run."""
 
@@ -79,9 +73,9 @@
         self.output = os.path.join(run.directory, name + ".out")
         self.errors = os.path.join(run.directory, name + ".err")
         with open(self.output, "wb") as out, open(self.errors, "wb") as err:
-            self.child = subprocess.Popen(command, stdin=subprocess.DEVNULL,
-                                          stdout=out, stderr=err,
-                                          preexec_fn=end_with_parent)
+            self.child = subprocess.Popen(END_WITH_PARENT + command,
+                                          stdin=subprocess.DEVNULL,
+                                          stdout=out, stderr=err)
 
     def lines(self):
         with open(self.output, encoding="utf-8") as file:
@@ -117,9 +111,12 @@
         if self.child.poll() is None:
             self.child.send_signal(number)
 
-    def stop(self, timeout=STOP_S):
-        """Asks for a planned stop; returns the exit status."""
+    def ask_to_stop(self):
         self.signal(signal.SIGTERM)
+
+    def stop(self, timeout=STOP_S):
+        """Planned stop; returns the exit status."""
+        self.ask_to_stop()
         return self.wait(timeout)
 
 
--- /dev/null
+++ b/test/run/topology.py
@@ -0,0 +1,246 @@
+"""Deployments of section 1 of the design page as processes on loopback.
+
+settings_of(), profiles() and service_body() are the only places that know
+the formats of the daemon's settings and of the objects in the store.
+"""
+
+import json
+
+from harness import (Backends, FaultProxy, Platform, Ports, RunError, request,
+                     wait_for)
+
+PROGRAM = "peridotrouter/peridotrouter"
+READY_S = 15
+
+
+class Service:
+    def __init__(self, name, endpoints, slots):
+        self.name = name
+        self.endpoints = endpoints
+        self.slots = slots
+
+
+class Deployment:
+    def __init__(self, name, data_centres, services, instances,
+                 client_delay_ms, peer_delay_ms, mix):
+        self.name = name
+        self.data_centres = data_centres
+        self.services = services
+        self.instances = instances
+        self.client_delay_ms = client_delay_ms
+        self.peer_delay_ms = peer_delay_ms
+        self.mix = mix
+
+
+KALAMANSI = Deployment(
+    "kalamansi", ["quezon", "pasig", "caloocan"],
+    [Service("booking", 20, 3), Service("records", 6, 3)], 12, 1, 1.5,
+    "slot-check=80,confirm=12,history=7,archive=1")
+BERGEN = Deployment(
+    "bergen", ["vestland-a", "vestland-b", "vestland-c", "vestland-d"],
+    [Service("slipdesk", 20, 2), Service("drawerstore", 8, 2)], 12, 8, 1.5,
+    "slip=80,filing=15,drawer=5")
+SMALL = Deployment("small", ["quezon"], [Service("booking", 1, 3)], 1, 1, 0,
+                   "slot-check=80,confirm=20")
+
+
+def profiles(deployment):
+    """One profile for each service: body by name."""
+    return {service.name: {
+        "priority": 3, "timeout_ms": 2000, "run_ms": 1000, "queue_max": 64,
+        "retry": True, "hedge": False, "hedge_after_ms": 0,
+        "key_retention_ms": 600000} for service in deployment.services}
+
+
+def service_body(service, endpoints):
+    return {"profile": service.name,
+            "endpoints": [{"id": endpoint.name,
+                           "data_centre": endpoint.data_centre,
+                           "address": f"127.0.0.1:{endpoint.port}",
+                           "slots": service.slots}
+                          for endpoint in endpoints]}
+
+
+def settings_of(topology, instance):
+    """Settings of one instance."""
+    return {
+        "instance": instance.name,
+        "data_centre": instance.data_centre,
+        "addresses": {"callers": f"127.0.0.1:{instance.callers}",
+                      "peers": f"127.0.0.1:{instance.peers}",
+                      "operators": f"127.0.0.1:{instance.operators}"},
+        "peers": [{"instance": peer.name, "data_centre": peer.data_centre,
+                   "address": "127.0.0.1:"
+                   f"{topology.peer_port(instance, peer)}"}
+                  for peer in topology.instances if peer is not instance],
+        "store": f"http://127.0.0.1:{topology.platform.port}"}
+
+
+class Instance:
+    """An entry instance: name, data centre and ports."""
+
+    def __init__(self, name, data_centre, ports):
+        self.name = name
+        self.data_centre = data_centre
+        self.callers = ports.take()
+        self.peers = ports.take()
+        self.operators = ports.take()
+        self.process = None
+
+
+class Endpoint:
+    """One endpoint and where to control it."""
+
+    def __init__(self, name, service, data_centre, backends, index):
+        self.name = name
+        self.service = service
+        self.data_centre = data_centre
+        self.backends = backends
+        self.index = index
+        self.port = backends.ports[index]
+
+    def control(self, **change):
+        return self.backends.control(self.index, **change)
+
+
+class Topology:
+    """Platform, endpoints and entry instances of a deployment.
+
+    delays: pass messages between data centres through a fault proxy that
+      adds the deployment's delay; link(a, b) names one direction of it.
+    """
+
+    def __init__(self, run, deployment, delays=False, backend_options=()):
+        self.run = run
+        self.deployment = deployment
+        self.platform = Platform(run, "--instance-lag-ms", 2000)
+        self.ports = Ports()
+        self.proxy = None
+        self.endpoints = []
+        self.instances = [
+            Instance(f"{self._centre(i)}-{i}", self._centre(i), self.ports)
+            for i in range(deployment.instances)]
+        self._start_backends(backend_options)
+        self._fill_platform()
+        if delays:
+            self._add_delays()
+
+    def _centre(self, index):
+        centres = self.deployment.data_centres
+        return centres[index % len(centres)]
+
+    def _start_backends(self, options):
+        """One stand-in for each service and data centre."""
+        for service in self.deployment.services:
+            for data_centre in self.deployment.data_centres:
+                names = [f"{service.name}-{i}"
+                         for i in range(service.endpoints)
+                         if self._centre(i) == data_centre]
+                if not names:
+                    continue
+                backends = Backends(
+                    self.run, f"{service.name}-{data_centre}", len(names),
+                    "--slots", service.slots, *options)
+                self.endpoints += [
+                    Endpoint(name, service, data_centre, backends, index)
+                    for index, name in enumerate(names)]
+
+    def _fill_platform(self):
+        for name, body in profiles(self.deployment).items():
+            self.platform.put("shared/profile/" + name, body)
+        for service in self.deployment.services:
+            self.platform.put(
+                "shared/service/" + service.name,
+                service_body(service, [endpoint for endpoint in self.endpoints
+                                       if endpoint.service is service]))
+
+    def _add_delays(self):
+        self.proxy = FaultProxy(self.run, {
+            self.link(one, other): other.peers
+            for one in self.instances for other in self.instances
+            if one.data_centre != other.data_centre}, "links")
+        self.proxy.control("all", delay_ms=self.deployment.peer_delay_ms)
+
+    @staticmethod
+    def link(one, other):
+        return f"{one.name}>{other.name}"
+
+    def peer_port(self, instance, peer):
+        """Port at which an instance reaches a peer."""
+        if self.proxy is None:
+            return peer.peers
+        return self.proxy.ports.get(self.link(instance, peer), peer.peers)
+
+    def start_instance(self, instance):
+        path = self.run.path(instance.name + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings_of(self, instance), file, indent=1)
+        for port in (instance.callers, instance.peers, instance.operators):
+            if port in self.ports.held:
+                self.ports.release(port)
+        instance.process = self.run.start(instance.name, PROGRAM, path)
+        request(self.platform.port, "PUT", "/instances/" + instance.name,
+                {"data_centre": instance.data_centre, "state": "live"})
+
+    def start_instances(self):
+        """Starts all; returns when each of them lists all addresses."""
+        for instance in self.instances:
+            self.start_instance(instance)
+        wait_for("all instances list one another", self.all_listed, READY_S)
+
+    def addresses(self, instance):
+        """Addresses that an instance gives to callers."""
+        if instance.process.child.poll() is not None:
+            raise RunError(f"{instance.name} ended: "
+                           f"{instance.process.error_text()[-2000:]}")
+        try:
+            answer = request(instance.callers, "GET",
+                             "/addresses?data_centre=" + instance.data_centre)
+        except OSError:
+            return []
+        if answer.status != 200:
+            return []
+        return [entry["address"] for entry in answer.json()["addresses"]]
+
+    def all_listed(self):
+        return all(len(self.addresses(instance)) == len(self.instances)
+                   for instance in self.instances)
+
+    def operate(self, path, instance=None):
+        """An operator's PUT through any instance."""
+        instance = instance or self.instances[0]
+        answer = request(instance.operators, "PUT", path)
+        if answer.status not in (200, 204):
+            raise RunError(f"{path}: {answer.status} {answer.body}")
+
+    def in_data_centre(self, data_centre):
+        return [endpoint for endpoint in self.endpoints
+                if endpoint.data_centre == data_centre]
+
+    def backend_processes(self):
+        return list({id(endpoint.backends): endpoint.backends
+                     for endpoint in self.endpoints}.values())
+
+    def stats(self):
+        """Statistics of all endpoints by name."""
+        by_process = {id(backends): backends.stats()["endpoints"]
+                      for backends in self.backend_processes()}
+        return {endpoint.name: by_process[id(endpoint.backends)]
+                [endpoint.index] for endpoint in self.endpoints}
+
+    def journal(self):
+        return [entry for backends in self.backend_processes()
+                for entry in backends.journal()]
+
+    def entry_list(self):
+        return ",".join(f"127.0.0.1:{instance.callers}"
+                        for instance in self.instances)
+
+    def stop_instances(self, timeout=30):
+        """Planned stop of all at once; returns their exit statuses."""
+        for instance in self.instances:
+            instance.process.ask_to_stop()
+        statuses = [instance.process.wait(timeout)
+                    for instance in self.instances]
+        self.ports.close()
+        return statuses
--- /dev/null
+++ b/test/run/topology_test.py
@@ -0,0 +1,48 @@
+"""Objects and settings of the deployments, without entry instances."""
+
+import collections
+
+from harness import main, request
+from topology import BERGEN, KALAMANSI, Topology, settings_of
+
+
+def show(run, deployment):
+    topology = Topology(run, deployment, delays=True)
+    answer = request(topology.platform.port, "GET",
+                     "/objects?prefix=shared/&since=0").json()
+    print("--", deployment.name)
+    print("objects:", *(entry["name"] for entry in answer["objects"]))
+    for service in deployment.services:
+        count = collections.Counter(
+            endpoint.data_centre for endpoint in topology.endpoints
+            if endpoint.service is service)
+        print(service.name + ":", dict(count))
+    ports = [endpoint.port for endpoint in topology.endpoints]
+    for instance in topology.instances:
+        ports += [instance.callers, instance.peers, instance.operators]
+    ports += topology.proxy.ports.values()
+    print("ports:", len(ports), "different:", len(set(ports)))
+    one = topology.instances[0]
+    settings = settings_of(topology, one)
+    print("settings:", *settings)
+    through = [peer for peer, entry in
+               zip(topology.instances[1:], settings["peers"])
+               if int(entry["address"].split(":")[1]) != peer.peers]
+    print("peers:", len(settings["peers"]), "with delay:", len(through),
+          "all in other data centres:",
+          all(peer.data_centre != one.data_centre for peer in through))
+    for process in [topology.platform.process, topology.proxy.process] + [
+            backends.process for backends in topology.backend_processes()]:
+        process.ask_to_stop()
+    topology.ports.close()
+
+
+def script(run):
+    show(run, KALAMANSI)
+    # Names of outputs are used once in a run.
+    for process in run.processes:
+        process.wait()
+    show(run, BERGEN)
+
+
+main(script)
--- a/test/standin/caller.c
+++ b/test/standin/caller.c
@@ -38,6 +38,7 @@
 
 typedef struct request
 {
+  struct request *next; /* while it waits to be sent */
   kind_t *kind;
   char id[ID_MAX];
   char key[ID_MAX + 4];
@@ -79,9 +80,7 @@
   int64_t sequence;
   addresses_t addresses;
   CURLM *multi;
-  request_t **waiting; /* binary heap by send_us */
-  size_t waiting_count;
-  size_t waiting_capacity;
+  request_t *waiting; /* by send_us */
   int64_t in_flight;
   int64_t reconnects;
   int64_t resends;
@@ -94,45 +93,24 @@
 static void send_request (caller_t *caller, request_t *request);
 static void finish (caller_t *caller, request_t *request, CURLcode result);
 
-/* ---- Requests that wait to be sent ---- */
-
+/* Adds a request that waits to be sent, in order of time.  */
 static void
 push (caller_t *caller, request_t *request)
 {
-  size_t i = caller->waiting_count++;
+  request_t **place = &caller->waiting;
 
-  if (i == caller->waiting_capacity)
-    {
-      caller->waiting_capacity = caller->waiting_capacity * 2 + 64;
-      caller->waiting = reallocarray (
-          caller->waiting, caller->waiting_capacity, sizeof (request_t *));
-      if (caller->waiting == NULL)
-        err (1, "requests");
-    }
-  for (; i > 0 && caller->waiting[(i - 1) / 2]->send_us > request->send_us;
-       i = (i - 1) / 2)
-    caller->waiting[i] = caller->waiting[(i - 1) / 2];
-  caller->waiting[i] = request;
+  while (*place != NULL && (*place)->send_us <= request->send_us)
+    place = &(*place)->next;
+  request->next = *place;
+  *place = request;
 }
 
 static request_t *
 pop (caller_t *caller)
 {
-  request_t *first = caller->waiting[0];
-  request_t *last = caller->waiting[--caller->waiting_count];
-  size_t i = 0;
+  request_t *first = caller->waiting;
 
-  for (size_t child; (child = 2 * i + 1) < caller->waiting_count; i = child)
-    {
-      if (child + 1 < caller->waiting_count
-          && caller->waiting[child + 1]->send_us
-                 < caller->waiting[child]->send_us)
-        child++;
-      if (caller->waiting[child]->send_us >= last->send_us)
-        break;
-      caller->waiting[i] = caller->waiting[child];
-    }
-  caller->waiting[i] = last;
+  caller->waiting = first->next;
   return first;
 }
 
@@ -539,7 +517,7 @@
       for (; (int64_t)next_us <= now && (int64_t)next_us < end_us;
            next_us -= log (standin_uniform (&caller->random)) / rate * 1e6)
         arrive (caller, (int64_t)next_us);
-      while (caller->waiting_count > 0 && caller->waiting[0]->send_us <= now)
+      while (caller->waiting != NULL && caller->waiting->send_us <= now)
         send_request (caller, pop (caller));
       addresses_refresh (&caller->addresses, &caller->ad_hoc, caller->multi,
                          now);
@@ -548,10 +526,10 @@
       wake_us = (int64_t)next_us;
       if (wake_us >= end_us)
         wake_us = now + 1000000;
-      if (caller->waiting_count > 0 && caller->waiting[0]->send_us < wake_us)
-        wake_us = caller->waiting[0]->send_us;
+      if (caller->waiting != NULL && caller->waiting->send_us < wake_us)
+        wake_us = caller->waiting->send_us;
       if ((int64_t)next_us >= end_us && caller->in_flight == 0
-          && caller->waiting_count == 0)
+          && caller->waiting == NULL)
         break;
       if (wake_us > standin_now_us ())
         wait_until (caller, timer, signals, wake_us);
@@ -705,7 +683,6 @@
   free (name);
   free (mix);
   free (log_name);
-  free (caller.waiting);
   free (caller.expected);
   return 0;
 }
