Let the backend stand-in end unread answers at their deadline

The main thread looks for such answers every 5 ms and resets their connections. Ruled out: a shorter request timeout of CivetWeb, which is one value for all requests.

--- a/test/run/standin_backend.py
+++ b/test/run/standin_backend.py
@@ -92,6 +92,17 @@
     wait_for("the cancellation is noticed",
              lambda: stats()["in_flight"] == 0)
     backends.control(0, slow_ms=0)
+    large = Backends(run, "large", 1, "--cold-ms", 0, "--archive-bytes",
+                     64 << 20)
+    with socket.socket() as reader:
+        reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        reader.connect(("127.0.0.1", large.ports[0]))
+        reader.sendall(b"GET /archive HTTP/1.1\r\nHost: x\r\n"
+                       b"Request-Deadline-Ms: 500\r\n\r\n")
+        wait_for("the answer begins", lambda: reader.recv(100))
+        wait_for("the deadline ends an answer that nobody reads",
+                 lambda: large.stats()["endpoints"][0]["in_flight"] == 0)
+    print("expired while sending:", large.stats()["endpoints"][0]["expired"])
 
     print("-- journal")
     bodies = [call("/confirm", "POST", Idempotency_Key="k3",
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -13,6 +13,8 @@
 
 #define REQUEST_BODY_MAX (1 << 20)
 #define CHUNK 65536
+/* Time in ms between searches for answers past their deadline.  */
+#define EXPIRE_MS 5
 
 /* One kind of request, chosen by the start of its path.  */
 typedef struct kind
@@ -253,6 +255,7 @@
       mg_response_header_add (conn, "Content-Range", text, -1);
     }
   add_length (conn, end - first);
+  endpoint_send (endpoint, work);
   if (end - first <= CHUNK)
     endpoint_leave (endpoint, work);
   mg_response_header_send (conn);
@@ -548,7 +551,9 @@
   control = standin_start (control_ports, 8);
   standin_serve (control, handle_control, &backend);
   standin_ready (standin_port (control, 0));
-  standin_wait_stop ();
+  while (!standin_wait_stop_for (EXPIRE_MS))
+    for (int i = 0; i < backend.count; i++)
+      endpoint_expire (&backend.endpoints[i]);
 
   standin_stop (control);
   standin_stop (server);
--- a/test/standin/endpoint.c
+++ b/test/standin/endpoint.c
@@ -262,6 +262,33 @@
   return result;
 }
 
+void
+endpoint_send (endpoint_t *endpoint, work_t *work)
+{
+  pthread_mutex_lock (&endpoint->lock);
+  work->sending = true;
+  pthread_mutex_unlock (&endpoint->lock);
+}
+
+void
+endpoint_expire (endpoint_t *endpoint)
+{
+  int64_t now = standin_now_us ();
+  work_t *next;
+
+  pthread_mutex_lock (&endpoint->lock);
+  for (work_t *work = endpoint->work; work != NULL; work = next)
+    {
+      next = work->next;
+      if (!work->sending || now < work->deadline_us)
+        continue;
+      standin_interrupt (work->conn);
+      remove_work (endpoint, work);
+      endpoint->expired++;
+    }
+  pthread_mutex_unlock (&endpoint->lock);
+}
+
 bool
 endpoint_is_fallen (endpoint_t *endpoint)
 {
--- a/test/standin/endpoint.h
+++ b/test/standin/endpoint.h
@@ -41,6 +41,7 @@
   struct work *next;
   int64_t deadline_us;
   bool running;
+  bool sending;
   bool left;
 } work_t;
 
@@ -109,6 +110,12 @@
 entered_t endpoint_run (endpoint_t *endpoint, const work_t *work,
                         double mean_ms);
 
+/* Says that the answer is being sent.  */
+void endpoint_send (endpoint_t *endpoint, work_t *work);
+
+/* Ends the work whose caller takes no more of the answer at the deadline.  */
+void endpoint_expire (endpoint_t *endpoint);
+
 bool endpoint_is_fallen (endpoint_t *endpoint);
 
 /* Load now without the caller's own request, or as it was a lag ago.  */
--- a/test/standin/standin.c
+++ b/test/standin/standin.c
@@ -97,6 +97,16 @@
   sigwait (&set, &got);
 }
 
+bool
+standin_wait_stop_for (int timeout_ms)
+{
+  struct timespec wait = { timeout_ms / 1000, timeout_ms % 1000 * 1000000 };
+  sigset_t set;
+
+  stop_signals (&set);
+  return sigtimedwait (&set, NULL, &wait) > 0;
+}
+
 struct mg_context *
 standin_start (const char *ports, int threads)
 {
@@ -263,13 +273,19 @@
 }
 
 void
-standin_reset (struct mg_connection *conn)
+standin_interrupt (const struct mg_connection *conn)
 {
-  mg_disable_connection_keep_alive (conn);
   if (descriptor (conn) >= 0)
     abort_connection (descriptor (conn));
 }
 
+void
+standin_reset (struct mg_connection *conn)
+{
+  mg_disable_connection_keep_alive (conn);
+  standin_interrupt (conn);
+}
+
 void
 standin_reset_port (int port)
 {
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -37,6 +37,9 @@
 /* Waits for SIGTERM or SIGINT.  */
 void standin_wait_stop (void);
 
+/* Waits for @timeout_ms at most; returns whether the process is to stop.  */
+bool standin_wait_stop_for (int timeout_ms);
+
 /**
  * standin_start() - listen on loopback; exits on failure
  * @ports: port numbers separated by commas; 0 takes a free one
@@ -69,6 +72,9 @@
 /* Resets the connection; the handler then returns without an answer.  */
 void standin_reset (struct mg_connection *conn);
 
+/* Lets the handler's writes fail; called by other threads while it runs.  */
+void standin_interrupt (const struct mg_connection *conn);
+
 /* Resets all connections to a port of this process.  */
 void standin_reset_port (int port);
 
