--- a/peridotctl/admin_call.c
+++ b/peridotctl/admin_call.c
@@ -148,10 +148,13 @@
     return CTL_OK;
   if (answer->status >= 200 && answer->status < 300)
     warnx ("%s: %s: the answer is no JSON object", what, url);
+  else if (answer->status == 409
+           && json_object_object_get_ex (answer->root, "version", &version)
+           && json_object_get_uint64 (version) == 0)
+    warnx ("%s: conflict: it does not exist", what);
   else if (answer->status == 409
            && json_object_object_get_ex (answer->root, "version", &version))
-    warnx ("%s: conflict: %s; the current version is %" PRIu64, what,
-           get_text (answer->root, "detail"),
+    warnx ("%s: conflict: the current version is %" PRIu64, what,
            json_object_get_uint64 (version));
   else
     warnx ("%s: %s (status %ld)", what,
--- a/peridotctl/main.c
+++ b/peridotctl/main.c
@@ -122,9 +122,16 @@
       = count > 1
         && (strcmp (args[1], "put") == 0 || strcmp (args[1], "delete") == 0);
 
-  if ((ctl->has_wait && strcmp (noun, "status") != 0)
-      || (ctl->has_expect && !writes))
-    return usage (options);
+  if (ctl->has_wait && strcmp (noun, "status") != 0)
+    {
+      warnx ("--wait-for-version goes with status only");
+      return usage (options);
+    }
+  if (ctl->has_expect && !writes)
+    {
+      warnx ("--expect goes with put and delete only");
+      return usage (options);
+    }
   if (strcmp (noun, "profiles") == 0 || strcmp (noun, "services") == 0)
     return run_collection (options, ctl, args, count);
   if (strcmp (noun, "status") == 0 && count == 1)
@@ -136,6 +143,7 @@
       && (strcmp (args[2], "out") == 0 || strcmp (args[2], "in") == 0
           || strcmp (args[2], "forget") == 0))
     return mark (ctl, "instances", args[1], args[2]);
+  warnx ("no such command, or a wrong number of arguments");
   return usage (options);
 }
 
@@ -155,5 +163,6 @@
     return put_object (ctl, args[0], args[2], args[3]);
   if (strcmp (verb, "delete") == 0 && count == 3)
     return delete_object (ctl, args[0], args[2]);
+  warnx ("no such command, or a wrong number of arguments");
   return usage (options);
 }
