--- a/test/unit/admin.c
+++ b/test/unit/admin.c
@@ -71,6 +71,13 @@
   { "PUT /v1/instances/entry-3/forget", "", 200, "{\"version\":8," },
   { "PUT /v1/instances/entry-9/forget", "", 404, "entry-9 does not exist" },
   { "PUT /v1/instances/entry-1/out", "", 200, "\"version\":1" },
+  /* An instance that has not heard of a change loses none: a mark is set
+     against the version in the store, a profile conflicts.  */
+  { "PUT /v1/data-centres/q-stale/out", "", 200, "{\"version\":1," },
+  { "PUT /v1/data-centres/q-stale/out", "", 200, "{\"version\":2," },
+  { "PUT /v1/data-centres/q-stale/in", "", 200, "{\"version\":3," },
+  { "PUT /v1/profiles/p-stale", "{}", 200, "{\"version\":1," },
+  { "PUT /v1/profiles/p-stale", "{}", 409, "\"version\":1}" },
   /* Failures of the store.  */
   { "PUT /v1/profiles/x-unreached", "{}", 503, "nothing was changed" },
   { "PUT /v1/profiles/x-lost", "{}", 504, "may be in effect" },
@@ -106,7 +113,7 @@
 {
   static const char *options[]
       = { "listening_ports",    "127.0.0.1:0", "num_threads", "2",
-          "request_timeout_ms", "500",        NULL };
+          "request_timeout_ms", "500",         NULL };
   struct mg_server_port port;
 
   (void)data;
--- a/test/unit/memory.c
+++ b/test/unit/memory.c
@@ -52,7 +52,7 @@
 
   g_mutex_lock (&memory->lock);
   stored = g_tree_lookup (memory->objects, name);
-  if (stored != NULL && !stored->deleted)
+  if (stored != NULL && !stored->deleted && !g_str_has_suffix (name, "-stale"))
     {
       *object = (admin_object_t){ .version = stored->version,
                                   .revision = stored->revision,
--- a/test/unit/memory.h
+++ b/test/unit/memory.h
@@ -3,7 +3,9 @@
 
 /* Callbacks of the admin handlers over objects in memory.  Changes of names
    that end with -unreached, -lost or -broken fail as the store does when it
-   can't be reached, when its answer is lost, and with an input error.  */
+   can't be reached, when its answer is lost, and with an input error.  Reads
+   of names that end with -stale never find the object, as on an instance that
+   does not know of it yet.  */
 
 #include "admin.h"
 
