Hold a cold endpoint at one request while its answers call it cold

A server that called itself cold was given a second request after 32 good answers, fell over, restarted cold, and so on.

Ruled out: a longer ramp alone; the time that a server needs to warm up is not known, its answers say it.

Change: while answers say cold the limit stays at 1, for at most 60 s since a report may be wrong; after a restart a step of the ramp takes at least 250 ms. A server that only turned slow ramps by answers as before.

The ramp test advances its clock now and also checks the time; before it would have waited for ever.

--- a/lib/decide/limit.c
+++ b/lib/decide/limit.c
@@ -3,9 +3,12 @@
 /* Good answers before the limit rises by one.  */
 #define RAMP_GOOD 8
 #define RAISE_GOOD 4
-/* A server that still calls itself cold needs this many times more good
-   answers; the report alone does not hold it back because it may be wrong. */
-#define COLD_REPORT_FACTOR 4
+/* A server that calls itself cold gets one request at a time for this long; a
+   report that stays longer is taken as wrong.  */
+#define COLD_REPORT_MS 60000
+/* Shortest step of the ramp after a restart: many fast answers in a short
+   time do not show that a server has warmed up.  */
+#define RAMP_STEP_MS 250
 /* Caches and pools of a server without work for this long are taken as gone.
  */
 #define IDLE_COLD_MS 10000
@@ -31,11 +34,12 @@
 #define RECENT_WEIGHT 4
 #define BASE_WEIGHT 16
 
+static void restarted (limit_t *limit, clock_ms_t now);
 static void turn_cold (limit_t *limit);
 static void cut (limit_t *limit);
 static void suspend (limit_t *limit, clock_ms_t now, clock_ms_t at_least_ms);
 static void failed (limit_t *limit, clock_ms_t now);
-static void good (limit_t *limit);
+static void good (limit_t *limit, clock_ms_t now);
 static bool is_slow (int64_t latency_16, int64_t median_16);
 static void average (int64_t *average_16, int64_t latency_16, int weight);
 static void sample (limit_t *limit, clock_ms_t now, int64_t latency_16);
@@ -57,6 +61,7 @@
     .slots = slots, .cold = true, .used_at = now, .limit = slots > 0 ? 1 : 0
   };
   limit->probed_at = now - PROBE_INTERVAL_MS;
+  limit->step_from = now + RAMP_STEP_MS;
 }
 
 void
@@ -78,10 +83,18 @@
   limit->good = 0;
 }
 
-void
-limit_set_cold (limit_t *limit)
+/* The server may have lost its caches: the ramp takes some time.  */
+static void
+restarted (limit_t *limit, clock_ms_t now)
 {
   turn_cold (limit);
+  limit->step_from = now + RAMP_STEP_MS;
+}
+
+void
+limit_set_cold (limit_t *limit, clock_ms_t now)
+{
+  restarted (limit, now);
 }
 
 uint32_t
@@ -96,7 +109,7 @@
 limit_used (limit_t *limit, clock_ms_t now, uint32_t in_flight)
 {
   if (in_flight == 0 && now - limit->used_at >= IDLE_COLD_MS)
-    turn_cold (limit);
+    restarted (limit, now);
   limit->used_at = now;
 }
 
@@ -123,7 +136,7 @@
   wait = limit->backoff_ms;
   if (wait < at_least_ms)
     wait = at_least_ms < BACKOFF_MAX_MS ? at_least_ms : BACKOFF_MAX_MS;
-  turn_cold (limit);
+  restarted (limit, now);
   limit->suspended = true;
   limit->probe_from = now + wait;
 }
@@ -137,17 +150,20 @@
 }
 
 static void
-good (limit_t *limit)
+good (limit_t *limit, clock_ms_t now)
 {
   uint32_t needed = limit->cold ? RAMP_GOOD : RAISE_GOOD;
 
-  if (limit->cold && limit->reported_cold)
-    needed *= COLD_REPORT_FACTOR;
   limit->failures = 0;
   limit->good++;
   if (limit->good < needed)
     return;
+  if (limit->cold && now < limit->step_from)
+    return;
+  if (limit->reported_cold && now - limit->cold_since < COLD_REPORT_MS)
+    return;
   limit->good = 0;
+  limit->step_from = now + RAMP_STEP_MS;
   limit->backoff_ms = 0;
   if (limit->limit < ceiling (limit))
     limit->limit++;
@@ -193,7 +209,10 @@
   if (load->identity != 0)
     limit->identity = load->identity;
   if (replaced || (load->cold && !limit->reported_cold))
-    turn_cold (limit);
+    {
+      restarted (limit, now);
+      limit->cold_since = now;
+    }
   limit->reported_cold = load->cold;
   limit->reported_slots = load->slots;
   if (limit->limit > ceiling (limit))
@@ -238,7 +257,7 @@
       return;
     case DECIDE_ATTEMPT_RESET:
     case DECIDE_ATTEMPT_BROKEN:
-      turn_cold (limit);
+      restarted (limit, now);
       failed (limit, now);
       return;
     case DECIDE_ATTEMPT_TIMEOUT:
@@ -256,7 +275,7 @@
   if (is_slow (limit->latency_16, median_16))
     turn_cold (limit);
   else
-    good (limit);
+    good (limit, now);
 }
 
 bool
@@ -310,7 +329,7 @@
   limit->draining = false;
   limit->suspended = false;
   limit->failures = 0;
-  turn_cold (limit);
+  restarted (limit, now);
 }
 
 int64_t
--- a/lib/decide/limit.h
+++ b/lib/decide/limit.h
@@ -18,6 +18,8 @@
   bool draining;
   bool suspended; /* ended by a successful probe only */
   bool probing;
+  clock_ms_t cold_since; /* start of the report that it is cold */
+  clock_ms_t step_from;  /* earliest time of the next rise while cold */
   clock_ms_t used_at;    /* last grant or answer */
   clock_ms_t drained_at; /* last sign of draining */
   clock_ms_t probe_from; /* earliest time of the next probe */
@@ -35,7 +37,7 @@
 /* Starts cold.  */
 void limit_init (limit_t *limit, uint32_t slots, clock_ms_t now);
 void limit_set_slots (limit_t *limit, uint32_t slots);
-void limit_set_cold (limit_t *limit);
+void limit_set_cold (limit_t *limit, clock_ms_t now);
 
 /**
  * limit_current() - slots that may be in use now
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -23,11 +23,12 @@
   bool touched;   /* in the list of touched pools */
 } node_pool_t;
 
-/* What owners last said of a pool.  */
+/* What an owner's last heartbeat said of a pool.  */
 typedef struct node_load
 {
   uint16_t free;
   uint16_t queued;
+  clock_ms_t seen;
 } node_load_t;
 
 typedef struct node_peer
--- a/lib/decide/node_config.c
+++ b/lib/decide/node_config.c
@@ -34,6 +34,7 @@
     }
   load->free = free;
   load->queued = queued;
+  load->seen = node->now;
 }
 
 void
--- a/lib/decide/node_messages.c
+++ b/lib/decide/node_messages.c
@@ -82,15 +82,12 @@
   switch (msg->type)
     {
     case DECIDE_MSG_GRANT:
-      node_note_loads (node, grant->pool, grant->free, grant->queued);
       router_granted (node->router, node->now, from, grant);
       break;
     case DECIDE_MSG_QUEUED:
-      node_note_loads (node, grant->pool, grant->free, grant->queued);
       router_queued (node->router, node->now, from, grant);
       break;
     case DECIDE_MSG_REFUSED:
-      node_note_loads (node, grant->pool, grant->free, grant->queued);
       router_refused (node->router, node->now, from, grant);
       break;
     default:
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -44,6 +44,7 @@
       candidate->out = catalog_centre_is_out (node->catalog, pool->centre);
       candidate->free = load == NULL ? 0 : load->free;
       candidate->queued = load == NULL ? 0 : load->queued;
+      candidate->seen = load == NULL ? 0 : load->seen;
       count++;
     }
   return count;
--- a/lib/decide/pool.c
+++ b/lib/decide/pool.c
@@ -105,7 +105,7 @@
         {
           merged[count] = *known;
           if (!known->configured)
-            limit_set_cold (&merged[count].limit);
+            limit_set_cold (&merged[count].limit, now);
           limit_set_slots (&merged[count].limit, endpoint->slots);
         }
       merged[count].configured = true;
@@ -192,7 +192,7 @@
 pool_start_cold (pool_t *pool, clock_ms_t now)
 {
   for (uint32_t i = 0; i < pool->member_count; i++)
-    limit_set_cold (&pool->members[i].limit);
+    limit_set_cold (&pool->members[i].limit, now);
   pool_recall_surplus (pool, now);
 }
 
--- a/test/run/topology.py
+++ b/test/run/topology.py
@@ -66,14 +66,15 @@
     return {
         "instance": instance.name,
         "data_centre": instance.data_centre,
-        "addresses": {"callers": f"127.0.0.1:{instance.callers}",
-                      "peers": f"127.0.0.1:{instance.peers}",
-                      "operators": f"127.0.0.1:{instance.operators}"},
-        "peers": [{"instance": peer.name, "data_centre": peer.data_centre,
-                   "address": "127.0.0.1:"
-                   f"{topology.peer_port(instance, peer)}"}
-                  for peer in topology.instances if peer is not instance],
-        "store": f"http://127.0.0.1:{topology.platform.port}"}
+        "listen": {"callers": f"127.0.0.1:{instance.callers}",
+                   "peers": f"127.0.0.1:{instance.peers}",
+                   "admin": f"127.0.0.1:{instance.operators}"},
+        "instances": [{"name": peer.name, "data_centre": peer.data_centre,
+                       "callers": f"127.0.0.1:{peer.callers}",
+                       "peers": "127.0.0.1:"
+                       f"{topology.peer_port(instance, peer)}"}
+                      for peer in topology.instances],
+        "store": {"url": f"http://127.0.0.1:{topology.platform.port}"}}
 
 
 class Instance:
@@ -178,7 +179,8 @@
         for port in (instance.callers, instance.peers, instance.operators):
             if port in self.ports.held:
                 self.ports.release(port)
-        instance.process = self.run.start(instance.name, PROGRAM, path)
+        instance.process = self.run.start(instance.name, PROGRAM, "-c",
+                                           path)
         request(self.platform.port, "PUT", "/instances/" + instance.name,
                 {"data_centre": instance.data_centre, "state": "live"})
 
--- a/test/unit/slots_owner.c
+++ b/test/unit/slots_owner.c
@@ -30,51 +30,79 @@
   return (decide_attempt_end_t){ .result = result };
 }
 
+/* Good answers in the second that ends now.  */
 static void
 warm (limit_t *limit, clock_ms_t now)
 {
   decide_attempt_end_t end = answer (5);
 
-  for (int i = 0; i < 200; i++)
-    limit_ended (limit, now, &end, 80);
+  for (int i = 200; i >= 0; i--)
+    limit_ended (limit, now - 5 * i, &end, 80);
 }
 
-/* A cold server gets one request, and more only after good answers.  */
+/* A cold server gets one request, and more only after good answers and some
+   time: fast answers alone do not show that it has warmed up.  */
 static void
 test_ramp (void)
 {
   decide_attempt_end_t end = answer (5);
   limit_t limit;
   uint32_t before;
-  int answers = 0;
+  clock_ms_t now = 0;
 
   limit_init (&limit, 3, 0);
   g_assert_cmpuint (limit_current (&limit), ==, 1);
-  while (limit_current (&limit) < 3)
+  for (; limit_current (&limit) < 3; now++)
     {
       before = limit_current (&limit);
-      limit_ended (&limit, 0, &end, 80);
+      limit_ended (&limit, now, &end, 80);
       g_assert_cmpuint (limit_current (&limit), <=, before + 1);
-      answers++;
     }
-  g_assert_cmpint (answers, ==, 16);
-  warm (&limit, 0);
+  g_assert_cmpint (now, >=, 500);
+  g_assert_cmpint (now, <=, 550);
+
+  limit_init (&limit, 3, 0);
+  for (int i = 0; i < 15; i++)
+    limit_ended (&limit, 300 * (i + 1), &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 2);
+  limit_ended (&limit, 4800, &end, 80);
   g_assert_cmpuint (limit_current (&limit), ==, 3);
-  limit_used (&limit, 9999, 0);
+
+  limit_used (&limit, 14799, 0);
   g_assert_cmpuint (limit_current (&limit), ==, 3);
   /* A long run is not idleness.  */
   limit_used (&limit, 30000, 1);
   g_assert_cmpuint (limit_current (&limit), ==, 3);
   limit_used (&limit, 60000, 0);
   g_assert_cmpuint (limit_current (&limit), ==, 1);
-  warm (&limit, 60000);
+  warm (&limit, 62000);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
   end.load.identity = 6;
-  limit_ended (&limit, 60000, &end, 80);
+  limit_ended (&limit, 62000, &end, 80);
   g_assert_cmpuint (limit_current (&limit), ==, 1);
+}
+
+/* A server that calls itself cold is not sent a second request, but a report
+   that never ends does not hold it back for good.  */
+static void
+test_reported_cold (void)
+{
+  decide_attempt_end_t end = answer (5);
+  limit_t limit;
+  clock_ms_t now = 0;
+
+  limit_init (&limit, 3, 0);
+  warm (&limit, 1000);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
   end.load.cold = true;
-  for (int i = 0; i < 31; i++)
-    limit_ended (&limit, 60000, &end, 80);
-  g_assert_cmpuint (limit_current (&limit), ==, 1);
+  for (now = 1000; now < 61000; now += 5)
+    {
+      limit_ended (&limit, now, &end, 80);
+      g_assert_cmpuint (limit_current (&limit), ==, 1);
+    }
+  for (; now < 63000; now += 5)
+    limit_ended (&limit, now, &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
 }
 
 /* Shedding, refusing and failing servers get less, then only probes.  */
@@ -494,6 +522,7 @@
   g_test_init (&argc, &argv, NULL);
   sent = g_array_new (FALSE, FALSE, sizeof (sent_t));
   g_test_add_func ("/limit/ramp", test_ramp);
+  g_test_add_func ("/limit/reported-cold", test_reported_cold);
   g_test_add_func ("/limit/failing", test_failing);
   g_test_add_func ("/limit/drain", test_drain);
   g_test_add_func ("/pool/order", test_order);
