Close a kept connection on which bytes followed an answer

Cause: a new test sends a second answer after the first on a kept connection. libcurl 7.88 took it as the answer to the next request: a caller would have got the answer to another request, and the store's client a wrong list. Bytes that arrive together with the answer and those that arrive later are both tested.

A kept connection is now used only when it is open and nothing can be read from it (recv() with MSG_PEEK); the backend library then takes another one, the store's client opens a new one. A connection that the backend server closed while it was idle is found in the same way. What remains: bytes that arrive in the microseconds between this check and sending; HTTP/1.1 can't tell them from an answer. Ruled out: closing every connection after its answer (1 ms each).

--- a/lib/backend/attempt.c
+++ b/lib/backend/attempt.c
@@ -210,6 +210,10 @@
   while ((msg = curl_multi_info_read (conn->multi, &left)) != NULL)
     if (msg->msg == CURLMSG_DONE)
       code = msg->data.result;
+  /* Known only until the handle is removed.  */
+  if (curl_easy_getinfo (conn->easy, CURLINFO_ACTIVESOCKET, &conn->fd)
+      != CURLE_OK)
+    conn->fd = CURL_SOCKET_BAD;
   curl_multi_remove_handle (conn->multi, conn->easy);
   return code;
 }
@@ -265,7 +269,7 @@
   if (attempt->stop == STOP_TIMEOUT && !result->first_byte)
     backend_pool_drop_silent (attempt->pool, address, attempt->sent_us);
   if (code != CURLE_OK || attempt->stop != STOP_NONE || attempt->closes
-      || !attempt->head_complete)
+      || !attempt->head_complete || attempt->conn->fd == CURL_SOCKET_BAD)
     return;
   /* The options refer to the attempt, which ends before the connection.  */
   curl_easy_reset (attempt->conn->easy);
--- a/lib/backend/pool.c
+++ b/lib/backend/pool.c
@@ -1,9 +1,11 @@
 #include "pool.h"
 
+#include <errno.h>
 #include <pthread.h>
 #include <search.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 
 #define IDLE_MAX 32
@@ -244,8 +246,19 @@
   free_list (victims);
 }
 
-conn_t *
-backend_pool_take (backend_pool_t *pool, const char *address, int64_t since_us)
+/* Return: whether the connection is open and nothing has arrived on it.
+   libcurl would take bytes that followed an answer as the next answer.  */
+static bool
+is_quiet (const conn_t *conn)
+{
+  char byte;
+
+  return recv (conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno == EAGAIN;
+}
+
+static conn_t *
+take (backend_pool_t *pool, const char *address, int64_t since_us)
 {
   int64_t now_us = backend_now_us ();
   endpoint_t *endpoint;
@@ -272,6 +285,16 @@
   return conn;
 }
 
+conn_t *
+backend_pool_take (backend_pool_t *pool, const char *address, int64_t since_us)
+{
+  conn_t *conn;
+
+  while ((conn = take (pool, address, since_us)) != NULL && !is_quiet (conn))
+    backend_conn_free (conn);
+  return conn;
+}
+
 void
 backend_pool_put (backend_pool_t *pool, const char *address, conn_t *conn)
 {
--- a/lib/backend/pool.h
+++ b/lib/backend/pool.h
@@ -14,6 +14,7 @@
 {
   CURLM *multi;
   CURL *easy;
+  curl_socket_t fd;    /* libcurl's, while the connection is open */
   int64_t answered_us; /* end of its last complete answer */
   struct conn *next;
 } conn_t;
@@ -38,6 +39,10 @@
 
 /**
  * backend_pool_take() - take the idle connection that answered last
+ *
+ * A connection that the backend server has closed, or on which it has sent
+ * more than its answers, is closed instead.
+ *
  * @since_us: the connection's last answer must have ended at or after it
  *
  * Return: the connection, owned by the caller, or NULL.
--- a/lib/store/http.c
+++ b/lib/store/http.c
@@ -170,16 +170,32 @@
                  address->protocol);
 }
 
+/* Return: whether the kept connection, if any, may be used.  libcurl would
+   take bytes that followed an answer as the next answer.  */
+static bool
+is_quiet (store_t *store)
+{
+  curl_socket_t fd = CURL_SOCKET_BAD;
+  char byte;
+
+  if (curl_easy_getinfo (store->easy, CURLINFO_ACTIVESOCKET, &fd) != CURLE_OK
+      || fd == CURL_SOCKET_BAD)
+    return true;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 static int
 set_options (transfer_t *transfer)
 {
   CURL *easy = transfer->store->easy;
   const call_t *call = transfer->call;
+  bool quiet = is_quiet (transfer->store);
   char url[DECIDE_ADDRESS_MAX + 16];
 
   snprintf (url, sizeof url, "http://%s/", transfer->store->address);
   /* The connection is kept.  */
   curl_easy_reset (easy);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, quiet ? 0L : 1L);
   if (curl_easy_setopt (easy, CURLOPT_URL, url) != CURLE_OK
       || curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, call->target)
              != CURLE_OK
--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -151,6 +151,49 @@
   g_string_free (answer.body, TRUE);
 }
 
+/* Guards against bytes that follow an answer, at once or later, being taken as
+   the answer to the next request on the connection.  */
+static void
+test_extra (void)
+{
+  static const char *const paths[] = { "/extra", "/extra-later" };
+  backend_result_t result;
+  uint64_t one = 1;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      char *body = run ("GET", paths[i], &result);
+
+      g_assert_cmpstr (body, ==, "ok");
+      g_free (body);
+      if (i == 1)
+        {
+          (void)!write (release_fd, &one, sizeof one);
+          (void)!read (written_fd, &one, sizeof one);
+        }
+      for (int k = 0; k < 2; k++)
+        {
+          body = run (k == 0 ? "POST" : "GET", "/next", &result);
+          g_assert_cmpint (result.end.result, ==, DECIDE_ATTEMPT_ANSWERED);
+          g_assert_cmpstr (body, ==, "ok");
+          g_free (body);
+        }
+    }
+}
+
+/* Guards against an interim answer taken as the answer or as a shed.  */
+static void
+test_interim (void)
+{
+  backend_result_t result;
+  char *body = run ("POST", "/interim", &result);
+
+  g_assert_cmpint (result.end.result, ==, DECIDE_ATTEMPT_ANSWERED);
+  g_assert_cmpuint (result.end.status, ==, 200);
+  g_assert_cmpstr (body, ==, "ok");
+  g_free (body);
+}
+
 /* Guards against a wrong load report, from a header or a probe, and a failed
    probe taken as a good one.  */
 static void
@@ -223,6 +266,8 @@
   g_test_add_data_func ("/backend/get-repeat", test_get_repeat, with_server);
   g_test_add_data_func ("/backend/shed", test_shed, with_server);
   g_test_add_data_func ("/backend/range", test_range, with_server);
+  g_test_add_data_func ("/backend/extra", test_extra, with_server);
+  g_test_add_data_func ("/backend/interim", test_interim, with_server);
   g_test_add_data_func ("/backend/load", test_load, with_server);
   g_test_add_data_func ("/backend/threads", test_threads, with_server);
   return g_test_run ();
--- a/test/unit/backend_fixture.c
+++ b/test/unit/backend_fixture.c
@@ -10,9 +10,13 @@
   "{\"in_flight\":2,\"queued\":1,\"slots\":3,\"cold\":true,\"draining\":0,"   \
   "\"identity\":\"fe\"}"
 
+#define ANSWER_OK "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+#define ANSWER_OTHER "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+
 httpserver_t *server;
 backend_pool_t *pool;
 int release_fd;
+int written_fd;
 
 static bool
 handle (void *context, const httpserver_request_t *request)
@@ -43,6 +47,26 @@
     return false;
   else if (strcmp (path, "/silent") == 0)
     httpserver_drain (fd);
+  else if (strcmp (path, "/extra") == 0)
+    {
+      httpserver_write (fd, ANSWER_OK ANSWER_OTHER);
+      return true;
+    }
+  else if (strcmp (path, "/extra-later") == 0)
+    {
+      httpserver_write (fd, ANSWER_OK);
+      /* Until the test has taken the answer.  */
+      (void)!read (release_fd, &one, sizeof one);
+      httpserver_write (fd, ANSWER_OTHER);
+      (void)!write (written_fd, &one, sizeof one);
+      return true;
+    }
+  else if (strcmp (path, "/interim") == 0)
+    {
+      httpserver_write (fd, "HTTP/1.1 103 Hints\r\nRequest-Ran: no\r\n"
+                            "X-Hint: 1\r\n\r\n" ANSWER_OK);
+      return true;
+    }
   else if (strcmp (path, "/slow-body") == 0)
     {
       httpserver_write (fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
@@ -177,12 +201,14 @@
   backend_options_t options = { .idle_max = 2, .header_max = 800 };
 
   release_fd = eventfd (0, EFD_SEMAPHORE);
+  written_fd = eventfd (0, 0);
   server = httpserver_start (handle, NULL);
   pool = backend_pool_new (&options);
   ((void (*) (void))test) ();
   backend_pool_free (pool);
   httpserver_stop (server);
   close (release_fd);
+  close (written_fd);
 }
 
 static void *
--- a/test/unit/backend_fixture.h
+++ b/test/unit/backend_fixture.h
@@ -14,6 +14,7 @@
 extern httpserver_t *server;
 extern backend_pool_t *pool;
 extern int release_fd; /* a number written lets as many /held answer */
+extern int written_fd; /* readable after the second answer of /extra-later */
 
 typedef struct answer
 {
