Block SIGPIPE in peer senders; accept only IP numbers as addresses

Cause: libtirpc writes with write().

A host name in an endpoint's address would have been looked up, for seconds in bad cases; the backend library now refuses it, and the peer library refuses an empty port, which it took as a free choice of a port.

--- a/lib/backend/headers.c
+++ b/lib/backend/headers.c
@@ -56,6 +56,18 @@
   return true;
 }
 
+/* Return: whether the text looks like IP:PORT.  A name would be looked up,
+   which can take seconds.  */
+static bool
+is_address (const char *text)
+{
+  const char *characters
+      = text[0] == '[' ? "0123456789abcdefABCDEF:.[]" : "0123456789.:";
+
+  return text[0] != '\0' && strspn (text, characters) == strlen (text)
+         && strchr (text, ':') != NULL;
+}
+
 static bool
 is_left_out (const backend_request_t *request, const char *name)
 {
@@ -75,8 +87,7 @@
   const char *values[] = { request->idempotency_key, request->traceparent,
                            request->range, request->if_range };
 
-  if (request->address == NULL || request->address[0] == '\0'
-      || strpbrk (request->address, "/?#@ \r\n\t") != NULL)
+  if (!is_address (request->address))
     return false;
   if (!is_token (request->method) || !is_target (request->path))
     return false;
--- a/lib/peer/address.c
+++ b/lib/peer/address.c
@@ -25,7 +25,7 @@
   const char *colon = strrchr (text, ':');
   size_t length;
 
-  if (colon == NULL || colon == text)
+  if (colon == NULL || colon == text || colon[1] == '\0')
     return -EINVAL;
   length = (size_t)(colon - text);
   if (text[0] == '[' && colon[-1] == ']')
--- a/lib/peer/sender.c
+++ b/lib/peer/sender.c
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
@@ -270,7 +271,13 @@
 run (void *arg)
 {
   peer_sender_t *sender = arg;
+  sigset_t pipe;
 
+  /* libtirpc writes with write(), which raises SIGPIPE when the peer has
+     closed the connection.  */
+  sigemptyset (&pipe);
+  sigaddset (&pipe, SIGPIPE);
+  pthread_sigmask (SIG_BLOCK, &pipe, NULL);
   while (!atomic_load (&sender->stopping))
     {
       sender->held = take (sender, -1);
--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -54,6 +54,10 @@
   request.header_count = 0;
   request.path = "/a b";
   g_assert_cmpint (backend_attempt (pool, &request, &result), ==, -EINVAL);
+  request.path = "/";
+  request.address = "localhost:80";
+  g_assert_cmpint (backend_attempt (pool, &request, &result), ==, -EINVAL);
+  g_assert_false (result.sent);
   g_string_free (answer.body, TRUE);
 }
 
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -341,6 +341,39 @@
   peer_server_stop (server);
 }
 
+/* Guards against an address that is taken for another one, or looked up as a
+   name, and against a port that is in use going unnoticed.  */
+static void
+test_address (void)
+{
+  static const char *const bad[]
+      = { "",           "127.0.0.1",   ":1",
+          "127.0.0.1:", "127.0.0.1:x", "localhost:1",
+          "[::1:1",     "::1]:1" };
+  peer_server_options_t options = { .address = "[::1]:0" };
+  peer_sender_options_t to = { .self = 1 };
+  peer_server_t *server = NULL;
+  peer_sender_t *sender = NULL;
+  peer_address_t address;
+  uint16_t port;
+  int fd = listen_on (&port);
+  char text[32];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      options.address = bad[i];
+      to.address = bad[i];
+      g_assert_cmpint (peer_server_start (&server, &options), ==, -EINVAL);
+      g_assert_cmpint (peer_sender_start (&sender, &to), ==, -EINVAL);
+    }
+  g_assert_cmpint (peer_address_parse ("[::1]:7", &address), ==, 0);
+  g_assert_cmpint (address.address.ss_family, ==, AF_INET6);
+  g_snprintf (text, sizeof text, "127.0.0.1:%u", port);
+  options.address = text;
+  g_assert_cmpint (peer_server_start (&server, &options), ==, -EADDRINUSE);
+  close (fd);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -351,5 +384,6 @@
   g_test_add_func ("/peer/bad-put", test_bad_put);
   g_test_add_func ("/peer/corrupted", test_corrupted);
   g_test_add_func ("/peer/endless", test_endless);
+  g_test_add_func ("/peer/address", test_address);
   return g_test_run ();
 }
--- a/test/unit/peer_link.c
+++ b/test/unit/peer_link.c
@@ -124,6 +124,34 @@
   g_free (body);
 }
 
+/* Guards against SIGPIPE, which ends the process, when a peer ends its side
+   and closes the connection while a batch is being written.  */
+static void
+test_closed_while_sending (void)
+{
+  char *body = g_strnfill (1024 * 1024, 'x');
+  decide_msg_t large = { .type = DECIDE_MSG_OBJECT_PUSH,
+                         .u.object = { .name = "shared/a", .body = body } };
+  int size = 4096;
+  uint16_t port;
+  int fd = listen_on (&port);
+  peer_sender_t *sender;
+  int peer;
+  char byte;
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  sender = start_sender (port, 0, 2000);
+  g_assert_cmpint (peer_sender_put (sender, &large), ==, 0);
+  peer = accept (fd, NULL, NULL);
+  g_assert_cmpint (recv (peer, &byte, 1, 0), ==, 1);
+  shutdown (peer, SHUT_WR);
+  close (peer);
+  WAIT_FOR_STAT (sender, dropped_unknown, 1);
+  peer_sender_stop (sender);
+  close (fd);
+  g_free (body);
+}
+
 /* Guards against messages that are sent late, when they no longer hold.  */
 static void
 test_old (void)
@@ -280,6 +308,8 @@
   g_test_add_data_func ("/peer/partial", test_partial, with_server);
   g_test_add_data_func ("/peer/restart", test_restart, with_server);
   g_test_add_data_func ("/peer/silent", test_silent, with_server);
+  g_test_add_data_func ("/peer/closed-while-sending",
+                        test_closed_while_sending, with_server);
   g_test_add_data_func ("/peer/old", test_old, with_server);
   g_test_add_data_func ("/peer/full", test_full, with_server);
   g_test_add_data_func ("/peer/idle", test_idle, with_server);
