Wait in scripted runs until all slices are served

Cause: run-smoke failed: less than 90% of answers were whole, because its load began before the instance had claimed its slices.

--- a/peridotrouter/answer.c
+++ b/peridotrouter/answer.c
@@ -66,7 +66,13 @@
   g_autoptr (GString) text = g_string_new (NULL);
 
   note_head (answer, head);
-  answer->chunked = head->content_length < 0;
+  if (head->status == 204 || head->status == 304)
+    {
+      /* These have no body, whatever their headers say.  */
+      answer->is_head = true;
+      answer->length = 0;
+    }
+  answer->chunked = head->content_length < 0 && !answer->is_head;
   answer->head_sent = true;
   append_status (text, answer, head->status);
   for (size_t i = 0; i < head->header_count; i++)
@@ -74,7 +80,7 @@
                             head->headers[i].value);
   if (answer->chunked)
     g_string_append (text, "Transfer-Encoding: chunked\r\n");
-  else
+  else if (head->content_length >= 0 && head->status != 204)
     g_string_append_printf (text, "Content-Length: %" PRId64 "\r\n",
                             head->content_length);
   g_string_append (text, "\r\n");
--- a/peridotrouter/main.c
+++ b/peridotrouter/main.c
@@ -1,9 +1,11 @@
 #include <err.h>
+#include <errno.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <urcu.h>
 
 #include "attempt.h"
@@ -18,6 +20,7 @@
 #define STOP_MAX_MS 15000
 #define STOP_CHECK_US 20000
 
+static void raise_descriptor_limit (void);
 static int run (const conf_settings_t *settings);
 static void usage (poptContext options);
 static void wait_until_stopped (engine_t *engine, const serve_t *serve);
@@ -60,6 +63,20 @@
   exit (2);
 }
 
+/* Each caller's connection and each idle connection to an endpoint needs
+   descriptors; the usual soft limit of 1,024 is too small.  */
+static void
+raise_descriptor_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    g_warning ("cannot raise the limit of open files: %s", strerror (errno));
+}
+
 static int
 run (const conf_settings_t *settings)
 {
@@ -86,6 +103,7 @@
       warnx ("cannot start the log: %s", strerror (-error));
       return error;
     }
+  raise_descriptor_limit ();
   error = engine_start (&engine, settings);
   if (error == 0)
     error = attempts_new (&attempts, engine);
--- a/test/run/topology.py
+++ b/test/run/topology.py
@@ -185,10 +185,29 @@
                 {"data_centre": instance.data_centre, "state": "live"})
 
     def start_instances(self):
-        """Starts all; returns when each of them lists all addresses."""
+        """Starts all; returns when each of them lists all addresses and
+        every slice has an owner that may grant."""
         for instance in self.instances:
             self.start_instance(instance)
         wait_for("all instances list one another", self.all_listed, READY_S)
+        wait_for("all slices are served", self.all_served, READY_S)
+
+    def gauge(self, instance, name):
+        """Value of a gauge in the instance's metrics."""
+        text = request(instance.operators, "GET", "/metrics").body.decode()
+        for line in text.splitlines():
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        raise RunError(f"{instance.name} has no metric {name}")
+
+    def all_served(self):
+        """Whether all slices of the data centres, and those of keys, are
+        served."""
+        slices = 16 * (1 + len(self.deployment.data_centres))
+        return slices == sum(
+            self.gauge(instance, "peridot_slices_serving")
+            for instance in self.instances
+            if instance.process.child.poll() is None)
 
     def addresses(self, instance):
         """Addresses that an instance gives to callers."""
