Record events and decisions, and replay recordings

Cause: a decision that was wrong in a real run must be looked at again afterwards, and the library must give the same decisions for the same events.

--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -116,6 +116,17 @@
  */
 decide_msg_t *peer_msg_copy (const decide_msg_t *msg);
 
+/**
+ * peer_msg_pack() - XDR form of a message, for recordings
+ * @length: bytes of the result
+ * Return: bytes to be freed with free(), or NULL when out of memory or when
+ * the message is not valid.
+ */
+uint8_t *peer_msg_pack (const decide_msg_t *msg, size_t *length);
+
+/* Return: 0, -EPROTO for bytes that are not a message, or -ENOMEM.  */
+int peer_msg_unpack (const uint8_t *bytes, size_t length, decide_msg_t **msg);
+
 /* Frees a message of peer_msg_copy() or of a delivery; NULL is allowed.  */
 void peer_msg_free (decide_msg_t *msg);
 
--- a/peridotrouter/control.c
+++ b/peridotrouter/control.c
@@ -101,13 +101,6 @@
   return read_error (error);
 }
 
-static void
-read_store (void *context, decide_t *node, clock_ms_t now)
-{
-  (void)context;
-  decide_read_store (node, now);
-}
-
 /* Carries out a put, or a delete when there is no body.  */
 static int
 change_object (control_t *control, const char *name, const char *body,
@@ -134,7 +127,7 @@
   /* Brings the change to this instance, and from here to the others, before
      the next periodic read.  */
   if (result == STORE_OK)
-    engine_call (control->engine, read_store, NULL);
+    engine_read_store (control->engine);
   return store_error (result);
 }
 
--- a/peridotrouter/engine.c
+++ b/peridotrouter/engine.c
@@ -12,6 +12,7 @@
 #include "links.h"
 #include "mailbox.h"
 #include "probes.h"
+#include "record.h"
 #include "storage.h"
 
 #define RING 65536
@@ -31,6 +32,7 @@
   EVENT_PUT_DONE,
   EVENT_PROBED,
   EVENT_CALL,
+  EVENT_READ_STORE,
   EVENT_STOP,
   EVENT_END
 } event_type_t;
@@ -95,6 +97,7 @@
 {
   conf_settings_t settings;
   decide_t *node;
+  record_t *record; /* NULL: no recording */
   mailbox_t *events;
   pthread_t thread;
   bool started;
@@ -282,6 +285,12 @@
   return 0;
 }
 
+void
+engine_read_store (engine_t *engine)
+{
+  post_wait (engine, event_new (EVENT_READ_STORE));
+}
+
 void
 engine_stop (engine_t *engine)
 {
@@ -320,6 +329,7 @@
 {
   engine_t *engine = context;
 
+  record_send (engine->record, instance, msg);
   links_send (engine->links, instance, msg);
 }
 
@@ -331,6 +341,7 @@
   forward_t *forward = calloc (1, sizeof *forward);
   attempt_t *attempt = g_new (attempt_t, 1);
 
+  record_forward (engine->record, decided);
   if (forward == NULL || request == NULL)
     g_error ("attempt for an unknown request, or out of memory");
   forward->attempt = decided->attempt;
@@ -357,6 +368,7 @@
   request_t *request
       = attempt == NULL ? NULL : find_request (engine, attempt->request);
 
+  record_cancel (engine->record, id);
   if (request != NULL)
     atomic_store (&request->cancelled, id);
 }
@@ -367,6 +379,7 @@
   engine_t *engine = context;
   request_t *request = find_request (engine, refusal->request);
 
+  record_refuse (engine->record, refusal);
   if (request == NULL)
     return;
   request->refusal = *refusal;
@@ -381,6 +394,7 @@
   engine_t *engine = context;
   request_t *request = find_request (engine, id);
 
+  record_replay (engine->record, id, answer);
   if (request == NULL)
     return;
   request->replay = *answer;
@@ -394,6 +408,7 @@
 {
   engine_t *engine = context;
 
+  record_sync (engine->record, since);
   storage_sync (engine->storage, since);
 }
 
@@ -403,6 +418,7 @@
 {
   engine_t *engine = context;
 
+  record_put (engine->record, operation, expected, record);
   storage_put_record (engine->storage, operation, expected, record);
 }
 
@@ -412,6 +428,7 @@
 {
   engine_t *engine = context;
 
+  record_probe (engine->record, endpoint);
   probes_start_probe (engine->probes, endpoint, target->address);
 }
 
@@ -458,6 +475,7 @@
   out.keyed = request->keyed;
   out.key = request->key;
   out.deadline = request->deadline;
+  record_request (engine->record, now, &out);
   decide_request (engine->node, now, &out);
 }
 
@@ -465,14 +483,16 @@
 handle_attempt (engine_t *engine, event_t *event)
 {
   request_t *request = event->u.attempt.request;
-  bool answered;
-
-  telemetry_count (TELEMETRY_ATTEMPTS, event->u.attempt.end.result);
-  g_hash_table_remove (engine->attempts, &event->u.attempt.attempt);
-  answered = decide_attempt_done (
-      engine->node, clock_now_ms (), request->id, event->u.attempt.attempt,
-      &event->u.attempt.end, event->u.attempt.answer);
-  if (answered)
+  uint64_t attempt = event->u.attempt.attempt;
+  const decide_attempt_end_t *end = &event->u.attempt.end;
+  clock_ms_t now = clock_now_ms ();
+
+  telemetry_count (TELEMETRY_ATTEMPTS, end->result);
+  g_hash_table_remove (engine->attempts, &attempt);
+  record_attempt (engine->record, now, request->id, attempt, end,
+                  event->u.attempt.answer);
+  if (decide_attempt_done (engine->node, now, request->id, attempt, end,
+                           event->u.attempt.answer))
     end_request (engine, request->id);
   g_free (event->u.attempt.answer);
   request_unref (request);
@@ -492,9 +512,12 @@
 handle_object (engine_t *engine, const event_t *event)
 {
   conf_object_t *object = event->u.object.object;
-  int error = decide_object (engine->node, clock_now_ms (),
-                             event->u.object.previous, &object->object);
+  uint64_t previous = event->u.object.previous;
+  clock_ms_t now = clock_now_ms ();
+  int error;
 
+  record_object (engine->record, now, previous, &object->object);
+  error = decide_object (engine->node, now, previous, &object->object);
   if (error != 0 && error != -ESTALE)
     {
       telemetry_count (TELEMETRY_OBJECTS_REJECTED, 0);
@@ -516,6 +539,7 @@
     case EVENT_GONE:
       if (find_request (engine, event->u.request->id) != NULL)
         {
+          record_gone (engine->record, now, event->u.request->id);
           decide_request_gone (engine->node, now, event->u.request->id);
           end_request (engine, event->u.request->id);
         }
@@ -526,6 +550,8 @@
       break;
     case EVENT_MESSAGE:
       telemetry_count (TELEMETRY_PEER_RECEIVED, event->u.message.msg->type);
+      record_message (engine->record, now, event->u.message.from,
+                      event->u.message.msg);
       decide_message (engine->node, now, event->u.message.from,
                       event->u.message.msg);
       peer_msg_free (event->u.message.msg);
@@ -534,15 +560,22 @@
       handle_object (engine, event);
       break;
     case EVENT_SYNCED:
+      record_synced (engine->record, now, event->u.synced.sent,
+                     event->u.synced.ok, event->u.synced.revision);
       decide_store_synced (engine->node, now, event->u.synced.sent,
                            event->u.synced.ok, event->u.synced.revision);
       break;
     case EVENT_PUT_DONE:
+      record_put_done (engine->record, now, event->u.put.operation,
+                       event->u.put.result, event->u.put.version);
       decide_store_put_done (engine->node, now, event->u.put.operation,
                              event->u.put.result, event->u.put.version);
       break;
     case EVENT_PROBED:
       telemetry_count (TELEMETRY_PROBES, event->u.probe.ok ? 0 : 1);
+      record_probed (engine->record, now, event->u.probe.endpoint,
+                     event->u.probe.ok, event->u.probe.latency_ms,
+                     &event->u.probe.load);
       decide_probed (engine->node, now, event->u.probe.endpoint,
                      event->u.probe.ok, event->u.probe.latency_ms,
                      &event->u.probe.load);
@@ -550,7 +583,12 @@
     case EVENT_CALL:
       finish_call (engine, event->u.call);
       break;
+    case EVENT_READ_STORE:
+      record_read_store (engine->record, now);
+      decide_read_store (engine->node, now);
+      break;
     case EVENT_STOP:
+      record_stop (engine->record, now);
       decide_stop (engine->node, now);
       break;
     case EVENT_END:
@@ -568,7 +606,14 @@
     return;
   for (uint32_t i = 0; i < engine->settings.instance_count; i++)
     if (strcmp (engine->settings.instances[i].name, view->name) == 0)
-      table->instances[table->count++] = engine->settings.instances[i];
+      {
+        conf_instance_t *entry = &table->instances[table->count++];
+
+        *entry = engine->settings.instances[i];
+        if (i == engine->settings.own)
+          g_strlcpy (entry->callers, engine->settings.advertise,
+                     sizeof entry->callers);
+      }
 }
 
 static void
@@ -630,10 +675,12 @@
   rcu_register_thread ();
   while (!end)
     {
-      clock_ms_t due = decide_tick (engine->node, clock_now_ms ());
       clock_ms_t now = clock_now_ms ();
+      clock_ms_t due;
       event_t *event;
 
+      record_tick (engine->record, now);
+      due = decide_tick (engine->node, now);
       do_periodic (engine, now);
       if (due > engine->addresses_at)
         due = engine->addresses_at;
@@ -676,6 +723,7 @@
     .store_put = on_store_put,
     .probe = on_probe,
   };
+  clock_ms_t now;
   int error = random_u64 (&own.incarnation);
 
   if (error == 0)
@@ -695,7 +743,9 @@
       g_strlcpy (instances[i].data_centre, settings->instances[i].data_centre,
                  sizeof instances[i].data_centre);
     }
-  engine->node = decide_new (&own, &callbacks, clock_now_ms ());
+  now = clock_now_ms ();
+  record_start (engine->record, now, &own);
+  engine->node = decide_new (&own, &callbacks, now);
   return engine->node == NULL ? -EINVAL : 0;
 }
 
@@ -706,7 +756,8 @@
 }
 
 int
-engine_start (engine_t **out, const conf_settings_t *settings)
+engine_start (engine_t **out, const conf_settings_t *settings,
+              const char *recording)
 {
   storage_callbacks_t storage
       = { .object = on_object, .synced = on_synced, .put_done = on_put_done };
@@ -725,6 +776,12 @@
   links.context = engine;
   engine->addresses = calloc (1, sizeof *engine->addresses);
   engine->events = mailbox_new (RING);
+  if (recording != NULL)
+    {
+      engine->record = record_open (recording);
+      if (engine->record == NULL)
+        g_warning ("cannot record to %s: %s", recording, g_strerror (errno));
+    }
   error = engine->events == NULL || engine->addresses == NULL
               ? -ENOMEM
               : create_node (engine);
@@ -773,6 +830,7 @@
       free (event);
     }
   mailbox_free (engine->events);
+  record_close (engine->record);
   decide_free (engine->node);
   g_hash_table_destroy (engine->requests);
   g_hash_table_destroy (engine->attempts);
--- a/peridotrouter/engine.h
+++ b/peridotrouter/engine.h
@@ -13,9 +13,11 @@
 
 /**
  * engine_start() - create the node, the peers' links and the threads
+ * @recording: file for a recording of all events and decisions, or NULL
  * Return: 0 or a negative error number; the cause is logged.
  */
-int engine_start (engine_t **engine, const conf_settings_t *settings);
+int engine_start (engine_t **engine, const conf_settings_t *settings,
+                  const char *recording);
 
 /* Ends all threads.  The listeners are stopped before.  */
 void engine_free (engine_t *engine);
@@ -43,6 +45,9 @@
                                    clock_ms_t now),
                  void *context);
 
+/* Reads the store soon, after a change made through this instance.  */
+void engine_read_store (engine_t *engine);
+
 /* Begins a planned stop.  */
 void engine_stop (engine_t *engine);
 bool engine_is_stopping (engine_t *engine);
--- a/peridotrouter/main.c
+++ b/peridotrouter/main.c
@@ -21,7 +21,7 @@
 #define STOP_CHECK_US 20000
 
 static void raise_descriptor_limit (void);
-static int run (const conf_settings_t *settings);
+static int run (const conf_settings_t *settings, const char *recording);
 static void usage (poptContext options);
 static void wait_until_stopped (engine_t *engine, const serve_t *serve);
 
@@ -29,12 +29,16 @@
 main (int argc, const char **argv)
 {
   char *path = NULL;
+  char *recording = NULL;
   int check = 0;
-  struct poptOption table[] = { { "config", 'c', POPT_ARG_STRING, &path, 0,
-                                  "settings file", "FILE" },
-                                { "check-config", 'n', POPT_ARG_NONE, &check,
-                                  0, "check the settings and exit", NULL },
-                                POPT_AUTOHELP POPT_TABLEEND };
+  struct poptOption table[]
+      = { { "config", 'c', POPT_ARG_STRING, &path, 0, "settings file",
+            "FILE" },
+          { "check-config", 'n', POPT_ARG_NONE, &check, 0,
+            "check the settings and exit", NULL },
+          { "record", 'r', POPT_ARG_STRING, &recording, 0,
+            "record events and decisions for diagnosis", "FILE" },
+          POPT_AUTOHELP POPT_TABLEEND };
   poptContext options = poptGetContext ("peridotrouter", argc, argv, table, 0);
   conf_settings_t settings;
   conf_error_t error;
@@ -52,7 +56,8 @@
       puts ("settings are valid");
       return 0;
     }
-  status = run (&settings);
+  status = run (&settings, recording);
+  free (recording);
   return status == 0 ? 0 : 1;
 }
 
@@ -78,7 +83,7 @@
 }
 
 static int
-run (const conf_settings_t *settings)
+run (const conf_settings_t *settings, const char *recording)
 {
   telemetry_settings_t telemetry = { .instance = settings->instance,
                                      .log_level = settings->log_level,
@@ -104,7 +109,7 @@
       return error;
     }
   raise_descriptor_limit ();
-  error = engine_start (&engine, settings);
+  error = engine_start (&engine, settings, recording);
   if (error == 0)
     error = attempts_new (&attempts, engine);
   if (error == 0)
--- /dev/null
+++ b/test/replay/replay.c
@@ -0,0 +1,362 @@
+/* Feeds a recording of a daemon (option --record) to the decision library and
+   compares its decisions with the recorded ones, line by line.  Prints a
+   summary of the outcomes; exits with 1 at the first difference.  */
+
+#include <err.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf.h"
+#include "decide.h"
+#include "peer.h"
+#include "record.h"
+
+#define FIELDS_MAX 64
+
+typedef struct replay
+{
+  decide_t *node;
+  record_t *record;
+  char *text; /* decisions of the current event */
+  size_t length;
+  FILE *file;
+  uint64_t events;
+  uint64_t decisions;
+  uint64_t requests;
+  uint64_t forwarded;
+  uint64_t refused_not_run;
+  uint64_t refused_unknown;
+  uint64_t replayed;
+  uint32_t serving_most;
+} replay_t;
+
+static clock_ms_t
+number (const char *text)
+{
+  return strtoll (text, NULL, 10);
+}
+
+static uint64_t
+id_number (const char *text)
+{
+  return strtoull (text, NULL, 10);
+}
+
+/* ---- Decisions ---- */
+
+static void
+on_send (void *context, decide_id_t instance, const decide_msg_t *msg)
+{
+  record_send (((replay_t *)context)->record, instance, msg);
+}
+
+static void
+on_forward (void *context, const decide_forward_t *forward)
+{
+  replay_t *replay = context;
+
+  replay->forwarded++;
+  record_forward (replay->record, forward);
+}
+
+static void
+on_cancel (void *context, uint64_t attempt)
+{
+  record_cancel (((replay_t *)context)->record, attempt);
+}
+
+static void
+on_refuse (void *context, const decide_refusal_t *refusal)
+{
+  replay_t *replay = context;
+
+  if (refusal->ran == DECIDE_RAN_NO)
+    replay->refused_not_run++;
+  else
+    replay->refused_unknown++;
+  record_refuse (replay->record, refusal);
+}
+
+static void
+on_replay (void *context, uint64_t request, const decide_answer_t *answer)
+{
+  replay_t *replay = context;
+
+  replay->replayed++;
+  record_replay (replay->record, request, answer);
+}
+
+static void
+on_store_sync (void *context, uint64_t since)
+{
+  record_sync (((replay_t *)context)->record, since);
+}
+
+static void
+on_store_put (void *context, uint64_t operation, uint64_t expected,
+              const decide_record_t *ownership)
+{
+  record_put (((replay_t *)context)->record, operation, expected, ownership);
+}
+
+static void
+on_probe (void *context, endpoint_handle_t endpoint,
+          const decide_endpoint_t *target)
+{
+  (void)target;
+  record_probe (((replay_t *)context)->record, endpoint);
+}
+
+/* ---- Events ---- */
+
+static void
+start (replay_t *replay, clock_ms_t now, char **field, guint count)
+{
+  decide_callbacks_t callbacks
+      = { replay,    on_send,       on_forward,   on_cancel, on_refuse,
+          on_replay, on_store_sync, on_store_put, on_probe };
+  decide_instance_t instances[DECIDE_MEMBERS_MAX];
+  decide_settings_t settings = { .instances = instances };
+
+  g_strlcpy (settings.instance, field[0], sizeof settings.instance);
+  g_strlcpy (settings.data_centre, field[1], sizeof settings.data_centre);
+  g_strlcpy (settings.group, field[2], sizeof settings.group);
+  settings.incarnation = id_number (field[3]);
+  settings.seed = id_number (field[4]);
+  for (guint i = 5; i + 1 < count; i += 2)
+    {
+      decide_instance_t *instance = &instances[settings.instance_count++];
+
+      g_strlcpy (instance->name, field[i], sizeof instance->name);
+      g_strlcpy (instance->data_centre, field[i + 1],
+                 sizeof instance->data_centre);
+    }
+  replay->node = decide_new (&settings, &callbacks, now);
+  if (replay->node == NULL)
+    errx (1, "the recorded settings are contradictory");
+}
+
+static void
+object (replay_t *replay, clock_ms_t now, char **field)
+{
+  g_autofree char *body = NULL;
+  conf_object_t *parsed;
+  conf_error_t error;
+  size_t length = 0;
+
+  if (strcmp (field[5], "-") != 0)
+    {
+      guchar *bytes = g_base64_decode (field[5], &length);
+
+      body = g_strndup ((char *)bytes, length);
+      g_free (bytes);
+    }
+  if (conf_parse_object (field[4], body, id_number (field[1]),
+                         id_number (field[2]), number (field[3]) != 0, &parsed,
+                         &error)
+      != 0)
+    errx (1, "%s", error.text);
+  decide_object (replay->node, now, id_number (field[0]), &parsed->object);
+  conf_object_free (parsed);
+}
+
+static void
+message (replay_t *replay, clock_ms_t now, char **field)
+{
+  size_t length;
+  guchar *bytes = g_base64_decode (field[1], &length);
+  decide_msg_t *msg;
+
+  if (peer_msg_unpack (bytes, length, &msg) != 0)
+    errx (1, "a recorded message cannot be read");
+  decide_message (replay->node, now, id_number (field[0]), msg);
+  peer_msg_free (msg);
+  g_free (bytes);
+}
+
+static void
+request (replay_t *replay, clock_ms_t now, char **field)
+{
+  decide_request_t out = { .id = id_number (field[0]),
+                           .service = id_number (field[1]),
+                           .idempotent = number (field[2]) != 0,
+                           .keyed = number (field[3]) != 0,
+                           .deadline = number (field[7]) };
+
+  out.key.hash[0] = id_number (field[4]);
+  out.key.hash[1] = id_number (field[5]);
+  out.key.body = id_number (field[6]);
+  replay->requests++;
+  decide_request (replay->node, now, &out);
+}
+
+static decide_load_t
+load (char **field)
+{
+  return (decide_load_t){ .present = number (field[0]) != 0,
+                          .in_flight = (uint32_t)number (field[1]),
+                          .queued = (uint32_t)number (field[2]),
+                          .slots = (uint32_t)number (field[3]),
+                          .cold = number (field[4]) != 0,
+                          .draining = number (field[5]) != 0,
+                          .identity = id_number (field[6]) };
+}
+
+static void
+attempt (replay_t *replay, clock_ms_t now, char **field)
+{
+  decide_attempt_end_t end
+      = { .result = (decide_attempt_result_t)number (field[2]),
+          .latency_ms = number (field[3]),
+          .status = (uint32_t)number (field[4]),
+          .retry_after_ms = number (field[5]),
+          .load = load (field + 6) };
+  decide_answer_t answer;
+  bool has_answer = strcmp (field[13], "-") != 0;
+  size_t length;
+  guchar *bytes;
+
+  if (has_answer)
+    {
+      bytes = g_base64_decode (field[13], &length);
+      if (length != sizeof answer)
+        errx (1, "a recorded answer cannot be read");
+      memcpy (&answer, bytes, sizeof answer);
+      g_free (bytes);
+    }
+  decide_attempt_done (replay->node, now, id_number (field[0]),
+                       id_number (field[1]), &end,
+                       has_answer ? &answer : NULL);
+}
+
+static void
+feed (replay_t *replay, clock_ms_t now, const char *type, char **field,
+      guint count)
+{
+  decide_load_t probed;
+
+  if (strcmp (type, "start") == 0 && count >= 7)
+    start (replay, now, field, count);
+  else if (replay->node == NULL)
+    errx (1, "the recording does not begin with a start");
+  else if (strcmp (type, "tick") == 0)
+    decide_tick (replay->node, now);
+  else if (strcmp (type, "stop") == 0)
+    decide_stop (replay->node, now);
+  else if (strcmp (type, "read") == 0)
+    decide_read_store (replay->node, now);
+  else if (strcmp (type, "object") == 0 && count == 6)
+    object (replay, now, field);
+  else if (strcmp (type, "synced") == 0 && count == 3)
+    decide_store_synced (replay->node, now, number (field[0]),
+                         number (field[1]) != 0, id_number (field[2]));
+  else if (strcmp (type, "put") == 0 && count == 3)
+    decide_store_put_done (replay->node, now, id_number (field[0]),
+                           (decide_store_result_t)number (field[1]),
+                           id_number (field[2]));
+  else if (strcmp (type, "message") == 0 && count == 2)
+    message (replay, now, field);
+  else if (strcmp (type, "request") == 0 && count == 8)
+    request (replay, now, field);
+  else if (strcmp (type, "gone") == 0 && count == 1)
+    decide_request_gone (replay->node, now, id_number (field[0]));
+  else if (strcmp (type, "attempt") == 0 && count == 14)
+    attempt (replay, now, field);
+  else if (strcmp (type, "probed") == 0 && count == 10)
+    {
+      probed = load (field + 3);
+      decide_probed (replay->node, now, (endpoint_handle_t)number (field[0]),
+                     number (field[1]) != 0, number (field[2]), &probed);
+    }
+  else
+    errx (1, "unknown event '%s' with %u fields", type, count);
+}
+
+static void
+feed_line (replay_t *replay, const char *line)
+{
+  g_auto (GStrv) field = g_strsplit (line, " ", FIELDS_MAX);
+  guint count = g_strv_length (field);
+  decide_status_t status;
+  clock_ms_t now;
+
+  if (count < 2)
+    errx (1, "malformed line: %s", line);
+  now = number (field[0]);
+  replay->events++;
+  feed (replay, now, field[1], field + 2, count - 2);
+  decide_get_status (replay->node, now, &status);
+  if (status.slices_serving > replay->serving_most)
+    replay->serving_most = status.slices_serving;
+}
+
+/* Compares the decisions of the last event with the recorded lines.  */
+static void
+compare (replay_t *replay, const GString *expected, uint64_t line)
+{
+  fflush (replay->file);
+  /* The stream keeps older text behind its position.  */
+  if (replay->length != expected->len
+      || memcmp (replay->text, expected->str, expected->len) != 0)
+    errx (1,
+          "decisions before line %" PRIu64
+          " differ\nrecorded:\n%s\nnow:\n%.*s",
+          line, expected->str, (int)replay->length, replay->text);
+  rewind (replay->file);
+}
+
+int
+main (int argc, char **argv)
+{
+  replay_t replay = { 0 };
+  GString *expected = g_string_new (NULL);
+  char *line = NULL;
+  size_t size = 0;
+  ssize_t length;
+  uint64_t count = 0;
+  FILE *input;
+
+  if (argc != 2)
+    errx (2, "usage: replay FILE");
+  input = fopen (argv[1], "r");
+  if (input == NULL)
+    err (1, "%s", argv[1]);
+  replay.file = open_memstream (&replay.text, &replay.length);
+  replay.record = replay.file == NULL ? NULL : record_to_file (replay.file);
+  if (replay.record == NULL)
+    err (1, "memory");
+  while ((length = getline (&line, &size, input)) > 0)
+    {
+      count++;
+      /* The last line of a killed process may be incomplete.  */
+      if (line[length - 1] != '\n')
+        break;
+      if (line[0] == '>')
+        {
+          g_string_append (expected, line);
+          replay.decisions++;
+          continue;
+        }
+      compare (&replay, expected, count);
+      g_string_truncate (expected, 0);
+      line[length - 1] = '\0';
+      feed_line (&replay, line);
+    }
+  printf ("events=%" PRIu64 " decisions=%" PRIu64 " requests=%" PRIu64
+          " forwarded=%" PRIu64 " refused-not-run=%" PRIu64
+          " refused-unknown=%" PRIu64 " replayed=%" PRIu64
+          " most-slices-served=%u\n",
+          replay.events, replay.decisions, replay.requests, replay.forwarded,
+          replay.refused_not_run, replay.refused_unknown, replay.replayed,
+          replay.serving_most);
+  free (line);
+  fclose (input);
+  g_string_free (expected, TRUE);
+  decide_free (replay.node);
+  record_close (replay.record);
+  free (replay.text);
+  return 0;
+}
--- a/test/run/topology.py
+++ b/test/run/topology.py
@@ -109,9 +109,12 @@
 
     delays: pass messages between data centres through a fault proxy that
       adds the deployment's delay; link(a, b) names one direction of it.
+    record: let the instances record events and decisions for test/replay.
     """
 
-    def __init__(self, run, deployment, delays=False, backend_options=()):
+    def __init__(self, run, deployment, delays=False, backend_options=(),
+                 record=False):
+        self.record = record
         self.run = run
         self.deployment = deployment
         self.platform = Platform(run, "--instance-lag-ms", 2000)
@@ -179,11 +182,15 @@
         for port in (instance.callers, instance.peers, instance.operators):
             if port in self.ports.held:
                 self.ports.release(port)
-        instance.process = self.run.start(instance.name, PROGRAM, "-c",
-                                           path)
+        options = (["-r", self.recording(instance)] if self.record else [])
+        instance.process = self.run.start(instance.name, PROGRAM, "-c", path,
+                                          *options)
         request(self.platform.port, "PUT", "/instances/" + instance.name,
                 {"data_centre": instance.data_centre, "state": "live"})
 
+    def recording(self, instance):
+        return self.run.path(instance.name + ".rec")
+
     def start_instances(self):
         """Starts all; returns when each of them lists all addresses and
         every slice has an owner that may grant."""
