Report log lines dropped before the writer thread first runs

ctest failed in 2 of 9 runs at a load of 8; the second, whose output was kept, was a timeout of unit-telemetry, the first was not recorded. The writer thread read the count of dropped lines when it first ran, and lines dropped before that were never reported, so the test waited for the report without end. telemetry_start() now sets the base before it creates the thread. A fault of the stop was ruled out: the run hung while the test read.

--- a/lib/telemetry/log.c
+++ b/lib/telemetry/log.c
@@ -33,7 +33,7 @@
                            gsize count);
 static const char *level_name (GLogLevelFlags level);
 static void *run_writer (void *context);
-static void report_dropped (uint64_t *reported);
+static void report_dropped (void);
 static void write_text (int fd, const char *text, size_t length);
 
 static struct
@@ -48,6 +48,7 @@
   atomic_int level;
   atomic_int_fast64_t give_up; /* monotonic µs */
   atomic_uint_fast64_t dropped;
+  uint64_t reported; /* of dropped; set before the writer thread starts */
 } logger = { .level = G_LOG_LEVEL_INFO, .give_up = INT64_MAX };
 
 int
@@ -70,6 +71,9 @@
   telemetry_set_log_level (settings->log_level);
   atomic_store (&logger.stopping, false);
   atomic_store (&logger.give_up, INT64_MAX);
+  /* Not by the thread itself: lines dropped before it first runs would not be
+     reported.  */
+  logger.reported = telemetry_dropped ();
   /* Signals are for the threads of the daemon; SIGPIPE from a closed
      standard error would end the process.  */
   sigfillset (&all);
@@ -217,7 +221,6 @@
 static void *
 run_writer (void *context)
 {
-  uint64_t reported = telemetry_dropped ();
   entry_t *entry;
 
   (void)context;
@@ -233,30 +236,30 @@
       write_text (entry->fd, entry->line->str, entry->line->len);
       g_string_free (entry->line, TRUE);
       g_free (entry);
-      report_dropped (&reported);
+      report_dropped ();
     }
   return NULL;
 }
 
 /* The loss is stated in the log itself, after a line went through.  */
 static void
-report_dropped (uint64_t *reported)
+report_dropped (void)
 {
   uint64_t dropped = telemetry_dropped ();
   GString *line;
 
-  if (dropped == *reported)
+  if (dropped == logger.reported)
     return;
   line = g_string_new ("{");
   line_append_time (line, "time", g_get_real_time ());
   line_append_field (line, "level", "warning");
   line_append_field (line, "instance", logger.instance);
   line_append_field (line, "message", "log ring full, lines dropped");
-  line_append_number (line, "dropped", (int64_t)(dropped - *reported));
+  line_append_number (line, "dropped", (int64_t)(dropped - logger.reported));
   g_string_append (line, "}\n");
   write_text (STDERR_FILENO, line->str, line->len);
   g_string_free (line, TRUE);
-  *reported = dropped;
+  logger.reported = dropped;
 }
 
 /* Writes pieces of at most PIPE_BUF, which do not block once a pipe is
--- a/test/unit/telemetry.c
+++ b/test/unit/telemetry.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <json-c/json.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -136,6 +137,7 @@
   g_autofree char *rest = NULL;
   capture_t capture;
   char buffer[4096];
+  struct pollfd pfd = { .events = POLLIN };
   ssize_t n = 0;
   int dropped = overflow (&capture);
   int reported = 0;
@@ -144,7 +146,8 @@
   g_assert_cmpint (dropped, >=, 300 - 127 - 3);
   g_assert_cmpint (dropped, <, 300);
   g_assert_cmpint (g_get_monotonic_time () - begin, <, 5 * G_USEC_PER_SEC);
-  while (strstr (text->str, key) == NULL
+  pfd.fd = capture.pipe[0];
+  while (strstr (text->str, key) == NULL && poll (&pfd, 1, 5000) > 0
          && (n = read (capture.pipe[0], buffer, sizeof buffer)) > 0)
     g_string_append_len (text, buffer, n);
   telemetry_stop ();
