--- a/test/unit/telemetry.c
+++ b/test/unit/telemetry.c
@@ -172,6 +172,22 @@
   g_free (capture_end (&capture));
 }
 
+/* Guards against a fatal message that is lost, because the process aborts
+   before the writer thread sees it.  */
+static void
+test_fatal (void)
+{
+  if (g_test_subprocess ())
+    {
+      start (64, 0);
+      g_error ("last words");
+    }
+  g_test_trap_subprocess (NULL, 0, 0);
+  g_test_trap_assert_failed ();
+  g_test_trap_assert_stderr (
+      "*\"level\":\"error\"*\"message\":\"last words\",\"domain\":\"test\"}*");
+}
+
 static void *
 use_everything (void *arg)
 {
@@ -401,6 +417,7 @@
   g_test_add_func ("/telemetry/log/lines", test_log_lines);
   g_test_add_func ("/telemetry/log/overflow", test_log_overflow);
   g_test_add_func ("/telemetry/log/stalled-stop", test_stalled_stop);
+  g_test_add_func ("/telemetry/log/fatal", test_fatal);
   g_test_add_func ("/telemetry/threads", test_threads);
   g_test_add_func ("/telemetry/metrics", test_metrics);
   g_test_add_func ("/telemetry/trace/bad", test_bad_trace);
