--- a/lib/decide/pool_grant.c
+++ b/lib/decide/pool_grant.c
@@ -285,6 +285,9 @@
 pool_dispatch (pool_t *pool, clock_ms_t now)
 {
   refuse_late (pool, now);
+  /* Other pools serve sooner than endpoints that must be probed first.  */
+  if (pool->queue.count > 0 && pool_capacity (pool, now) == 0)
+    pool_refuse_all (pool, now, DECIDE_REASON_NO_CAPACITY);
   while (pool->queue.count > 0)
     {
       pool_member_t *member;
--- a/lib/decide/router.c
+++ b/lib/decide/router.c
@@ -246,7 +246,7 @@
     return;
   held = router_take_idle (router, now, pending);
   if (held != NULL)
-    router_forward_with (router, now, pending, held, true);
+    router_forward_with (router, now, pending, held);
   else
     router_ask_owner (router, now, pending, true);
 }
--- a/lib/decide/router_ask.c
+++ b/lib/decide/router_ask.c
@@ -226,7 +226,8 @@
   router_ask_t *ask = &pending->ask;
   router_note_t *note = router_find (&router->notes, ask->pool, 0);
 
-  if (note != NULL)
+  /* An owner that queued the request has answered; it may only be busy.  */
+  if (note != NULL && !ask->queued)
     note->avoid_until = now + ROUTER_AVOID_MS;
   router_drop_ask (router, pending, true);
   ask_elsewhere (router, now, pending, ask->hedge,
@@ -284,7 +285,8 @@
     {
       free (held);
       router_release_unknown (router, owner, msg);
-      router_refuse (router, now, pending, DECIDE_REASON_NO_CAPACITY);
+      if (TAILQ_EMPTY (&pending->attempts))
+        router_refuse (router, now, pending, DECIDE_REASON_NO_CAPACITY);
       return;
     }
   router->held_count++;
@@ -328,7 +330,9 @@
                      &(router_tried_t){ .pool = msg->pool });
       return;
     }
-  router_forward_with (router, now, pending, held, hedge);
+  if (router_forward_with (router, now, pending, held) < 0
+      && TAILQ_EMPTY (&pending->attempts))
+    router_refuse (router, now, pending, DECIDE_REASON_NO_CAPACITY);
 }
 
 void
--- a/lib/decide/router_attempt.c
+++ b/lib/decide/router_attempt.c
@@ -3,18 +3,11 @@
 #include <errno.h>
 #include <stdlib.h>
 
-#define SIXTEENTHS 16
-/* Weight of the newest latency sample is 1 / AVERAGE_WEIGHT.  */
-#define AVERAGE_WEIGHT 8
-/* A lent grant goes back after an answer that took this many times the
-   service's average: the owner may know a faster endpoint.  */
-#define SLOW_FACTOR 2
 #define STATUS_SERVER_ERROR 500
 
 static void release (router_t *router, router_held_t *held,
                      const decide_attempt_end_t *end, bool keep);
 static bool may_reuse (const router_t *router, clock_ms_t now,
-                       const router_service_t *service,
                        const router_held_t *held,
                        const decide_attempt_end_t *end);
 static void give_back (router_t *router, clock_ms_t now,
@@ -35,7 +28,7 @@
 
   if (held != NULL)
     {
-      if (router_forward_with (router, now, pending, held, false) < 0)
+      if (router_forward_with (router, now, pending, held) < 0)
         router_refuse (router, now, pending, DECIDE_REASON_NO_CAPACITY);
       return;
     }
@@ -123,8 +116,7 @@
 
 int
 router_forward_with (router_t *router, clock_ms_t now,
-                     router_pending_t *pending, router_held_t *held,
-                     bool hedge)
+                     router_pending_t *pending, router_held_t *held)
 {
   const router_request_t *request = &pending->request;
   router_attempt_t *attempt = calloc (1, sizeof *attempt);
@@ -134,7 +126,7 @@
                                .endpoint = held->endpoint,
                                .start_by = held->start_by,
                                .deadline = held->expires,
-                               .hedge = hedge };
+                               .hedge = !TAILQ_EMPTY (&pending->attempts) };
 
   if (attempt != NULL)
     attempt->key.number = ++router->next;
@@ -167,8 +159,7 @@
 }
 
 static bool
-may_reuse (const router_t *router, clock_ms_t now,
-           const router_service_t *service, const router_held_t *held,
+may_reuse (const router_t *router, clock_ms_t now, const router_held_t *held,
            const decide_attempt_end_t *end)
 {
   /* After any other end the attempt may still run at the backend server, so
@@ -177,8 +168,7 @@
       || end->status >= STATUS_SERVER_ERROR || end->load.draining)
     return false;
   return held->lent && !held->recalled && !router->stopping
-         && now < held->start_by
-         && end->latency_ms * SIXTEENTHS <= SLOW_FACTOR * service->latency_16;
+         && now < held->start_by;
 }
 
 /* Return: the first in order of the requests that may take over a chained
@@ -215,17 +205,7 @@
 give_back (router_t *router, clock_ms_t now, router_service_t *service,
            router_held_t *held, const decide_attempt_end_t *end)
 {
-  int64_t latency_16 = (int64_t)end->latency_ms * SIXTEENTHS;
-
-  if (end->result == DECIDE_ATTEMPT_ANSWERED)
-    {
-      if (service->latency_16 == 0)
-        service->latency_16 = latency_16 > 0 ? latency_16 : 1;
-      else
-        service->latency_16
-            += (latency_16 - service->latency_16) / AVERAGE_WEIGHT;
-    }
-  if (!may_reuse (router, now, service, held, end))
+  if (!may_reuse (router, now, held, end))
     {
       release (router, held, end, false);
       return;
@@ -238,7 +218,7 @@
       if (next == NULL)
         return;
       router_drop_ask (router, next, true);
-      if (router_forward_with (router, now, next, held, false) < 0)
+      if (router_forward_with (router, now, next, held) < 0)
         router_refuse (router, now, next, DECIDE_REASON_NO_CAPACITY);
       return;
     }
--- a/lib/decide/router_state.h
+++ b/lib/decide/router_state.h
@@ -81,7 +81,6 @@
   router_key_t key;
   budget_t retry;
   budget_t hedge;
-  int64_t latency_16; /* moving average in 1/16 ms */
   struct router_held_list idle;
   TAILQ_ENTRY (router_service) link;
 };
@@ -166,11 +165,10 @@
 void router_ask_late (router_t *router, clock_ms_t now,
                       router_pending_t *pending);
 
-/* Starts an attempt with a grant.  Return: 0 or -ENOMEM, with the grant
-   returned to its owner.  */
+/* Starts an attempt with a grant; a hedge while another one runs.  Return: 0
+   or -ENOMEM, with the grant returned to its owner.  */
 int router_forward_with (router_t *router, clock_ms_t now,
-                         router_pending_t *pending, router_held_t *held,
-                         bool hedge);
+                         router_pending_t *pending, router_held_t *held);
 /* Return: an idle usable grant on an endpoint that the request does not use
    now, or NULL.  */
 router_held_t *router_take_idle (router_t *router, clock_ms_t now,
--- a/test/unit/slots_owner.c
+++ b/test/unit/slots_owner.c
@@ -288,6 +288,10 @@
       grant = last ();
       g_assert_cmpint (grant.type, ==, DECIDE_MSG_GRANT);
       g_assert_cmpuint (grant.msg.request, ==, wanted[i]);
+      /* While others wait, the holder may pass the grant on for a moment.  */
+      g_assert_cmpint (grant.msg.lend_ms, ==, i < 3 ? 15 : 0);
+      g_assert_cmpuint (grant.msg.queued, ==, 3 - i);
+      g_assert_cmpuint (pool_grant_count (pool), ==, 2);
     }
   pool_free (pool);
 }
@@ -464,7 +468,8 @@
   pool_free (pool);
 }
 
-/* One probe at a time in a pool; without a result it fails in time.  */
+/* One probe at a time in a pool; without a result it fails in time.  Nobody
+   waits for endpoints that must be probed first.  */
 static void
 test_probes (void)
 {
@@ -474,9 +479,13 @@
     {
       sent_t grant = ask (pool, 0, HOLDER, i, 3, 900, false);
 
+      if (i == 2)
+        ask (pool, 0, OTHER, 3, 3, 900, false);
       give (pool, 1, HOLDER, grant.msg.grant, false,
             ended (DECIDE_ATTEMPT_NOT_SENT));
     }
+  g_assert_cmpint (last ().type, ==, DECIDE_MSG_REFUSED);
+  g_assert_cmpuint (last ().msg.request, ==, 3);
   g_assert_cmpint (pool_tick (pool, 1), ==, 101);
   pool_tick (pool, 101);
   g_assert_cmpuint (probes, ==, 1);
--- a/test/unit/slots_requester.c
+++ b/test/unit/slots_requester.c
@@ -32,6 +32,7 @@
 static GArray *refusals;
 static bool usable;
 static uint16_t slots_free;
+static uint32_t priority; /* of requests and grants */
 static bool local[POOLS];
 static bool out[POOLS];
 static decide_rng_t rng;
@@ -135,6 +136,7 @@
     g_array_set_size (all[i], 0);
   usable = true;
   slots_free = 10;
+  priority = 0;
   for (int i = 0; i < POOLS; i++)
     {
       local[i] = true;
@@ -153,6 +155,7 @@
                                        .service = SERVICE,
                                        .idempotent = idempotent,
                                        .retry = true,
+                                       .priority = priority,
                                        .hedge = hedge,
                                        .hedge_after_ms = 20,
                                        .run_ms = RUN_MS,
@@ -196,7 +199,9 @@
                                          .endpoint = endpoint,
                                          .run_ms = RUN_MS,
                                          .lend_ms = lend_ms,
-                                         .wait_ms = wait_ms });
+                                         .wait_ms = wait_ms,
+                                         .priority = priority,
+                                         .queued = slots_free == 0 });
 }
 
 static void
@@ -329,6 +334,40 @@
   router_free (router);
 }
 
+/* A grant from a queue is passed on to requests that wait in the same queue
+   with enough priority, else it goes back.  */
+static void
+test_chain (void)
+{
+  router_t *router = new_router ();
+
+  out[1] = out[2] = true;
+  slots_free = 0;
+  priority = 2;
+  request (router, 0, 1, true, false);
+  grant (router, 1, last_ask (), 1, 15, 0);
+  priority = 5;
+  request (router, 1, 2, true, false);
+  router_queued (router, 2, last_ask ()->owner, &last_ask ()->msg);
+  priority = 2;
+  request (router, 3, 3, true, false);
+  router_queued (router, 4, last_ask ()->owner, &last_ask ()->msg);
+  done (router, 8, last_forward ()->attempt, DECIDE_ATTEMPT_ANSWERED);
+  g_assert_true (last_given ()->msg.keep);
+  g_assert_true (last_ask ()->cancelled);
+  g_assert_cmpuint (last_forward ()->request, ==, 3);
+  done (router, 12, last_forward ()->attempt, DECIDE_ATTEMPT_ANSWERED);
+  g_assert_false (last_given ()->msg.keep);
+  g_assert_cmpuint (forwards->len, ==, 2);
+  /* After the time it goes back though others wait.  */
+  priority = 5;
+  request (router, 20, 4, true, false);
+  grant (router, 20, last_ask (), 1, 15, 0);
+  done (router, 36, last_forward ()->attempt, DECIDE_ATTEMPT_ANSWERED);
+  g_assert_false (last_given ()->msg.keep);
+  router_free (router);
+}
+
 /* A request that may have run is not run again unless it may repeat.  */
 static void
 test_run_once (void)
@@ -531,6 +570,7 @@
   g_test_add_func ("/router/late-owner", test_late_owner);
   g_test_add_func ("/router/validity", test_validity);
   g_test_add_func ("/router/lent", test_lent);
+  g_test_add_func ("/router/chain", test_chain);
   g_test_add_func ("/router/run-once", test_run_once);
   g_test_add_func ("/router/retry-budget", test_retry_budget);
   g_test_add_func ("/router/hedge", test_hedge);
