Read the present settings format in the topology test

run-topology_test failed with KeyError 'peers': the settings list all instances under 'instances' since the daemon landed, and the test read the former list of peers. It checks the same counts of peers, with and without delay, in the present format.

--- a/test/run/topology_test.py
+++ b/test/run/topology_test.py
@@ -25,10 +25,12 @@
     one = topology.instances[0]
     settings = settings_of(topology, one)
     print("settings:", *settings)
-    through = [peer for peer, entry in
-               zip(topology.instances[1:], settings["peers"])
-               if int(entry["address"].split(":")[1]) != peer.peers]
-    print("peers:", len(settings["peers"]), "with delay:", len(through),
+    listed = [(peer, entry) for peer, entry in
+              zip(topology.instances, settings["instances"])
+              if peer is not one]
+    through = [peer for peer, entry in listed
+               if int(entry["peers"].split(":")[1]) != peer.peers]
+    print("peers:", len(listed), "with delay:", len(through),
           "all in other data centres:",
           all(peer.data_centre != one.data_centre for peer in through))
     for process in [topology.platform.process, topology.proxy.process] + [
