Prove that a killed owner's pools return and nothing runs twice

The run kills the owner of the pools in one data centre under load and reads the endpoints' journals and the callers' records.

--- a/test/run/audit_test.py
+++ b/test/run/audit_test.py
@@ -19,6 +19,14 @@
                  {"one": STATS, "two": {**STATS, **stats}})
 
 
+def broken_at(address, start_us, end_us):
+    """Broken promises when the process at address one is killed at 500."""
+    record = {"key": "", "outcome": "broken", "instance": address,
+              "start_us": start_us, "end_us": end_us}
+    return Audit([{**dict.fromkeys(NAMES, 0), "broken": 1}], [record], [],
+                 {"one": STATS}, {"one": 500}).wrong()
+
+
 def script(run):
     kept = audit([("", "whole"), ("a", "whole"), ("b", "refused_no"),
                   ("c", "refused_unknown"), ("d", "refused_no"),
@@ -30,6 +38,10 @@
     print("answered but never ran:", audit([("a", "whole")], []).faults())
     print("wrong and broken:",
           audit([("", "wrong"), ("", "broken")], []).faults())
+    print("broken at a killed process, elsewhere, before, after:",
+          *(broken_at(*at) for at in (("one", 100, 900), ("two", 100, 900),
+                                      ("one", 100, 400),
+                                      ("one", 90000, 91000))))
     for name in STATS:
         print(name + ":", audit([], [], **{name: 2}).faults())
     times = [{"outcome": "whole", "kind": "k", "start_us": 0,
--- /dev/null
+++ b/test/run/owner_killed.py
@@ -0,0 +1,33 @@
+"""The owner of pools and key slices is killed under load.
+
+Guards against a successor that grants while requests of the killed owner's
+grants still run, against a confirmation that runs again because its key was
+lost with the owner, and against pools that stay without an owner.
+"""
+
+from faultrun import GRANT_S, Faults, now_us, wait_until
+from harness import main
+
+RATE = 120  # requests per second and data centre
+DURATION_MS = 16000
+SERVED_AGAIN_S = 10
+
+
+def script(run):
+    faults = Faults(run)
+    faults.load(RATE, DURATION_MS)
+    owner = faults.owner("pasig")
+    pools = faults.owned_endpoints(owner)
+    faults.say("the owner has pools", len(pools) > 0)
+    killed_us = faults.kill(owner)
+    wait_until(killed_us + GRANT_S * 1e6, "the grants have expired")
+    faults.wait_work("the pools are served again", pools,
+                     faults.requests(pools), killed_us, SERVED_AGAIN_S)
+    again_s = (now_us() - killed_us) / 1e6
+    faults.note(f"served again after {again_s:.1f} s")
+    faults.say(f"pools are served again within {SERVED_AGAIN_S} s",
+               again_s <= SERVED_AGAIN_S)
+    return faults.finish(0.9)
+
+
+main(script)
--- a/test/run/topology.py
+++ b/test/run/topology.py
@@ -208,6 +208,13 @@
         return all(len(self.addresses(instance)) == len(self.instances)
                    for instance in self.instances)
 
+    def status(self, instance):
+        """What an instance tells operators about itself and the others."""
+        answer = request(instance.operators, "GET", "/v1/status")
+        if answer.status != 200:
+            raise RunError(f"{instance.name}: {answer.status} {answer.body}")
+        return answer.json()
+
     def operate(self, path, instance=None):
         """An operator's PUT through any instance."""
         instance = instance or self.instances[0]
