Correct the topology of scripted runs after the settings' change

Cause: the profiles stated hedge_after_ms 0, which the daemon rejects ("must be from 1 to 60000"), so every scripted run used the default profile. The topology test still read the former setting "peers" and stopped with a KeyError; it compares the same ports through "instances" now.

A topology takes further settings for its instances, for benchmarks.

--- a/test/run/topology.py
+++ b/test/run/topology.py
@@ -48,7 +48,7 @@
     """One profile for each service: body by name."""
     return {service.name: {
         "priority": 3, "timeout_ms": 2000, "run_ms": 1000, "queue_max": 64,
-        "retry": True, "hedge": False, "hedge_after_ms": 0,
+        "retry": True, "hedge": False, "hedge_after_ms": 100,
         "key_retention_ms": 600000} for service in deployment.services}
 
 
@@ -109,11 +109,14 @@
 
     delays: pass messages between data centres through a fault proxy that
       adds the deployment's delay; link(a, b) names one direction of it.
+    settings: further settings of every instance.
     """
 
-    def __init__(self, run, deployment, delays=False, backend_options=()):
+    def __init__(self, run, deployment, delays=False, backend_options=(),
+                 settings=()):
         self.run = run
         self.deployment = deployment
+        self.settings = dict(settings)
         self.platform = Platform(run, "--instance-lag-ms", 2000)
         self.ports = Ports()
         self.proxy = None
@@ -175,7 +178,8 @@
     def start_instance(self, instance):
         path = self.run.path(instance.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
-            json.dump(settings_of(self, instance), file, indent=1)
+            json.dump(settings_of(self, instance) | self.settings, file,
+                      indent=1)
         for port in (instance.callers, instance.peers, instance.operators):
             if port in self.ports.held:
                 self.ports.release(port)
--- a/test/run/topology_test.py
+++ b/test/run/topology_test.py
@@ -26,9 +26,10 @@
     settings = settings_of(topology, one)
     print("settings:", *settings)
     through = [peer for peer, entry in
-               zip(topology.instances[1:], settings["peers"])
-               if int(entry["address"].split(":")[1]) != peer.peers]
-    print("peers:", len(settings["peers"]), "with delay:", len(through),
+               zip(topology.instances, settings["instances"])
+               if int(entry["peers"].split(":")[1]) != peer.peers]
+    print("peers:", len(settings["instances"]) - 1, "with delay:",
+          len(through),
           "all in other data centres:",
           all(peer.data_centre != one.data_centre for peer in through))
     for process in [topology.platform.process, topology.proxy.process] + [
