Run the baselines in the daemon; count control bytes

peridot_peer_bytes_total and peridot_control_bytes_total were always 0: no code counted them. They now take the totals of the senders, the server and the store client once a second. The server's handle is guarded by a lock because a stop frees it while the decision thread still runs.

--- a/peridotrouter/engine.c
+++ b/peridotrouter/engine.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 #include <urcu.h>
 
+#include "baseline.h"
 #include "links.h"
 #include "mailbox.h"
 #include "probes.h"
@@ -95,6 +96,7 @@
 {
   conf_settings_t settings;
   decide_t *node;
+  baseline_t *baseline; /* NULL: owners grant slots */
   mailbox_t *events;
   pthread_t thread;
   bool started;
@@ -458,7 +460,10 @@
   out.keyed = request->keyed;
   out.key = request->key;
   out.deadline = request->deadline;
-  decide_request (engine->node, now, &out);
+  if (engine->baseline != NULL)
+    baseline_request (engine->baseline, now, &out, profile);
+  else
+    decide_request (engine->node, now, &out);
 }
 
 static void
@@ -466,12 +471,18 @@
 {
   request_t *request = event->u.attempt.request;
   bool answered;
+  clock_ms_t now = clock_now_ms ();
 
   telemetry_count (TELEMETRY_ATTEMPTS, event->u.attempt.end.result);
   g_hash_table_remove (engine->attempts, &event->u.attempt.attempt);
-  answered = decide_attempt_done (
-      engine->node, clock_now_ms (), request->id, event->u.attempt.attempt,
-      &event->u.attempt.end, event->u.attempt.answer);
+  if (engine->baseline != NULL)
+    answered = baseline_attempt_done (engine->baseline, now, request->id,
+                                      event->u.attempt.attempt,
+                                      &event->u.attempt.end);
+  else
+    answered = decide_attempt_done (
+        engine->node, now, request->id, event->u.attempt.attempt,
+        &event->u.attempt.end, event->u.attempt.answer);
   if (answered)
     end_request (engine, request->id);
   g_free (event->u.attempt.answer);
@@ -516,7 +527,10 @@
     case EVENT_GONE:
       if (find_request (engine, event->u.request->id) != NULL)
         {
-          decide_request_gone (engine->node, now, event->u.request->id);
+          if (engine->baseline != NULL)
+            baseline_request_gone (engine->baseline, event->u.request->id);
+          else
+            decide_request_gone (engine->node, now, event->u.request->id);
           end_request (engine, event->u.request->id);
         }
       request_unref (event->u.request);
@@ -586,6 +600,26 @@
   free (old);
 }
 
+/* The counters of the links and the store are totals; the metrics take what
+   was added.  */
+static void
+publish_bytes (engine_t *engine)
+{
+  uint64_t peers[2];
+  uint64_t all[2];
+
+  links_get_bytes (engine->links, &peers[0], &peers[1]);
+  storage_get_bytes (engine->storage, &all[0], &all[1]);
+  for (unsigned int i = 0; i < 2; i++)
+    {
+      all[i] += peers[i];
+      telemetry_add (TELEMETRY_PEER_BYTES, i,
+                     peers[i] - telemetry_read (TELEMETRY_PEER_BYTES, i));
+      telemetry_add (TELEMETRY_CONTROL_BYTES, i,
+                     all[i] - telemetry_read (TELEMETRY_CONTROL_BYTES, i));
+    }
+}
+
 static void
 publish_gauges (engine_t *engine, clock_ms_t now)
 {
@@ -611,11 +645,14 @@
     {
       engine->addresses_at = now + ADDRESSES_INTERVAL_MS;
       publish_addresses (engine, now);
+      if (engine->baseline != NULL)
+        baseline_update (engine->baseline, engine->node, now);
     }
   if (now >= engine->gauges_at)
     {
       engine->gauges_at = now + GAUGES_INTERVAL_MS;
       publish_gauges (engine, now);
+      publish_bytes (engine);
     }
   if (decide_stopped (engine->node, now))
     atomic_store (&engine->stopped, true);
@@ -696,7 +733,14 @@
                  sizeof instances[i].data_centre);
     }
   engine->node = decide_new (&own, &callbacks, clock_now_ms ());
-  return engine->node == NULL ? -EINVAL : 0;
+  if (engine->node == NULL)
+    return -EINVAL;
+  if (settings->policy == CONF_POLICY_OWNER)
+    return 0;
+  engine->baseline
+      = baseline_new (conf_policy_name (settings->policy),
+                      settings->data_centre, own.seed, &callbacks);
+  return engine->baseline == NULL ? -EINVAL : 0;
 }
 
 static void
@@ -773,6 +817,7 @@
       free (event);
     }
   mailbox_free (engine->events);
+  baseline_free (engine->baseline);
   decide_free (engine->node);
   g_hash_table_destroy (engine->requests);
   g_hash_table_destroy (engine->attempts);
--- a/peridotrouter/links.c
+++ b/peridotrouter/links.c
@@ -1,6 +1,7 @@
 #include "links.h"
 
 #include <errno.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,7 +10,9 @@
 struct links
 {
   links_callbacks_t callbacks;
-  peer_server_t *server;
+  pthread_mutex_t lock;
+  peer_server_t *server; /* guarded by the lock */
+  uint64_t received;     /* bytes; guarded by the lock */
   uint32_t count;
   struct
   {
@@ -31,6 +34,7 @@
 
   if (links == NULL)
     return -ENOMEM;
+  pthread_mutex_init (&links->lock, NULL);
   links->callbacks = *callbacks;
   server.context = links;
   for (uint32_t i = 0; i < settings->instance_count && error == 0; i++)
@@ -98,13 +102,41 @@
       }
 }
 
+void
+links_get_bytes (links_t *links, uint64_t *sent, uint64_t *received)
+{
+  peer_sender_stats_t sender;
+  peer_server_stats_t server;
+
+  *sent = 0;
+  for (uint32_t i = 0; i < links->count; i++)
+    {
+      peer_sender_get_stats (links->peers[i].sender, &sender);
+      *sent += sender.bytes;
+    }
+  pthread_mutex_lock (&links->lock);
+  if (links->server != NULL)
+    {
+      peer_server_get_stats (links->server, &server);
+      links->received = server.bytes;
+    }
+  *received = links->received;
+  pthread_mutex_unlock (&links->lock);
+}
+
 void
 links_stop_server (links_t *links)
 {
+  peer_server_t *server;
+
   if (links == NULL)
     return;
-  peer_server_stop (links->server);
+  /* The decision thread still reads the counters.  */
+  pthread_mutex_lock (&links->lock);
+  server = links->server;
   links->server = NULL;
+  pthread_mutex_unlock (&links->lock);
+  peer_server_stop (server);
 }
 
 void
@@ -115,5 +147,6 @@
   links_stop_server (links);
   for (uint32_t i = 0; i < links->count; i++)
     peer_sender_stop (links->peers[i].sender);
+  pthread_mutex_destroy (&links->lock);
   free (links);
 }
--- a/peridotrouter/links.h
+++ b/peridotrouter/links.h
@@ -25,6 +25,9 @@
 void links_send (links_t *links, decide_id_t instance,
                  const decide_msg_t *msg);
 
+/* Sets the bytes of messages sent and received since the start.  */
+void links_get_bytes (links_t *links, uint64_t *sent, uint64_t *received);
+
 /* No callback is made after the return.  */
 void links_stop_server (links_t *links);
 void links_free (links_t *links);
--- a/peridotrouter/storage.c
+++ b/peridotrouter/storage.c
@@ -100,6 +100,16 @@
   free (job);
 }
 
+void
+storage_get_bytes (storage_t *storage, uint64_t *sent, uint64_t *received)
+{
+  store_stats_t stats;
+
+  store_get_stats (storage->store, &stats);
+  *sent = stats.bytes_sent;
+  *received = stats.bytes_received;
+}
+
 void
 storage_stop (storage_t *storage)
 {
--- a/peridotrouter/storage.h
+++ b/peridotrouter/storage.h
@@ -26,6 +26,10 @@
                    const storage_callbacks_t *callbacks);
 void storage_stop (storage_t *storage);
 
+/* Sets the bytes sent to and received from the store since the start.  */
+void storage_get_bytes (storage_t *storage, uint64_t *sent,
+                        uint64_t *received);
+
 /* Reads the objects changed after @since.  */
 void storage_sync (storage_t *storage, uint64_t since);
 
