--- /dev/null
+++ b/test/bench/sample.py
@@ -0,0 +1,92 @@
+"""Counters of the instances: their metrics and what the kernel says."""
+
+import os
+import re
+import time
+
+from harness import request
+
+TICK_S = 1 / os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+LINE = re.compile(r"^(\w+)(\{[^}]*\})? (\S+)$")
+ADDED = "peridot_added_seconds_bucket"
+
+
+def cpu_s(path):
+    with open(path, encoding="ascii", errors="replace") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) * TICK_S
+
+
+def thread_cpu_s(directory):
+    """CPU time of a thread in s, in ns steps where the kernel has them."""
+    with open(directory + "/schedstat", encoding="ascii") as file:
+        ns = int(file.read().split()[0])
+    return ns / 1e9 if ns else cpu_s(directory + "/stat")
+
+
+def control_cpu_s(pid):
+    """Threads that serve no connection: CivetWeb names its own threads."""
+    total = 0
+    for thread in os.listdir(f"/proc/{pid}/task"):
+        directory = f"/proc/{pid}/task/{thread}"
+        with open(directory + "/comm", encoding="ascii") as file:
+            if file.read().startswith("civetweb"):
+                continue
+        total += thread_cpu_s(directory)
+    return total
+
+
+def metrics(instance):
+    values = {}
+    text = request(instance.operators, "GET", "/metrics").body.decode()
+    for line in text.splitlines():
+        found = LINE.match(line)
+        if found:
+            values[found[1] + (found[2] or "")] = float(found[3])
+    return values
+
+
+def take(topology):
+    """Sample of each running instance by name."""
+    samples = {}
+    for instance in topology.instances:
+        if instance.process.child.poll() is not None:
+            continue
+        pid = instance.process.child.pid
+        with open(f"/proc/{pid}/statm", encoding="ascii") as file:
+            resident = int(file.read().split()[1]) * PAGE
+        samples[instance.name] = {
+            "at": time.monotonic(), "cpu": cpu_s(f"/proc/{pid}/stat"),
+            "control_cpu": control_cpu_s(pid), "resident": resident,
+            "metrics": metrics(instance)}
+    return samples
+
+
+def total(values, name):
+    return sum(value for key, value in values.items()
+               if key == name or key.startswith(name + "{"))
+
+
+def added_p99_ms(before, after):
+    """p99 in ms from the buckets, linear within one; None without data."""
+    counts = {}
+    for name, sample in after.items():
+        for key, value in sample["metrics"].items():
+            if key.startswith(ADDED):
+                bound = float(re.search(r'le="([^"]+)"', key)[1])
+                old = before[name]["metrics"].get(key, 0)
+                counts[bound] = counts.get(bound, 0) + value - old
+    bounds = sorted(counts)
+    if not bounds or counts[bounds[-1]] == 0:
+        return None
+    wanted = 0.99 * counts[bounds[-1]]
+    low_bound, low = 0, 0
+    for bound in bounds:
+        if counts[bound] >= wanted:
+            if bound == float("inf"):
+                return low_bound * 1000
+            part = (wanted - low) / max(counts[bound] - low, 1)
+            return 1000 * (low_bound + part * (bound - low_bound))
+        low_bound, low = bound, counts[bound]
+    return None
--- a/test/standin/endpoint.c
+++ b/test/standin/endpoint.c
@@ -368,6 +368,12 @@
     endpoint->out_since_us
         = since (endpoint->out_since_us,
                  strcmp (json_object_get_string (member), "out") == 0);
+  if (json_object_object_get_ex (value, "reset_max", &member)
+      && json_object_get_boolean (member))
+    {
+      endpoint->max_concurrency = 0;
+      endpoint->max_over_bearing = 0;
+    }
   record_load (endpoint);
   pthread_mutex_unlock (&endpoint->lock);
   if (reset)
--- a/test/standin/endpoint.h
+++ b/test/standin/endpoint.h
@@ -122,7 +122,7 @@
 endpoint_load_t endpoint_get_load (endpoint_t *endpoint, bool own, bool lag);
 
 /* Applies a control object: cold, restart, drain, slow_factor, slow_ms, shed,
-   fail, mark.  */
+   fail, mark, reset_max.  */
 void endpoint_control (endpoint_t *endpoint, json_object *value);
 
 json_object *endpoint_stats (endpoint_t *endpoint);
