Let mailbox writers sleep, not spin, behind a preempted writer

Ruled out: a full ring (the enqueue would have returned), a lost wake-up.

A writer now takes a mutex and uses the single-writer form of the ring.

--- a/lib/mailbox/mailbox.c
+++ b/lib/mailbox/mailbox.c
@@ -4,6 +4,8 @@
 #include <errno.h>
 #include <limits.h>
 #include <poll.h>
+#include <pthread.h>
+#include <stdbool.h>
 #include <stdlib.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -19,8 +21,13 @@
 #define ACQUIRE(entry) ((void)0)
 #endif
 
+/* Writers take a lock and use the ring's single-writer form.  With the form
+   for many writers, all spin while one of them is preempted between its two
+   steps; with some hundred threads on few cores the process then makes no
+   progress. */
 struct mailbox
 {
+  pthread_mutex_t writers;
   ck_ring_t ring;
   ck_ring_buffer_t *buffer;
   int wake;
@@ -43,6 +50,7 @@
       free (box);
       return NULL;
     }
+  pthread_mutex_init (&box->writers, NULL);
   ck_ring_init (&box->ring, capacity);
   return box;
 }
@@ -53,6 +61,7 @@
   if (box == NULL)
     return;
   close (box->wake);
+  pthread_mutex_destroy (&box->writers);
   free (box->buffer);
   free (box);
 }
@@ -60,8 +69,13 @@
 int
 mailbox_put (mailbox_t *box, void *entry)
 {
+  bool put;
+
   RELEASE (entry);
-  if (!ck_ring_enqueue_mpsc (&box->ring, box->buffer, entry))
+  pthread_mutex_lock (&box->writers);
+  put = ck_ring_enqueue_spsc (&box->ring, box->buffer, entry);
+  pthread_mutex_unlock (&box->writers);
+  if (!put)
     return -EAGAIN;
   mailbox_wake (box);
   return 0;
@@ -81,7 +95,7 @@
 {
   void *entry;
 
-  if (!ck_ring_dequeue_mpsc (&box->ring, box->buffer, &entry))
+  if (!ck_ring_dequeue_spsc (&box->ring, box->buffer, &entry))
     return NULL;
   ACQUIRE (entry);
   return entry;
