--- a/peridotrouter/engine.c
+++ b/peridotrouter/engine.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 #include <urcu.h>
 
+#include "baseline.h"
 #include "links.h"
 #include "mailbox.h"
 #include "probes.h"
@@ -98,6 +99,7 @@
   conf_settings_t settings;
   decide_t *node;
   record_t *record; /* NULL: no recording */
+  baseline_t *baseline; /* NULL: owners grant slots */
   mailbox_t *events;
   pthread_t thread;
   bool started;
@@ -475,6 +477,11 @@
   out.keyed = request->keyed;
   out.key = request->key;
   out.deadline = request->deadline;
+  if (engine->baseline != NULL)
+    {
+      baseline_request (engine->baseline, now, &out, profile);
+      return;
+    }
   record_request (engine->record, now, &out);
   decide_request (engine->node, now, &out);
 }
@@ -486,13 +493,19 @@
   uint64_t attempt = event->u.attempt.attempt;
   const decide_attempt_end_t *end = &event->u.attempt.end;
   clock_ms_t now = clock_now_ms ();
+  bool answered;
 
   telemetry_count (TELEMETRY_ATTEMPTS, end->result);
   g_hash_table_remove (engine->attempts, &attempt);
   record_attempt (engine->record, now, request->id, attempt, end,
                   event->u.attempt.answer);
-  if (decide_attempt_done (engine->node, now, request->id, attempt, end,
-                           event->u.attempt.answer))
+  if (engine->baseline != NULL)
+    answered = baseline_attempt_done (engine->baseline, now, request->id,
+                                      attempt, end);
+  else
+    answered = decide_attempt_done (engine->node, now, request->id, attempt,
+                                    end, event->u.attempt.answer);
+  if (answered)
     end_request (engine, request->id);
   g_free (event->u.attempt.answer);
   request_unref (request);
@@ -540,7 +553,10 @@
       if (find_request (engine, event->u.request->id) != NULL)
         {
           record_gone (engine->record, now, event->u.request->id);
-          decide_request_gone (engine->node, now, event->u.request->id);
+          if (engine->baseline != NULL)
+            baseline_request_gone (engine->baseline, event->u.request->id);
+          else
+            decide_request_gone (engine->node, now, event->u.request->id);
           end_request (engine, event->u.request->id);
         }
       request_unref (event->u.request);
@@ -631,6 +647,26 @@
   free (old);
 }
 
+/* The counters of the links and the store are totals; the metrics take what
+   was added.  */
+static void
+publish_bytes (engine_t *engine)
+{
+  uint64_t peers[2];
+  uint64_t all[2];
+
+  links_get_bytes (engine->links, &peers[0], &peers[1]);
+  storage_get_bytes (engine->storage, &all[0], &all[1]);
+  for (unsigned int i = 0; i < 2; i++)
+    {
+      all[i] += peers[i];
+      telemetry_add (TELEMETRY_PEER_BYTES, i,
+                     peers[i] - telemetry_read (TELEMETRY_PEER_BYTES, i));
+      telemetry_add (TELEMETRY_CONTROL_BYTES, i,
+                     all[i] - telemetry_read (TELEMETRY_CONTROL_BYTES, i));
+    }
+}
+
 static void
 publish_gauges (engine_t *engine, clock_ms_t now)
 {
@@ -656,11 +692,14 @@
     {
       engine->addresses_at = now + ADDRESSES_INTERVAL_MS;
       publish_addresses (engine, now);
+      if (engine->baseline != NULL)
+        baseline_update (engine->baseline, engine->node, now);
     }
   if (now >= engine->gauges_at)
     {
       engine->gauges_at = now + GAUGES_INTERVAL_MS;
       publish_gauges (engine, now);
+      publish_bytes (engine);
     }
   if (decide_stopped (engine->node, now))
     atomic_store (&engine->stopped, true);
@@ -746,7 +785,14 @@
   now = clock_now_ms ();
   record_start (engine->record, now, &own);
   engine->node = decide_new (&own, &callbacks, now);
-  return engine->node == NULL ? -EINVAL : 0;
+  if (engine->node == NULL)
+    return -EINVAL;
+  if (settings->policy == CONF_POLICY_OWNER)
+    return 0;
+  engine->baseline
+      = baseline_new (conf_policy_name (settings->policy),
+                      settings->data_centre, own.seed, &callbacks);
+  return engine->baseline == NULL ? -EINVAL : 0;
 }
 
 static void
@@ -831,6 +877,7 @@
     }
   mailbox_free (engine->events);
   record_close (engine->record);
+  baseline_free (engine->baseline);
   decide_free (engine->node);
   g_hash_table_destroy (engine->requests);
   g_hash_table_destroy (engine->attempts);
