--- a/lib/decide/ownership.c
+++ b/lib/decide/ownership.c
@@ -71,7 +71,7 @@
   o->rng = rng;
   o->started = now;
   o->longest_grant = OWNERSHIP_LONGEST_GRANT_MS;
-  o->learned_at = o->read_sent = o->asked_at = OWNERSHIP_NEVER;
+  o->read_sent = o->asked_at = OWNERSHIP_NEVER;
   o->contend_at = o->attempt.next_at = OWNERSHIP_NEVER;
   o->self_index = -1;
   o->next_heartbeat = now;
@@ -182,7 +182,6 @@
   decide_record_t previous = o->record;
 
   o->record = *record;
-  o->learned_at = now;
   o->record_absent = false;
   o->support_count = 0;
   o->rewrite_due = false;
@@ -198,6 +197,7 @@
     {
       const decide_member_t *member = &record->members[i];
       int old = ownership_record_find (&previous, o->member_ids[i]);
+      const ownership_peer_t *peer;
 
       /* A process that has just claimed its entry has not been silent.  */
       if (member->incarnation != 0
@@ -205,6 +205,8 @@
               || previous.members[old].incarnation != member->incarnation))
         (void)ownership_peer_touch (o, now, o->member_ids[i],
                                     member->incarnation);
+      peer = ownership_peer_add (o, o->member_ids[i], now);
+      o->member_peers[i] = peer == NULL ? -1 : (int)(peer - o->peers);
     }
   ownership_slices_learn (o, now, &previous);
   /* Evidence by majority starts anew with each version.  */
--- a/lib/decide/ownership_private.h
+++ b/lib/decide/ownership_private.h
@@ -25,7 +25,6 @@
   clock_ms_t spoke;       /* the instance itself, for contact */
   decide_member_state_t state;
   uint64_t revision;
-  uint64_t record_version;
   /* Newest acknowledged heartbeat: evidence (b).  */
   uint64_t ack_version;
   uint64_t ack_incarnation;
@@ -104,7 +103,7 @@
 
   decide_record_t record; /* version 0: none known */
   decide_id_t member_ids[DECIDE_MEMBERS_MAX];
-  clock_ms_t learned_at;
+  int member_peers[DECIDE_MEMBERS_MAX]; /* entry in peers; -1 for itself */
   int self_index;  /* in the members, -1 when not listed */
   bool member;     /* listed with this incarnation */
   bool was_member; /* so a later process of the name supersedes this one */
--- a/lib/decide/promise.c
+++ b/lib/decide/promise.c
@@ -96,11 +96,14 @@
     return 0;
   for (uint32_t i = 0; i < o->record.member_count; i++)
     {
-      const ownership_peer_t *peer = ownership_peer_find (o, o->member_ids[i]);
+      const ownership_peer_t *peer;
       clock_ms_t age;
       uint32_t j;
 
-      if (peer == NULL || peer->ack_version != o->record.version
+      if (o->member_peers[i] < 0)
+        continue;
+      peer = &o->peers[o->member_peers[i]];
+      if (peer->ack_version != o->record.version
           || peer->ack_incarnation != o->record.members[i].incarnation
           || peer->ack_sequence < first)
         continue;
@@ -216,7 +219,6 @@
     return;
   peer->state = heartbeat->state;
   peer->revision = heartbeat->revision;
-  peer->record_version = heartbeat->record_version;
   peer->acting_count = heartbeat->acting_count;
   memcpy (peer->acting, heartbeat->acting,
           heartbeat->acting_count * sizeof peer->acting[0]);
@@ -248,7 +250,6 @@
   if (peer == NULL)
     return;
   peer->revision = ack->revision;
-  peer->record_version = ack->record_version;
   if (ack->record_version != o->record.version || o->record.version == 0)
     return;
   if (ack->supported_against)
--- a/test/unit/ownership_model.c
+++ b/test/unit/ownership_model.c
@@ -2,31 +2,12 @@
 
 #include <errno.h>
 #include <inttypes.h>
-#include <stdalign.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define STORE_DELAY_MS 3
-#define STORE_TIMEOUT_MS 1000
-#define READ_TIMEOUT_MS 500
-
-/* Immutable and shared between copies of a model.  */
-struct model_payload
-{
-  uint32_t references;
-  alignas (max_align_t) unsigned char content[];
-};
-
-static model_payload_t *payload_new (const void *content, size_t size);
-static decide_record_t *payload_record (model_payload_t *payload);
-static model_payload_t *payload_get (model_payload_t *payload);
-static void payload_put (model_payload_t *payload);
 static size_t message_size (const decide_msg_t *msg);
-static bool before (const model_event_t *a, const model_event_t *b);
-static void push (model_t *m, const model_event_t *event);
-static model_event_t pop (model_t *m);
 static int64_t network_delay (model_t *m);
 static void on_send (void *context, decide_id_t instance,
                      const decide_msg_t *msg);
@@ -41,8 +22,6 @@
 static void on_import (void *context, uint32_t centre, uint32_t slice,
                        decide_id_t from, const decide_handover_grant_t *grants,
                        uint32_t count);
-static void store_read (model_t *m, model_event_t *event);
-static void store_put (model_t *m, model_event_t *event);
 static void deliver (model_t *m, model_event_t *event);
 static void deliver_message (model_t *m, const model_event_t *event);
 static void answer_read (model_instance_t *instance,
@@ -50,42 +29,9 @@
 static void answer_put (model_instance_t *instance,
                         const model_event_t *event);
 static int64_t next_due (const model_t *m);
-static bool check (model_t *m);
-static void check_grants (model_t *m);
 static void release_held (model_t *m, uint32_t i, bool deliver_now);
 static void instance_name (char name[DECIDE_NAME_MAX], uint32_t i);
 
-static model_payload_t *
-payload_new (const void *content, size_t size)
-{
-  model_payload_t *payload = g_malloc0 (sizeof (model_payload_t) + size);
-
-  payload->references = 1;
-  memcpy (payload->content, content, size);
-  return payload;
-}
-
-static decide_record_t *
-payload_record (model_payload_t *payload)
-{
-  return (decide_record_t *)payload->content;
-}
-
-static model_payload_t *
-payload_get (model_payload_t *payload)
-{
-  if (payload != NULL)
-    payload->references++;
-  return payload;
-}
-
-static void
-payload_put (model_payload_t *payload)
-{
-  if (payload != NULL && --payload->references == 0)
-    g_free (payload);
-}
-
 /* Only the part of the union that a message uses is kept.  */
 static size_t
 message_size (const decide_msg_t *msg)
@@ -103,54 +49,6 @@
     }
 }
 
-static bool
-before (const model_event_t *a, const model_event_t *b)
-{
-  return a->at < b->at || (a->at == b->at && a->order < b->order);
-}
-
-static void
-push (model_t *m, const model_event_t *event)
-{
-  uint32_t i = m->event_count++;
-
-  g_assert_cmpuint (m->event_count, <, MODEL_EVENTS);
-  m->events[i] = *event;
-  m->events[i].order = m->order++;
-  while (i > 0 && before (&m->events[i], &m->events[(i - 1) / 2]))
-    {
-      model_event_t swap = m->events[i];
-
-      m->events[i] = m->events[(i - 1) / 2];
-      i = (i - 1) / 2;
-      m->events[i] = swap;
-    }
-}
-
-static model_event_t
-pop (model_t *m)
-{
-  model_event_t top = m->events[0];
-  uint32_t i = 0;
-
-  m->events[0] = m->events[--m->event_count];
-  for (;;)
-    {
-      uint32_t least = i;
-
-      for (uint32_t child = 2 * i + 1; child <= 2 * i + 2; child++)
-        if (child < m->event_count
-            && before (&m->events[child], &m->events[least]))
-          least = child;
-      if (least == i)
-        return top;
-      model_event_t swap = m->events[i];
-      m->events[i] = m->events[least];
-      m->events[least] = swap;
-      i = least;
-    }
-}
-
 static int64_t
 network_delay (model_t *m)
 {
@@ -175,8 +73,8 @@
           return;
         event.to = to;
         event.at = m->now + network_delay (m);
-        event.payload = payload_new (msg, message_size (msg));
-        push (m, &event);
+        event.payload = model_payload_new (msg, message_size (msg));
+        model_push (m, &event);
       }
 }
 
@@ -200,13 +98,13 @@
   model_t *m = instance->model;
   uint32_t i = (uint32_t)(instance - m->instances);
   model_event_t event = { .kind = MODEL_READ,
-                          .at = m->now + STORE_DELAY_MS,
+                          .at = m->now + MODEL_STORE_DELAY_MS,
                           .from = i,
                           .to = i,
                           .process = instance->process,
                           .sent = model_clock (m, i) };
 
-  push (m, &event);
+  model_push (m, &event);
 }
 
 static void
@@ -216,16 +114,17 @@
   model_instance_t *instance = context;
   model_t *m = instance->model;
   uint32_t i = (uint32_t)(instance - m->instances);
-  model_event_t event = { .kind = MODEL_PUT,
-                          .at = m->now + STORE_DELAY_MS,
-                          .from = i,
-                          .to = i,
-                          .process = instance->process,
-                          .operation = operation,
-                          .version = expected,
-                          .payload = payload_new (record, sizeof *record) };
+  model_event_t event
+      = { .kind = MODEL_PUT,
+          .at = m->now + MODEL_STORE_DELAY_MS,
+          .from = i,
+          .to = i,
+          .process = instance->process,
+          .operation = operation,
+          .version = expected,
+          .payload = model_payload_new (record, sizeof *record) };
 
-  push (m, &event);
+  model_push (m, &event);
 }
 
 static void
@@ -274,6 +173,7 @@
   model_t *m = g_new0 (model_t, 1);
 
   decide_rng_seed (&m->rng, seed);
+  m->watch_ms = 1;
   m->count = m->configured = count;
   m->data_centres = data_centres;
   for (uint32_t i = 0; i < MODEL_INSTANCES; i++)
@@ -294,10 +194,10 @@
   for (uint32_t i = 0; i < MODEL_INSTANCES; i++)
     ownership_free (m->instances[i].o);
   for (uint32_t i = 0; i < m->event_count; i++)
-    payload_put (m->events[i].payload);
+    model_payload_put (m->events[i].payload);
   for (uint32_t i = 0; i < m->held_count; i++)
-    payload_put (m->held[i].payload);
-  payload_put (m->record);
+    model_payload_put (m->held[i].payload);
+  model_payload_put (m->record);
   g_free (m);
 }
 
@@ -309,20 +209,20 @@
   for (uint32_t i = 0; i < MODEL_INSTANCES; i++)
     spare[i] = to->instances[i].o;
   for (uint32_t i = 0; i < to->event_count; i++)
-    payload_put (to->events[i].payload);
-  payload_put (to->record);
+    model_payload_put (to->events[i].payload);
+  model_payload_put (to->record);
   for (uint32_t i = 0; i < to->held_count; i++)
-    payload_put (to->held[i].payload);
+    model_payload_put (to->held[i].payload);
   memcpy (to, from, offsetof (model_t, held));
   memcpy (to->held, from->held, from->held_count * sizeof from->held[0]);
   to->event_count = from->event_count;
   for (uint32_t i = 0; i < to->held_count; i++)
-    payload_get (to->held[i].payload);
+    model_payload_get (to->held[i].payload);
   memcpy (to->events, from->events,
           from->event_count * sizeof from->events[0]);
   for (uint32_t i = 0; i < to->event_count; i++)
-    payload_get (to->events[i].payload);
-  payload_get (to->record);
+    model_payload_get (to->events[i].payload);
+  model_payload_get (to->record);
   for (uint32_t i = 0; i < MODEL_INSTANCES; i++)
     {
       model_instance_t *instance = &to->instances[i];
@@ -427,7 +327,7 @@
   /* A process that was paused past its evidence is compared with the others
      before it handles anything.  */
   if (m->violation[0] == '\0')
-    (void)check (m);
+    (void)model_check (m);
   release_held (m, i, true);
 }
 
@@ -445,10 +345,10 @@
       else if (deliver_now)
         {
           event->at = m->now;
-          push (m, event);
+          model_push (m, event);
         }
       else
-        payload_put (event->payload);
+        model_payload_put (event->payload);
     }
   m->held_count = kept;
 }
@@ -499,78 +399,6 @@
   return m->instances[i].o != NULL && !m->instances[i].paused;
 }
 
-static void
-store_read (model_t *m, model_event_t *event)
-{
-  model_instance_t *instance = &m->instances[event->to];
-
-  event->kind = MODEL_READ_DONE;
-  event->ok = !m->store_down && !instance->store_cut;
-  event->at = m->now + (event->ok ? STORE_DELAY_MS : READ_TIMEOUT_MS);
-  if (event->ok)
-    {
-      event->version = m->version;
-      event->payload = payload_get (m->record);
-    }
-  push (m, event);
-}
-
-static void
-store_put (model_t *m, model_event_t *event)
-{
-  model_instance_t *instance = &m->instances[event->to];
-  model_payload_t *payload = event->payload;
-  bool reached = !m->store_down && !instance->store_cut;
-  bool answered = reached && !event->late;
-
-  if (m->delay_put > 0 && !event->late)
-    {
-      model_event_t late = *event;
-
-      late.at = m->now + m->delay_put;
-      late.late = true;
-      payload_get (payload);
-      push (m, &late);
-      m->delay_put = 0;
-      reached = answered = false;
-    }
-  event->result = DECIDE_STORE_UNKNOWN;
-  event->payload = NULL;
-  m->puts += reached;
-  if (reached && event->version == m->version)
-    {
-      payload_put (m->record);
-      m->record = payload_get (payload);
-      /* The payload belongs to this put alone until now.  */
-      payload_record (m->record)->version = ++m->version;
-      event->result = DECIDE_STORE_OK;
-      event->version = m->version;
-    }
-  else if (reached)
-    {
-      m->conflicts++;
-      event->result = DECIDE_STORE_CONFLICT;
-      event->payload = payload_get (m->record);
-    }
-  payload_put (payload);
-  if (event->late)
-    {
-      payload_put (event->payload);
-      return;
-    }
-  if (answered && m->lose_put)
-    {
-      m->lose_put = answered = false;
-      payload_put (event->payload);
-      event->payload = NULL;
-    }
-  if (!answered)
-    event->result = DECIDE_STORE_UNKNOWN;
-  event->kind = MODEL_PUT_DONE;
-  event->at = m->now + (answered ? STORE_DELAY_MS : STORE_TIMEOUT_MS);
-  push (m, event);
-}
-
 static void
 answer_read (model_instance_t *instance, const model_event_t *event)
 {
@@ -578,9 +406,9 @@
   clock_ms_t now = model_clock (m, event->to);
 
   if (event->payload != NULL)
-    g_assert_cmpint (
-        ownership_record (instance->o, now, payload_record (event->payload)),
-        !=, -EINVAL);
+    g_assert_cmpint (ownership_record (instance->o, now,
+                                       model_payload_record (event->payload)),
+                     !=, -EINVAL);
   ownership_store_synced (instance->o, now, event->sent, event->ok,
                           event->version > 0);
 }
@@ -591,7 +419,8 @@
   clock_ms_t now = model_clock (instance->model, event->to);
 
   if (event->payload != NULL)
-    (void)ownership_record (instance->o, now, payload_record (event->payload));
+    (void)ownership_record (instance->o, now,
+                            model_payload_record (event->payload));
   ownership_put_done (instance->o, now, event->operation, event->result,
                       event->version);
 }
@@ -600,7 +429,7 @@
 deliver_message (model_t *m, const model_event_t *event)
 {
   model_instance_t *to = &m->instances[event->to];
-  const decide_msg_t *msg = (const decide_msg_t *)event->payload->content;
+  const decide_msg_t *msg = model_payload_msg (event->payload);
   const decide_record_t *record = ownership_get_record (to->o);
   model_event_t pull = {
     .kind = MODEL_PULL, .at = m->now + 2, .from = event->to, .to = event->from
@@ -611,7 +440,7 @@
   if (msg->type == DECIDE_MSG_HEARTBEAT
       && msg->u.heartbeat.revision > (record == NULL ? 0 : record->version)
       && !m->instances[event->from].zombie)
-    push (m, &pull);
+    model_push (m, &pull);
 }
 
 static void
@@ -624,12 +453,12 @@
 
   if (event->kind == MODEL_READ)
     {
-      store_read (m, event);
+      model_store_read (m, event);
       return;
     }
   if (event->kind == MODEL_PUT)
     {
-      store_put (m, event);
+      model_store_put (m, event);
       return;
     }
   if (to->paused && m->held_count < MODEL_HELD)
@@ -641,7 +470,7 @@
       || (event->kind < MODEL_READ && m->cut[event->from][event->to])
       || (event->kind > MODEL_READ && event->process != to->process))
     {
-      payload_put (event->payload);
+      model_payload_put (event->payload);
       return;
     }
   switch (event->kind)
@@ -652,13 +481,13 @@
     case MODEL_PULL:
       if (ownership_get_record (to->o) == NULL)
         break;
-      answer.payload = payload_new (ownership_get_record (to->o),
-                                    sizeof (decide_record_t));
-      push (m, &answer);
+      answer.payload = model_payload_new (ownership_get_record (to->o),
+                                          sizeof (decide_record_t));
+      model_push (m, &answer);
       break;
     case MODEL_PUSH:
       (void)ownership_record (to->o, model_clock (m, event->to),
-                              payload_record (event->payload));
+                              model_payload_record (event->payload));
       break;
     case MODEL_READ_DONE:
       answer_read (to, event);
@@ -667,7 +496,7 @@
       answer_put (to, event);
       break;
     }
-  payload_put (event->payload);
+  model_payload_put (event->payload);
 }
 
 static int64_t
@@ -686,95 +515,25 @@
   return due;
 }
 
-/* Reports two instances that may grant in one slice; returns whether several
-   with evidence hold one, so that the next millisecond is checked as well.  */
-static bool
-check (model_t *m)
-{
-  bool lease[MODEL_INSTANCES];
-  bool several = false;
-
-  for (uint32_t i = 0; i < m->count; i++)
-    lease[i]
-        = model_running (m, i)
-          && ownership_lease_left (m->instances[i].o, model_clock (m, i)) > 0;
-  for (uint32_t c = 0; c <= m->data_centres; c++)
-    for (uint32_t s = 0; s < DECIDE_SLICES; s++)
-      {
-        uint32_t holders[MODEL_INSTANCES];
-        uint32_t count = 0;
-        uint32_t granting = 0;
-
-        for (uint32_t i = 0; i < m->count; i++)
-          if (lease[i] && ownership_holds (m->instances[i].o, c, s))
-            holders[count++] = i;
-        if (count < 2)
-          continue;
-        several = true;
-        for (uint32_t h = 0; h < count; h++)
-          granting
-              += ownership_may_grant (m->instances[holders[h]].o,
-                                      model_clock (m, holders[h]), c, s, 0);
-        if (granting < 2)
-          continue;
-        snprintf (m->violation, sizeof m->violation,
-                  "%u instances may grant in slice %u of centre %u at %" PRId64
-                  " ms, entry-%u and entry-%u among the holders",
-                  granting, s, c, m->now, holders[0], holders[1]);
-        return several;
-      }
-  return several;
-}
-
-/* A grant that another instance gave must have ended, unless it was handed
-   over with the slice.  */
-static void
-check_grants (model_t *m)
-{
-  for (uint32_t c = 0; c <= m->data_centres; c++)
-    for (uint32_t s = 0; s < DECIDE_SLICES; s++)
-      for (uint32_t i = 0; i < m->count; i++)
-        {
-          const model_instance_t *instance = &m->instances[i];
-          uint64_t incarnation;
-
-          if (!model_running (m, i)
-              || !ownership_may_grant (instance->o, model_clock (m, i), c, s,
-                                       MODEL_GRANT_MS))
-            continue;
-          incarnation = instance->o->incarnation;
-          if (m->granted_until[c][s] > m->now
-              && m->granted_by[c][s] != incarnation
-              && m->granted_by[c][s] != instance->imported[c][s])
-            snprintf (m->violation, sizeof m->violation,
-                      "entry-%u may grant in slice %u of centre %u at %" PRId64
-                      " ms, a grant by incarnation %" PRIu64 " is outstanding",
-                      i, s, c, m->now, m->granted_by[c][s]);
-          m->granted_by[c][s] = incarnation;
-          m->granted_until[c][s]
-              = m->now + MODEL_GRANT_MS * 10000 / (10000 + instance->rate);
-        }
-}
-
 void
 model_run (model_t *m, int64_t ms)
 {
   int64_t end = m->now + ms;
-  bool several = check (m);
+  bool several = model_check (m);
 
   while (m->violation[0] == '\0')
     {
       int64_t due = next_due (m);
 
-      if (several && due > m->now + 1)
-        due = m->now + 1;
+      if (several && due > m->now + m->watch_ms)
+        due = m->now + m->watch_ms;
       if (due > end)
         break;
       if (due > m->now)
         m->now = due;
       while (m->event_count > 0 && m->events[0].at <= m->now)
         {
-          model_event_t event = pop (m);
+          model_event_t event = model_pop (m);
 
           deliver (m, &event);
         }
@@ -797,50 +556,10 @@
               instance->tick_at = m->now + MAX (next - now, 1);
             }
         }
-      several = check (m);
-      if (m->check_grants)
-        check_grants (m);
+      several = model_check (m);
+      if (m->check_grants && m->now >= m->grants_at)
+        model_check_grants (m);
     }
   if (m->now < end)
     m->now = end;
 }
-
-uint32_t
-model_served (const model_t *m)
-{
-  uint32_t served = 0;
-
-  for (uint32_t c = 0; c <= m->data_centres; c++)
-    for (uint32_t s = 0; s < DECIDE_SLICES; s++)
-      for (uint32_t i = 0; i < m->count; i++)
-        served
-            += model_running (m, i)
-               && ownership_may_grant (m->instances[i].o, model_clock (m, i),
-                                       c, s, MODEL_GRANT_MS);
-  return served;
-}
-
-uint32_t
-model_owned (const model_t *m, uint32_t i)
-{
-  ownership_status_t status;
-
-  if (m->instances[i].o == NULL)
-    return 0;
-  ownership_get_status (m->instances[i].o, model_clock (m, i), &status);
-  return status.slices_owned;
-}
-
-int64_t
-model_settle (model_t *m, uint32_t served, int64_t limit)
-{
-  int64_t start = m->now;
-
-  while (m->now - start <= limit && m->violation[0] == '\0')
-    {
-      if (model_served (m) == served)
-        return m->now - start;
-      model_run (m, 10);
-    }
-  return -1;
-}
--- a/test/unit/ownership_model.h
+++ b/test/unit/ownership_model.h
@@ -12,6 +12,7 @@
 #define MODEL_EVENTS 4096
 #define MODEL_HELD 512
 #define MODEL_GRANT_MS 300
+#define MODEL_STORE_DELAY_MS 3 /* each way */
 
 typedef struct model model_t;
 typedef struct model_payload model_payload_t;
@@ -79,8 +80,9 @@
   bool store_down;
   uint64_t version;
   model_payload_t *record;
-  bool lose_put;     /* the next put takes effect, its answer is lost */
-  int64_t delay_put; /* the next put arrives this much later */
+  bool lose_put;      /* the next put takes effect, its answer is lost */
+  int64_t read_delay; /* of answers, besides the usual delay */
+  int64_t delay_put;  /* the next put arrives this much later */
   uint32_t puts;
   uint32_t conflicts;
   /* Network.  */
@@ -88,7 +90,9 @@
   uint32_t loss; /* per 1000 */
   uint32_t late; /* per 1000: arrives up to 3 s later */
   /* Checks.  */
+  int64_t watch_ms; /* interval while several hold a slice */
   bool check_grants;
+  int64_t grants_at;
   int64_t granted_until[3][DECIDE_SLICES];
   uint64_t granted_by[3][DECIDE_SLICES]; /* incarnation */
   char violation[256];
@@ -118,6 +122,13 @@
 bool model_isolated (const model_t *m, uint32_t i);
 
 void model_run (model_t *m, int64_t ms);
+
+/* Reports two instances that may grant in one slice.  Returns whether several
+   hold one and have evidence, so that the next check must follow soon.  */
+bool model_check (model_t *m);
+/* Reports a grant that is given while one by another process is outstanding
+   that was not handed over.  */
+void model_check_grants (model_t *m);
 clock_ms_t model_clock (const model_t *m, uint32_t i);
 /* Slices with exactly one instance that may grant.  */
 uint32_t model_served (const model_t *m);
@@ -126,4 +137,21 @@
 /* Runs until @served slices are served; returns the time taken or -1.  */
 int64_t model_settle (model_t *m, uint32_t served, int64_t limit);
 
+/* ---- Event queue ---- */
+
+/* Message or record; immutable and shared between copies of a model.  */
+model_payload_t *model_payload_new (const void *content, size_t size);
+model_payload_t *model_payload_get (model_payload_t *payload);
+void model_payload_put (model_payload_t *payload);
+decide_record_t *model_payload_record (model_payload_t *payload);
+const decide_msg_t *model_payload_msg (const model_payload_t *payload);
+void model_push (model_t *m, const model_event_t *event);
+model_event_t model_pop (model_t *m);
+
+/* ---- Store ---- */
+
+/* A request arrives at the store; the event becomes its answer.  */
+void model_store_read (model_t *m, model_event_t *event);
+void model_store_put (model_t *m, model_event_t *event);
+
 #endif
--- /dev/null
+++ b/test/unit/ownership_model_queue.c
@@ -0,0 +1,99 @@
+#include "ownership_model.h"
+
+#include <stdalign.h>
+#include <stddef.h>
+#include <string.h>
+
+/* Immutable and shared between copies of a model.  */
+struct model_payload
+{
+  uint32_t references;
+  alignas (max_align_t) unsigned char content[];
+};
+
+static bool before (const model_event_t *a, const model_event_t *b);
+
+model_payload_t *
+model_payload_new (const void *content, size_t size)
+{
+  model_payload_t *payload = g_malloc0 (sizeof (model_payload_t) + size);
+
+  payload->references = 1;
+  memcpy (payload->content, content, size);
+  return payload;
+}
+
+decide_record_t *
+model_payload_record (model_payload_t *payload)
+{
+  return (decide_record_t *)payload->content;
+}
+
+model_payload_t *
+model_payload_get (model_payload_t *payload)
+{
+  if (payload != NULL)
+    payload->references++;
+  return payload;
+}
+
+void
+model_payload_put (model_payload_t *payload)
+{
+  if (payload != NULL && --payload->references == 0)
+    g_free (payload);
+}
+
+static bool
+before (const model_event_t *a, const model_event_t *b)
+{
+  return a->at < b->at || (a->at == b->at && a->order < b->order);
+}
+
+void
+model_push (model_t *m, const model_event_t *event)
+{
+  uint32_t i = m->event_count++;
+
+  g_assert_cmpuint (m->event_count, <, MODEL_EVENTS);
+  m->events[i] = *event;
+  m->events[i].order = m->order++;
+  while (i > 0 && before (&m->events[i], &m->events[(i - 1) / 2]))
+    {
+      model_event_t swap = m->events[i];
+
+      m->events[i] = m->events[(i - 1) / 2];
+      i = (i - 1) / 2;
+      m->events[i] = swap;
+    }
+}
+
+model_event_t
+model_pop (model_t *m)
+{
+  model_event_t top = m->events[0];
+  uint32_t i = 0;
+
+  m->events[0] = m->events[--m->event_count];
+  for (;;)
+    {
+      uint32_t least = i;
+
+      for (uint32_t child = 2 * i + 1; child <= 2 * i + 2; child++)
+        if (child < m->event_count
+            && before (&m->events[child], &m->events[least]))
+          least = child;
+      if (least == i)
+        return top;
+      model_event_t swap = m->events[i];
+      m->events[i] = m->events[least];
+      m->events[least] = swap;
+      i = least;
+    }
+}
+
+const decide_msg_t *
+model_payload_msg (const model_payload_t *payload)
+{
+  return (const decide_msg_t *)payload->content;
+}
