--- a/lib/decide/ownership.c
+++ b/lib/decide/ownership.c
@@ -150,7 +150,7 @@
 {
   if (o->read_sent != OWNERSHIP_NEVER && o->read_sent >= since)
     return true;
-  if (ownership_age (now, o->asked_at) < READ_RETRY_MS)
+  if (o->syncing || ownership_age (now, o->asked_at) < READ_RETRY_MS)
     return false;
   o->asked_at = now;
   o->callbacks.store_read (o->callbacks.context);
@@ -245,7 +245,9 @@
   o->record_absent = !record_seen;
   if (o->put.unresolved && sent >= o->put.unresolved_at)
     o->put.unresolved = false;
+  o->syncing = true;
   act (o, now);
+  o->syncing = false;
 }
 
 void
--- a/lib/decide/ownership.h
+++ b/lib/decide/ownership.h
@@ -33,6 +33,7 @@
   const char *const *centres; /* without DECIDE_KEY_CENTRE */
 } ownership_settings_t;
 
+/* Callbacks may read the aggregate, but not change it.  */
 typedef struct ownership_callbacks
 {
   void *context;
--- a/lib/decide/ownership_private.h
+++ b/lib/decide/ownership_private.h
@@ -110,6 +110,7 @@
 
   clock_ms_t read_sent;  /* newest successful read of the store */
   bool record_absent;    /* as of that read */
+  bool syncing;          /* inside ownership_store_synced() */
   clock_ms_t asked_at;   /* last store_read */
   clock_ms_t contend_at; /* next update that other starting instances race */
   uint32_t conflicts;    /* in a row */
