--- a/lib/decide/catalog.c
+++ b/lib/decide/catalog.c
@@ -56,6 +56,7 @@
 static pool_handle_t place_pool (catalog_t *catalog, const char *service_name,
                                  const char *centre, uint32_t number);
 static void list_pools (catalog_t *catalog, catalog_service_t *service);
+static void note_longest_runs (catalog_t *catalog);
 static void rebuild_pools (catalog_t *catalog,
                            const decide_service_t *service);
 static void remember (GHashTable *table, decide_id_t id, uint32_t index);
@@ -179,6 +180,8 @@
     }
   if (error != 0)
     return error;
+  if (changed & (CATALOG_CHANGED_PROFILE | CATALOG_CHANGED_SERVICE))
+    note_longest_runs (c);
 
   known = g_new0 (object_t, 1);
   known->name = g_strdup (object->name);
@@ -331,6 +334,20 @@
   return 0;
 }
 
+static void
+note_longest_runs (catalog_t *c)
+{
+  for (uint32_t i = 0; i < c->services->len; i++)
+    {
+      catalog_service_t *service
+          = &g_array_index (c->services, catalog_service_t, i);
+      const decide_profile_t *profile = catalog_profile (c, service->id);
+
+      if (profile != NULL && profile->run_ms > service->longest_run_ms)
+        service->longest_run_ms = profile->run_ms;
+    }
+}
+
 static void
 list_pools (catalog_t *c, catalog_service_t *service)
 {
@@ -479,6 +496,18 @@
   return profile == NULL ? &default_profile : profile;
 }
 
+clock_ms_t
+catalog_longest_run (const catalog_t *c)
+{
+  clock_ms_t longest = 0;
+
+  for (uint32_t i = 0; i < c->services->len; i++)
+    longest = MAX (
+        longest,
+        g_array_index (c->services, catalog_service_t, i).longest_run_ms);
+  return longest;
+}
+
 uint32_t
 catalog_pool_count (const catalog_t *c)
 {
--- a/lib/decide/catalog.h
+++ b/lib/decide/catalog.h
@@ -43,6 +43,9 @@
   char name[DECIDE_NAME_MAX];
   char profile_name[DECIDE_NAME_MAX];
   bool live;
+  /* Longest run_ms that any profile of the service had: grants made before a
+     change may still be out.  */
+  clock_ms_t longest_run_ms;
   uint32_t pool_count;
   pool_handle_t pools[CATALOG_SERVICE_POOLS_MAX];
 } catalog_service_t;
@@ -97,6 +100,9 @@
 const decide_profile_t *catalog_profile (const catalog_t *catalog,
                                          decide_id_t service);
 
+/* Longest run of any service in ms; 0 without a service.  */
+clock_ms_t catalog_longest_run (const catalog_t *catalog);
+
 uint32_t catalog_pool_count (const catalog_t *catalog);
 const catalog_pool_t *catalog_pool (const catalog_t *catalog,
                                     pool_handle_t pool);
--- a/lib/decide/node_pools.c
+++ b/lib/decide/node_pools.c
@@ -87,14 +87,14 @@
 static bool
 may_grant (const decide_t *node, const catalog_pool_t *pool)
 {
-  const decide_profile_t *profile
-      = catalog_profile (node->catalog, pool->service);
+  const catalog_service_t *service
+      = catalog_find_service (node->catalog, pool->service);
   uint32_t centre = node_pool_centre (node, pool);
 
-  return profile != NULL && pool->count > 0 && centre != DECIDE_NO_HANDLE
+  return service != NULL && pool->count > 0 && centre != DECIDE_NO_HANDLE
          && ownership_may_grant (node->ownership, node->now, centre,
                                  pool->slice,
-                                 DECIDE_LEND_MS + profile->run_ms);
+                                 DECIDE_LEND_MS + service->longest_run_ms);
 }
 
 static bool
@@ -193,6 +193,8 @@
   void *value;
 
   node->pools_changed = false;
+  ownership_set_longest_grant (
+      node->ownership, DECIDE_LEND_MS + catalog_longest_run (node->catalog));
   node->pools_due = node->now;
   for (uint32_t i = 0; i < node->touched->len; i++)
     ((node_pool_t *)g_ptr_array_index (node->touched, i))->touched = false;
