--- /dev/null
+++ b/test/unit/slots_limit.c
@@ -0,0 +1,151 @@
+#include "limit.h"
+
+#include <glib.h>
+
+/* Rules of the limit of one endpoint, step by step.  */
+
+static const decide_load_t plain = { .present = true, .identity = 5 };
+static const decide_load_t draining
+    = { .present = true, .identity = 5, .draining = true };
+
+static decide_attempt_end_t
+answer (clock_ms_t latency_ms)
+{
+  return (decide_attempt_end_t){ .result = DECIDE_ATTEMPT_ANSWERED,
+                                 .status = 200,
+                                 .latency_ms = latency_ms,
+                                 .load = plain };
+}
+
+static decide_attempt_end_t
+ended (decide_attempt_result_t result)
+{
+  return (decide_attempt_end_t){ .result = result };
+}
+
+static void
+warm (limit_t *limit, clock_ms_t now)
+{
+  decide_attempt_end_t end = answer (5);
+
+  for (int i = 0; i < 200; i++)
+    limit_ended (limit, now, &end, 80);
+}
+
+/* A cold server gets one request, and more only after good answers.  */
+static void
+test_ramp (void)
+{
+  decide_attempt_end_t end = answer (5);
+  limit_t limit;
+  uint32_t before;
+  int answers = 0;
+
+  limit_init (&limit, 3, 0);
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+  while (limit_current (&limit) < 3)
+    {
+      before = limit_current (&limit);
+      limit_ended (&limit, 0, &end, 80);
+      g_assert_cmpuint (limit_current (&limit), <=, before + 1);
+      answers++;
+    }
+  g_assert_cmpint (answers, ==, 16);
+  warm (&limit, 0);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
+  limit_used (&limit, 9999, 0);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
+  /* A long run is not idleness.  */
+  limit_used (&limit, 30000, 1);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
+  limit_used (&limit, 60000, 0);
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+  warm (&limit, 60000);
+  end.load.identity = 6;
+  limit_ended (&limit, 60000, &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+  end.load.cold = true;
+  for (int i = 0; i < 31; i++)
+    limit_ended (&limit, 60000, &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+}
+
+/* Shedding, refusing and failing servers get less, then only probes.  */
+static void
+test_failing (void)
+{
+  static const struct
+  {
+    decide_attempt_result_t result;
+    uint32_t status;
+    int times;
+    uint32_t after_one;
+  } cases[] = { { DECIDE_ATTEMPT_SHED, 0, 2, 1 },
+                { DECIDE_ATTEMPT_NOT_SENT, 0, 1, 0 },
+                { DECIDE_ATTEMPT_RESET, 0, 3, 1 },
+                { DECIDE_ATTEMPT_BROKEN, 0, 3, 1 },
+                { DECIDE_ATTEMPT_ANSWERED, 500, 3, 3 } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      decide_attempt_end_t end = ended (cases[i].result);
+      clock_ms_t now = 1000;
+      clock_ms_t last_probe = 0;
+      limit_t limit;
+
+      end.status = cases[i].status;
+      limit_init (&limit, 3, 0);
+      warm (&limit, now);
+      limit_ended (&limit, now, &end, 80);
+      g_assert_cmpuint (limit_current (&limit), ==, cases[i].after_one);
+      for (int j = 1; j < cases[i].times; j++)
+        limit_ended (&limit, now, &end, 80);
+      g_assert_cmpuint (limit_current (&limit), ==, 0);
+      g_assert_false (limit_probe_due (&limit, now));
+      for (int probe = 0; probe < 6; probe++)
+        {
+          now = limit_due (&limit);
+          if (probe > 0)
+            g_assert_cmpint (now - last_probe, >=, 1000);
+          last_probe = now;
+          limit_probe_started (&limit, now);
+          limit_probed (&limit, now, false, &plain);
+        }
+      g_assert_cmpint (limit_due (&limit) - now, >=, 3000);
+      limit_probe_started (&limit, now);
+      limit_probed (&limit, now, true, &plain);
+      g_assert_cmpuint (limit_current (&limit), ==, 1);
+    }
+}
+
+/* Draining counts from the first sign; a lagging probe does not end it.  */
+static void
+test_drain (void)
+{
+  decide_attempt_end_t end = answer (5);
+  decide_load_t replaced = plain;
+  limit_t limit;
+
+  limit_init (&limit, 3, 0);
+  warm (&limit, 0);
+  end.load = draining;
+  limit_ended (&limit, 10, &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 0);
+  limit_probe_started (&limit, 1010);
+  limit_probed (&limit, 1010, true, &plain);
+  g_assert_cmpuint (limit_current (&limit), ==, 0);
+  replaced.identity = 7;
+  limit_probe_started (&limit, 3010);
+  limit_probed (&limit, 3010, true, &replaced);
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/limit/ramp", test_ramp);
+  g_test_add_func ("/limit/failing", test_failing);
+  g_test_add_func ("/limit/drain", test_drain);
+  return g_test_run ();
+}
--- a/test/unit/slots_owner.c
+++ b/test/unit/slots_owner.c
@@ -1,10 +1,8 @@
-#include "limit.h"
 #include "pool.h"
 
 #include <glib.h>
-#include <string.h>
 
-/* Rules of limits and pools, step by step.  */
+/* Rules of pools, step by step.  */
 
 #define POOL 9
 #define RUN_MS 1000
@@ -12,8 +10,6 @@
 #define OTHER 2
 
 static const decide_load_t plain = { .present = true, .identity = 5 };
-static const decide_load_t draining
-    = { .present = true, .identity = 5, .draining = true };
 
 static decide_attempt_end_t
 answer (clock_ms_t latency_ms)
@@ -30,125 +26,6 @@
   return (decide_attempt_end_t){ .result = result };
 }
 
-static void
-warm (limit_t *limit, clock_ms_t now)
-{
-  decide_attempt_end_t end = answer (5);
-
-  for (int i = 0; i < 200; i++)
-    limit_ended (limit, now, &end, 80);
-}
-
-/* A cold server gets one request, and more only after good answers.  */
-static void
-test_ramp (void)
-{
-  decide_attempt_end_t end = answer (5);
-  limit_t limit;
-  uint32_t before;
-  int answers = 0;
-
-  limit_init (&limit, 3, 0);
-  g_assert_cmpuint (limit_current (&limit), ==, 1);
-  while (limit_current (&limit) < 3)
-    {
-      before = limit_current (&limit);
-      limit_ended (&limit, 0, &end, 80);
-      g_assert_cmpuint (limit_current (&limit), <=, before + 1);
-      answers++;
-    }
-  g_assert_cmpint (answers, ==, 16);
-  warm (&limit, 0);
-  g_assert_cmpuint (limit_current (&limit), ==, 3);
-  limit_used (&limit, 9999, 0);
-  g_assert_cmpuint (limit_current (&limit), ==, 3);
-  /* A long run is not idleness.  */
-  limit_used (&limit, 30000, 1);
-  g_assert_cmpuint (limit_current (&limit), ==, 3);
-  limit_used (&limit, 60000, 0);
-  g_assert_cmpuint (limit_current (&limit), ==, 1);
-  warm (&limit, 60000);
-  end.load.identity = 6;
-  limit_ended (&limit, 60000, &end, 80);
-  g_assert_cmpuint (limit_current (&limit), ==, 1);
-  end.load.cold = true;
-  for (int i = 0; i < 31; i++)
-    limit_ended (&limit, 60000, &end, 80);
-  g_assert_cmpuint (limit_current (&limit), ==, 1);
-}
-
-/* Shedding, refusing and failing servers get less, then only probes.  */
-static void
-test_failing (void)
-{
-  static const struct
-  {
-    decide_attempt_result_t result;
-    uint32_t status;
-    int times;
-    uint32_t after_one;
-  } cases[] = { { DECIDE_ATTEMPT_SHED, 0, 2, 1 },
-                { DECIDE_ATTEMPT_NOT_SENT, 0, 1, 0 },
-                { DECIDE_ATTEMPT_RESET, 0, 3, 1 },
-                { DECIDE_ATTEMPT_BROKEN, 0, 3, 1 },
-                { DECIDE_ATTEMPT_ANSWERED, 500, 3, 3 } };
-
-  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
-    {
-      decide_attempt_end_t end = ended (cases[i].result);
-      clock_ms_t now = 1000;
-      clock_ms_t last_probe = 0;
-      limit_t limit;
-
-      end.status = cases[i].status;
-      limit_init (&limit, 3, 0);
-      warm (&limit, now);
-      limit_ended (&limit, now, &end, 80);
-      g_assert_cmpuint (limit_current (&limit), ==, cases[i].after_one);
-      for (int j = 1; j < cases[i].times; j++)
-        limit_ended (&limit, now, &end, 80);
-      g_assert_cmpuint (limit_current (&limit), ==, 0);
-      g_assert_false (limit_probe_due (&limit, now));
-      for (int probe = 0; probe < 6; probe++)
-        {
-          now = limit_due (&limit);
-          if (probe > 0)
-            g_assert_cmpint (now - last_probe, >=, 1000);
-          last_probe = now;
-          limit_probe_started (&limit, now);
-          limit_probed (&limit, now, false, &plain);
-        }
-      g_assert_cmpint (limit_due (&limit) - now, >=, 3000);
-      limit_probe_started (&limit, now);
-      limit_probed (&limit, now, true, &plain);
-      g_assert_cmpuint (limit_current (&limit), ==, 1);
-    }
-}
-
-/* Draining counts from the first sign; a lagging probe does not end it.  */
-static void
-test_drain (void)
-{
-  decide_attempt_end_t end = answer (5);
-  decide_load_t replaced = plain;
-  limit_t limit;
-
-  limit_init (&limit, 3, 0);
-  warm (&limit, 0);
-  end.load = draining;
-  limit_ended (&limit, 10, &end, 80);
-  g_assert_cmpuint (limit_current (&limit), ==, 0);
-  limit_probe_started (&limit, 1010);
-  limit_probed (&limit, 1010, true, &plain);
-  g_assert_cmpuint (limit_current (&limit), ==, 0);
-  replaced.identity = 7;
-  limit_probe_started (&limit, 3010);
-  limit_probed (&limit, 3010, true, &replaced);
-  g_assert_cmpuint (limit_current (&limit), ==, 1);
-}
-
-/* ---- Pool ---- */
-
 typedef struct
 {
   decide_msg_type_t type;
@@ -208,9 +85,11 @@
 static pool_settings_t
 settings (uint32_t endpoints, uint32_t slots)
 {
-  pool_settings_t wanted = {
-    .id = POOL, .run_ms = RUN_MS, .queue_max = 4, .endpoint_count = endpoints
-  };
+  pool_settings_t wanted
+      = { .id = POOL,
+          .run_ms = RUN_MS,
+          .queue_max = 5,
+          /* above 2 for each slot */ .endpoint_count = endpoints };
 
   for (uint32_t i = 0; i < endpoints; i++)
     wanted.endpoints[i] = (pool_endpoint_t){ .id = i + 1, .slots = slots };
@@ -270,6 +149,7 @@
   static const uint64_t wanted[] = { 14, 13, 12, 11 };
   pool_t *pool = new_pool (2, 1);
   sent_t grant = ask (pool, 0, HOLDER, 10, 3, 900, false);
+  pool_settings_t few = settings (2, 1);
 
   g_assert_cmpint (grant.type, ==, DECIDE_MSG_GRANT);
   ask (pool, 0, OTHER, 9, 3, 900, false);
@@ -278,7 +158,7 @@
   ask (pool, 3, HOLDER, 13, 3, 800, false);
   g_assert_cmpint (ask (pool, 4, OTHER, 14, 0, 1000, false).type, ==,
                    DECIDE_MSG_QUEUED);
-  /* Full: a less urgent one is refused, a more urgent one evicts.  */
+  /* Full with 2 for each slot: a less urgent one is refused.  */
   g_assert_cmpint (ask (pool, 4, OTHER, 15, 6, 1000, false).msg.reason, ==,
                    DECIDE_REASON_QUEUE_FULL);
   for (guint i = 0; i < G_N_ELEMENTS (wanted); i++)
@@ -293,6 +173,19 @@
       g_assert_cmpuint (grant.msg.queued, ==, 3 - i);
       g_assert_cmpuint (pool_grant_count (pool), ==, 2);
     }
+  /* The profile may allow fewer.  */
+  few.queue_max = 0;
+  pool_configure (pool, 60, &few);
+  g_assert_cmpint (ask (pool, 60, OTHER, 16, 0, 1000, false).msg.reason, ==,
+                   DECIDE_REASON_QUEUE_FULL);
+  few.queue_max = 1;
+  pool_configure (pool, 60, &few);
+  ask (pool, 60, OTHER, 17, 5, 1000, false);
+  /* A more urgent one takes the place.  */
+  g_assert_cmpint (ask (pool, 60, OTHER, 18, 0, 1000, false).type, ==,
+                   DECIDE_MSG_QUEUED);
+  g_assert_cmpuint (g_array_index (sent, sent_t, sent->len - 2).msg.request,
+                    ==, 17);
   pool_free (pool);
 }
 
@@ -503,9 +396,6 @@
 
   g_test_init (&argc, &argv, NULL);
   sent = g_array_new (FALSE, FALSE, sizeof (sent_t));
-  g_test_add_func ("/limit/ramp", test_ramp);
-  g_test_add_func ("/limit/failing", test_failing);
-  g_test_add_func ("/limit/drain", test_drain);
   g_test_add_func ("/pool/order", test_order);
   g_test_add_func ("/pool/early-refusal", test_early_refusal);
   g_test_add_func ("/pool/lending", test_lending);
