Divide the decision thread into files of one duty

Events, decisions, and what is published to other threads are in files of their own; the code is moved, not changed.

--- /dev/null
+++ b/peridotrouter/engine_event.c
@@ -0,0 +1,363 @@
+#include "engine_state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+event_t *
+engine_event_new (event_type_t type)
+{
+  event_t *event = calloc (1, sizeof *event);
+
+  if (event == NULL)
+    g_error ("out of memory for an event");
+  event->type = type;
+  return event;
+}
+
+static int
+post (engine_t *engine, event_t *event)
+{
+  if (mailbox_put (engine->events, event) == 0)
+    return 0;
+  telemetry_count (TELEMETRY_EVENTS_DROPPED, 0);
+  return -EAGAIN;
+}
+
+/* For events that must not be lost: waits for room.  */
+void
+engine_post_wait (engine_t *engine, event_t *event)
+{
+  while (mailbox_put (engine->events, event) != 0)
+    g_usleep (1000);
+}
+
+int
+engine_post_request (engine_t *engine, request_t *request)
+{
+  event_t *event = engine_event_new (EVENT_REQUEST);
+
+  event->u.request = request_ref (request);
+  if (post (engine, event) == 0)
+    return 0;
+  request_unref (request);
+  free (event);
+  return -EAGAIN;
+}
+
+void
+engine_post_gone (engine_t *engine, request_t *request)
+{
+  event_t *event = engine_event_new (EVENT_GONE);
+
+  event->u.request = request_ref (request);
+  engine_post_wait (engine, event);
+}
+
+void
+engine_post_attempt (engine_t *engine, request_t *request, uint64_t attempt,
+                     const decide_attempt_end_t *end,
+                     const decide_answer_t *answer)
+{
+  event_t *event = engine_event_new (EVENT_ATTEMPT);
+
+  event->u.attempt.request = request_ref (request);
+  event->u.attempt.attempt = attempt;
+  event->u.attempt.end = *end;
+  if (answer != NULL)
+    event->u.attempt.answer = g_memdup2 (answer, sizeof *answer);
+  engine_post_wait (engine, event);
+}
+
+void
+engine_on_message (void *context, decide_id_t from, decide_msg_t *msg)
+{
+  event_t *event = engine_event_new (EVENT_MESSAGE);
+
+  event->u.message.from = from;
+  event->u.message.msg = msg;
+  if (post (context, event) == 0)
+    return;
+  peer_msg_free (msg);
+  free (event);
+}
+
+static void
+post_object (engine_t *engine, uint64_t previous, conf_object_t *object)
+{
+  event_t *event = engine_event_new (EVENT_OBJECT);
+
+  event->u.object.previous = previous;
+  event->u.object.object = object;
+  engine_post_wait (engine, event);
+}
+
+void
+engine_on_pushed (void *context, uint64_t previous, conf_object_t *object)
+{
+  post_object (context, previous, object);
+}
+
+void
+engine_on_object (void *context, conf_object_t *object)
+{
+  post_object (context, UINT64_MAX, object);
+}
+
+void
+engine_on_synced (void *context, clock_ms_t sent, bool ok, uint64_t revision)
+{
+  event_t *event = engine_event_new (EVENT_SYNCED);
+
+  event->u.synced.sent = sent;
+  event->u.synced.ok = ok;
+  event->u.synced.revision = revision;
+  engine_post_wait (context, event);
+}
+
+void
+engine_on_put_done (void *context, uint64_t operation,
+                    decide_store_result_t result, uint64_t version)
+{
+  event_t *event = engine_event_new (EVENT_PUT_DONE);
+
+  event->u.put.operation = operation;
+  event->u.put.result = result;
+  event->u.put.version = version;
+  engine_post_wait (context, event);
+}
+
+void
+engine_on_probed (void *context, const probe_result_t *result)
+{
+  event_t *event = engine_event_new (EVENT_PROBED);
+
+  event->u.probe = *result;
+  engine_post_wait (context, event);
+}
+
+int
+engine_call (engine_t *engine,
+             void (*function) (void *context, decide_t *node, clock_ms_t now),
+             void *context)
+{
+  call_t call = { .function = function, .context = context };
+  event_t *event = engine_event_new (EVENT_CALL);
+
+  event->u.call = &call;
+  pthread_mutex_init (&call.lock, NULL);
+  pthread_cond_init (&call.done, NULL);
+  if (post (engine, event) != 0)
+    {
+      free (event);
+      return -EAGAIN;
+    }
+  pthread_mutex_lock (&call.lock);
+  while (!call.finished)
+    pthread_cond_wait (&call.done, &call.lock);
+  pthread_mutex_unlock (&call.lock);
+  pthread_mutex_destroy (&call.lock);
+  pthread_cond_destroy (&call.done);
+  return 0;
+}
+
+void
+engine_read_store (engine_t *engine)
+{
+  engine_post_wait (engine, engine_event_new (EVENT_READ_STORE));
+}
+
+void
+engine_stop (engine_t *engine)
+{
+  atomic_store (&engine->stopping, true);
+  engine_post_wait (engine, engine_event_new (EVENT_STOP));
+}
+
+bool
+engine_is_stopping (engine_t *engine)
+{
+  return atomic_load (&engine->stopping);
+}
+
+bool
+engine_is_stopped (engine_t *engine)
+{
+  return atomic_load (&engine->stopped);
+}
+
+static bool
+may_repeat (const request_t *request, const decide_profile_t *profile)
+{
+  size_t length = strlen (profile->idempotent_prefix);
+
+  if (strcmp (request->method, "POST") != 0
+      && strcmp (request->method, "PATCH") != 0)
+    return true;
+  return length > 0
+         && strncmp (request->path, profile->idempotent_prefix, length) == 0;
+}
+
+static void
+handle_request (engine_t *engine, request_t *request)
+{
+  decide_id_t service = decide_id (request->service);
+  const decide_profile_t *profile = decide_get_profile (engine->node, service);
+  clock_ms_t now = clock_now_ms ();
+  clock_ms_t timeout_ms = request->timeout_ms;
+  decide_request_t out = { .id = request->id, .service = service };
+
+  g_hash_table_insert (engine->requests, &request->id, request);
+  if (profile != NULL)
+    {
+      request->idempotent = may_repeat (request, profile);
+      request->keyed
+          = !request->idempotent && request->idempotency_key != NULL;
+      if (!request->idempotent && !request->keyed)
+        {
+          request_decide (request, DECISION_NEED_KEY, NULL);
+          engine_end_request (engine, request->id);
+          return;
+        }
+      if (timeout_ms == 0)
+        timeout_ms = profile->timeout_ms;
+    }
+  request->deadline = now + timeout_ms;
+  out.idempotent = request->idempotent;
+  out.keyed = request->keyed;
+  out.key = request->key;
+  out.deadline = request->deadline;
+  if (engine->baseline != NULL)
+    {
+      baseline_request (engine->baseline, now, &out, profile);
+      return;
+    }
+  record_request (engine->record, now, &out);
+  decide_request (engine->node, now, &out);
+}
+
+static void
+handle_attempt (engine_t *engine, event_t *event)
+{
+  request_t *request = event->u.attempt.request;
+  uint64_t attempt = event->u.attempt.attempt;
+  const decide_attempt_end_t *end = &event->u.attempt.end;
+  clock_ms_t now = clock_now_ms ();
+  bool answered;
+
+  telemetry_count (TELEMETRY_ATTEMPTS, end->result);
+  g_hash_table_remove (engine->attempts, &attempt);
+  record_attempt (engine->record, now, request->id, attempt, end,
+                  event->u.attempt.answer);
+  if (engine->baseline != NULL)
+    answered = baseline_attempt_done (engine->baseline, now, request->id,
+                                      attempt, end);
+  else
+    answered = decide_attempt_done (engine->node, now, request->id, attempt,
+                                    end, event->u.attempt.answer);
+  if (answered)
+    engine_end_request (engine, request->id);
+  g_free (event->u.attempt.answer);
+  request_unref (request);
+}
+
+static void
+finish_call (engine_t *engine, call_t *call)
+{
+  call->function (call->context, engine->node, clock_now_ms ());
+  pthread_mutex_lock (&call->lock);
+  call->finished = true;
+  pthread_cond_signal (&call->done);
+  pthread_mutex_unlock (&call->lock);
+}
+
+static void
+handle_object (engine_t *engine, const event_t *event)
+{
+  conf_object_t *object = event->u.object.object;
+  uint64_t previous = event->u.object.previous;
+  clock_ms_t now = clock_now_ms ();
+  int error;
+
+  record_object (engine->record, now, previous, &object->object);
+  error = decide_object (engine->node, now, previous, &object->object);
+  if (error != 0 && error != -ESTALE)
+    {
+      telemetry_count (TELEMETRY_OBJECTS_REJECTED, 0);
+      g_warning ("object %s ignored: %s", object->name, g_strerror (-error));
+    }
+  conf_object_free (object);
+}
+
+void
+engine_handle_event (engine_t *engine, event_t *event)
+{
+  clock_ms_t now = clock_now_ms ();
+
+  switch (event->type)
+    {
+    case EVENT_REQUEST:
+      handle_request (engine, event->u.request);
+      break;
+    case EVENT_GONE:
+      if (engine_find_request (engine, event->u.request->id) != NULL)
+        {
+          record_gone (engine->record, now, event->u.request->id);
+          if (engine->baseline != NULL)
+            baseline_request_gone (engine->baseline, event->u.request->id);
+          else
+            decide_request_gone (engine->node, now, event->u.request->id);
+          engine_end_request (engine, event->u.request->id);
+        }
+      request_unref (event->u.request);
+      break;
+    case EVENT_ATTEMPT:
+      handle_attempt (engine, event);
+      break;
+    case EVENT_MESSAGE:
+      telemetry_count (TELEMETRY_PEER_RECEIVED, event->u.message.msg->type);
+      record_message (engine->record, now, event->u.message.from,
+                      event->u.message.msg);
+      decide_message (engine->node, now, event->u.message.from,
+                      event->u.message.msg);
+      peer_msg_free (event->u.message.msg);
+      break;
+    case EVENT_OBJECT:
+      handle_object (engine, event);
+      break;
+    case EVENT_SYNCED:
+      record_synced (engine->record, now, event->u.synced.sent,
+                     event->u.synced.ok, event->u.synced.revision);
+      decide_store_synced (engine->node, now, event->u.synced.sent,
+                           event->u.synced.ok, event->u.synced.revision);
+      break;
+    case EVENT_PUT_DONE:
+      record_put_done (engine->record, now, event->u.put.operation,
+                       event->u.put.result, event->u.put.version);
+      decide_store_put_done (engine->node, now, event->u.put.operation,
+                             event->u.put.result, event->u.put.version);
+      break;
+    case EVENT_PROBED:
+      telemetry_count (TELEMETRY_PROBES, event->u.probe.ok ? 0 : 1);
+      record_probed (engine->record, now, event->u.probe.endpoint,
+                     event->u.probe.ok, event->u.probe.latency_ms,
+                     &event->u.probe.load);
+      decide_probed (engine->node, now, event->u.probe.endpoint,
+                     event->u.probe.ok, event->u.probe.latency_ms,
+                     &event->u.probe.load);
+      break;
+    case EVENT_CALL:
+      finish_call (engine, event->u.call);
+      break;
+    case EVENT_READ_STORE:
+      record_read_store (engine->record, now);
+      decide_read_store (engine->node, now);
+      break;
+    case EVENT_STOP:
+      record_stop (engine->record, now);
+      decide_stop (engine->node, now);
+      break;
+    case EVENT_END:
+      break;
+    }
+}
