Start the servers of a returning data centre with a ramp

The run that takes a data centre out while a link is cut, an owner is paused and an instance has no store found up to 1 request above what a server bears and 4 cold overloads after the return. Cause: an endpoint counted as cold only after 10 s without use; a data centre that was out for less returned with the limits of before, while its servers had been restarted. Ruled out: work sent while the data centre was out (the last arrived 79 ms after the command), and the resumed owner (the pool was owned by another instance). pool_configure() now starts all endpoints cold when the pool is no longer out.

The profiles of the runs leave out hedge_after_ms 0, which the check of profiles rejects.

--- a/lib/decide/pool.c
+++ b/lib/decide/pool.c
@@ -135,6 +135,7 @@
   uint32_t kept = pool->queue.count > settings->queue_max
                       ? pool->queue.count
                       : settings->queue_max;
+  bool returns = pool->settings.out && !settings->out;
 
   /* The reserves come first: a failure leaves the old settings.  Grants on
      removed endpoints may take places besides the new slots.  */
@@ -146,6 +147,9 @@
   pool->settings = *settings;
   if (settings->out)
     pool_refuse_all (pool, now, DECIDE_REASON_NO_CAPACITY);
+  /* Servers of a data centre that was out may have been restarted.  */
+  if (returns)
+    pool_start_cold (pool, now);
   pool_recall_surplus (pool, now);
   pool_dispatch (pool, now);
   return 0;
--- /dev/null
+++ b/test/run/endpoint_drain.py
@@ -0,0 +1,34 @@
+"""Endpoints drain while their health and load endpoints still say yes.
+
+Guards against new work for a draining endpoint when the only signs of it are
+in its answers.
+"""
+
+from faultrun import Faults, now_us, wait_until
+from harness import main
+
+RATE = 90  # requests per second and data centre
+DURATION_MS = 8000
+DRAINED_S = 3
+
+
+def script(run):
+    faults = Faults(run, backend_options=("--load-lag-ms", 60000))
+    topology = faults.topology
+    faults.load(RATE, DURATION_MS)
+    draining = [next(endpoint for endpoint in topology.in_data_centre(centre)
+                     if endpoint.service.name == "booking")
+                for centre in topology.deployment.data_centres]
+    at_us = now_us()
+    for endpoint in draining:
+        endpoint.control(drain=True)
+    wait_until(at_us + (DRAINED_S + 2) * 1e6, "the end of the observation")
+    stats = topology.stats()
+    late = [stats[endpoint.name]["late_after_drain"] for endpoint in draining]
+    faults.note(f"late requests of the draining endpoints: {late}")
+    faults.say(f"no new work {DRAINED_S} s after the start of the drain",
+               not any(late))
+    return faults.finish(0.9)
+
+
+main(script)
--- a/test/run/topology.py
+++ b/test/run/topology.py
@@ -48,8 +48,8 @@
     """One profile for each service: body by name."""
     return {service.name: {
         "priority": 3, "timeout_ms": 2000, "run_ms": 1000, "queue_max": 64,
-        "retry": True, "hedge": False, "hedge_after_ms": 0,
-        "key_retention_ms": 600000} for service in deployment.services}
+        "retry": True, "hedge": False, "key_retention_ms": 600000}
+        for service in deployment.services}
 
 
 def service_body(service, endpoints):
--- a/test/unit/slots_owner.c
+++ b/test/unit/slots_owner.c
@@ -491,6 +491,28 @@
   pool_free (pool);
 }
 
+/* Guards against full load on servers that were restarted while their data
+   centre was out.  */
+static void
+test_return (void)
+{
+  pool_t *pool = new_pool (2, 3);
+  pool_settings_t changed = settings (2, 3);
+  pool_endpoint_view_t view;
+
+  run_pool (pool, 0, 5, 5);
+  run_pool (pool, 1000, 5, 5);
+  g_assert_cmpint (pool_get_endpoint (pool, 0, &view), ==, 0);
+  g_assert_cmpuint (view.limit, ==, 3);
+  changed.out = true;
+  g_assert_cmpint (pool_configure (pool, 2100, &changed), ==, 0);
+  changed.out = false;
+  g_assert_cmpint (pool_configure (pool, 3000, &changed), ==, 0);
+  for (uint32_t i = 0; pool_get_endpoint (pool, i, &view) == 0; i++)
+    g_assert_cmpuint (view.limit, ==, 1);
+  pool_free (pool);
+}
+
 /* One probe at a time in a pool; without a result it fails in time.  */
 static void
 test_probes (void)
@@ -531,6 +553,7 @@
   g_test_add_func ("/pool/expiry", test_expiry);
   g_test_add_func ("/pool/settling", test_settling);
   g_test_add_func ("/pool/configure", test_configure);
+  g_test_add_func ("/pool/return", test_return);
   g_test_add_func ("/pool/slow", test_slow);
   g_test_add_func ("/pool/probes", test_probes);
   status = g_test_run ();
