--- /dev/null
+++ b/test/run/operators_race.py
@@ -0,0 +1,120 @@
+"""Operators race, store answers get lost, and an instance restarts without
+the store.
+
+Guards against two winners of one version, a change that is reported as
+refused although it is stored or is stored twice, and an instance that goes
+back to an older profile.
+"""
+
+import json
+import os
+import subprocess
+
+from faultrun import Faults, now_us, wait_left
+from harness import main, request, wait_for
+
+FORCE_S = 4
+RACES = 5
+
+
+def script(run):
+    faults = Faults(run)
+    topology = faults.topology
+    instances = topology.instances
+    ctl = os.path.join(run.build, "peridotctl/peridotctl")
+
+    def stored():
+        return request(topology.platform.port, "GET",
+                       "/objects/shared/profile/booking").json()
+
+    profile = json.loads(stored()["body"])
+
+    def put(instance, run_ms, version):
+        path = run.path(f"profile-{run_ms}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump({**profile, "run_ms": run_ms}, file)
+        return subprocess.Popen(
+            [ctl, "-a", f"http://127.0.0.1:{instance.operators}", "profiles",
+             "put", "booking", path, "--expect", str(version)],
+            stdin=subprocess.DEVNULL, stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT, text=True)
+
+    def revisions(among):
+        return [topology.status(instance)["revision"] for instance in among]
+
+    fair = True
+    for race in range(RACES):
+        version = stored()["version"]
+        both = [put(instances[i], 500 + 10 * race + i, version)
+                for i in (0, 1)]
+        texts = [one.communicate(timeout=20)[0] for one in both]
+        codes = [one.returncode for one in both]
+        lost = [text for text, code in zip(texts, codes) if code]
+        fair = (fair and codes.count(0) == 1
+                and stored()["version"] == version + 1
+                and str(version + 1) in lost[0])
+        if not fair:
+            faults.note(f"race {race}: {codes} {texts}")
+            break
+    faults.say("one of two wins, the other is told the current version", fair)
+
+    version = stored()["version"]
+    topology.platform.faults(lose_put_answers=1)
+    lost = put(instances[2], 600, version)
+    text = lost.communicate(timeout=20)[0]
+    now = stored()
+    faults.note(f"lost answer: exit {lost.returncode}: {text.strip()}")
+    faults.say("a change whose answer was lost is accepted and stored once",
+               lost.returncode == 0 and now["version"] == version + 1
+               and json.loads(now["body"])["run_ms"] == 600)
+
+    last = put(instances[3], 650, now["version"])
+    accepted = last.communicate(timeout=20)[0]
+    accepted_us = now_us()
+    if last.returncode:
+        faults.note(accepted)
+    revision = stored()["revision"]
+    wait_left(accepted_us, FORCE_S, "all instances have the change",
+              lambda: min(revisions(instances)) >= revision)
+    faults.note(f"in force after {(now_us() - accepted_us) / 1000:.0f} ms")
+    faults.say(f"a change is in force everywhere within {FORCE_S} s",
+               last.returncode == 0)
+
+    topology.platform.faults(down=True)
+    restarted = instances[4]
+    restarted.process.signal(9)
+    restarted.process.wait()
+    topology.start_instance(restarted)
+    seen = []
+
+    def caught_up():
+        try:
+            seen.append(topology.status(restarted)["revision"])
+        except OSError:
+            return False
+        return seen[-1] >= revision
+    wait_for("the restarted instance has the newest state", caught_up, 10)
+    faults.say("a restarted instance takes the newest state from its peers",
+               True)
+    faults.say("its revision never decreases", seen == sorted(seen))
+    answers = []
+
+    def serves():
+        answers.append(request(restarted.callers, "GET",
+                               "/s/booking/slot-check", None,
+                               {"Request-Id": "after-restart"}))
+        return answers[-1].status == 200
+    wait_for("the restarted instance serves callers", serves, 10)
+    faults.note(f"refusals before: {[a.body for a in answers[:-1]][:3]}")
+    faults.say("it serves callers without the store", True)
+    faults.say("no instance is behind", min(revisions(instances)) >= revision)
+    refused = put(instances[0], 700, now["version"] + 1)
+    text = refused.communicate(timeout=30)[0]
+    topology.platform.faults(down=False)
+    faults.say("a change without the store is not accepted",
+               refused.returncode != 0
+               and json.loads(stored()["body"])["run_ms"] == 650)
+    return 0 if faults.held and not any(topology.stop_instances()) else 1
+
+
+main(script)
--- /dev/null
+++ b/test/run/owner_lost_twice.py
@@ -0,0 +1,59 @@
+"""An owner is killed while the store is down, just after a data centre was
+taken out.
+
+Guards against a loss of the change, or of the keys, when three failures come
+together.
+"""
+
+from faultrun import Faults, now_us, wait_until
+from harness import main
+from outage import Confirmations
+
+RATE = 70  # requests per second and data centre
+DURATION_MS = 13000
+LEAVING = "pasig"
+KEYS = 20
+OUT_S = 3
+
+
+def script(run):
+    faults = Faults(run)
+    topology = faults.topology
+    faults.load(RATE, DURATION_MS)
+    leaving = topology.in_data_centre(LEAVING)
+    owner = faults.owner("quezon")
+    first, second = [instance for instance in topology.instances
+                     if instance is not owner][:2]
+    keys = Confirmations("together", KEYS)
+    for key in keys.keys:
+        keys.send(owner, key)
+    for endpoint in leaving:
+        endpoint.control(mark="out")
+    topology.operate(f"/v1/data-centres/{LEAVING}/out", first)
+    out_us = now_us()
+    topology.platform.faults(down=True)
+    faults.kill(owner)
+    for key in keys.keys:
+        keys.send(first, key)
+        keys.send(second, key)
+    wait_until(out_us + (OUT_S + 3) * 1e6, "the end of the observation")
+    stats = topology.stats()
+    faults.note("last new work in ms: " + str(sorted(
+        stats[endpoint.name]["last_after_out_ms"] for endpoint in leaving)))
+    faults.say(f"no new work {OUT_S} s after the command",
+               not any(stats[endpoint.name]["late_after_out"]
+                       for endpoint in leaving))
+    starts = {}
+    for entry in topology.journal():
+        starts[entry["key"]] = starts.get(entry["key"], 0) + 1
+    faults.say("repeats get the recorded answer or unknown, and none runs "
+               "again", keys.honest(starts))
+    topology.platform.faults(down=False)
+    pools = topology.in_data_centre("quezon")
+    faults.wait_work("the pools are served when the store is back", pools,
+                     faults.requests(pools), now_us(), 10)
+    faults.say("the pools are served within 10 s of the store's return", True)
+    return faults.finish(0.7)
+
+
+main(script)
