--- a/test/bench/sample.py
+++ b/test/bench/sample.py
@@ -30,10 +30,13 @@
     total = 0
     for thread in os.listdir(f"/proc/{pid}/task"):
         directory = f"/proc/{pid}/task/{thread}"
-        with open(directory + "/comm", encoding="ascii") as file:
-            if file.read().startswith("civetweb"):
-                continue
-        total += thread_cpu_s(directory)
+        try:
+            with open(directory + "/comm", encoding="ascii") as file:
+                if file.read().startswith("civetweb"):
+                    continue
+            total += thread_cpu_s(directory)
+        except (FileNotFoundError, ProcessLookupError):
+            pass  # a thread that has ended meanwhile
     return total
 
 
