--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,8 @@
 	@$(MAKE) --no-print-directory BUILD=build-tsan TYPE=Debug \
 	  SANITIZE=thread build
 	@ctest --test-dir build-tsan -L tsan --output-on-failure -j 4
+	@[ ! -f KNOWN-RED.txt ] || { echo "known to fail, not run:"; \
+	  cat KNOWN-RED.txt; }
 	@ctest --test-dir $(BUILD) -LE known-red --output-on-failure -j 4
 
 demo: build
