Grant nothing while the store has another group's ownership record

Cause: services are not divided among groups, so two groups on one store each grant all slots. The capacity measurements saw it: 24 processes in two groups under 3,000 calls/s brought an endpoint with 3 slots to 6 calls at a time.

Red first: test-node's second-group test forwards a request without the check and refuses it with the check.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -556,6 +556,7 @@
   bool store_fresh;
   bool majority_fresh;
   bool stopping;
+  bool foreign_group; /* another group's record is in the store: no grants */
 } decide_status_t;
 
 void decide_get_status (const decide_t *node, clock_ms_t now,
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -137,7 +137,7 @@
   decide_t *node = context;
   uint32_t centre = key_centre (node);
 
-  return centre != DECIDE_NO_HANDLE
+  return centre != DECIDE_NO_HANDLE && !node->foreign_group
          && ownership_may_grant (node->ownership, node->now, centre, slice,
                                  KEY_HOLD_MS);
 }
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -81,6 +81,9 @@
   clock_ms_t stopping_at;
   bool stopping;
   bool pools_changed;
+  /* Another group's record is in the store.  Services are not divided among
+     groups, so both would grant the same slots and keys.  */
+  bool foreign_group;
   clock_ms_t pools_due; /* earliest due time of all pools */
   GPtrArray *touched;   /* node_pool_t that were called since their tick */
   /* Incarnation of the last recorded owner of each key slice, to tell a first
--- a/lib/decide/node_config.c
+++ b/lib/decide/node_config.c
@@ -113,7 +113,10 @@
       const char *slash = strrchr (object->name, '/');
 
       if (slash == NULL || strcmp (slash + 1, node->settings.group) != 0)
-        return 0;
+        {
+          node->foreign_group = !object->deleted;
+          return 0;
+        }
       if (!object->deleted)
         {
           error = ownership_record (node->ownership, now, object->u.record);
--- a/lib/decide/node_pools.c
+++ b/lib/decide/node_pools.c
@@ -95,7 +95,8 @@
       = catalog_find_service (node->catalog, pool->service);
   uint32_t centre = node_pool_centre (node, pool);
 
-  return service != NULL && pool->count > 0 && centre != DECIDE_NO_HANDLE
+  return service != NULL && pool->count > 0 && !node->foreign_group
+         && centre != DECIDE_NO_HANDLE
          && ownership_may_grant (node->ownership, node->now, centre,
                                  pool->slice,
                                  DECIDE_LEND_MS + service->longest_run_ms);
--- a/lib/decide/node_view.c
+++ b/lib/decide/node_view.c
@@ -22,6 +22,7 @@
     .store_fresh = own.store_fresh,
     .majority_fresh = own.majority_fresh,
     .stopping = node->stopping,
+    .foreign_group = node->foreign_group,
   };
 }
 
--- a/peridotrouter/engine_publish.c
+++ b/peridotrouter/engine_publish.c
@@ -66,6 +66,13 @@
   decide_status_t status;
 
   decide_get_status (engine->node, now, &status);
+  if (status.foreign_group && !engine->warned)
+    {
+      engine->warned = true;
+      g_critical ("no slots are granted: the store has the ownership record "
+                  "of another group than %s",
+                  engine->settings.group);
+    }
   telemetry_gauge_set (TELEMETRY_REVISION, (int64_t)status.revision);
   telemetry_gauge_set (TELEMETRY_RECORD_VERSION,
                        (int64_t)status.record_version);
--- a/peridotrouter/engine_state.h
+++ b/peridotrouter/engine_state.h
@@ -103,6 +103,7 @@
   address_table_t *addresses;
   clock_ms_t addresses_at;
   clock_ms_t gauges_at;
+  bool warned; /* of a second ownership group */
   atomic_bool stopping;
   atomic_bool stopped;
   engine_hedge_t hedge;
--- /dev/null
+++ b/test/unit/node.c
@@ -0,0 +1,308 @@
+/* One instance as a whole, in virtual time: what stops it from sending work
+   to an endpoint.  */
+
+#include "decide.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define WARM_MS 4000
+
+typedef struct world
+{
+  decide_t *node;
+  clock_ms_t now;
+  bool sync_asked;
+  bool store_down;
+  bool put_asked;
+  uint64_t put_operation;
+  decide_record_t record;
+  uint64_t revision;
+  uint64_t forwarded;
+  uint64_t attempt;
+  uint64_t request;
+  uint64_t refused;
+  decide_refusal_t refusal;
+} world_t;
+
+static void
+on_send (void *context, decide_id_t instance, const decide_msg_t *msg)
+{
+  (void)context;
+  (void)instance;
+  (void)msg;
+}
+
+static void
+on_forward (void *context, const decide_forward_t *forward)
+{
+  world_t *world = context;
+
+  world->forwarded++;
+  world->attempt = forward->attempt;
+}
+
+static void
+on_cancel (void *context, uint64_t attempt)
+{
+  (void)context;
+  (void)attempt;
+}
+
+static void
+on_refuse (void *context, const decide_refusal_t *refusal)
+{
+  world_t *world = context;
+
+  world->refused++;
+  world->refusal = *refusal;
+}
+
+static void
+on_replay (void *context, uint64_t request, const decide_answer_t *answer)
+{
+  (void)context;
+  (void)request;
+  (void)answer;
+}
+
+static void
+on_store_sync (void *context, uint64_t since)
+{
+  (void)since;
+  ((world_t *)context)->sync_asked = true;
+}
+
+static void
+on_store_put (void *context, uint64_t operation, uint64_t expected,
+              const decide_record_t *record)
+{
+  world_t *world = context;
+
+  (void)expected;
+  world->put_asked = true;
+  world->put_operation = operation;
+  world->record = *record;
+}
+
+static void
+on_probe (void *context, endpoint_handle_t endpoint,
+          const decide_endpoint_t *target)
+{
+  (void)context;
+  (void)endpoint;
+  (void)target;
+}
+
+static void
+give_record (world_t *world, const char *name)
+{
+  decide_object_t object = { .kind = DECIDE_OBJECT_RECORD,
+                             .name = name,
+                             .version = world->record.version,
+                             .revision = world->revision,
+                             .body = "",
+                             .u.record = &world->record };
+
+  decide_object (world->node, world->now, UINT64_MAX, &object);
+}
+
+static void
+answer_store (world_t *world)
+{
+  if (world->put_asked)
+    {
+      world->put_asked = false;
+      world->record.version++;
+      world->revision++;
+      decide_store_put_done (world->node, world->now, world->put_operation,
+                             DECIDE_STORE_OK, world->record.version);
+    }
+  if (!world->sync_asked)
+    return;
+  world->sync_asked = false;
+  if (world->record.version > 0 && !world->store_down)
+    give_record (world, "shared/ownership/g");
+  decide_store_synced (world->node, world->now, world->now, !world->store_down,
+                       world->revision);
+}
+
+static void
+advance (world_t *world, clock_ms_t ms)
+{
+  for (clock_ms_t end = world->now + ms; world->now < end; world->now++)
+    {
+      answer_store (world);
+      decide_tick (world->node, world->now);
+    }
+}
+
+static void
+put_out (world_t *world, bool out)
+{
+  decide_object_t object = { .kind = DECIDE_OBJECT_OUT_CENTRE,
+                             .name = "shared/out/data-centre/d0",
+                             .revision = ++world->revision,
+                             .deleted = !out,
+                             .body = "{}",
+                             .u.out = "d0" };
+
+  g_assert_cmpint (
+      decide_object (world->node, world->now, UINT64_MAX, &object), ==, 0);
+}
+
+static void
+add_service (world_t *world)
+{
+  decide_endpoint_t endpoints[2];
+  decide_service_t service = { .name = "booking",
+                               .profile = "none",
+                               .endpoint_count = 2,
+                               .endpoints = endpoints };
+  decide_object_t object = { .kind = DECIDE_OBJECT_SERVICE,
+                             .name = "shared/service/booking",
+                             .version = 1,
+                             .revision = ++world->revision,
+                             .body = "{}",
+                             .u.service = &service };
+
+  memset (endpoints, 0, sizeof endpoints);
+  for (int i = 0; i < 2; i++)
+    {
+      g_snprintf (endpoints[i].name, sizeof endpoints[i].name, "e%d", i);
+      g_strlcpy (endpoints[i].data_centre, "d0",
+                 sizeof endpoints[i].data_centre);
+      endpoints[i].slots = 3;
+    }
+  g_assert_cmpint (
+      decide_object (world->node, world->now, UINT64_MAX, &object), ==, 0);
+}
+
+/* @members: 1, or 2 with a second instance that never runs and is in another
+   data centre, so that it owns no endpoint's slice.  */
+static void
+start (world_t *world, uint32_t members)
+{
+  static const decide_instance_t instances[]
+      = { { "a", "d0" }, { "b", "d1" } };
+  decide_settings_t settings = { .instance = "a",
+                                 .data_centre = "d0",
+                                 .group = "g",
+                                 .incarnation = 1,
+                                 .seed = 1,
+                                 .instance_count = members,
+                                 .instances = instances };
+  decide_callbacks_t callbacks
+      = { world,     on_send,       on_forward,   on_cancel, on_refuse,
+          on_replay, on_store_sync, on_store_put, on_probe };
+
+  *world = (world_t){ .now = 1000 };
+  world->node = decide_new (&settings, &callbacks, world->now);
+  g_assert_nonnull (world->node);
+  add_service (world);
+  advance (world, WARM_MS);
+}
+
+/* Return: whether the request was forwarded; it is answered then.  */
+static bool
+try_request (world_t *world)
+{
+  decide_attempt_end_t end
+      = { .result = DECIDE_ATTEMPT_ANSWERED, .latency_ms = 5, .status = 200 };
+  decide_request_t request = { .id = ++world->request,
+                               .service = decide_id ("booking"),
+                               .idempotent = true,
+                               .deadline = world->now + 500 };
+  uint64_t before = world->forwarded;
+
+  decide_request (world->node, world->now, &request);
+  for (int i = 0; i < 500 && world->forwarded == before; i++)
+    advance (world, 1);
+  if (world->forwarded == before)
+    return false;
+  g_assert_true (decide_attempt_done (world->node, world->now, request.id,
+                                      world->attempt, &end, NULL));
+  return true;
+}
+
+/* Guards against work sent to a data centre that is out.  */
+static void
+test_centre_out (void)
+{
+  world_t world;
+
+  start (&world, 1);
+  g_assert_true (try_request (&world));
+  put_out (&world, true);
+  g_assert_false (try_request (&world));
+  g_assert_cmpint (world.refusal.ran, ==, DECIDE_RAN_NO);
+  put_out (&world, false);
+  advance (&world, DECIDE_STORE_SYNC_MS);
+  g_assert_true (try_request (&world));
+  decide_free (world.node);
+}
+
+/* Guards against two groups on one store that grant the same slots.  */
+static void
+test_second_group (void)
+{
+  world_t world;
+  decide_object_t gone = { .kind = DECIDE_OBJECT_RECORD,
+                           .name = "shared/ownership/other",
+                           .deleted = true };
+
+  start (&world, 1);
+  g_assert_true (try_request (&world));
+  give_record (&world, "shared/ownership/other");
+  /* A grant that was lent before may be used until it ends.  */
+  advance (&world, DECIDE_LEND_MS);
+  g_assert_false (try_request (&world));
+  gone.revision = ++world.revision;
+  decide_object (world.node, world.now, UINT64_MAX, &gone);
+  advance (&world, DECIDE_STORE_SYNC_MS);
+  g_assert_true (try_request (&world));
+  decide_free (world.node);
+}
+
+/* Guards against work sent with a configuration that may be stale: without
+   the store and without any peer nothing is known of changes.  */
+static void
+test_no_contact (void)
+{
+  world_t world;
+
+  start (&world, 2);
+  g_assert_true (try_request (&world));
+  world.store_down = true;
+  advance (&world, DECIDE_CONTACT_MS + DECIDE_STORE_SYNC_MS);
+  g_assert_false (try_request (&world));
+  g_assert_cmpint (world.refusal.reason, ==, DECIDE_REASON_NO_CONTACT);
+  world.store_down = false;
+  advance (&world, 2 * DECIDE_STORE_SYNC_MS);
+  g_assert_true (try_request (&world));
+  decide_free (world.node);
+}
+
+/* Guards against a single instance that stops serving in a store outage.  */
+static void
+test_alone (void)
+{
+  world_t world;
+
+  start (&world, 1);
+  world.store_down = true;
+  advance (&world, 10 * DECIDE_STORE_SYNC_MS);
+  g_assert_true (try_request (&world));
+  decide_free (world.node);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/node/centre-out", test_centre_out);
+  g_test_add_func ("/node/second-group", test_second_group);
+  g_test_add_func ("/node/no-contact", test_no_contact);
+  g_test_add_func ("/node/alone", test_alone);
+  return g_test_run ();
+}
