--- a/lib/decide/keys.c
+++ b/lib/decide/keys.c
@@ -132,7 +132,8 @@
   if (entry->answer != NULL)
     {
       msg.u.key.has_answer = true;
-      msg.u.key.answer = *entry->answer;
+      memcpy (&msg.u.key.answer, entry->answer,
+              keys_answer_size (entry->answer));
     }
   return msg;
 }
--- a/lib/decide/keys_copy.c
+++ b/lib/decide/keys_copy.c
@@ -69,6 +69,15 @@
   return 0;
 }
 
+/* Entries are kept for minutes and most answers are short, so the unused part
+   of the body is left out: it would be 4 KiB for each key.  */
+size_t
+keys_answer_size (const decide_answer_t *answer)
+{
+  return offsetof (decide_answer_t, body)
+         + MIN (answer->length, DECIDE_ANSWER_MAX);
+}
+
 void
 keys_merge (keys_entry_t *entry, decide_key_state_t state,
             const decide_msg_key_t *msg)
@@ -76,7 +85,7 @@
   entry->state = state;
   if (state == DECIDE_KEY_STATE_DONE && msg->has_answer
       && entry->answer == NULL)
-    entry->answer = g_memdup2 (&msg->answer, sizeof msg->answer);
+    entry->answer = g_memdup2 (&msg->answer, keys_answer_size (&msg->answer));
 }
 
 void
--- a/lib/decide/keys_state.h
+++ b/lib/decide/keys_state.h
@@ -31,10 +31,10 @@
   keys_member_t copy; /* member that has or gets the copy */
   clock_ms_t copy_sent;
   uint32_t copy_tries;
-  bool copy_due; /* the state has changed since the copy */
-  bool listed;   /* in the active list */
-  decide_answer_t *answer;
-  GArray *waiters; /* keys_waiter_t */
+  bool copy_due;           /* the state has changed since the copy */
+  bool listed;             /* in the active list */
+  decide_answer_t *answer; /* without the unused part of its body */
+  GArray *waiters;         /* keys_waiter_t */
 } keys_entry_t;
 
 typedef struct keys_source
@@ -86,6 +86,7 @@
                  uint64_t request, decide_key_status_t status);
 void keys_handle_claim (keys_t *keys, clock_ms_t now, decide_id_t from,
                         const decide_msg_key_t *msg);
+size_t keys_answer_size (const decide_answer_t *answer);
 void keys_answer_waiters (keys_t *keys, clock_ms_t now, keys_entry_t *entry);
 void keys_settle (keys_t *keys, clock_ms_t now, keys_entry_t *entry);
 void keys_handle_outcome (keys_t *keys, clock_ms_t now, decide_id_t from,
--- a/test/bench/decide_cost.c
+++ b/test/bench/decide_cost.c
@@ -25,6 +25,7 @@
 #define SIZED_FIRST 64
 #define SIZED_SHARE 16
 #define CHANGES 100
+#define ANSWER_BYTES 64
 #define VIEWS 1000
 
 typedef struct running
@@ -300,6 +301,9 @@
 static void
 end_attempts (bench_t *bench)
 {
+  static const decide_answer_t answer = { .status = 201,
+                                          .content_type = "application/json",
+                                          .length = ANSWER_BYTES };
   const running_t *head;
 
   while ((head = g_queue_peek_head (&bench->running)) != NULL
@@ -312,7 +316,7 @@
       int64_t start = begin (bench);
 
       decide_attempt_done (bench->members[running->member].node, bench->now,
-                           running->request, running->attempt, &done, NULL);
+                           running->request, running->attempt, &done, &answer);
       end (bench, &bench->done, start);
       g_free (running);
     }
@@ -573,6 +577,8 @@
   uint32_t per_ms;
   uint32_t run_ms;
   size_t memory;
+  size_t before;
+  uint64_t keyed;
   int64_t load_ns;
 
   if (argc < 4 || argc > 6)
@@ -609,6 +615,7 @@
   print_phase (&bench, "idle", run_ms);
 
   reset (&bench);
+  before = mallinfo2 ().uordblks;
   for (uint32_t i = 0; i < run_ms && per_ms > 0; i++)
     {
       for (uint32_t j = 0; j < per_ms; j++)
@@ -617,6 +624,13 @@
     }
   if (per_ms > 0)
     print_phase (&bench, "busy", run_ms);
+  keyed = bench.next_id * bench.keyed_percent / 100;
+  /* After a pause, so that only entries of keys are left.  */
+  for (int i = 0; i < WARM_MS; i++)
+    step (&bench);
+  if (keyed > 0)
+    printf (",\"bytes_per_key\":%.0f",
+            (double)(mallinfo2 ().uordblks - before) / (double)keyed);
   printf (",\"requests\":%" G_GUINT64_FORMAT ",\"change_us\":%.1f}\n",
           bench.next_id, change_us (&bench));
   for (uint32_t i = 0; i < bench.member_count; i++)
--- a/test/unit/keys.c
+++ b/test/unit/keys.c
@@ -166,13 +166,27 @@
   g_assert_cmpuint (runs, ==, 1);
 }
 
+/* The body's length differs from key to key, up to the longest.  */
+static decide_answer_t
+recorded_answer (uint64_t key)
+{
+  decide_answer_t answer = { .status = 200 + (uint32_t)key };
+
+  answer.length = key % 2 == 0 ? DECIDE_ANSWER_MAX : (uint32_t)key;
+  memset (answer.body, (int)key, answer.length);
+  return answer;
+}
+
 static void
 on_replay (void *context, uint64_t request, const decide_answer_t *answer)
 {
   caller_t *caller = find_caller (request);
+  decide_answer_t recorded = recorded_answer (caller->key);
 
   (void)context;
   g_assert_cmpuint (answer->status, ==, 200 + caller->key);
+  g_assert_cmpmem (answer->body, answer->length, recorded.body,
+                   recorded.length);
   caller->replayed = true;
   caller->ended = true;
 }
@@ -327,7 +341,7 @@
 finish (uint64_t request, decide_key_state_t state)
 {
   caller_t *caller = find_caller (request);
-  decide_answer_t answer = { .status = 200 + caller->key };
+  decide_answer_t answer = recorded_answer (caller->key);
 
   g_assert_true (caller->ran);
   caller->ended = true;
