--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -68,28 +68,17 @@
 
 /* ---- Router ---- */
 
-static void
-send_to_owner (decide_t *node, decide_id_t owner, decide_msg_type_t type,
-               const decide_msg_grant_t *grant)
-{
-  decide_msg_t msg
-      = { .type = type, .incarnation = node->settings.incarnation };
-
-  msg.u.grant = *grant;
-  node_send (node, owner, &msg);
-}
-
 static void
 router_ask (void *context, decide_id_t owner, const decide_msg_grant_t *msg)
 {
-  send_to_owner (context, owner, DECIDE_MSG_GRANT_REQUEST, msg);
+  node_send_grant (context, owner, DECIDE_MSG_GRANT_REQUEST, msg);
 }
 
 static void
 router_cancel_ask (void *context, decide_id_t owner,
                    const decide_msg_grant_t *msg)
 {
-  send_to_owner (context, owner, DECIDE_MSG_GRANT_CANCEL, msg);
+  node_send_grant (context, owner, DECIDE_MSG_GRANT_CANCEL, msg);
 }
 
 static void
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -122,6 +122,8 @@
 
 /* node_messages.c */
 void node_send (decide_t *node, decide_id_t to, const decide_msg_t *msg);
+void node_send_grant (decide_t *node, decide_id_t to, decide_msg_type_t type,
+                      const decide_msg_grant_t *grant);
 void node_run_loop (decide_t *node);
 bool node_has_contact (const decide_t *node);
 
--- a/lib/decide/node_messages.c
+++ b/lib/decide/node_messages.c
@@ -24,6 +24,17 @@
   g_queue_push_tail (&node->loop, entry);
 }
 
+void
+node_send_grant (decide_t *node, decide_id_t to, decide_msg_type_t type,
+                 const decide_msg_grant_t *grant)
+{
+  decide_msg_t msg
+      = { .type = type, .incarnation = node->settings.incarnation };
+
+  msg.u.grant = *grant;
+  node_send (node, to, &msg);
+}
+
 void
 node_run_loop (decide_t *node)
 {
--- a/lib/decide/node_pools.c
+++ b/lib/decide/node_pools.c
@@ -24,40 +24,29 @@
 static void pool_refused (void *context, decide_id_t holder,
                           const decide_msg_grant_t *msg);
 
-static void
-send_grant (decide_t *node, decide_id_t holder, decide_msg_type_t type,
-            const decide_msg_grant_t *grant)
-{
-  decide_msg_t msg
-      = { .type = type, .incarnation = node->settings.incarnation };
-
-  msg.u.grant = *grant;
-  node_send (node, holder, &msg);
-}
-
 static void
 pool_granted (void *context, decide_id_t holder, const decide_msg_grant_t *msg)
 {
-  send_grant (context, holder, DECIDE_MSG_GRANT, msg);
+  node_send_grant (context, holder, DECIDE_MSG_GRANT, msg);
 }
 
 static void
 pool_queued (void *context, decide_id_t holder, const decide_msg_grant_t *msg)
 {
-  send_grant (context, holder, DECIDE_MSG_QUEUED, msg);
+  node_send_grant (context, holder, DECIDE_MSG_QUEUED, msg);
 }
 
 static void
 pool_refused (void *context, decide_id_t holder, const decide_msg_grant_t *msg)
 {
-  send_grant (context, holder, DECIDE_MSG_REFUSED, msg);
+  node_send_grant (context, holder, DECIDE_MSG_REFUSED, msg);
 }
 
 static void
 pool_recalled (void *context, decide_id_t holder,
                const decide_msg_grant_t *msg)
 {
-  send_grant (context, holder, DECIDE_MSG_RECALL, msg);
+  node_send_grant (context, holder, DECIDE_MSG_RECALL, msg);
 }
 
 static void
