Test both sides of the bound on another data centre's queue

unit-slots_requester expected that no other data centre is asked without free slots there; since the change of the router it is asked while fewer than 6 wait. The test checks 5 and 6.

--- a/test/unit/fake_owners.c
+++ b/test/unit/fake_owners.c
@@ -7,6 +7,7 @@
 GArray *fake_refusals;
 bool fake_usable;
 uint16_t fake_slots_free;
+uint16_t fake_queued;   /* waiting requests that heartbeats state */
 uint32_t fake_priority; /* of requests and grants */
 bool fake_local[POOLS];
 bool fake_out[POOLS];
@@ -24,7 +25,8 @@
                                           .owner = i + 101,
                                           .local = fake_local[i],
                                           .out = fake_out[i],
-                                          .free = fake_slots_free };
+                                          .free = fake_slots_free,
+                                          .queued = fake_queued };
   return POOLS;
 }
 
@@ -112,6 +114,7 @@
     g_array_set_size (all[i], 0);
   fake_usable = true;
   fake_slots_free = 10;
+  fake_queued = 0;
   fake_priority = 0;
   for (int i = 0; i < POOLS; i++)
     {
--- a/test/unit/slots_requester.c
+++ b/test/unit/slots_requester.c
@@ -182,9 +182,15 @@
   fake_done (router, 6801, fake_forward ()->attempt, DECIDE_ATTEMPT_CANCELLED);
   g_assert_cmpuint (fake_refusals->len, ==, 2);
   g_assert_cmpuint (router_held (router), ==, 0);
-  /* Other data centres: not when both are full, but always when the pools
-     here have no slot at all, which are then left alone for a while.  */
+  /* Other data centres: not when 6 wait there as well, but always when the
+     pools here have no slot at all, which are then left alone for a while.  */
   fake_slots_free = 0;
+  fake_queued = 5;
+  fake_request (router, 6990, 8, true, false);
+  fake_refuse (router, 6991, fake_ask (), DECIDE_REASON_QUEUE_FULL, 20);
+  g_assert_cmpuint (fake_ask ()->msg.pool, ==, 3);
+  router_gone (router, 6992, 8);
+  fake_queued = 6;
   fake_request (router, 7000, 4, true, false);
   fake_refuse (router, 7001, fake_ask (), DECIDE_REASON_QUEUE_FULL, 20);
   g_assert_cmpuint (fake_refusals->len, ==, 3);
