Let the fake owners state when their heartbeat arrived

The test before this one failed: an older reply of the owner counted, because the fake heartbeat had no time.

--- a/test/unit/fake_owners.c
+++ b/test/unit/fake_owners.c
@@ -8,6 +8,7 @@
 bool fake_usable;
 uint16_t fake_slots_free;
 uint16_t fake_queued;   /* waiting requests that heartbeats state */
+clock_ms_t fake_seen;   /* time of the last heartbeat */
 uint32_t fake_priority; /* of requests and grants */
 bool fake_local[POOLS];
 bool fake_out[POOLS];
@@ -26,7 +27,8 @@
                                           .local = fake_local[i],
                                           .out = fake_out[i],
                                           .free = fake_slots_free,
-                                          .queued = fake_queued };
+                                          .queued = fake_queued,
+                                          .seen = fake_seen };
   return POOLS;
 }
 
@@ -115,6 +117,7 @@
   fake_usable = true;
   fake_slots_free = 10;
   fake_queued = 0;
+  fake_seen = 0;
   fake_priority = 0;
   for (int i = 0; i < POOLS; i++)
     {
--- a/test/unit/fake_owners.h
+++ b/test/unit/fake_owners.h
@@ -33,6 +33,7 @@
 extern bool fake_usable;
 extern uint16_t fake_slots_free;
 extern uint16_t fake_queued;
+extern clock_ms_t fake_seen;
 extern uint32_t fake_priority; /* of requests and grants */
 extern bool fake_local[POOLS];
 extern bool fake_out[POOLS];
--- a/test/unit/slots_requester.c
+++ b/test/unit/slots_requester.c
@@ -186,6 +186,7 @@
      pools here have no slot at all, which are then left alone for a while.  */
   fake_slots_free = 0;
   fake_queued = 5;
+  fake_seen = 6980;
   fake_request (router, 6990, 8, true, false);
   fake_refuse (router, 6991, fake_ask (), DECIDE_REASON_QUEUE_FULL, 20);
   g_assert_cmpuint (fake_ask ()->msg.pool, ==, 3);
