Answer heads that CivetWeb rejects with a problem document

The run with broken transfers found oversized headers and unknown methods answered with 400 in plain text, without detail and ran. Cause: CivetWeb rejects such heads before any handler and without the http_error callback writes its own text. CivetWeb does not tell an oversized head from a malformed one, so the status stays 400 and not 431.

--- a/peridotrouter/serve.c
+++ b/peridotrouter/serve.c
@@ -36,6 +36,8 @@
 static int handle_addresses (struct mg_connection *conn, void *data);
 static int handle_other (struct mg_connection *conn, void *data);
 static int handle_service (struct mg_connection *conn, void *data);
+static int refuse_head (struct mg_connection *conn, int status,
+                        const char *message);
 static int read_body (serve_t *serve, struct mg_connection *conn,
                       request_t *request);
 static bool serve_request (serve_t *serve, request_t *request);
@@ -75,6 +77,7 @@
 {
   struct mg_callbacks callbacks = { .init_thread = start_worker,
                                     .exit_thread = stop_worker,
+                                    .http_error = refuse_head,
                                     .log_message = log_message };
   char workers[16];
   char header_bytes[16];
@@ -156,6 +159,21 @@
   return CLOSE_CONNECTION;
 }
 
+/* Requests that CivetWeb rejects itself: a head that is malformed, too large
+   or late, and methods that it does not know.  It does not tell which.  */
+static int
+refuse_head (struct mg_connection *conn, int status, const char *message)
+{
+  g_autofree char *detail
+      = g_strdup_printf ("the head of the request is malformed, too large or "
+                         "late, or the method is not known: %s",
+                         message);
+
+  (void)refuse_input (conn, NULL, (uint32_t)status, "/problems/bad-request",
+                      detail);
+  return 0;
+}
+
 static int
 handle_other (struct mg_connection *conn, void *data)
 {
--- /dev/null
+++ b/test/run/broken_transfers.py
@@ -0,0 +1,148 @@
+"""Truncated downloads, callers that leave or are slow, and bad requests.
+
+Guards against a short answer that looks complete, slots that stay in use
+after their caller left, and bad requests without a clear error.
+"""
+
+import http.client
+import socket
+
+from connections_silent import EndpointPaths
+from faultrun import Faults
+from harness import main, request, wait_for
+
+DOWNLOADS = 12
+PIECE = 20000
+TIMEOUT_MS = 2000
+# Grace for the end of a download after its deadline.
+GRACE_S = 2
+
+
+def download(instance, name):
+    """One archive download: whole, broken, refused, SHORT or LATE."""
+    connection = http.client.HTTPConnection("127.0.0.1", instance.callers,
+                                            timeout=TIMEOUT_MS / 1000
+                                            + GRACE_S)
+    try:
+        connection.request("GET", "/s/records/archive/" + name, None,
+                           {"Request-Id": name, "Request-Timeout-Ms": str(TIMEOUT_MS)})
+        answer = connection.getresponse()
+        length = int(answer.getheader("Content-Length", -1))
+        body = answer.read()
+    except TimeoutError:
+        return "LATE"
+    except (http.client.HTTPException, OSError):
+        return "broken"
+    finally:
+        connection.close()
+    if answer.status != 200:
+        return "refused"
+    return "whole" if len(body) == length > 2 * PIECE else "SHORT"
+
+
+def downloads(instances, name, count=DOWNLOADS):
+    results = [download(instances[i % len(instances)], f"{name}-{i}")
+               for i in range(count)]
+    return {kind: results.count(kind) for kind in sorted(set(results))}
+
+
+def raw(instance, data, timeout=20):
+    """Sends bytes; returns the status line's code and the rest."""
+    with socket.create_connection(("127.0.0.1", instance.callers),
+                                  timeout) as one:
+        one.sendall(data)
+        answer = http.client.HTTPResponse(one)
+        answer.begin()
+        return answer.status, answer.read()
+
+
+def refused(name, answer, status):
+    held = answer[0] == status and b'"detail"' in answer[1]
+    print(f"{name}: {answer[0]}{'' if held else ' UNCLEAR'}")
+    return held
+
+
+def script(run):
+    faults = Faults(run, topology=EndpointPaths)
+    topology = faults.topology
+    instances = topology.instances
+    records = [endpoint for endpoint in topology.endpoints
+               if endpoint.service.name == "records"]
+    for instance in instances:
+        wait_for("pools are served", lambda: download(instance, "first")
+                 == "whole")
+    whole = downloads(instances, "quiet")
+    faults.say("downloads are whole without faults",
+               whole == {"whole": DOWNLOADS})
+    for endpoint in records[:1]:
+        topology.paths.control(endpoint.name, truncate_after=PIECE)
+    some = downloads(instances, "some")
+    faults.note(f"one of six endpoints cut: {some}")
+    faults.say("interrupted downloads are resumed elsewhere",
+               some == {"whole": DOWNLOADS})
+    for endpoint in records:
+        topology.paths.control(endpoint.name, truncate_after=PIECE)
+    every = downloads(instances, "all", 3)
+    faults.note(f"all endpoints cut: {every}")
+    faults.say("no download is short but complete", "SHORT" not in every)
+    faults.say("a download that can't be resumed ends by its deadline",
+               "LATE" not in every)
+    for endpoint in records:
+        topology.paths.control(endpoint.name, truncate_after=-1)
+
+    for i in range(20):
+        with socket.create_connection(
+                ("127.0.0.1", instances[i % 6].callers)) as leaver:
+            leaver.sendall(b"GET /s/records/archive/left HTTP/1.1\r\n"
+                           b"Host: x\r\nRequest-Id: left\r\n\r\n")
+            leaver.recv(1000)
+    wait_for("the slots of callers that left are free", lambda: not any(
+        entry["in_flight"] + entry["queued"]
+        for entry in topology.stats().values()), 5)
+    faults.say("slots of callers that left are free", True)
+
+    one = instances[0]
+    start = b"POST /s/booking/confirm HTTP/1.1\r\nHost: x\r\n"
+    key = b"Idempotency-Key: bad\r\n"
+    clear = [
+        refused("oversized headers", raw(
+            one, b"GET /s/booking/slot-check HTTP/1.1\r\nHost: x\r\nLong: "
+            + b"x" * 100000 + b"\r\n\r\n"), 400),
+        refused("oversized body", raw(
+            one, start + key + b"Content-Length: 999999999\r\n\r\n"), 413),
+        refused("method", raw(
+            one, b"CONNECT /s/booking/slot-check HTTP/1.1\r\nHost: x\r\n\r\n"),
+            405),
+        refused("unknown method", raw(
+            one, b"BREW /s/booking/slot-check HTTP/1.1\r\nHost: x\r\n\r\n"),
+            400),
+        refused("deadline", raw(
+            one, b"GET /s/booking/slot-check HTTP/1.1\r\nHost: x\r\n"
+            b"Request-Timeout-Ms: soon\r\n\r\n"), 400),
+        refused("no length", raw(one, start + key + b"\r\n"), 411),
+        refused("no key", raw(one, start + b"Content-Length: 2\r\n\r\n{}"),
+                400),
+        refused("service", raw(
+            one, b"GET /s/nowhere/x HTTP/1.1\r\nHost: x\r\n\r\n"), 404),
+    ]
+    faults.say("every error is clear", all(clear))
+    with socket.create_connection(("127.0.0.1", one.callers), 20) as slow:
+        slow.sendall(b"GET /s/booking/slot-check HTTP/1.1\r\nHost:")
+        slow.settimeout(20)
+        try:
+            ended = slow.recv(1000)
+        except ConnectionResetError:
+            ended = b""
+    faults.note(f"slow client: {ended[:40]}")
+    faults.say("a slow client is cut off or refused",
+               ended == b"" or b"problem+json" in ended)
+    keys = [entry["key"] for entry in topology.journal()]
+    faults.say("nothing that was refused ran", "bad" not in keys)
+    answer = request(one.callers, "GET", "/s/booking/slot-check", None,
+                     {"Request-Id": "after"})
+    faults.say("the instance serves others meanwhile", answer.status == 200)
+    return 0 if faults.held and not any(topology.stop_instances()) else 1
+
+
+if __name__ == "__main__":
+    main(script)
