--- a/peridotrouter/serve.c
+++ b/peridotrouter/serve.c
@@ -18,10 +18,8 @@
 #define KEY_MAX 255
 /* Time beyond the deadline in which the engine must have decided.  */
 #define DECIDE_GRACE_MS 2000
-/* CivetWeb 1.15 has no call that closes a connection after a request; it
-   closes the connection when the handler states this status.  */
-#define CLOSE_CONNECTION 401
-#define KEEP_CONNECTION 200
+/* Handled; whether the connection stays is set apart.  */
+#define HANDLED 200
 
 struct serve
 {
@@ -36,6 +34,8 @@
 static int handle_addresses (struct mg_connection *conn, void *data);
 static int handle_other (struct mg_connection *conn, void *data);
 static int handle_service (struct mg_connection *conn, void *data);
+static int refuse_head (struct mg_connection *conn, int status,
+                        const char *message);
 static int read_body (serve_t *serve, struct mg_connection *conn,
                       request_t *request);
 static bool serve_request (serve_t *serve, request_t *request);
@@ -75,6 +75,7 @@
 {
   struct mg_callbacks callbacks = { .init_thread = start_worker,
                                     .exit_thread = stop_worker,
+                                    .http_error = refuse_head,
                                     .log_message = log_message };
   char workers[16];
   char header_bytes[16];
@@ -153,7 +154,23 @@
   telemetry_count (TELEMETRY_BAD_REQUESTS, 0);
   answer_problem (&answer, status, type, detail, "no", 0);
   /* The rest of a body that was not read is not taken for a request.  */
-  return CLOSE_CONNECTION;
+  mg_disable_connection_keep_alive (conn);
+  return HANDLED;
+}
+
+/* Requests that CivetWeb rejects itself: a head that is malformed, too large
+   or late, and methods that it does not know.  It does not tell which.  */
+static int
+refuse_head (struct mg_connection *conn, int status, const char *message)
+{
+  g_autofree char *detail
+      = g_strdup_printf ("the head of the request is malformed, too large or "
+                         "late, or the method is not known: %s",
+                         message);
+
+  (void)refuse_input (conn, NULL, (uint32_t)status, "/problems/bad-request",
+                      detail);
+  return 0;
 }
 
 static int
@@ -186,7 +203,7 @@
              "Cache-Control: max-age=%d\r\nContent-Length: %zu\r\n\r\n%s",
              DECIDE_ADDRESS_LIFETIME_MS / 1000, strlen (text), text);
   free (text);
-  return KEEP_CONNECTION;
+  return HANDLED;
 }
 
 /* ---- Reading a request ---- */
@@ -503,7 +520,10 @@
   int result;
 
   if (request == NULL)
-    return CLOSE_CONNECTION;
+    {
+      mg_disable_connection_keep_alive (conn);
+      return HANDLED;
+    }
   request->received_us = clock_now_us ();
   request->answer = g_new0 (answer_t, 1);
   request->answer->conn = conn;
@@ -543,5 +563,7 @@
   atomic_fetch_sub (&serve->active, 1);
   closing = request->answer->closing;
   request_unref (request);
-  return keep && !closing ? KEEP_CONNECTION : CLOSE_CONNECTION;
+  if (!keep || closing)
+    mg_disable_connection_keep_alive (conn);
+  return HANDLED;
 }
