--- a/test/bench/report.py
+++ b/test/bench/report.py
@@ -177,9 +177,9 @@
                           f"{row['deployment']}", row["share"] >= 95,
                           f"{row['share']:.0f}%"))
     for aim, key, limit, digits in (
-            ("% of a core for control", "control_core", AIM_CORE, 1),
+            ("% of a core", "control_core", AIM_CORE, 1),
             ("MB", "memory_mb", AIM_MEMORY_MB, 0),
-            ("KB/s for control", "control_kb", AIM_CONTROL_KB, 1)):
+            ("KB/s", "control_kb", AIM_CONTROL_KB, 1)):
         row = worst(key)
         lines.append((f"control within {limit} {aim}", row[key] <= limit,
                       f"most: {row[key]:.{digits}f} ({where(row)})"))
@@ -233,17 +233,18 @@
     data = ["scenario " + " ".join(policies)]
     for (_, scenario), some in groups(rows).items():
         by_policy = {row["policy"]: row[key] for row in some}
-        data.append(f'"{scenario}" ' + " ".join(
+        words = scenario.replace(" ", "\\n", 1)
+        data.append(f'"{words}" ' + " ".join(
             number(by_policy.get(policy), 2) for policy in policies))
     script = "\n".join(
         ["$data << END"] + data + ["END",
-         "set terminal svg size 1000,420 font 'sans,11' background 'white'",
+         "set terminal svg size 1200,420 font 'sans,11' background 'white'",
          f"set output '{os.path.join(DOCS, name)}'",
          f"set title '{title}'", f"set ylabel '{label}'",
          "set style data histograms", "set style histogram clustered gap 2",
          "set style fill solid 0.8 noborder", "set grid ytics",
          "set key outside right top", "set datafile missing '-'",
-         "set xtics scale 0 rotate by -15",
+         "set xtics scale 0 offset 0,0.2", "set bmargin 3",
          "set logscale y" if logarithmic else "set yrange [0:*]",
          f"plot for [i=2:{len(policies) + 1}] $data using i:xtic(1) "
          "title columnheader(i)"])
