--- a/test/bench/bench.py
+++ b/test/bench/bench.py
@@ -15,10 +15,14 @@
 import report
 import sample
 from harness import Caller, Run, RunError
-from topology import BERGEN, KALAMANSI, Topology
-
-POLICIES = ("owner", "random", "round-robin", "least-outstanding",
-            "power-of-two")
+from topology import BERGEN, KALAMANSI, Topology, profiles
+
+# "owner+hedge": profiles that allow hedges; only the scenarios with slow
+# endpoints, which hedges are for.
+POLICIES = ("owner", "owner+hedge", "random", "round-robin",
+            "least-outstanding", "power-of-two")
+# About 2.5 times the mean service time of a slot check.
+HEDGE_AFTER_MS = 100
 SEED = 20261
 # Service times are this many times those of the deployments, so that 80% of
 # the capacity is a rate that 4 cores carry.
@@ -56,13 +60,22 @@
         self.stretch = 1
         self.topology = Topology(run, deployment, delays=True,
                                  backend_options=options,
-                                 settings={"policy": policy, "workers": WORKERS,
+                                 settings={"policy": policy.split("+")[0],
+                                           "workers": WORKERS,
                                            "log_level": "warning",
                                            "seed": SEED})
+        if policy.endswith("+hedge"):
+            self.allow_hedges()
         self.topology.start_instances()
         for endpoint in self.topology.endpoints:
             endpoint.control(cold=False)
 
+    def allow_hedges(self):
+        for name, body in profiles(self.deployment).items():
+            body.update(hedge=True, hedge_after_ms=HEDGE_AFTER_MS)
+            self.topology.platform.put("shared/profile/" + name, body,
+                                       **{"If-Match": "1"})
+
     def capacity(self):
         """Requests/s of the whole mix that the scarcest service bears."""
         mix = report.mix_of(self.deployment)
@@ -190,6 +203,10 @@
 
 
 def run_kalamansi(bench):
+    if bench.policy.endswith("+hedge"):
+        yield bench.measure("noisy neighbours", 0.6, noise)
+        yield bench.measure("endpoints turn cold", 0.5, cold)
+        return
     yield bench.measure("steady 50%", 0.5)
     yield bench.measure("steady 80%", 0.8)
     yield bench.measure("noisy neighbours", 0.6, noise)
@@ -204,6 +221,9 @@
 
 
 def run_bergen(bench):
+    if bench.policy.endswith("+hedge"):
+        yield bench.measure("noisy neighbours", 0.6, noise)
+        return
     yield bench.measure("steady 80%", 0.8)
     yield bench.measure("data centre out and in", 0.5, out_and_in)
     yield bench.measure("noisy neighbours", 0.6, noise)
--- a/test/bench/report.py
+++ b/test/bench/report.py
@@ -11,6 +11,7 @@
 # Text from this line on is written by hand and kept.
 FINDINGS = "## Findings"
 OURS = "owner"
+OURS_HEDGE = "owner+hedge"
 SERVICE_OF = {"slot-check": "booking", "confirm": "booking",
               "history": "records", "archive": "records", "slip": "slipdesk",
               "filing": "slipdesk", "drawer": "drawerstore"}
@@ -137,7 +138,7 @@
 
 def aims(rows):
     """(aim, met, evidence) of each aim of the design page, section 1."""
-    ours = [row for row in rows if row["policy"] == OURS]
+    ours = [row for row in rows if row["policy"] in (OURS, OURS_HEDGE)]
     if not ours:
         return []
 
@@ -157,16 +158,18 @@
     for (deployment, scenario), some in groups(rows).items():
         if scenario not in ("noisy neighbours", "endpoints turn cold"):
             continue
-        own = [row for row in some if row["policy"] == OURS]
-        others = [row for row in some if row["policy"] != OURS]
-        if not own or not others:
+        others = [row for row in some if row not in ours]
+        if not others:
             continue
         best = min(others, key=lambda row: row["p99"])
-        lines.append((f"p99 at most half of the best baseline's, "
-                      f"{deployment}, {scenario}",
-                      own[0]["p99"] <= best["p99"] / 2,
-                      f"{own[0]['p99']:.1f} ms; {best['policy']} "
-                      f"{best['p99']:.1f} ms"))
+        for row in some:
+            if row not in ours:
+                continue
+            lines.append((f"p99 at most half of the best baseline's, "
+                          f"{deployment}, {scenario}, {row['policy']}",
+                          row["p99"] <= best["p99"] / 2,
+                          f"{row['p99']:.1f} ms; {best['policy']} "
+                          f"{best['p99']:.1f} ms"))
     for row in ours:
         if row["scenario"].startswith("steady"):
             lines.append((f"at most {AIM_ADDED_MS} ms added at p99, "
