Close the caller's connection after an answer that was cut

A download that no endpoint can complete left the caller's connection open: 3 of 3 were open 2 s after their deadline of 2 s, and one with a deadline of 3 s was open 12 s after its start, with the last byte after 0.1 s. Cause: the handler states status 401 to close the connection, which CivetWeb 1.15 ignores, so the connection waited for a further request. Ruled out: a request that is retried until late (cut_answers_total was 1 and the router had refused it), and the fault proxy (with one endpoint cutting, 12 of 12 were resumed at once). CivetWeb 1.15 has mg_disable_connection_keep_alive(), which the handlers use now.

--- a/peridotrouter/serve.c
+++ b/peridotrouter/serve.c
@@ -18,10 +18,8 @@
 #define KEY_MAX 255
 /* Time beyond the deadline in which the engine must have decided.  */
 #define DECIDE_GRACE_MS 2000
-/* CivetWeb 1.15 has no call that closes a connection after a request; it
-   closes the connection when the handler states this status.  */
-#define CLOSE_CONNECTION 401
-#define KEEP_CONNECTION 200
+/* Handled; whether the connection stays is set apart.  */
+#define HANDLED 200
 
 struct serve
 {
@@ -156,7 +154,8 @@
   telemetry_count (TELEMETRY_BAD_REQUESTS, 0);
   answer_problem (&answer, status, type, detail, "no", 0);
   /* The rest of a body that was not read is not taken for a request.  */
-  return CLOSE_CONNECTION;
+  mg_disable_connection_keep_alive (conn);
+  return HANDLED;
 }
 
 /* Requests that CivetWeb rejects itself: a head that is malformed, too large
@@ -204,7 +203,7 @@
              "Cache-Control: max-age=%d\r\nContent-Length: %zu\r\n\r\n%s",
              DECIDE_ADDRESS_LIFETIME_MS / 1000, strlen (text), text);
   free (text);
-  return KEEP_CONNECTION;
+  return HANDLED;
 }
 
 /* ---- Reading a request ---- */
@@ -521,7 +520,10 @@
   int result;
 
   if (request == NULL)
-    return CLOSE_CONNECTION;
+    {
+      mg_disable_connection_keep_alive (conn);
+      return HANDLED;
+    }
   request->received_us = clock_now_us ();
   request->answer = g_new0 (answer_t, 1);
   request->answer->conn = conn;
@@ -561,5 +563,7 @@
   atomic_fetch_sub (&serve->active, 1);
   closing = request->answer->closing;
   request_unref (request);
-  return keep && !closing ? KEEP_CONNECTION : CLOSE_CONNECTION;
+  if (!keep || closing)
+    mg_disable_connection_keep_alive (conn);
+  return HANDLED;
 }
