--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -369,6 +369,7 @@
   endpoint_load_t load;
   char identity[20];
 
+  endpoint_count_probe (endpoint);
   if (endpoint_is_fallen (endpoint)
       || !standin_pause (conn, backend->probe_ms * 1000LL))
     {
--- a/test/standin/endpoint.c
+++ b/test/standin/endpoint.c
@@ -289,6 +289,14 @@
   pthread_mutex_unlock (&endpoint->lock);
 }
 
+void
+endpoint_count_probe (endpoint_t *endpoint)
+{
+  pthread_mutex_lock (&endpoint->lock);
+  endpoint->probes++;
+  pthread_mutex_unlock (&endpoint->lock);
+}
+
 bool
 endpoint_is_fallen (endpoint_t *endpoint)
 {
@@ -393,6 +401,7 @@
   standin_add (value, "max_concurrency", endpoint->max_concurrency);
   standin_add (value, "max_over_bearing", endpoint->max_over_bearing);
   standin_add (value, "shed", endpoint->shed_count);
+  standin_add (value, "probes", endpoint->probes);
   standin_add (value, "cancelled", endpoint->cancelled);
   standin_add (value, "expired", endpoint->expired);
   standin_add (value, "cold_overloads", endpoint->cold_overloads);
--- a/test/standin/endpoint.h
+++ b/test/standin/endpoint.h
@@ -68,6 +68,7 @@
   unsigned int history_next;
   int64_t requests;
   int64_t shed_count;
+  int64_t probes; /* GET /load and /health */
   int64_t cancelled;
   int64_t expired;
   int64_t cold_overloads;
@@ -116,6 +117,7 @@
 /* Ends the work whose caller takes no more of the answer at the deadline.  */
 void endpoint_expire (endpoint_t *endpoint);
 
+void endpoint_count_probe (endpoint_t *endpoint);
 bool endpoint_is_fallen (endpoint_t *endpoint);
 
 /* Load now without the caller's own request, or as it was a lag ago.  */
