--- a/lib/decide/claim.c
+++ b/lib/decide/claim.c
@@ -43,7 +43,7 @@
 
 static void ask (claims_t *claims, clock_ms_t now, claim_t *claim);
 static void free_claim (gpointer data);
-static void handle_reply (claims_t *claims, clock_ms_t now, claim_t *claim,
+static void handle_reply (claims_t *claims, claim_t *claim,
                           const decide_msg_key_t *msg);
 static void refuse (claims_t *claims, claim_t *claim, decide_reason_t reason,
                     decide_ran_t ran, clock_ms_t retry_after_ms);
@@ -170,7 +170,7 @@
 }
 
 void
-claims_message (claims_t *claims, clock_ms_t now, const decide_msg_t *msg)
+claims_message (claims_t *claims, const decide_msg_t *msg)
 {
   const decide_msg_key_t *key = &msg->u.key;
   claim_t *claim = g_hash_table_lookup (claims->by_request, &key->request);
@@ -181,15 +181,14 @@
       || claim->key.hash[1] != key->key.hash[1])
     return;
   if (msg->type == DECIDE_MSG_KEY_CLAIM_REPLY && claim->phase == PHASE_ASKING)
-    handle_reply (claims, now, claim, key);
+    handle_reply (claims, claim, key);
   else if (msg->type == DECIDE_MSG_KEY_COPY_ACK
            && claim->phase == PHASE_REPORTING && key->state == claim->state)
     g_hash_table_remove (claims->by_request, &claim->request);
 }
 
 static void
-handle_reply (claims_t *claims, clock_ms_t now, claim_t *claim,
-              const decide_msg_key_t *msg)
+handle_reply (claims_t *claims, claim_t *claim, const decide_msg_key_t *msg)
 {
   switch (msg->status)
     {
@@ -220,7 +219,6 @@
       break;
     }
   g_hash_table_remove (claims->by_request, &claim->request);
-  (void)now;
 }
 
 void
--- a/lib/decide/claim.h
+++ b/lib/decide/claim.h
@@ -37,8 +37,7 @@
                    clock_ms_t retention_ms);
 
 /* Handles KEY_CLAIM_REPLY and KEY_COPY_ACK.  */
-void claims_message (claims_t *claims, clock_ms_t now,
-                     const decide_msg_t *msg);
+void claims_message (claims_t *claims, const decide_msg_t *msg);
 
 /**
  * claims_ended() - a request that was let run has ended
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -1,11 +1,7 @@
 #include "node.h"
 
-/* An owner that has missed two heartbeats is asked last: each request to a
-   dead owner costs the reply timeout.  */
-#define OWNER_SILENT_MS 600
 #define REFUSE_RETRY_MS 1000
 
-static void route (decide_t *node, const router_request_t *request);
 static void refuse (decide_t *node, uint64_t request, decide_reason_t reason,
                     clock_ms_t retry_after_ms);
 
@@ -114,12 +110,6 @@
   node->callbacks.refuse (node->callbacks.context, &refusal);
 }
 
-static void
-route (decide_t *node, const router_request_t *request)
-{
-  router_request (node->router, node->now, request);
-}
-
 void
 node_claim_run (void *context, uint64_t request)
 {
@@ -127,7 +117,7 @@
   const node_keyed_t *keyed = g_hash_table_lookup (node->keyed, &request);
 
   if (keyed != NULL)
-    route (node, &keyed->request);
+    router_request (node->router, node->now, &keyed->request);
 }
 
 void
@@ -194,7 +184,7 @@
                     request->deadline, profile->key_retention_ms);
     }
   else
-    route (node, &out);
+    router_request (node->router, now, &out);
   node_run_loop (node);
 }
 
--- a/test/unit/keys.c
+++ b/test/unit/keys.c
@@ -276,7 +276,7 @@
     return;
   if (msg->type == DECIDE_MSG_KEY_CLAIM_REPLY
       || msg->type == DECIDE_MSG_KEY_COPY_ACK)
-    claims_message (node->claims, world.now, msg);
+    claims_message (node->claims, msg);
   if (msg->type != DECIDE_MSG_KEY_CLAIM_REPLY)
     keys_message (node->keys, world.now, node_id (packet->from), msg);
 }
