Keep the caller's connection until a hedge has ended

Found in the read-through: a worker whose request got no decision in time left its connection although a hedge might still be writing to it, and after a failed write a hedge could have taken the answer over. The worker now waits for the hedge's end, and a failed answer is not offered to another attempt.

--- a/peridotrouter/attempt.c
+++ b/peridotrouter/attempt.c
@@ -247,8 +247,9 @@
     result.end.result = DECIDE_ATTEMPT_CANCELLED;
   engine_post_attempt (attempts->engine, request, forward->attempt,
                        &result.end, kept);
-  /* Lets a further attempt continue the answer.  */
-  if (won && result.end.result != DECIDE_ATTEMPT_ANSWERED)
+  /* Lets a further attempt continue the answer, unless the caller has gone and
+     the worker gives its connection up.  */
+  if (won && !answer->failed && result.end.result != DECIDE_ATTEMPT_ANSWERED)
     atomic_store (&request->winner, 0);
   free (forward);
   return whole;
--- a/peridotrouter/serve.c
+++ b/peridotrouter/serve.c
@@ -476,11 +476,6 @@
           request->answer->keep = request->keyed;
           if (attempts_run (serve->attempts, request, forward))
             return true;
-          if (request->answer->failed)
-            {
-              engine_post_gone (serve->engine, request);
-              return false;
-            }
           break;
         case DECISION_HEDGE_ANSWERED:
           return true;
@@ -499,11 +494,19 @@
           final = decision;
           break;
         }
+      if (request->answer->failed
+          && (decision == DECISION_FORWARD
+              || decision == DECISION_HEDGE_FAILED))
+        {
+          engine_post_gone (serve->engine, request);
+          return false;
+        }
       /* A hedge may be writing the answer; then it reports its end.  */
       if (final != DECISION_NONE && win_for_router (request))
         return send_local (request, final);
+      /* The connection must stay until the hedge has ended.  */
       if (decision == DECISION_NONE)
-        return false;
+        until = clock_now_ms () + DECIDE_GRACE_MS;
     }
 }
 
