Create libtirpc's authentication object once, before any client

The report (now printed by the harness when a process does not end with 0) is a leak of 96 bytes in authnone_create(): libtirpc looks at its only object before it takes the lock around the allocation, so the first clients of several sender threads each allocate one and all but one are lost.

Ruled out: our own memory (no frame of ours in the report), and an unclean stop (the log ends with "stopped").

Conclusion: the object is created under pthread_once() by the first peer_sender_start().

--- a/lib/peer/sender.c
+++ b/lib/peer/sender.c
@@ -313,15 +313,26 @@
   free (sender);
 }
 
+/* libtirpc keeps one object for all clients without authentication and looks
+   at it before it takes its lock; threads that make their first clients at
+   the same time would each allocate one.  */
+static void
+create_authentication (void)
+{
+  (void)authnone_create ();
+}
+
 int
 peer_sender_start (peer_sender_t **started,
                    const peer_sender_options_t *options)
 {
   peer_sender_t *sender = calloc (1, sizeof *sender);
+  static pthread_once_t once = PTHREAD_ONCE_INIT;
   int err;
 
   if (sender == NULL)
     return -ENOMEM;
+  pthread_once (&once, create_authentication);
   sender->self = options->self;
   sender->confirm_ms
       = options->confirm_ms > 0 ? options->confirm_ms : PEER_CONFIRM_MS;
--- a/test/run/harness.py
+++ b/test/run/harness.py
@@ -19,6 +19,8 @@
 WAIT_S = 10
 STOP_S = 15
 POLL_S = 0.01
+# Enough for the report of a sanitizer.
+REPORT_BYTES = 20000
 # The kernel ends the process when the run itself is killed.
 END_WITH_PARENT = ["setpriv", "--pdeathsig", "KILL", "--"]
 
@@ -117,7 +119,11 @@
     def stop(self, timeout=STOP_S):
         """Planned stop; returns the exit status."""
         self.ask_to_stop()
-        return self.wait(timeout)
+        status = self.wait(timeout)
+        if status != 0:
+            print(f"{self.name} ended with {status}:\n"
+                  f"{self.error_text()[-REPORT_BYTES:]}", file=sys.stderr)
+        return status
 
 
 class Run:
