Bound retries after unknown outcomes by a share of the profile

Cause: one budget of 10% covered retries of requests that did not run and of those that may have run. The second kind may repeat all calls below it: with calls 24 deep, 10% at each level allows 1.1^24 = 9.8 times the load at the bottom when endpoints hang.

Ruled out: a mark that forbids further retries below (1 + 24 * 10% = 3.4 times the load at the bottom), and a smaller budget for all retries, which would lose the retries of requests that did not run; those do not multiply.

Before: 1,000 requests whose attempts are all reset made 1,101 attempts, whatever the profile (the new test fails with that figure when the bound is disabled). After: 1,003 or 1,004 with unknown_retries_per_mille 4, still 1,090 or more of the requests that did not run.

Conclusion: the profile field unknown_retries_per_mille, 0 to 100, default 100 (no further bound, as before; today's deployments are one level deep).

--- a/lib/conf/object.c
+++ b/lib/conf/object.c
@@ -142,6 +142,7 @@
                                       "run_ms",
                                       "queue_max",
                                       "retry",
+                                      "unknown_retries_per_mille",
                                       "hedge",
                                       "hedge_after_ms",
                                       "key_retention_ms",
@@ -150,6 +151,7 @@
   decide_profile_t *profile = &object->u.profile;
   int64_t priority = 3; /* default urgency of RFC 9218 */
   int64_t queue_max = 64;
+  int64_t unknown_retries = DECIDE_RETRIES_PER_MILLE;
   int result;
 
   *profile = (decide_profile_t){ .timeout_ms = 3000,
@@ -173,6 +175,10 @@
                                  (range_t){ 0, 10000 }, &queue_max))
              != 0
       || (result = read_bool (reader, root, "retry", &profile->retry)) != 0
+      || (result = read_integer (
+              reader, root, "unknown_retries_per_mille", OPTIONAL,
+              (range_t){ 0, DECIDE_RETRIES_PER_MILLE }, &unknown_retries))
+             != 0
       || (result = read_bool (reader, root, "hedge", &profile->hedge)) != 0
       || (result
           = read_integer (reader, root, "hedge_after_ms", OPTIONAL,
@@ -189,6 +195,7 @@
     return result;
   profile->priority = (uint32_t)priority;
   profile->queue_max = (uint32_t)queue_max;
+  profile->unknown_retries_per_mille = (uint32_t)unknown_retries;
   if (profile->hedge && profile->hedge_after_ms >= profile->run_ms)
     return reader_fail_key (reader, "hedge_after_ms",
                             "must be less than run_ms (%" G_GINT64_FORMAT
@@ -329,6 +336,9 @@
       && add (root, "queue_max", json_object_new_int64 (profile->queue_max))
              == 0
       && add (root, "retry", json_object_new_boolean (profile->retry)) == 0
+      && add (root, "unknown_retries_per_mille",
+              json_object_new_int64 (profile->unknown_retries_per_mille))
+             == 0
       && add (root, "hedge", json_object_new_boolean (profile->hedge)) == 0
       && add (root, "hedge_after_ms",
               json_object_new_int64 (profile->hedge_after_ms))
--- a/lib/decide/budget.c
+++ b/lib/decide/budget.c
@@ -2,7 +2,6 @@
 
 #define TOKEN 1000 /* thousandths */
 #define MS_PER_S 1000
-#define PERCENT 100
 
 static void
 add (budget_t *budget, int64_t tokens_milli)
@@ -13,10 +12,10 @@
 }
 
 void
-budget_init (budget_t *budget, uint32_t percent, uint32_t floor_per_s,
+budget_init (budget_t *budget, uint32_t per_mille, uint32_t floor_per_s,
              clock_ms_t now)
 {
-  *budget = (budget_t){ .percent = percent,
+  *budget = (budget_t){ .per_mille = per_mille,
                         .floor_per_s = floor_per_s,
                         .tokens_milli = (int64_t)floor_per_s * TOKEN,
                         .refilled_at = now };
@@ -25,7 +24,7 @@
 void
 budget_earn (budget_t *budget)
 {
-  add (budget, (int64_t)budget->percent * TOKEN / PERCENT);
+  add (budget, budget->per_mille);
 }
 
 bool
--- a/lib/decide/budget.h
+++ b/lib/decide/budget.h
@@ -5,8 +5,7 @@
 
 #include "decide.h"
 
-#define BUDGET_RETRY_PERCENT 10
-#define BUDGET_HEDGE_PERCENT 5
+#define BUDGET_HEDGE_PER_MILLE 50
 /* A service with few requests may still retry this often.  */
 #define BUDGET_RETRY_FLOOR_PER_S 1
 /* Unused tokens kept; bounds the burst of retries after a quiet time.  */
@@ -14,7 +13,7 @@
 
 typedef struct budget
 {
-  uint32_t percent;
+  uint32_t per_mille;
   uint32_t floor_per_s;
   int64_t tokens_milli;
   clock_ms_t refilled_at;
@@ -22,10 +21,10 @@
 
 /**
  * budget_init() - set up a budget
- * @percent: tokens earned by 100 first attempts
+ * @per_mille: tokens earned by 1,000 first attempts
  * @floor_per_s: tokens earned each second without any attempt
  */
-void budget_init (budget_t *budget, uint32_t percent, uint32_t floor_per_s,
+void budget_init (budget_t *budget, uint32_t per_mille, uint32_t floor_per_s,
                   clock_ms_t now);
 /* Counts a first attempt.  */
 void budget_earn (budget_t *budget);
--- a/lib/decide/catalog.c
+++ b/lib/decide/catalog.c
@@ -40,6 +40,7 @@
   .run_ms = 2000,
   .queue_max = 64,
   .retry = true,
+  .unknown_retries_per_mille = DECIDE_RETRIES_PER_MILLE,
   .key_retention_ms = 600000,
 };
 
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -61,6 +61,9 @@
 
 /* ---- Configuration objects ---- */
 
+/* Share of a service's requests that may be retried.  */
+#define DECIDE_RETRIES_PER_MILLE 100
+
 typedef struct decide_profile
 {
   char name[DECIDE_NAME_MAX];
@@ -69,6 +72,9 @@
   clock_ms_t run_ms;     /* longest run of one attempt */
   uint32_t queue_max;    /* waiting requests for each pool */
   bool retry;
+  /* Retries after an unknown outcome for each thousand requests; each such
+     retry may repeat all calls below it.  */
+  uint32_t unknown_retries_per_mille;
   bool hedge;
   clock_ms_t hedge_after_ms;
   clock_ms_t key_retention_ms;
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -169,6 +169,7 @@
       return;
     }
   out.retry = profile->retry;
+  out.unknown_per_mille = profile->unknown_retries_per_mille;
   out.hedge = profile->hedge && request->idempotent;
   out.hedge_after_ms = profile->hedge_after_ms;
   out.priority = profile->priority;
--- a/lib/decide/router.c
+++ b/lib/decide/router.c
@@ -113,9 +113,10 @@
     return NULL;
   service->key.number = id;
   TAILQ_INIT (&service->idle);
-  budget_init (&service->retry, BUDGET_RETRY_PERCENT, BUDGET_RETRY_FLOOR_PER_S,
-               now);
-  budget_init (&service->hedge, BUDGET_HEDGE_PERCENT, 0, now);
+  budget_init (&service->retry, DECIDE_RETRIES_PER_MILLE,
+               BUDGET_RETRY_FLOOR_PER_S, now);
+  budget_init (&service->unknown, 0, 0, now);
+  budget_init (&service->hedge, BUDGET_HEDGE_PER_MILLE, 0, now);
   if (router_add (&router->services, service) < 0)
     {
       free (service);
@@ -167,6 +168,8 @@
   TAILQ_INSERT_TAIL (&router->pending, pending, link);
   router->pending_count++;
   budget_earn (&service->retry);
+  service->unknown.per_mille = request->unknown_per_mille;
+  budget_earn (&service->unknown);
   budget_earn (&service->hedge);
   router_due_by (router, request->deadline);
   if (now >= request->deadline)
--- a/lib/decide/router.h
+++ b/lib/decide/router.h
@@ -34,6 +34,7 @@
   decide_id_t service;
   bool idempotent;
   bool retry;
+  uint32_t unknown_per_mille; /* share of retries after an unknown outcome */
   bool hedge;
   uint32_t priority;
   clock_ms_t hedge_after_ms;
--- a/lib/decide/router_attempt.c
+++ b/lib/decide/router_attempt.c
@@ -236,6 +236,24 @@
          || result == DECIDE_ATTEMPT_UNUSED;
 }
 
+/* A retry after an unknown outcome may repeat all calls below it, so that the
+   shares of the levels multiply; a profile may bound them more tightly than
+   retries of requests that did not run.  */
+static bool
+spend_retry (router_pending_t *pending, clock_ms_t now,
+             const decide_attempt_end_t *end)
+{
+  router_service_t *service = pending->service;
+
+  if (!pending->request.retry)
+    return false;
+  if (!is_not_run (end->result)
+      && pending->request.unknown_per_mille < DECIDE_RETRIES_PER_MILLE
+      && !budget_spend (&service->unknown, now))
+    return false;
+  return budget_spend (&service->retry, now);
+}
+
 static void
 retry_or_refuse (router_t *router, clock_ms_t now, router_pending_t *pending,
                  const decide_attempt_end_t *end)
@@ -251,9 +269,7 @@
     }
   if ((!request->idempotent && pending->ran != DECIDE_RAN_NO)
       || pending->attempted >= ROUTER_ATTEMPTS_MAX
-      || (!unused
-          && (!request->retry
-              || !budget_spend (&pending->service->retry, now))))
+      || (!unused && !spend_retry (pending, now, end)))
     {
       router_refuse (router, now, pending, DECIDE_REASON_FAILED);
       return;
--- a/lib/decide/router_state.h
+++ b/lib/decide/router_state.h
@@ -80,6 +80,7 @@
 {
   router_key_t key;
   budget_t retry;
+  budget_t unknown; /* of these, retries after an unknown outcome */
   budget_t hedge;
   struct router_held_list idle;
   TAILQ_ENTRY (router_service) link;
--- a/test/unit/fake_owners.h
+++ b/test/unit/fake_owners.h
@@ -35,6 +35,7 @@
 extern uint16_t fake_queued;
 extern clock_ms_t fake_seen;
 extern uint32_t fake_priority; /* of requests and grants */
+extern uint32_t fake_unknown_per_mille;
 extern bool fake_local[POOLS];
 extern bool fake_out[POOLS];
 
