Back off reads of the store that are asked for again

Cause: an instance that waits for the ownership record asked the store every 200 ms while it did not answer. After a long outage most instances of the target can be in this state: 420 of them with 5 reads/s and the regular one each second are 2,520 reads/s, above the store's 2,000 when it returns.

Ruled out: the regular read of each second is no cause; its phases stay spread over the second (docs/CAPACITY.md, section 5).

Conclusion: the wait doubles from 200 ms to 1 s with a random share and starts anew with an answer.

--- a/lib/decide/ownership.c
+++ b/lib/decide/ownership.c
@@ -4,7 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Reads of the store that are asked for again.  The wait doubles, so that all
+   instances that started in an outage stay below the store's rate when it
+   returns.  */
 #define READ_RETRY_MS 200
+#define READ_RETRY_MAX_MS 1000
 #define FIRST_SPREAD_MS 400
 #define CONFLICT_SPREAD_MS 100
 #define CONFLICTS_MAX 4
@@ -71,7 +75,8 @@
   o->rng = rng;
   o->started = now;
   o->longest_grant = OWNERSHIP_LONGEST_GRANT_MS;
-  o->read_sent = o->asked_at = OWNERSHIP_NEVER;
+  o->read_sent = o->ask_at = OWNERSHIP_NEVER;
+  o->read_retry_ms = READ_RETRY_MS;
   o->contend_at = o->attempt.next_at = OWNERSHIP_NEVER;
   o->self_index = -1;
   o->next_heartbeat = now;
@@ -150,9 +155,13 @@
 {
   if (o->read_sent != OWNERSHIP_NEVER && o->read_sent >= since)
     return true;
-  if (o->syncing || ownership_age (now, o->asked_at) < READ_RETRY_MS)
+  if (o->syncing || now < o->ask_at)
     return false;
-  o->asked_at = now;
+  o->ask_at = now + o->read_retry_ms / 2
+              + decide_rng_below (o->rng, (uint32_t)o->read_retry_ms);
+  o->read_retry_ms = 2 * o->read_retry_ms < READ_RETRY_MAX_MS
+                         ? 2 * o->read_retry_ms
+                         : READ_RETRY_MAX_MS;
   o->callbacks.store_read (o->callbacks.context);
   return false;
 }
@@ -242,6 +251,9 @@
     return;
   if (sent > o->read_sent)
     o->read_sent = sent;
+  o->read_retry_ms = READ_RETRY_MS;
+  if (o->ask_at > now + READ_RETRY_MS)
+    o->ask_at = now + READ_RETRY_MS;
   o->record_absent = !record_seen;
   if (o->put.unresolved && sent >= o->put.unresolved_at)
     o->put.unresolved = false;
--- a/lib/decide/ownership_private.h
+++ b/lib/decide/ownership_private.h
@@ -108,10 +108,11 @@
   bool member;     /* listed with this incarnation */
   bool was_member; /* so a later process of the name supersedes this one */
 
-  clock_ms_t read_sent;  /* newest successful read of the store */
-  bool record_absent;    /* as of that read */
-  bool syncing;          /* inside ownership_store_synced() */
-  clock_ms_t asked_at;   /* last store_read */
+  clock_ms_t read_sent; /* newest successful read of the store */
+  bool record_absent;   /* as of that read */
+  bool syncing;         /* inside ownership_store_synced() */
+  clock_ms_t ask_at;    /* not before it: the next store_read */
+  clock_ms_t read_retry_ms;
   clock_ms_t contend_at; /* next update that other starting instances race */
   uint32_t conflicts;    /* in a row */
   clock_ms_t change_at;  /* next update of the own slices */
--- a/test/unit/ownership_rules.c
+++ b/test/unit/ownership_rules.c
@@ -18,6 +18,7 @@
   decide_msg_t last; /* last message of any type */
   decide_msg_t heartbeat;
   uint32_t sent[DECIDE_MSG_KEY_COLLECT_REPLY + 1];
+  uint32_t reads;
   uint32_t puts;
   uint64_t operation;
 } fixture_t;
@@ -69,7 +70,9 @@
 static void
 on_store_read (void *context)
 {
-  (void)context;
+  fixture_t *f = context;
+
+  f->reads++;
 }
 
 static void
@@ -396,6 +399,31 @@
   ownership_free (f.o);
 }
 
+/* Guards against instances that start in an outage of the store and ask it so
+   often that all together exceed its rate when it returns: 420 instances, each
+   with one regular read a second besides, and 2,000 reads/s.  */
+static void
+test_read_again (void)
+{
+  fixture_t f;
+
+  set_up_process (&f);
+  for (clock_ms_t now = 0; now < 20000; now += 50)
+    {
+      uint32_t reads = f.reads;
+
+      (void)ownership_tick (f.o, now);
+      if (f.reads > reads)
+        ownership_store_synced (f.o, now, now, false, false);
+    }
+  g_test_message ("%u reads", f.reads);
+  g_assert_cmpuint (f.reads, >, 10);
+  g_assert_cmpuint (f.reads, <=, 20 * (2000 - 420) / 420);
+  ownership_store_synced (f.o, 20000, 20000, true, false);
+  g_assert_cmpuint (f.puts, ==, 1);
+  ownership_free (f.o);
+}
+
 /* Guards against a delegate that counts acknowledgements of heartbeats without
    its announcement, or that supports a takeover from the owner.  */
 static void
@@ -524,6 +552,7 @@
   g_test_add_func ("/ownership-rules/majority", test_majority);
   g_test_add_func ("/ownership-rules/new-version", test_new_version);
   g_test_add_func ("/ownership-rules/read", test_read);
+  g_test_add_func ("/ownership-rules/read-again", test_read_again);
   g_test_add_func ("/ownership-rules/delegate", test_delegate);
   g_test_add_func ("/ownership-rules/continue", test_continue);
   g_test_add_func ("/ownership-rules/offer", test_offer);
