Hand the limits of endpoints over with their slice

Cause: the successor in a handover took all endpoints of the slice as cold and started each with one slot and the ramp of 250 ms a step.

Ruled out: the wait of a new owner, which a successor in a handover does not make; the record's update, which came later than the slow requests ended.

Without the import, the new test of unit-slots_owner fails at the first free slots, 3 in place of 7.

Conclusion: HANDOVER carries up to 64 warm or draining endpoints with limit, identity and average latency. A draining endpoint stays known as draining. The model of unit-ownership filled an acknowledgement's field for every message but heartbeats; it now looks at the type.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -317,7 +317,20 @@
   clock_ms_t left_ms;
 } decide_handover_grant_t;
 
+/* A warm or draining endpoint, with which the next owner of its pool goes on.
+   Others start cold there.  */
+typedef struct decide_handover_limit
+{
+  decide_id_t pool;
+  decide_id_t endpoint;
+  uint64_t identity;
+  uint32_t limit;
+  uint32_t latency_16; /* average latency in 1/16 ms */
+  bool draining;
+} decide_handover_limit_t;
+
 #define DECIDE_HANDOVER_GRANTS_MAX 128
+#define DECIDE_HANDOVER_LIMITS_MAX 64
 
 typedef struct decide_msg_handover
 {
@@ -327,6 +340,8 @@
   bool more; /* further parts follow */
   uint32_t grant_count;
   decide_handover_grant_t grants[DECIDE_HANDOVER_GRANTS_MAX];
+  uint32_t limit_count;
+  decide_handover_limit_t limits[DECIDE_HANDOVER_LIMITS_MAX];
 } decide_msg_handover_t;
 
 typedef struct decide_msg_object
--- a/lib/decide/handover.c
+++ b/lib/decide/handover.c
@@ -164,7 +164,8 @@
   if (!o->member || handover->record_version != o->record.version
       || handover->centre >= o->record.centre_count
       || handover->slice >= DECIDE_SLICES || handover->more
-      || handover->grant_count > DECIDE_HANDOVER_GRANTS_MAX)
+      || handover->grant_count > DECIDE_HANDOVER_GRANTS_MAX
+      || handover->limit_count > DECIDE_HANDOVER_LIMITS_MAX)
     return;
   recorded = &o->record.centres[handover->centre].slices[handover->slice];
   slice = &o->slices[handover->centre][handover->slice];
@@ -192,9 +193,7 @@
   slice->first_sequence = o->sequence + 1;
   slice->delegated_at = now;
   change (o, handover->centre, handover->slice, OWNERSHIP_DELEGATED);
-  o->callbacks.import_grants (o->callbacks.context, handover->centre,
-                              handover->slice, from, handover->grants,
-                              handover->grant_count);
+  o->callbacks.import_grants (o->callbacks.context, handover);
   send_ack (o, from, handover, false);
   o->next_heartbeat = now;
 }
@@ -361,6 +360,7 @@
   if (count > DECIDE_HANDOVER_GRANTS_MAX)
     return;
   handover->grant_count = count;
+  o->callbacks.fill (o->callbacks.context, &msg);
   o->callbacks.send (o->callbacks.context, slice->target, &msg);
 }
 
--- a/lib/decide/limit.c
+++ b/lib/decide/limit.c
@@ -99,6 +99,36 @@
   restarted (limit, now);
 }
 
+bool
+limit_export (const limit_t *limit, decide_handover_limit_t *state)
+{
+  *state = (decide_handover_limit_t){ .identity = limit->identity,
+                                      .limit = limit->limit,
+                                      .latency_16 = (uint32_t)limit->base_16,
+                                      .draining = limit->draining };
+  return limit->draining || (!limit->cold && !limit->suspended);
+}
+
+void
+limit_import (limit_t *limit, clock_ms_t now,
+              const decide_handover_limit_t *state)
+{
+  limit->identity = state->identity;
+  limit->latency_16 = limit->base_16 = state->latency_16;
+  limit->latency_at = limit->used_at = now;
+  if (state->draining)
+    {
+      limit->draining = true;
+      limit->drained_at = now;
+      return;
+    }
+  limit->cold = false;
+  limit->step_ms = 0;
+  limit->limit = state->limit > 0 ? state->limit : 1;
+  if (limit->limit > limit->slots)
+    limit->limit = limit->slots;
+}
+
 uint32_t
 limit_current (const limit_t *limit)
 {
--- a/lib/decide/limit.h
+++ b/lib/decide/limit.h
@@ -40,6 +40,12 @@
 void limit_set_slots (limit_t *limit, uint32_t slots);
 void limit_set_cold (limit_t *limit, clock_ms_t now);
 
+/* Return: whether the next owner should go on with this state: the endpoint is
+   warm and in use, or drains.  */
+bool limit_export (const limit_t *limit, decide_handover_limit_t *state);
+void limit_import (limit_t *limit, clock_ms_t now,
+                   const decide_handover_limit_t *state);
+
 /**
  * limit_current() - slots that may be in use now
  * Return: 0 while draining or suspended, else 1 to the endpoint's slots.
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -48,6 +48,8 @@
       msg->u.heartbeat.revision = catalog_revision (node->catalog);
       node_fill_loads (node, &msg->u.heartbeat);
     }
+  else if (msg->type == DECIDE_MSG_HANDOVER)
+    node_fill_limits (node, &msg->u.handover);
 }
 
 static void
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -101,10 +101,9 @@
 void node_fill_loads (decide_t *node, decide_msg_heartbeat_t *heartbeat);
 uint32_t node_export_grants (void *context, uint32_t centre, uint32_t slice,
                              decide_handover_grant_t *grants, uint32_t max);
-void node_import_grants (void *context, uint32_t centre, uint32_t slice,
-                         decide_id_t from,
-                         const decide_handover_grant_t *grants,
-                         uint32_t count);
+/* Adds the limits of the slice's endpoints.  */
+void node_fill_limits (decide_t *node, decide_msg_handover_t *handover);
+void node_import_grants (void *context, const decide_msg_handover_t *handover);
 void node_free_pool (void *pool);
 uint32_t node_pool_centre (const decide_t *node, const catalog_pool_t *pool);
 
--- a/lib/decide/node_pools.c
+++ b/lib/decide/node_pools.c
@@ -350,22 +350,46 @@
 }
 
 void
-node_import_grants (void *context, uint32_t centre, uint32_t slice,
-                    decide_id_t from, const decide_handover_grant_t *grants,
-                    uint32_t count)
+node_fill_limits (decide_t *node, decide_msg_handover_t *handover)
+{
+  GHashTableIter iter;
+  void *value;
+
+  handover->limit_count = 0;
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const node_pool_t *entry = value;
+      const catalog_pool_t *pool = catalog_pool (node->catalog, entry->handle);
+
+      if (pool->slice == handover->slice
+          && node_pool_centre (node, pool) == handover->centre)
+        handover->limit_count += pool_export_limits (
+            entry->pool, handover->limits + handover->limit_count,
+            DECIDE_HANDOVER_LIMITS_MAX - handover->limit_count);
+    }
+}
+
+void
+node_import_grants (void *context, const decide_msg_handover_t *handover)
 {
   decide_t *node = context;
 
-  (void)centre;
-  (void)slice;
-  (void)from;
   node_update_pools (node);
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < handover->limit_count; i++)
+    {
+      const decide_handover_limit_t *limit = &handover->limits[i];
+      node_pool_t *entry = g_hash_table_lookup (node->pools, &limit->pool);
+
+      if (entry != NULL)
+        pool_import_limit (entry->pool, node->now, limit);
+    }
+  for (uint32_t i = 0; i < handover->grant_count; i++)
     {
-      node_pool_t *entry = g_hash_table_lookup (node->pools, &grants[i].pool);
+      const decide_handover_grant_t *grant = &handover->grants[i];
+      node_pool_t *entry = g_hash_table_lookup (node->pools, &grant->pool);
 
-      if (entry != NULL
-          && pool_import (entry->pool, node->now, &grants[i]) != 0)
+      if (entry != NULL && pool_import (entry->pool, node->now, grant) != 0)
         g_error ("out of memory for a grant");
     }
 }
--- a/lib/decide/ownership.h
+++ b/lib/decide/ownership.h
@@ -39,7 +39,8 @@
   void *context;
   void (*send) (void *context, decide_id_t instance, const decide_msg_t *msg);
   /* Adds the revision to HEARTBEAT and HEARTBEAT_ACK, pool loads to
-     HEARTBEAT.  The message is complete otherwise.  */
+     HEARTBEAT, limits of endpoints to HANDOVER.  The message is complete
+     otherwise.  */
   void (*fill) (void *context, decide_msg_t *msg);
   /* Asks for a read of the record now, besides the periodic ones; ends in
      ownership_store_synced().  Not called from ownership_store_synced().  */
@@ -57,10 +58,7 @@
   uint32_t (*export_grants) (void *context, uint32_t centre, uint32_t slice,
                              decide_handover_grant_t *grants, uint32_t max);
   /* Called once for a slice, after OWNERSHIP_DELEGATED.  */
-  void (*import_grants) (void *context, uint32_t centre, uint32_t slice,
-                         decide_id_t from,
-                         const decide_handover_grant_t *grants,
-                         uint32_t count);
+  void (*import_grants) (void *context, const decide_msg_handover_t *handover);
 } ownership_callbacks_t;
 
 typedef struct ownership_status
--- a/lib/decide/pool.c
+++ b/lib/decide/pool.c
@@ -282,6 +282,34 @@
   return 0;
 }
 
+uint32_t
+pool_export_limits (const pool_t *pool, decide_handover_limit_t *limits,
+                    uint32_t max)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < pool->settings.endpoint_count && count < max; i++)
+    {
+      const pool_member_t *member = &pool->members[i];
+
+      if (!limit_export (&member->limit, &limits[count]))
+        continue;
+      limits[count].pool = pool->settings.id;
+      limits[count++].endpoint = member->settings.id;
+    }
+  return count;
+}
+
+void
+pool_import_limit (pool_t *pool, clock_ms_t now,
+                   const decide_handover_limit_t *limit)
+{
+  pool_member_t *member = pool_find_member (pool, limit->endpoint);
+
+  if (member != NULL && member->configured)
+    limit_import (&member->limit, now, limit);
+}
+
 void
 pool_get_load (const pool_t *pool, decide_pool_load_t *load)
 {
--- a/lib/decide/pool.h
+++ b/lib/decide/pool.h
@@ -143,6 +143,17 @@
 int pool_import (pool_t *pool, clock_ms_t now,
                  const decide_handover_grant_t *grant);
 
+/**
+ * pool_export_limits() - warm and draining endpoints for a handover
+ * Return: number written to @limits, at most @max.
+ */
+uint32_t pool_export_limits (const pool_t *pool,
+                             decide_handover_limit_t *limits, uint32_t max);
+
+/* Goes on with the previous owner's limit; unknown endpoints are ignored.  */
+void pool_import_limit (pool_t *pool, clock_ms_t now,
+                        const decide_handover_limit_t *limit);
+
 void pool_get_load (const pool_t *pool, decide_pool_load_t *load);
 
 typedef struct pool_endpoint_view
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -78,6 +78,19 @@
                                                  .holder = grant->holder,
                                                  .left_ms = grant->left_ms };
     }
+  to->limit_count = from->limits.limits_len;
+  for (uint32_t i = 0; i < to->limit_count; i++)
+    {
+      const wire_handover_limit *limit = &from->limits.limits_val[i];
+
+      to->limits[i]
+          = (decide_handover_limit_t){ .pool = limit->pool,
+                                       .endpoint = limit->endpoint,
+                                       .identity = limit->identity,
+                                       .limit = limit->limit,
+                                       .latency_16 = limit->latency_16,
+                                       .draining = limit->draining != 0 };
+    }
   return true;
 }
 
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -14,6 +14,7 @@
 _Static_assert(WIRE_SLICES == DECIDE_SLICES
                    && WIRE_LOADS_MAX == DECIDE_LOADS_MAX
                    && WIRE_GRANTS_MAX == DECIDE_HANDOVER_GRANTS_MAX
+                   && WIRE_LIMITS_MAX == DECIDE_HANDOVER_LIMITS_MAX
                    && WIRE_ANSWER_MAX == DECIDE_ANSWER_MAX
                    && WIRE_TYPE_MAX + 1 == DECIDE_NAME_MAX
                    && WIRE_BATCH_MAX == PEER_BATCH_MESSAGES,
@@ -61,8 +62,20 @@
   to->more = from->more;
   to->grants.grants_val
       = calloc (from->grant_count + 1, sizeof *to->grants.grants_val);
-  if (to->grants.grants_val == NULL)
+  to->limits.limits_val
+      = calloc (from->limit_count + 1, sizeof *to->limits.limits_val);
+  if (to->grants.grants_val == NULL || to->limits.limits_val == NULL)
     return -ENOMEM;
+  to->limits.limits_len = from->limit_count;
+  for (uint32_t i = 0; i < from->limit_count; i++)
+    to->limits.limits_val[i] = (wire_handover_limit){
+      .pool = from->limits[i].pool,
+      .endpoint = from->limits[i].endpoint,
+      .identity = from->limits[i].identity,
+      .limit = from->limits[i].limit,
+      .latency_16 = from->limits[i].latency_16,
+      .draining = from->limits[i].draining,
+    };
   to->grants.grants_len = from->grant_count;
   for (uint32_t i = 0; i < from->grant_count; i++)
     to->grants.grants_val[i] = (wire_handover_grant){
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -17,6 +17,7 @@
 #define WIRE_SLICES 16
 #define WIRE_LOADS_MAX 32
 #define WIRE_GRANTS_MAX 128
+#define WIRE_LIMITS_MAX 64
 #define WIRE_ANSWER_MAX 4096
 #define WIRE_TYPE_MAX 63
 #define WIRE_NAME_MAX 255
@@ -104,6 +105,16 @@
 };
 typedef struct wire_handover_grant wire_handover_grant;
 
+struct wire_handover_limit {
+	u_quad_t pool;
+	u_quad_t endpoint;
+	u_quad_t identity;
+	u_int limit;
+	u_int latency_16;
+	bool_t draining;
+};
+typedef struct wire_handover_limit wire_handover_limit;
+
 struct wire_handover {
 	u_int centre;
 	u_int slice;
@@ -113,6 +124,10 @@
 		u_int grants_len;
 		wire_handover_grant *grants_val;
 	} grants;
+	struct {
+		u_int limits_len;
+		wire_handover_limit *limits_val;
+	} limits;
 };
 typedef struct wire_handover wire_handover;
 
@@ -251,6 +266,7 @@
 extern  bool_t xdr_wire_heartbeat_ack (XDR *, wire_heartbeat_ack*);
 extern  bool_t xdr_wire_support (XDR *, wire_support*);
 extern  bool_t xdr_wire_handover_grant (XDR *, wire_handover_grant*);
+extern  bool_t xdr_wire_handover_limit (XDR *, wire_handover_limit*);
 extern  bool_t xdr_wire_handover (XDR *, wire_handover*);
 extern  bool_t xdr_wire_object (XDR *, wire_object*);
 extern  bool_t xdr_wire_grant (XDR *, wire_grant*);
@@ -269,6 +285,7 @@
 extern bool_t xdr_wire_heartbeat_ack ();
 extern bool_t xdr_wire_support ();
 extern bool_t xdr_wire_handover_grant ();
+extern bool_t xdr_wire_handover_limit ();
 extern bool_t xdr_wire_handover ();
 extern bool_t xdr_wire_object ();
 extern bool_t xdr_wire_grant ();
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -115,6 +115,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_handover_limit (XDR *xdrs, wire_handover_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->identity))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->limit))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->latency_16))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_handover (XDR *xdrs, wire_handover *objp)
 {
@@ -131,6 +151,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, WIRE_GRANTS_MAX,
 		sizeof (wire_handover_grant), (xdrproc_t) xdr_wire_handover_grant))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, WIRE_LIMITS_MAX,
+		sizeof (wire_handover_limit), (xdrproc_t) xdr_wire_handover_limit))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/lib/peer/message.c
+++ b/lib/peer/message.c
@@ -85,6 +85,8 @@
     case DECIDE_MSG_HANDOVER:
     case DECIDE_MSG_HANDOVER_ACK:
       return msg->u.handover.grant_count <= DECIDE_HANDOVER_GRANTS_MAX
+                     && msg->u.handover.limit_count
+                            <= DECIDE_HANDOVER_LIMITS_MAX
                  ? 0
                  : -EINVAL;
     case DECIDE_MSG_OBJECT_PUSH:
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -5,6 +5,7 @@
 const WIRE_SLICES = 16;
 const WIRE_LOADS_MAX = 32;
 const WIRE_GRANTS_MAX = 128;
+const WIRE_LIMITS_MAX = 64;
 const WIRE_ANSWER_MAX = 4096;
 const WIRE_TYPE_MAX = 63;
 const WIRE_NAME_MAX = 255;
@@ -87,6 +88,16 @@
   hyper left_ms;
 };
 
+struct wire_handover_limit
+{
+  unsigned hyper pool;
+  unsigned hyper endpoint;
+  unsigned hyper identity;
+  unsigned int limit;
+  unsigned int latency_16;
+  bool draining;
+};
+
 struct wire_handover
 {
   unsigned int centre;
@@ -94,6 +105,7 @@
   unsigned hyper record_version;
   bool more;
   wire_handover_grant grants<WIRE_GRANTS_MAX>;
+  wire_handover_limit limits<WIRE_LIMITS_MAX>;
 };
 
 struct wire_object
--- a/test/unit/ownership_model.c
+++ b/test/unit/ownership_model.c
@@ -19,9 +19,7 @@
                               ownership_change_t change);
 static uint32_t on_export (void *context, uint32_t centre, uint32_t slice,
                            decide_handover_grant_t *grants, uint32_t max);
-static void on_import (void *context, uint32_t centre, uint32_t slice,
-                       decide_id_t from, const decide_handover_grant_t *grants,
-                       uint32_t count);
+static void on_import (void *context, const decide_msg_handover_t *handover);
 static void deliver (model_t *m, model_event_t *event);
 static void deliver_message (model_t *m, const model_event_t *event);
 static void answer_read (model_instance_t *instance,
@@ -87,7 +85,7 @@
 
   if (msg->type == DECIDE_MSG_HEARTBEAT)
     msg->u.heartbeat.revision = revision;
-  else
+  else if (msg->type == DECIDE_MSG_HEARTBEAT_ACK)
     msg->u.ack.revision = revision;
 }
 
@@ -149,16 +147,16 @@
 }
 
 static void
-on_import (void *context, uint32_t centre, uint32_t slice, decide_id_t from,
-           const decide_handover_grant_t *grants, uint32_t count)
+on_import (void *context, const decide_msg_handover_t *handover)
 {
   model_instance_t *instance = context;
+  uint32_t centre = handover->centre;
+  uint32_t slice = handover->slice;
 
-  (void)from;
   instance->imported[centre][slice]
       = instance->o->slices[centre][slice].from_incarnation;
-  g_assert_cmpuint (count, ==, 1);
-  g_assert_cmpuint (grants[0].grant, ==, centre * 100 + slice);
+  g_assert_cmpuint (handover->grant_count, ==, 1);
+  g_assert_cmpuint (handover->grants[0].grant, ==, centre * 100 + slice);
 }
 
 static void
--- a/test/unit/ownership_rules.c
+++ b/test/unit/ownership_rules.c
@@ -33,9 +33,7 @@
                               ownership_change_t change);
 static uint32_t on_export (void *context, uint32_t centre, uint32_t slice,
                            decide_handover_grant_t *grants, uint32_t max);
-static void on_import (void *context, uint32_t centre, uint32_t slice,
-                       decide_id_t from, const decide_handover_grant_t *grants,
-                       uint32_t count);
+static void on_import (void *context, const decide_msg_handover_t *handover);
 static decide_record_t make_record (const char *owner, uint64_t incarnation);
 static void set_up_process (fixture_t *f);
 static void set_up (fixture_t *f, const char *owner, uint64_t incarnation);
@@ -110,15 +108,10 @@
 }
 
 static void
-on_import (void *context, uint32_t centre, uint32_t slice, decide_id_t from,
-           const decide_handover_grant_t *grants, uint32_t count)
+on_import (void *context, const decide_msg_handover_t *handover)
 {
   (void)context;
-  (void)centre;
-  (void)slice;
-  (void)from;
-  (void)grants;
-  (void)count;
+  (void)handover;
 }
 
 /* Four members, "me" and three others under incarnation 1.  */
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -20,10 +20,15 @@
             .loads = { { 13, 14, 15 }, { 16, UINT16_MAX, 18 } } } };
 static const decide_msg_t ack = { .u.ack = { 1, -2, 3, 4, true, true } };
 static const decide_msg_t support = { .u.support = { 1, 2, 3, 4, true } };
-static const decide_msg_t handover = {
-  .u.handover
-  = { 1, 2, 3, true, 2, { { 4, 5, 6, 7, 8 }, { 9, 10, 11, 12, -13 } } }
-};
+static const decide_msg_t handover
+    = { .u.handover = { 1,
+                        2,
+                        3,
+                        true,
+                        2,
+                        { { 4, 5, 6, 7, 8 }, { 9, 10, 11, 12, -13 } },
+                        1,
+                        { { 14, 15, 16, 17, 18, true } } } };
 static const decide_msg_t pull = { .u.pull_since = 9 };
 static const decide_msg_t object
     = { .u.object = { 1, 2, 3, true, "shared/profile/a", "{\"x\":1}" } };
@@ -203,6 +208,9 @@
   msg = get_sample (DECIDE_MSG_HANDOVER);
   msg.u.handover.grant_count = DECIDE_HANDOVER_GRANTS_MAX + 1;
   g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EINVAL);
+  msg = get_sample (DECIDE_MSG_HANDOVER);
+  msg.u.handover.limit_count = DECIDE_HANDOVER_LIMITS_MAX + 1;
+  g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EINVAL);
   msg.type = 23;
   g_assert_cmpint (peer_sender_put (sender, &msg), ==, -EINVAL);
   peer_sender_stop (sender);
--- a/test/unit/slots_owner.c
+++ b/test/unit/slots_owner.c
@@ -285,6 +285,46 @@
   pool_free (pool);
 }
 
+/* Guards against a next owner that takes warm endpoints as cold, so that a
+   planned stop costs capacity, or sends to one that drains.  */
+static void
+test_limits_move (void)
+{
+  pool_t *pool = new_pool (3, 3);
+  pool_t *next = new_pool (3, 2);
+  decide_handover_limit_t moved[4];
+  decide_load_t draining
+      = { .present = true, .identity = 5, .draining = true };
+  decide_attempt_end_t end = answer (5);
+  pool_endpoint_view_t view;
+  decide_pool_load_t load;
+
+  for (int i = 0; i < 2; i++)
+    pool_import_limit (pool, 0,
+                       &(decide_handover_limit_t){
+                           .endpoint = i + 1U, .limit = 3, .identity = 5 });
+  pool_get_load (pool, &load);
+  g_assert_cmpuint (load.free, ==, 7);
+  end.load = draining;
+  ask (pool, 0, HOLDER, 1, 3, 900, false);
+  while (last ().msg.endpoint != 1)
+    ask (pool, 0, HOLDER, 1, 3, 900, false);
+  give (pool, 1, HOLDER, last ().msg.grant, false, end);
+  /* Endpoint 3 is cold and is left out.  */
+  g_assert_cmpuint (pool_export_limits (pool, moved, 4), ==, 2);
+  for (int i = 0; i < 2; i++)
+    pool_import_limit (next, 2, &moved[i]);
+  g_assert_cmpint (pool_get_endpoint (next, 0, &view), ==, 0);
+  g_assert_true (view.draining);
+  g_assert_cmpint (pool_get_endpoint (next, 1, &view), ==, 0);
+  g_assert_cmpuint (view.limit, ==, 2);
+  g_assert_false (view.cold);
+  g_assert_cmpint (pool_get_endpoint (next, 2, &view), ==, 0);
+  g_assert_true (view.cold);
+  pool_free (pool);
+  pool_free (next);
+}
+
 /* Grants survive changes of the settings and of the owner.  */
 static void
 test_configure (void)
@@ -424,6 +464,7 @@
   g_test_add_func ("/pool/expiry", test_expiry);
   g_test_add_func ("/pool/settling", test_settling);
   g_test_add_func ("/pool/configure", test_configure);
+  g_test_add_func ("/pool/limits-move", test_limits_move);
   g_test_add_func ("/pool/return", test_return);
   g_test_add_func ("/pool/slow", test_slow);
   g_test_add_func ("/pool/probes", test_probes);
--- a/test/unit/slots_sim.c
+++ b/test/unit/slots_sim.c
@@ -95,6 +95,7 @@
 hand_over (uint32_t pool)
 {
   decide_handover_grant_t grants[DECIDE_HANDOVER_GRANTS_MAX];
+  decide_handover_limit_t limits[DECIDE_HANDOVER_LIMITS_MAX];
   pool_t *old = sim.pools[pool];
   uint32_t count;
 
@@ -105,6 +106,9 @@
   configure (pool);
   for (uint32_t i = 0; i < count; i++)
     pool_import (sim.pools[pool], sim_now_ms (), &grants[i]);
+  count = pool_export_limits (old, limits, G_N_ELEMENTS (limits));
+  for (uint32_t i = 0; i < count; i++)
+    pool_import_limit (sim.pools[pool], sim_now_ms (), &limits[i]);
   pool_free (old);
 }
 
