Measure the wait for the first attempt in the model of slots

The new check holds 30% to 1.3 ms. Ruled out as a bound: 50%, where 2% of the requests find no free slot in their data centre (docs/slots.md).

Conclusion: a check of the aim where slots are free, and a figure to compare trials with.

--- a/test/unit/slots_compare.c
+++ b/test/unit/slots_compare.c
@@ -39,18 +39,29 @@
                              .hedge_after_ms = 30 },
            &result);
   g_print ("# %-17s%s %3u%% %-7s %6u answered %5.1f%% p50 %6.1f p99 %6.1f "
-           "p99.9 %6.1f refused %6u shed %6u over slots %2u over cold %2u "
+           "p99.9 %6.1f wait p99 %5.1f refused %6u shed %6u over slots %2u "
+           "over cold %2u "
            "attempts %u hedges %u messages %u\n",
            policy, hedge ? "+hedge" : "      ", load_percent,
            trouble ? "trouble" : "calm", result.answered,
            100 * result.capacity_answered, result.p50_ms, result.p99_ms,
-           result.p999_ms, result.refused, result.shed, result.over_slots,
-           result.over_cold, result.attempts, result.hedges, result.messages);
+           result.p999_ms, result.wait_p99_ms, result.refused, result.shed,
+           result.over_slots, result.over_cold, result.attempts, result.hedges,
+           result.messages);
   g_assert_cmpuint (result.not_ended, ==, 0);
   g_assert_cmpuint (result.ended_twice, ==, 0);
   return result;
 }
 
+/* Guards the goal that 99 in 100 requests get at most 1.3 ms added, where
+   slots are free.  At 50% load 2% of the requests find none in their data
+   centre.  */
+static void
+test_added (void)
+{
+  g_assert_cmpfloat (run ("slots", 30, false, false).wait_p99_ms, <=, 1.3);
+}
+
 /* Guards the goals: no endpoint above its slots, the tail with noise and cold
    endpoints, and the capacity answered at 150% load.  */
 static void
@@ -88,6 +99,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/slots/added", test_added);
   g_test_add_func ("/slots/compare", test_compare);
   return g_test_run ();
 }
--- a/test/unit/slots_sim.c
+++ b/test/unit/slots_sim.c
@@ -279,12 +279,11 @@
 }
 
 static double
-quantile (double share)
+quantile (GArray *values, double share)
 {
-  if (sim.latencies->len == 0)
+  if (values->len == 0)
     return 0;
-  return g_array_index (sim.latencies, double,
-                        (guint)(share * (sim.latencies->len - 1)));
+  return g_array_index (values, double, (guint)(share * (values->len - 1)));
 }
 
 static void
@@ -302,6 +301,7 @@
   sim.requests = g_array_new (FALSE, FALSE, sizeof (request_t));
   sim.attempts = g_array_new (FALSE, FALSE, sizeof (attempt_t));
   sim.latencies = g_array_new (FALSE, FALSE, sizeof (double));
+  sim.waits = g_array_new (FALSE, FALSE, sizeof (double));
   for (uint32_t i = 0; i < ENDPOINTS; i++)
     sim.servers[i] = (server_t){ .centre = i % CENTRES,
                                  .pool = i % CENTRES * 2 + i / CENTRES / 4,
@@ -336,6 +336,7 @@
   g_array_free (sim.requests, TRUE);
   g_array_free (sim.attempts, TRUE);
   g_array_free (sim.latencies, TRUE);
+  g_array_free (sim.waits, TRUE);
 }
 
 void
@@ -377,9 +378,11 @@
   for (guint i = 0; i < sim.requests->len; i++)
     result->not_ended += !sim_request (i)->ended;
   g_array_sort (sim.latencies, compare_double);
-  result->p50_ms = quantile (0.5);
-  result->p99_ms = quantile (0.99);
-  result->p999_ms = quantile (0.999);
+  g_array_sort (sim.waits, compare_double);
+  result->wait_p99_ms = quantile (sim.waits, 0.99);
+  result->p50_ms = quantile (sim.latencies, 0.5);
+  result->p99_ms = quantile (sim.latencies, 0.99);
+  result->p999_ms = quantile (sim.latencies, 0.999);
   result->capacity_answered
       = (double)result->answered * service
         / ((double)(options->duration_ms - options->warm_up_ms) * US
--- a/test/unit/slots_sim.h
+++ b/test/unit/slots_sim.h
@@ -48,6 +48,7 @@
   double p50_ms;
   double p99_ms;
   double p999_ms;
+  double wait_p99_ms;       /* from arrival to the first attempt; slots only */
   double capacity_answered; /* share of the work that all slots could do */
   uint32_t messages;
   /* Highest number of requests at an endpoint beyond what it can take: its
--- a/test/unit/slots_world.c
+++ b/test/unit/slots_world.c
@@ -112,7 +112,12 @@
                         .number = forward->attempt,
                         .start_by = forward->start_by,
                         .deadline = forward->deadline * US };
+  const request_t *request = sim_request (forward->request);
+  double wait = (double)(sim.now - request->arrived) / US;
 
+  if (request->attempts == 0
+      && request->arrived >= (us_t)sim.options.warm_up_ms * US)
+    g_array_append_val (sim.waits, wait);
   g_array_append_val (sim.attempts, attempt);
   sim.result->attempts++;
   sim.result->hedges += forward->hedge;
--- a/test/unit/slots_world.h
+++ b/test/unit/slots_world.h
@@ -127,7 +127,8 @@
   GSequence *events;
   GArray *requests;
   GArray *attempts;
-  GArray *latencies;
+  GArray *latencies; /* ms, as double */
+  GArray *waits;
   server_t servers[ENDPOINTS];
   instance_t instances[INSTANCES];
   pool_t *pools[POOLS];
