Let the requester hold the second copy of a keyed claim

Change: a requester that is another active member, heard, not leaving and of the incarnation in the record, holds the copy itself. The owner checks its lease and replies RUN_WITH_COPY at once. The requester stores the entry, unless the reply is from a record version that it has already answered a collection of, and notes the outcome in its copy before it reports it. Renewal looks at the holder of each entry. An older instance drops the new status as not valid, so it refuses rather than runs without a copy while versions are mixed.

Ruled out: to believe the record version alone (a delegate collects at the version of the owner that it replaces), and to let the last of two collectors at a version be believed (its message may be a late one).

--- a/lib/decide/claim.c
+++ b/lib/decide/claim.c
@@ -43,11 +43,12 @@
 
 static void ask (claims_t *claims, clock_ms_t now, claim_t *claim);
 static void free_claim (gpointer data);
-static void handle_reply (claims_t *claims, claim_t *claim,
-                          const decide_msg_key_t *msg);
+static void handle_reply (claims_t *claims, claim_t *claim, decide_id_t from,
+                          const decide_msg_t *msg);
 static void refuse (claims_t *claims, claim_t *claim, decide_reason_t reason,
                     decide_ran_t ran, clock_ms_t retry_after_ms);
-static void report (claims_t *claims, clock_ms_t now, claim_t *claim);
+static void report (claims_t *claims, clock_ms_t now, claim_t *claim,
+                    bool first);
 static void start_report (claims_t *claims, clock_ms_t now, claim_t *claim,
                           decide_key_state_t state);
 static bool tick_claim (claims_t *claims, clock_ms_t now, claim_t *claim);
@@ -140,7 +141,7 @@
 }
 
 static void
-report (claims_t *claims, clock_ms_t now, claim_t *claim)
+report (claims_t *claims, clock_ms_t now, claim_t *claim, bool first)
 {
   decide_id_t target
       = claims->callbacks.target (claims->callbacks.context, claim->slice);
@@ -148,15 +149,16 @@
       = claim_message (claims, now, claim, DECIDE_MSG_KEY_OUTCOME);
 
   claim->sent = now;
-  if (target == 0)
-    return;
   msg.u.key.state = claim->state;
   if (claim->answer != NULL)
     {
       msg.u.key.has_answer = true;
       msg.u.key.answer = *claim->answer;
     }
-  claims->callbacks.send (claims->callbacks.context, target, &msg);
+  if (first)
+    claims->callbacks.ended (claims->callbacks.context, &msg.u.key);
+  if (target != 0)
+    claims->callbacks.send (claims->callbacks.context, target, &msg);
 }
 
 static void
@@ -166,11 +168,11 @@
   claim->phase = PHASE_REPORTING;
   claim->state = state;
   claim->started = now;
-  report (claims, now, claim);
+  report (claims, now, claim, true);
 }
 
 void
-claims_message (claims_t *claims, const decide_msg_t *msg)
+claims_message (claims_t *claims, decide_id_t from, const decide_msg_t *msg)
 {
   const decide_msg_key_t *key = &msg->u.key;
   claim_t *claim = g_hash_table_lookup (claims->by_request, &key->request);
@@ -181,17 +183,24 @@
       || claim->key.hash[1] != key->key.hash[1])
     return;
   if (msg->type == DECIDE_MSG_KEY_CLAIM_REPLY && claim->phase == PHASE_ASKING)
-    handle_reply (claims, claim, key);
+    handle_reply (claims, claim, from, msg);
   else if (msg->type == DECIDE_MSG_KEY_COPY_ACK
            && claim->phase == PHASE_REPORTING && key->state == claim->state)
     g_hash_table_remove (claims->by_request, &claim->request);
 }
 
 static void
-handle_reply (claims_t *claims, claim_t *claim, const decide_msg_key_t *msg)
+handle_reply (claims_t *claims, claim_t *claim, decide_id_t from,
+              const decide_msg_t *msg)
 {
-  switch (msg->status)
+  const decide_msg_key_t *key = &msg->u.key;
+
+  switch (key->status)
     {
+    case DECIDE_KEY_RUN_WITH_COPY:
+      if (!claims->callbacks.hold (claims->callbacks.context, from, msg))
+        return; /* asked again as after NOT_OWNER */
+      G_GNUC_FALLTHROUGH;
     case DECIDE_KEY_RUN:
       claim->phase = PHASE_RUNNING;
       claims->callbacks.run (claims->callbacks.context, claim->request);
@@ -200,7 +209,7 @@
       return; /* asked again by the tick, of the owner known then */
     case DECIDE_KEY_ANSWERED:
       claims->callbacks.replay (claims->callbacks.context, claim->request,
-                                &msg->answer);
+                                &key->answer);
       break;
     case DECIDE_KEY_IN_PROGRESS:
       refuse (claims, claim, DECIDE_REASON_KEY_IN_PROGRESS, DECIDE_RAN_UNKNOWN,
@@ -259,7 +268,7 @@
       if (now - claim->started >= REPORT_MS)
         return false;
       if (now - claim->sent >= REPORT_RESEND_MS)
-        report (claims, now, claim);
+        report (claims, now, claim, false);
       return true;
     case PHASE_ASKING:
       break;
--- a/lib/decide/claim.h
+++ b/lib/decide/claim.h
@@ -14,6 +14,11 @@
   /* Instance that serves a key slice; 0 when there is none.  */
   decide_id_t (*target) (void *context, uint32_t slice);
   void (*send) (void *context, decide_id_t to, const decide_msg_t *msg);
+  /* Stores the copy that a reply carries; false when it may come from an owner
+     that has been replaced.  */
+  bool (*hold) (void *context, decide_id_t from, const decide_msg_t *reply);
+  /* The outcome that is about to be reported.  */
+  void (*ended) (void *context, const decide_msg_key_t *outcome);
   /* The request may run; claims_ended() must follow.  */
   void (*run) (void *context, uint64_t request);
   void (*replay) (void *context, uint64_t request,
@@ -37,7 +42,8 @@
                    clock_ms_t retention_ms);
 
 /* Handles KEY_CLAIM_REPLY and KEY_COPY_ACK.  */
-void claims_message (claims_t *claims, const decide_msg_t *msg);
+void claims_message (claims_t *claims, decide_id_t from,
+                     const decide_msg_t *msg);
 
 /**
  * claims_ended() - a request that was let run has ended
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -365,7 +365,8 @@
   DECIDE_KEY_CONFLICT,
   DECIDE_KEY_UNCERTAIN,
   DECIDE_KEY_NO_COPY,
-  DECIDE_KEY_NOT_OWNER
+  DECIDE_KEY_NOT_OWNER,
+  DECIDE_KEY_RUN_WITH_COPY /* as RUN; the requester holds the copy */
 } decide_key_status_t;
 
 typedef enum decide_key_state
@@ -379,7 +380,8 @@
 typedef struct decide_msg_key
 {
   uint64_t request;
-  decide_id_t runner; /* COPY, COLLECT_REPLY: instance of the claim */
+  decide_id_t runner; /* COPY, COLLECT_REPLY, RUN_WITH_COPY: instance of the
+                         claim */
   uint64_t round;     /* COLLECT, echoed in COLLECT_REPLY */
   uint32_t centre;
   uint32_t slice;
--- a/lib/decide/keys.c
+++ b/lib/decide/keys.c
@@ -52,6 +52,7 @@
   keys->entries
       = g_hash_table_new_full (hash_key, equal_key, NULL, free_entry);
   keys->active = g_ptr_array_new ();
+  keys->uncopied = g_array_new (FALSE, FALSE, sizeof (decide_key_t));
   for (uint32_t i = 0; i < DECIDE_SLICES; i++)
     {
       keys->slices[i].unknown_before = -1;
@@ -66,6 +67,7 @@
   if (keys == NULL)
     return;
   g_ptr_array_free (keys->active, TRUE);
+  g_array_free (keys->uncopied, TRUE);
   g_hash_table_destroy (keys->entries);
   g_free (keys);
 }
@@ -143,25 +145,26 @@
               const decide_msg_t *msg)
 {
   const decide_msg_key_t *key = &msg->u.key;
+  keys_member_t sender = { from, msg->incarnation };
 
   if (key->slice >= DECIDE_SLICES)
     return;
   switch (msg->type)
     {
     case DECIDE_MSG_KEY_CLAIM:
-      keys_handle_claim (keys, now, from, key);
+      keys_handle_claim (keys, now, &sender, key);
       break;
     case DECIDE_MSG_KEY_COPY:
       keys_handle_copy (keys, now, from, key);
       break;
     case DECIDE_MSG_KEY_COPY_ACK:
-      keys_handle_copy_ack (keys, now, from, msg->incarnation, key);
+      keys_handle_copy_ack (keys, now, &sender, key);
       break;
     case DECIDE_MSG_KEY_OUTCOME:
-      keys_handle_outcome (keys, now, from, key);
+      keys_handle_outcome (keys, now, &sender, key);
       break;
     case DECIDE_MSG_KEY_COLLECT:
-      keys_handle_collect (keys, now, from, key);
+      keys_handle_collect (keys, now, &sender, key);
       break;
     case DECIDE_MSG_KEY_COLLECT_REPLY:
       keys_collect_reply (keys, now, from, key);
@@ -205,7 +208,7 @@
         {
           entry->copy_tries++;
           entry->copy_sent = now;
-          keys_send_copy (keys, now, entry, entry->copy.id);
+          keys_send_copy (keys, now, entry, DECIDE_MSG_KEY_COPY);
         }
       else if (entry->state == DECIDE_KEY_STATE_CLAIMED && !entry->confirmed)
         {
@@ -215,7 +218,10 @@
           keys_settle (keys, now, entry);
         }
       else
-        entry->copy_due = false;
+        {
+          entry->copy_due = false;
+          entry->copy = (keys_member_t){ 0 };
+        }
     }
   if (entry->waiters != NULL)
     {
@@ -247,10 +253,8 @@
       g_ptr_array_remove_fast (keys->active, entry);
     }
   for (uint32_t i = 0; i < DECIDE_SLICES; i++)
-    {
-      keys_tick_collect (keys, now, i);
-      keys_renew_copies (keys, now, i);
-    }
+    keys_tick_collect (keys, now, i);
+  keys_renew_copies (keys, now);
   if (now - keys->scanned >= SCAN_MS)
     {
       keys->scanned = now;
--- a/lib/decide/keys.h
+++ b/lib/decide/keys.h
@@ -1,8 +1,9 @@
 #ifndef PERIDOT_KEYS_H
 #define PERIDOT_KEYS_H
 
-/* Idempotency keys: the owner of a key's slice lets a request run once, after
-   a second member has confirmed its copy of the claim.  */
+/* Idempotency keys: the owner of a key's slice lets a request run once.  A
+   second member has a copy of the claim before the request runs: the
+   requester itself if it is a member, otherwise one that confirms it.  */
 
 #include "decide.h"
 
@@ -23,6 +24,9 @@
   bool (*may_serve) (void *context, uint32_t slice);
   /* Member that keeps the copies of a slice; false when there is none.  */
   bool (*second) (void *context, uint32_t slice, keys_member_t *member);
+  /* Members that may hold copies: active, heard and not leaving; returns their
+     number.  */
+  uint32_t (*holders) (void *context, keys_member_t *members, uint32_t max);
   /* Other members of the record; returns their number.  */
   uint32_t (*others) (void *context, keys_member_t *members, uint32_t max);
   uint64_t (*record_version) (void *context);
@@ -45,6 +49,21 @@
 void keys_message (keys_t *keys, clock_ms_t now, decide_id_t from,
                    const decide_msg_t *msg);
 
+/**
+ * keys_hold_claim() - store the copy that a reply RUN_WITH_COPY carries
+ * @from: owner that sent the reply
+ * @incarnation: the owner's
+ *
+ * Return: false when the request must not run on this reply, because the owner
+ * may have been replaced.
+ */
+bool keys_hold_claim (keys_t *keys, clock_ms_t now, decide_id_t from,
+                      uint64_t incarnation, const decide_msg_key_t *reply);
+
+/* A request of this instance has ended: its copy, if any, gets the outcome
+   before the owner is told.  */
+void keys_note_outcome (keys_t *keys, const decide_msg_key_t *outcome);
+
 /* How a slice came to this instance.  */
 typedef enum keys_origin
 {
--- a/lib/decide/keys_claim.c
+++ b/lib/decide/keys_claim.c
@@ -4,8 +4,6 @@
    refused.  */
 #define COLLECT_SHORT_MS 300
 
-static bool outcome_applies (const keys_entry_t *entry,
-                             const decide_msg_key_t *msg);
 static bool slice_is_uncertain (const keys_t *keys, clock_ms_t now,
                                 uint32_t index, clock_ms_t retention_ms);
 static void refuse_claim (keys_t *keys, decide_id_t to,
@@ -14,9 +12,13 @@
 static void refuse_uncertain (keys_t *keys, clock_ms_t now, decide_id_t to,
                               const decide_msg_key_t *claim);
 static void reply_state (keys_t *keys, clock_ms_t now, keys_entry_t *entry,
-                         decide_id_t from, const decide_msg_key_t *msg);
+                         const keys_member_t *from,
+                         const decide_msg_key_t *msg);
+static void start_claim (keys_t *keys, clock_ms_t now, keys_entry_t *entry,
+                         const keys_member_t *from,
+                         const decide_msg_key_t *msg);
 static void wait_for_outcome (keys_t *keys, clock_ms_t now,
-                              keys_entry_t *entry, decide_id_t from,
+                              keys_entry_t *entry, const keys_member_t *from,
                               const decide_msg_key_t *msg);
 
 void
@@ -73,7 +75,7 @@
 }
 
 void
-keys_handle_claim (keys_t *keys, clock_ms_t now, decide_id_t from,
+keys_handle_claim (keys_t *keys, clock_ms_t now, const keys_member_t *from,
                    const decide_msg_key_t *msg)
 {
   uint32_t index = keys_slice (&msg->key);
@@ -82,7 +84,7 @@
   if (!keys->slices[index].serving
       || !keys->callbacks.may_serve (keys->callbacks.context, index))
     {
-      refuse_claim (keys, from, msg, DECIDE_KEY_NOT_OWNER);
+      refuse_claim (keys, from->id, msg, DECIDE_KEY_NOT_OWNER);
       return;
     }
   entry = keys_find_entry (keys, &msg->key);
@@ -98,21 +100,41 @@
     }
   if (slice_is_uncertain (keys, now, index, msg->retention_ms))
     {
-      refuse_uncertain (keys, now, from, msg);
+      refuse_uncertain (keys, now, from->id, msg);
       return;
     }
   entry = keys_add_entry (keys, now, msg);
   entry->serving = true;
-  entry->runner = from;
+  start_claim (keys, now, entry, from, msg);
+}
+
+/* A waiting claim may come here long after it was received, so the lease is
+   checked again.  */
+static void
+start_claim (keys_t *keys, clock_ms_t now, keys_entry_t *entry,
+             const keys_member_t *from, const decide_msg_key_t *msg)
+{
+  if (!keys->callbacks.may_serve (keys->callbacks.context, entry->slice))
+    {
+      refuse_claim (keys, from->id, msg, DECIDE_KEY_NOT_OWNER);
+      return;
+    }
+  entry->state = DECIDE_KEY_STATE_CLAIMED;
+  entry->runner = from->id;
   entry->request = msg->request;
-  keys_start_copy (keys, now, entry);
+  entry->run_until = now + msg->left_ms;
+  entry->confirmed = false;
+  if (keys_may_hold (keys, from))
+    keys_run_with_copy (keys, now, entry, from);
+  else
+    keys_start_copy (keys, now, entry);
 }
 
 static void
 wait_for_outcome (keys_t *keys, clock_ms_t now, keys_entry_t *entry,
-                  decide_id_t from, const decide_msg_key_t *msg)
+                  const keys_member_t *from, const decide_msg_key_t *msg)
 {
-  keys_waiter_t waiter = { .instance = from,
+  keys_waiter_t waiter = { .instance = *from,
                            .request = msg->request,
                            .deadline = now + msg->left_ms };
 
@@ -123,7 +145,8 @@
       const keys_waiter_t *known
           = &g_array_index (entry->waiters, keys_waiter_t, i);
 
-      if (known->instance == from && known->request == msg->request)
+      if (keys_same_member (&known->instance, from)
+          && known->request == msg->request)
         return;
     }
   g_array_append_val (entry->waiters, waiter);
@@ -132,47 +155,41 @@
 
 static void
 reply_state (keys_t *keys, clock_ms_t now, keys_entry_t *entry,
-             decide_id_t from, const decide_msg_key_t *msg)
+             const keys_member_t *from, const decide_msg_key_t *msg)
 {
   if (entry->key.body != msg->key.body)
     {
-      keys_reply (keys, entry, from, msg->request, DECIDE_KEY_CONFLICT);
+      keys_reply (keys, entry, from->id, msg->request, DECIDE_KEY_CONFLICT);
       return;
     }
   entry->serving = true;
   switch (entry->state)
     {
     case DECIDE_KEY_STATE_DONE:
-      keys_reply (keys, entry, from, msg->request,
+      keys_reply (keys, entry, from->id, msg->request,
                   entry->answer != NULL ? DECIDE_KEY_ANSWERED
                                         : DECIDE_KEY_UNCERTAIN);
       break;
     case DECIDE_KEY_STATE_UNKNOWN:
-      keys_reply (keys, entry, from, msg->request, DECIDE_KEY_UNCERTAIN);
+      keys_reply (keys, entry, from->id, msg->request, DECIDE_KEY_UNCERTAIN);
       break;
     case DECIDE_KEY_STATE_NOT_RUN:
       /* An earlier owner may have let a later request run.  */
       if (slice_is_uncertain (keys, now, entry->slice, msg->retention_ms))
         {
-          refuse_uncertain (keys, now, from, msg);
+          refuse_uncertain (keys, now, from->id, msg);
           break;
         }
-      entry->state = DECIDE_KEY_STATE_CLAIMED;
-      entry->runner = from;
-      entry->request = msg->request;
-      entry->run_until = now + msg->left_ms;
-      entry->confirmed = false;
-      keys_start_copy (keys, now, entry);
+      start_claim (keys, now, entry, from, msg);
       break;
     case DECIDE_KEY_STATE_CLAIMED:
-      if (entry->runner == from && entry->request == msg->request)
-        {
-          /* The claim was sent again because the reply was late or lost.  */
-          if (entry->confirmed)
-            keys_reply (keys, entry, from, msg->request, DECIDE_KEY_RUN);
-        }
-      else
+      if (entry->runner != from->id || entry->request != msg->request)
         wait_for_outcome (keys, now, entry, from, msg);
+      /* An earlier owner may have let another request run.  */
+      else if (slice_is_uncertain (keys, now, entry->slice, msg->retention_ms))
+        refuse_uncertain (keys, now, from->id, msg);
+      else
+        keys_repeat_run (keys, now, entry, from);
       break;
     }
 }
@@ -195,10 +212,10 @@
                                  .left_ms = waiter->deadline - now };
 
       if (waiter->deadline <= now)
-        keys_reply (keys, entry, waiter->instance, waiter->request,
+        keys_reply (keys, entry, waiter->instance.id, waiter->request,
                     DECIDE_KEY_IN_PROGRESS);
       else
-        reply_state (keys, now, entry, waiter->instance, &claim);
+        reply_state (keys, now, entry, &waiter->instance, &claim);
     }
   g_array_free (waiters, TRUE);
 }
@@ -213,8 +230,8 @@
 
 /* That a request ran, or may have run, is true whatever is recorded; that it
    did not run says nothing about the claim of another request.  */
-static bool
-outcome_applies (const keys_entry_t *entry, const decide_msg_key_t *msg)
+bool
+keys_outcome_applies (const keys_entry_t *entry, const decide_msg_key_t *msg)
 {
   if (msg->state == DECIDE_KEY_STATE_NOT_RUN)
     return entry->state == DECIDE_KEY_STATE_CLAIMED
@@ -223,7 +240,7 @@
 }
 
 void
-keys_handle_outcome (keys_t *keys, clock_ms_t now, decide_id_t from,
+keys_handle_outcome (keys_t *keys, clock_ms_t now, const keys_member_t *from,
                      const decide_msg_key_t *msg)
 {
   keys_entry_t *entry = keys_find_entry (keys, &msg->key);
@@ -236,17 +253,24 @@
     {
       entry = keys_add_entry (keys, now, msg);
       entry->serving = true;
-      entry->runner = from;
+      entry->runner = from->id;
       entry->request = msg->request;
     }
-  if (outcome_applies (entry, msg))
+  if (keys_outcome_applies (entry, msg))
     {
+      bool kept = entry->request == msg->request
+                  && keys_same_member (&entry->copy, from);
+
       keys_merge (entry, msg->state, msg);
-      keys_settle (keys, now, entry);
+      /* The requester has recorded the outcome in its copy.  */
+      if (kept)
+        keys_answer_waiters (keys, now, entry);
+      else
+        keys_settle (keys, now, entry);
     }
   ack.u.key.key = msg->key;
   ack.u.key.slice = msg->slice;
   ack.u.key.request = msg->request;
   ack.u.key.state = msg->state;
-  keys->callbacks.send (keys->callbacks.context, from, &ack);
+  keys->callbacks.send (keys->callbacks.context, from->id, &ack);
 }
--- a/lib/decide/keys_collect.c
+++ b/lib/decide/keys_collect.c
@@ -7,12 +7,30 @@
 /* Longer than any retention.  */
 #define RUNNING_ALWAYS_MS INT64_C (1000000000)
 
+static void note_collector (keys_slice_t *slice, const keys_member_t *from,
+                            uint64_t record_version);
 static void serve_entries (keys_t *keys, uint32_t index, bool serving);
 static void set_sources (keys_t *keys, keys_slice_t *slice);
 static void update_unknown_before (keys_slice_t *slice);
 
+static void
+note_collector (keys_slice_t *slice, const keys_member_t *from,
+                uint64_t record_version)
+{
+  if (record_version > slice->barrier
+      || (record_version == slice->barrier && slice->collector.id == 0))
+    {
+      slice->barrier = record_version;
+      slice->collector = *from;
+    }
+  else if (record_version == slice->barrier
+           && !keys_same_member (&slice->collector, from))
+    /* Which of two came last is not known, so neither is believed.  */
+    slice->collector.incarnation = 0;
+}
+
 void
-keys_handle_collect (keys_t *keys, clock_ms_t now, decide_id_t from,
+keys_handle_collect (keys_t *keys, clock_ms_t now, const keys_member_t *from,
                      const decide_msg_key_t *msg)
 {
   keys_slice_t *slice = &keys->slices[msg->slice];
@@ -22,8 +40,7 @@
   GHashTableIter iter;
   void *value;
 
-  if (msg->record_version > slice->barrier)
-    slice->barrier = msg->record_version;
+  note_collector (slice, from, msg->record_version);
   g_hash_table_iter_init (&iter, keys->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -39,7 +56,7 @@
       part.u.key.more = true;
       part.u.key.retention_ms = entry->expires - now;
       part.u.key.left_ms = entry->run_until - now;
-      keys->callbacks.send (keys->callbacks.context, from, &part);
+      keys->callbacks.send (keys->callbacks.context, from->id, &part);
       count++;
     }
   end.u.key.slice = msg->slice;
@@ -57,7 +74,7 @@
                                  ? RUNNING_ALWAYS_MS
                                  : now - slice->unknown_before;
     }
-  keys->callbacks.send (keys->callbacks.context, from, &end);
+  keys->callbacks.send (keys->callbacks.context, from->id, &end);
 }
 
 static void
@@ -117,8 +134,18 @@
     {
       entry = keys_add_entry (keys, now, msg);
       entry->state = msg->state;
+      entry->request = msg->request;
+    }
+  if (entry->state == DECIDE_KEY_STATE_CLAIMED
+      && msg->state == DECIDE_KEY_STATE_CLAIMED
+      && entry->request != msg->request)
+    {
+      /* One of the two is a claim of an owner that was replaced.  Which one
+         may run is not known, so neither may that has not begun.  */
+      entry->request = 0;
+      entry->runner = 0;
     }
-  if (keys_state_rank (msg->state) >= keys_state_rank (entry->state))
+  else if (keys_state_rank (msg->state) >= keys_state_rank (entry->state))
     {
       keys_merge (entry, msg->state, msg);
       entry->request = msg->request;
@@ -169,6 +196,8 @@
       if (!serving)
         continue;
       entry->confirmed = true;
+      entry->copy = (keys_member_t){ 0 };
+      entry->copy_due = false;
       keys_activate (keys, entry);
     }
 }
@@ -178,13 +207,19 @@
                    keys_origin_t origin, decide_id_t previous)
 {
   keys_slice_t *slice = &keys->slices[index];
+  uint64_t version = keys->callbacks.record_version (keys->callbacks.context);
 
   slice->serving = true;
   slice->gained = now;
   slice->asked = now - COLLECT_RESEND_MS;
   slice->origin = origin;
   slice->previous = previous;
-  slice->second = (keys_member_t){ 0 };
+  /* Replies of the previous owner are void, also after this one's time.  */
+  if (slice->barrier <= version)
+    {
+      slice->barrier = version;
+      slice->collector = (keys_member_t){ 0 };
+    }
   serve_entries (keys, index, true);
   set_sources (keys, slice);
   keys_tick_collect (keys, now, index);
--- a/lib/decide/keys_copy.c
+++ b/lib/decide/keys_copy.c
@@ -1,10 +1,7 @@
 #include "keys_state.h"
 
-/* Bounds the messages of one tick when a slice gets a new second member.  */
-#define COPY_BATCH 64
-
-/* Sends the entry to the second member; a claim waits for its
-   confirmation.  */
+/* Sends the entry to the member that has its copy, or to a second member if
+   that one is gone; a claim waits for its confirmation.  */
 void
 keys_start_copy (keys_t *keys, clock_ms_t now, keys_entry_t *entry)
 {
@@ -13,14 +10,15 @@
 
   entry->copy_due = false;
   entry->copy_tries = 0;
-  if (keys->callbacks.second (keys->callbacks.context, entry->slice,
-                              &entry->copy))
+  if (keys_may_hold (keys, &entry->copy)
+      || keys->callbacks.second (keys->callbacks.context, entry->slice,
+                                 &entry->copy))
     {
       entry->copy_due = true;
       entry->copy_tries = 1;
       entry->copy_sent = now;
       keys_activate (keys, entry);
-      keys_send_copy (keys, now, entry, entry->copy.id);
+      keys_send_copy (keys, now, entry, DECIDE_MSG_KEY_COPY);
       return;
     }
   if (!claim)
@@ -38,17 +36,19 @@
   keys_reply (keys, entry, entry->runner, entry->request, DECIDE_KEY_NO_COPY);
 }
 
+/* Sends what a copy carries as KEY_COPY, or as reply to its requester.  */
 void
 keys_send_copy (keys_t *keys, clock_ms_t now, const keys_entry_t *entry,
-                decide_id_t to)
+                decide_msg_type_t type)
 {
-  decide_msg_t msg = keys_entry_message (keys, DECIDE_MSG_KEY_COPY, entry);
+  decide_msg_t msg = keys_entry_message (keys, type, entry);
 
+  msg.u.key.status = DECIDE_KEY_RUN_WITH_COPY;
   msg.u.key.request = entry->request;
   msg.u.key.runner = entry->runner;
   msg.u.key.retention_ms = entry->expires - now;
   msg.u.key.left_ms = entry->run_until - now;
-  keys->callbacks.send (keys->callbacks.context, to, &msg);
+  keys->callbacks.send (keys->callbacks.context, entry->copy.id, &msg);
 }
 
 /* Order in which a later state replaces an earlier one.  */
@@ -97,11 +97,16 @@
   decide_msg_t ack;
 
   /* A copy of an owner that has been replaced would come after the
-     collection of the new owner and be lost to it.  */
-  if (msg->record_version < slice->barrier)
+     collection of the new owner and be lost to it.  The owner itself takes no
+     claim from another one.  */
+  if (msg->record_version < slice->barrier
+      || (slice->serving && msg->state == DECIDE_KEY_STATE_CLAIMED))
     return;
   if (entry == NULL)
-    entry = keys_add_entry (keys, now, msg);
+    {
+      entry = keys_add_entry (keys, now, msg);
+      entry->state = msg->state;
+    }
   /* A claim is withdrawn only by the request that made it; a claim that comes
      after its own outcome is a late message.  */
   if (keys_state_rank (msg->state) >= keys_state_rank (entry->state))
@@ -123,14 +128,14 @@
 }
 
 void
-keys_handle_copy_ack (keys_t *keys, clock_ms_t now, decide_id_t from,
-                      uint64_t incarnation, const decide_msg_key_t *msg)
+keys_handle_copy_ack (keys_t *keys, clock_ms_t now, const keys_member_t *from,
+                      const decide_msg_key_t *msg)
 {
   keys_entry_t *entry = keys_find_entry (keys, &msg->key);
 
   (void)now;
-  if (entry == NULL || !entry->serving || entry->copy.id != from
-      || entry->copy.incarnation != incarnation || msg->state != entry->state
+  if (entry == NULL || !entry->serving
+      || !keys_same_member (&entry->copy, from) || msg->state != entry->state
       || msg->request != entry->request)
     return;
   entry->copy_due = false;
@@ -145,35 +150,3 @@
   entry->confirmed = true;
   keys_reply (keys, entry, entry->runner, entry->request, DECIDE_KEY_RUN);
 }
-
-/* A slice whose second member has changed gets its copies renewed.  */
-void
-keys_renew_copies (keys_t *keys, clock_ms_t now, uint32_t index)
-{
-  keys_slice_t *slice = &keys->slices[index];
-  keys_member_t second = { 0 };
-  uint32_t sent = 0;
-  GHashTableIter iter;
-  void *value;
-
-  if (!slice->serving
-      || !keys->callbacks.second (keys->callbacks.context, index, &second))
-    return;
-  if (second.id == slice->second.id
-      && second.incarnation == slice->second.incarnation)
-    return;
-  g_hash_table_iter_init (&iter, keys->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && sent < COPY_BATCH)
-    {
-      keys_entry_t *entry = value;
-
-      if (entry->slice != index || entry->copy_due
-          || (entry->copy.id == second.id
-              && entry->copy.incarnation == second.incarnation))
-        continue;
-      keys_start_copy (keys, now, entry);
-      sent++;
-    }
-  if (sent < COPY_BATCH)
-    slice->second = second;
-}
--- a/lib/decide/keys_state.h
+++ b/lib/decide/keys_state.h
@@ -12,7 +12,7 @@
 
 typedef struct keys_waiter
 {
-  decide_id_t instance;
+  keys_member_t instance;
   uint64_t request;
   clock_ms_t deadline;
 } keys_waiter_t;
@@ -23,12 +23,12 @@
   uint32_t slice;
   decide_key_state_t state;
   bool serving;   /* this instance answers for the key */
-  bool confirmed; /* the second member has the claim */
+  bool confirmed; /* the request may run */
   decide_id_t runner;
   uint64_t request;
   clock_ms_t run_until; /* deadline of the claim's request */
   clock_ms_t expires;
-  keys_member_t copy; /* member that has or gets the copy */
+  keys_member_t copy; /* member that has or gets the copy; id 0: none */
   clock_ms_t copy_sent;
   uint32_t copy_tries;
   bool copy_due;           /* the state has changed since the copy */
@@ -54,11 +54,11 @@
   decide_id_t previous;
   uint64_t round;   /* identifies the replies to the last KEY_COLLECT */
   uint64_t barrier; /* copies with an older record version are refused */
+  keys_member_t collector; /* sender of the KEY_COLLECT at the barrier */
   clock_ms_t gained;
   clock_ms_t asked;
   /* Claims made before this time may be unknown here; negative: none.  */
   clock_ms_t unknown_before;
-  keys_member_t second;
   uint32_t source_count;
   keys_source_t sources[DECIDE_MEMBERS_MAX];
 } keys_slice_t;
@@ -69,9 +69,13 @@
   uint64_t incarnation;
   clock_ms_t started;
   clock_ms_t scanned;
+  clock_ms_t checked; /* the list of holders */
+  clock_ms_t found;   /* entries without a copy */
   uint64_t rounds;
   GHashTable *entries; /* decide_key_t.hash -> keys_entry_t */
   GPtrArray *active;   /* entries with something to send or to time */
+  GArray *uncopied;    /* decide_key_t of entries that need a new copy */
+  keys_member_t holders[DECIDE_MEMBERS_MAX]; /* when uncopied was filled */
   keys_slice_t slices[DECIDE_SLICES];
 };
 
@@ -84,25 +88,37 @@
                                  const keys_entry_t *entry);
 void keys_reply (keys_t *keys, const keys_entry_t *entry, decide_id_t to,
                  uint64_t request, decide_key_status_t status);
-void keys_handle_claim (keys_t *keys, clock_ms_t now, decide_id_t from,
+void keys_handle_claim (keys_t *keys, clock_ms_t now,
+                        const keys_member_t *from,
                         const decide_msg_key_t *msg);
 size_t keys_answer_size (const decide_answer_t *answer);
 void keys_answer_waiters (keys_t *keys, clock_ms_t now, keys_entry_t *entry);
 void keys_settle (keys_t *keys, clock_ms_t now, keys_entry_t *entry);
-void keys_handle_outcome (keys_t *keys, clock_ms_t now, decide_id_t from,
+bool keys_outcome_applies (const keys_entry_t *entry,
+                           const decide_msg_key_t *msg);
+void keys_handle_outcome (keys_t *keys, clock_ms_t now,
+                          const keys_member_t *from,
                           const decide_msg_key_t *msg);
 void keys_start_copy (keys_t *keys, clock_ms_t now, keys_entry_t *entry);
 void keys_send_copy (keys_t *keys, clock_ms_t now, const keys_entry_t *entry,
-                     decide_id_t to);
+                     decide_msg_type_t type);
 int keys_state_rank (decide_key_state_t state);
 void keys_merge (keys_entry_t *entry, decide_key_state_t state,
                  const decide_msg_key_t *msg);
 void keys_handle_copy (keys_t *keys, clock_ms_t now, decide_id_t from,
                        const decide_msg_key_t *msg);
-void keys_handle_copy_ack (keys_t *keys, clock_ms_t now, decide_id_t from,
-                           uint64_t incarnation, const decide_msg_key_t *msg);
-void keys_renew_copies (keys_t *keys, clock_ms_t now, uint32_t index);
-void keys_handle_collect (keys_t *keys, clock_ms_t now, decide_id_t from,
+void keys_handle_copy_ack (keys_t *keys, clock_ms_t now,
+                           const keys_member_t *from,
+                           const decide_msg_key_t *msg);
+bool keys_same_member (const keys_member_t *a, const keys_member_t *b);
+bool keys_may_hold (const keys_t *keys, const keys_member_t *member);
+void keys_run_with_copy (keys_t *keys, clock_ms_t now, keys_entry_t *entry,
+                         const keys_member_t *requester);
+void keys_repeat_run (keys_t *keys, clock_ms_t now, keys_entry_t *entry,
+                      const keys_member_t *requester);
+void keys_renew_copies (keys_t *keys, clock_ms_t now);
+void keys_handle_collect (keys_t *keys, clock_ms_t now,
+                          const keys_member_t *from,
                           const decide_msg_key_t *msg);
 void keys_collect_reply (keys_t *keys, clock_ms_t now, decide_id_t from,
                          const decide_msg_key_t *msg);
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -9,6 +9,11 @@
 static uint32_t key_others (void *context, keys_member_t *members,
                             uint32_t max);
 static bool key_second (void *context, uint32_t slice, keys_member_t *member);
+static uint32_t key_holders (void *context, keys_member_t *members,
+                             uint32_t max);
+static bool key_hold (void *context, decide_id_t from,
+                      const decide_msg_t *reply);
+static void key_ended (void *context, const decide_msg_key_t *outcome);
 static void note_key_owners (decide_t *node);
 static uint64_t record_version (void *context);
 static void router_ask (void *context, decide_id_t owner,
@@ -163,6 +168,53 @@
   return count;
 }
 
+static bool
+may_hold_copies (const decide_t *node, const decide_member_t *member,
+                 decide_id_t id)
+{
+  return id != node->id && member->incarnation != 0
+         && member->state == DECIDE_MEMBER_ACTIVE
+         && ownership_heard (node->ownership, node->now, id)
+         && !ownership_leaving (node->ownership, id);
+}
+
+static uint32_t
+key_holders (void *context, keys_member_t *members, uint32_t max)
+{
+  decide_t *node = context;
+  const decide_record_t *record = ownership_get_record (node->ownership);
+  uint32_t count = 0;
+
+  if (record == NULL)
+    return 0;
+  for (uint32_t i = 0; i < record->member_count && count < max; i++)
+    {
+      const decide_member_t *m = &record->members[i];
+      decide_id_t id = decide_id (m->name);
+
+      if (may_hold_copies (node, m, id))
+        members[count++] = (keys_member_t){ id, m->incarnation };
+    }
+  return count;
+}
+
+static bool
+key_hold (void *context, decide_id_t from, const decide_msg_t *reply)
+{
+  decide_t *node = context;
+
+  return keys_hold_claim (node->keys, node->now, from, reply->incarnation,
+                          &reply->u.key);
+}
+
+static void
+key_ended (void *context, const decide_msg_key_t *outcome)
+{
+  decide_t *node = context;
+
+  keys_note_outcome (node->keys, outcome);
+}
+
 /* Prefers a member of the own data centre, then the lowest hash with the
    slice, so that the choice changes only when a member comes or goes.  */
 static bool
@@ -180,10 +232,7 @@
       decide_id_t id = decide_id (m->name);
       uint64_t rank = (id ^ (slice * 0x9e3779b97f4a7c15)) >> 1;
 
-      if (id == node->id || m->incarnation == 0
-          || m->state != DECIDE_MEMBER_ACTIVE
-          || !ownership_heard (node->ownership, node->now, id)
-          || ownership_leaving (node->ownership, id))
+      if (!may_hold_copies (node, m, id))
         continue;
       if (strcmp (m->data_centre, node->settings.data_centre) != 0)
         rank |= (uint64_t)1 << 63;
@@ -293,6 +342,7 @@
     .send = send_message,
     .may_serve = key_may_serve,
     .second = key_second,
+    .holders = key_holders,
     .others = key_others,
     .record_version = record_version,
   };
@@ -300,6 +350,8 @@
     .context = node,
     .target = key_target,
     .send = send_message,
+    .hold = key_hold,
+    .ended = key_ended,
     .run = node_claim_run,
     .replay = node_claim_replay,
     .refuse = node_claim_refuse,
