Collect the keys of a slice in pages

Cause: a member answered KEY_COLLECT with all entries of the slice at once. With 20 keyed calls/s and instance, a slice has 9,000 entries after 600 s; a peer's queue holds 1,024 messages and drops the rest. The count of the last reply then never matches, each new try drops the same, and the new owner refuses keys that it does not know as unknown for the retention time, also after a planned stop.

Ruled out: the model network of unit-keys, which had no bound and so did not show it; it now keeps 1,024 messages for a pair of nodes as lib/peer does.

Conclusion: pages of 128 entries in the order in which the source added them; a lost page is asked for again from the last one that was complete, and a previous owner is given up 2 s after its last page, not after the first request.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -383,6 +383,9 @@
   decide_id_t runner; /* COPY, COLLECT_REPLY, RUN_WITH_COPY: instance of the
                          claim */
   uint64_t round;     /* COLLECT, echoed in COLLECT_REPLY */
+  /* COLLECT: number, at the source, of the last entry that is known; last
+     COLLECT_REPLY: the same after this page.  */
+  uint64_t after;
   uint32_t centre;
   uint32_t slice;
   uint64_t record_version;
--- a/lib/decide/keys.c
+++ b/lib/decide/keys.c
@@ -99,6 +99,9 @@
   entry->slice = keys_slice (&msg->key);
   entry->expires = now + msg->retention_ms;
   entry->run_until = now + msg->left_ms;
+  entry->sequence = ++keys->sequence;
+  entry->link.data = entry;
+  g_queue_push_tail_link (&keys->slices[entry->slice].entries, &entry->link);
   g_hash_table_insert (keys->entries, entry->key.hash, entry);
   return entry;
 }
@@ -108,6 +111,7 @@
 {
   if (entry->listed)
     g_ptr_array_remove_fast (keys->active, entry);
+  g_queue_unlink (&keys->slices[entry->slice].entries, &entry->link);
   g_hash_table_remove (keys->entries, entry->key.hash);
 }
 
--- a/lib/decide/keys_collect.c
+++ b/lib/decide/keys_collect.c
@@ -1,6 +1,10 @@
 #include "keys_state.h"
 
 #define COLLECT_RESEND_MS 500
+/* Entries in reply to one KEY_COLLECT.  A slice has thousands; without pages
+   they overflowed the 1,024 messages that may wait for a peer, again at each
+   try, and the collection never ended.  */
+#define PAGE_ENTRIES 128
 /* A previous owner that has not answered in this time is given up, and the
    entries are collected from the other members.  */
 #define HANDOVER_MS 2000
@@ -9,6 +13,8 @@
 
 static void note_collector (keys_slice_t *slice, const keys_member_t *from,
                             uint64_t record_version);
+static void ask_source (keys_t *keys, const keys_slice_t *slice,
+                        uint32_t index, keys_source_t *source);
 static void serve_entries (keys_t *keys, uint32_t index, bool serving);
 static void set_sources (keys_t *keys, keys_slice_t *slice);
 static void update_unknown_before (keys_slice_t *slice);
@@ -37,18 +43,19 @@
   decide_msg_t end = { .type = DECIDE_MSG_KEY_COLLECT_REPLY,
                        .incarnation = keys->incarnation };
   uint32_t count = 0;
-  GHashTableIter iter;
-  void *value;
+  const GList *link;
 
   note_collector (slice, from, msg->record_version);
-  g_hash_table_iter_init (&iter, keys->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  end.u.key.after = msg->after;
+  for (link = slice->entries.head; link != NULL && count < PAGE_ENTRIES;
+       link = link->next)
     {
-      const keys_entry_t *entry = value;
+      const keys_entry_t *entry = link->data;
       decide_msg_t part;
 
-      if (entry->slice != msg->slice || entry->expires <= now)
+      if (entry->sequence <= msg->after || entry->expires <= now)
         continue;
+      end.u.key.after = entry->sequence;
       part = keys_entry_message (keys, DECIDE_MSG_KEY_COLLECT_REPLY, entry);
       part.u.key.round = msg->round;
       part.u.key.request = entry->request;
@@ -62,6 +69,7 @@
   end.u.key.slice = msg->slice;
   end.u.key.round = msg->round;
   end.u.key.empty = true;
+  end.u.key.more = link != NULL;
   /* The last reply states how many came before it.  */
   end.u.key.left_ms = count;
   end.u.key.running_ms = now - keys->started;
@@ -115,6 +123,13 @@
     {
       if (msg->left_ms != source->received)
         return;
+      slice->progressed = now;
+      if (msg->more)
+        {
+          source->after = msg->after;
+          ask_source (keys, slice, msg->slice, source);
+          return;
+        }
       if (slice->origin == KEYS_HANDED_OVER && !msg->authoritative)
         {
           slice->origin = KEYS_TAKEN_OVER;
@@ -182,16 +197,11 @@
 static void
 serve_entries (keys_t *keys, uint32_t index, bool serving)
 {
-  GHashTableIter iter;
-  void *value;
-
-  g_hash_table_iter_init (&iter, keys->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (GList *link = keys->slices[index].entries.head; link != NULL;
+       link = link->next)
     {
-      keys_entry_t *entry = value;
+      keys_entry_t *entry = link->data;
 
-      if (entry->slice != index)
-        continue;
       entry->serving = serving;
       if (!serving)
         continue;
@@ -210,7 +220,7 @@
   uint64_t version = keys->callbacks.record_version (keys->callbacks.context);
 
   slice->serving = true;
-  slice->gained = now;
+  slice->gained = slice->progressed = now;
   slice->asked = now - COLLECT_RESEND_MS;
   slice->origin = origin;
   slice->previous = previous;
@@ -237,31 +247,39 @@
   serve_entries (keys, index, false);
 }
 
+/* Asks for the next page.  */
+static void
+ask_source (keys_t *keys, const keys_slice_t *slice, uint32_t index,
+            keys_source_t *source)
+{
+  decide_msg_t msg
+      = { .type = DECIDE_MSG_KEY_COLLECT, .incarnation = keys->incarnation };
+
+  source->received = 0;
+  msg.u.key.slice = index;
+  msg.u.key.round = slice->round;
+  msg.u.key.after = source->after;
+  msg.u.key.record_version
+      = keys->callbacks.record_version (keys->callbacks.context);
+  keys->callbacks.send (keys->callbacks.context, source->member.id, &msg);
+}
+
 void
 keys_tick_collect (keys_t *keys, clock_ms_t now, uint32_t index)
 {
   keys_slice_t *slice = &keys->slices[index];
-  decide_msg_t msg
-      = { .type = DECIDE_MSG_KEY_COLLECT, .incarnation = keys->incarnation };
 
   if (!slice->collecting || now - slice->asked < COLLECT_RESEND_MS)
     return;
-  if (slice->origin == KEYS_HANDED_OVER && now - slice->gained >= HANDOVER_MS)
+  if (slice->origin == KEYS_HANDED_OVER
+      && now - slice->progressed >= HANDOVER_MS)
     {
       slice->origin = KEYS_TAKEN_OVER;
       set_sources (keys, slice);
     }
   slice->asked = now;
   slice->round = ++keys->rounds;
-  msg.u.key.slice = index;
-  msg.u.key.round = slice->round;
-  msg.u.key.record_version
-      = keys->callbacks.record_version (keys->callbacks.context);
   for (uint32_t i = 0; i < slice->source_count; i++)
-    {
-      slice->sources[i].received = 0;
-      if (!slice->sources[i].answered)
-        keys->callbacks.send (keys->callbacks.context,
-                              slice->sources[i].member.id, &msg);
-    }
+    if (!slice->sources[i].answered)
+      ask_source (keys, slice, index, &slice->sources[i]);
 }
--- a/lib/decide/keys_state.h
+++ b/lib/decide/keys_state.h
@@ -35,13 +35,16 @@
   bool listed;             /* in the active list */
   decide_answer_t *answer; /* without the unused part of its body */
   GArray *waiters;         /* keys_waiter_t */
+  uint64_t sequence;       /* number in the order of adding */
+  GList link;              /* in the slice's entries */
 } keys_entry_t;
 
 typedef struct keys_source
 {
   keys_member_t member;
   bool answered;
-  uint32_t received;
+  uint32_t received;  /* entries of this page */
+  uint64_t after;     /* sequence at the source of the last entry before it */
   clock_ms_t started; /* of the member's process, own clock */
 } keys_source_t;
 
@@ -56,9 +59,11 @@
   uint64_t barrier; /* copies with an older record version are refused */
   keys_member_t collector; /* sender of the KEY_COLLECT at the barrier */
   clock_ms_t gained;
-  clock_ms_t asked;
+  clock_ms_t asked; /* last KEY_COLLECT */
+  clock_ms_t progressed;
   /* Claims made before this time may be unknown here; negative: none.  */
   clock_ms_t unknown_before;
+  GQueue entries; /* keys_entry_t in the order of adding */
   uint32_t source_count;
   keys_source_t sources[DECIDE_MEMBERS_MAX];
 } keys_slice_t;
@@ -73,6 +78,7 @@
   clock_ms_t found;   /* entries without a copy */
   uint64_t rounds;
   GHashTable *entries; /* decide_key_t.hash -> keys_entry_t */
+  uint64_t sequence;   /* of the last entry added */
   GPtrArray *active;   /* entries with something to send or to time */
   GArray *uncopied;    /* decide_key_t of entries that need a new copy */
   keys_member_t holders[DECIDE_MEMBERS_MAX]; /* when uncopied was filled */
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -181,6 +181,7 @@
   to->empty = from->empty != 0;
   to->runner = from->runner;
   to->round = from->round;
+  to->after = from->after;
   to->authoritative = from->authoritative;
   to->running_ms = from->running_ms;
   to->has_answer = from->answer != NULL;
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -172,6 +172,7 @@
     .empty = from->empty,
     .runner = from->runner,
     .round = from->round,
+    .after = from->after,
     .authoritative = from->authoritative,
     .running_ms = from->running_ms,
   };
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -189,6 +189,7 @@
 	bool_t empty;
 	u_quad_t runner;
 	u_quad_t round;
+	u_quad_t after;
 	bool_t authoritative;
 	quad_t running_ms;
 	wire_answer *answer;
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -341,6 +341,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->round))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->after))
+			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->authoritative))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
@@ -387,6 +389,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->round))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->after))
+			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->authoritative))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
@@ -425,6 +429,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->round))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->after))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->authoritative))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->running_ms))
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -167,6 +167,7 @@
   bool empty;
   unsigned hyper runner;
   unsigned hyper round;
+  unsigned hyper after;
   bool authoritative;
   hyper running_ms;
   wire_answer *answer;
--- a/test/unit/keys.c
+++ b/test/unit/keys.c
@@ -9,6 +9,8 @@
 #define SEEDS 100
 #endif
 
+#define MANY 3000
+
 /* Guards against a repeat that runs again, and against a lost answer.  */
 static void
 test_repeat (void)
@@ -237,6 +239,56 @@
   start_node (node);
 }
 
+/* Guards against a collection that never ends because the entries of a slice
+   are more than the messages that may wait for a peer.  */
+static void
+test_many_entries (keys_origin_t origin)
+{
+  uint64_t last = 0;
+
+  start_world (1);
+  for (uint32_t i = 0; i < MANY; i++)
+    {
+      last = call (1, i);
+      advance (i % 8 == 0);
+    }
+  advance (20);
+  for (uint64_t request = 1; request <= last; request++)
+    {
+      finish (request, DECIDE_KEY_STATE_DONE);
+      advance (request % 8 == 0);
+    }
+  advance (100);
+  if (origin == KEYS_TAKEN_OVER)
+    {
+      stop_node (world.owner);
+      advance (10);
+    }
+  change_owner (2, origin);
+  advance (300);
+  g_assert_cmpuint (keys_count (world.nodes[2].keys), ==, MANY);
+  for (uint32_t i = 0; i < MANY; i += MANY / 4)
+    {
+      uint64_t repeat = call (3, i);
+
+      advance (20);
+      g_assert_true (find_caller (repeat)->replayed);
+    }
+  end_world ();
+}
+
+static void
+test_many_handed_over (void)
+{
+  test_many_entries (KEYS_HANDED_OVER);
+}
+
+static void
+test_many_taken_over (void)
+{
+  test_many_entries (KEYS_TAKEN_OVER);
+}
+
 /* Random owners and requesters lost, restarted and replaced, with messages
    that are lost, late or out of order.  In calm seeds no process ends, because
    a restart makes all unknown keys uncertain and so hides a lost claim.
@@ -350,6 +402,8 @@
   g_test_add_data_func ("/keys/replaced-owner-own", GUINT_TO_POINTER (0),
                         test_replaced_owner);
   g_test_add_func ("/keys/handed-over", test_handed_over);
+  g_test_add_func ("/keys/many-handed-over", test_many_handed_over);
+  g_test_add_func ("/keys/many-taken-over", test_many_taken_over);
   g_test_add_func ("/keys/random", test_random);
   return g_test_run ();
 }
--- a/test/unit/keys_world.c
+++ b/test/unit/keys_world.c
@@ -28,6 +28,15 @@
   if (packet.to != node->index
       && decide_rng_below (&world.rng, 100) < world.loss_percent)
     return;
+  if (packet.to != node->index)
+    {
+      uint32_t *waiting = &world.waiting[packet.from][packet.to];
+
+      /* As many messages as a sender of lib/peer keeps.  */
+      if (*waiting == WAITING_MAX)
+        return;
+      ++*waiting;
+    }
   g_array_append_val (world.packets, packet);
 }
 
@@ -264,6 +273,8 @@
           continue;
         }
       g_array_remove_index (world.packets, i);
+      if (packet.from != packet.to)
+        world.waiting[packet.from][packet.to]--;
       deliver (&packet);
     }
 }
--- a/test/unit/keys_world.h
+++ b/test/unit/keys_world.h
@@ -11,6 +11,7 @@
 #define NODES 5
 #define RETENTION_MS 600000
 #define SLICE 3
+#define WAITING_MAX 1024
 #define TYPES (DECIDE_MSG_KEY_COLLECT_REPLY + 1)
 
 typedef struct packet
@@ -57,9 +58,10 @@
   uint32_t jitter_ms;
   uint32_t loss_percent;
   uint64_t incarnations;
-  uint32_t leaving;     /* bit for each node */
-  bool lapsed;          /* the owner's lease */
-  uint32_t sent[TYPES]; /* to other nodes */
+  uint32_t waiting[NODES][NODES]; /* messages, by sender and receiver */
+  uint32_t leaving;               /* bit for each node */
+  bool lapsed;                    /* the owner's lease */
+  uint32_t sent[TYPES];           /* to other nodes */
 } world_t;
 
 extern world_t world;
