Remember that a new owner of keys lost its own copies

Cause: an instance that restarts loses the copies that it held. When it took a slice over, this was noted once and forgotten with the first reply of the collection, which computes the uncertain time anew from the replies alone. A key whose only copy had been there could run a second time: owner and copy holder fail within the second that the owner needs to make another copy, and the restarted holder becomes the owner.

Ruled out: the collection itself (all members answer and have no entry).

Before: the new test restarted-owner of unit-keys stops at the second run of one key. After: the repeat is refused as unknown.

Conclusion: the start of this process counts among those of the sources.

--- a/lib/decide/keys_collect.c
+++ b/lib/decide/keys_collect.c
@@ -88,7 +88,7 @@
 static void
 update_unknown_before (keys_slice_t *slice)
 {
-  clock_ms_t latest = -1;
+  clock_ms_t latest = slice->own_started;
   bool waiting = false;
 
   for (uint32_t i = 0; i < slice->source_count; i++)
@@ -181,17 +181,17 @@
   bool handed = slice->origin == KEYS_HANDED_OVER;
 
   slice->source_count = 0;
-  slice->unknown_before = -1;
+  slice->unknown_before = slice->own_started = -1;
   if (slice->origin == KEYS_FIRST_OWNER)
     return;
+  /* An earlier process of this instance may have held copies.  */
+  if (!handed)
+    slice->own_started = keys->started;
   for (uint32_t i = 0; i < count; i++)
     if ((others[i].id == slice->previous) == handed)
       slice->sources[slice->source_count++]
           = (keys_source_t){ .member = others[i] };
   update_unknown_before (slice);
-  /* This process may itself have held copies before a restart.  */
-  if (!handed && keys->started > slice->unknown_before)
-    slice->unknown_before = keys->started;
 }
 
 static void
--- a/lib/decide/keys_state.h
+++ b/lib/decide/keys_state.h
@@ -63,7 +63,8 @@
   clock_ms_t progressed;
   /* Claims made before this time may be unknown here; negative: none.  */
   clock_ms_t unknown_before;
-  GQueue entries; /* keys_entry_t in the order of adding */
+  clock_ms_t own_started; /* of this process if it lost copies; negative: no */
+  GQueue entries;         /* keys_entry_t in the order of adding */
   uint32_t source_count;
   keys_source_t sources[DECIDE_MEMBERS_MAX];
 } keys_slice_t;
--- a/test/unit/keys.c
+++ b/test/unit/keys.c
@@ -239,6 +239,33 @@
   start_node (node);
 }
 
+/* Guards against a new owner that forgets, when the others have answered, that
+   it lost its own copies by a restart.  */
+static void
+test_restarted_owner (void)
+{
+  uint64_t first;
+  uint64_t repeat;
+
+  start_world (1);
+  first = call (3, 7);
+  advance (20);
+  finish (first, DECIDE_KEY_STATE_DONE);
+  advance (20);
+  /* The only copy is lost, and the owner before it makes another.  */
+  stop_node (3);
+  start_node (3);
+  stop_node (0);
+  change_owner (3, KEYS_TAKEN_OVER);
+  start_node (0);
+  advance (1500);
+  repeat = call (2, 7);
+  advance (600);
+  g_assert_false (find_caller (repeat)->ran);
+  g_assert_cmpint (find_caller (repeat)->refusal.ran, ==, DECIDE_RAN_UNKNOWN);
+  end_world ();
+}
+
 /* Guards against a collection that never ends because the entries of a slice
    are more than the messages that may wait for a peer.  */
 static void
@@ -402,6 +429,7 @@
   g_test_add_data_func ("/keys/replaced-owner-own", GUINT_TO_POINTER (0),
                         test_replaced_owner);
   g_test_add_func ("/keys/handed-over", test_handed_over);
+  g_test_add_func ("/keys/restarted-owner", test_restarted_owner);
   g_test_add_func ("/keys/many-handed-over", test_many_handed_over);
   g_test_add_func ("/keys/many-taken-over", test_many_taken_over);
   g_test_add_func ("/keys/random", test_random);
