State that all keys are copied, so that old restarts cost nothing

Cause: after an owner of keys is lost, its successor refuses keys that it does not know as unknown for the retention time (600 s) if any member restarted within it, although the owner had long made new copies of what that member held.

Ruled out: a fixed time after which a restart is taken as harmless (the owner may have been cut off from the members meanwhile), and times of the owner's statement (they need a bound on the delay of a message).

Now the owner states in heartbeats which slices have all copies, with a hash of the holders and their incarnations; the successor compares it with today's members. Nothing else than an equal hash lifts the rule.

Before: test copies-renewed (a member restarts 3 s before the owner is lost) and own-slice-again refused every new key. After: both run, and the repeat of an old key gets its answer. Broken one at a time in a scratch copy: copies not looked at, copies not confirmed, an uncertain owner's statement, any hash accepted; unit-keys finds a second run of a key each time.

Also: a process that was started again is no holder of copies before the record names it.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -277,6 +277,10 @@
   decide_member_state_t state;
   uint64_t record_version;
   uint64_t revision; /* configuration known completely */
+  /* Key slices of which every entry has a copy, a bit for each, and a hash of
+     the members that hold the copies.  */
+  uint32_t key_slices;
+  uint64_t key_copies;
   uint32_t acting_count;
   decide_acting_t acting[DECIDE_SLICES];
   uint32_t load_count;
@@ -386,6 +390,9 @@
   /* COLLECT: number, at the source, of the last entry that is known; last
      COLLECT_REPLY: the same after this page.  */
   uint64_t after;
+  /* Last COLLECT_REPLY: what the previous owner, @runner of COLLECT, stated
+     about the copies of the slice; 0: nothing.  */
+  uint64_t copies;
   uint32_t centre;
   uint32_t slice;
   uint64_t record_version;
--- a/lib/decide/keys.c
+++ b/lib/decide/keys.c
@@ -171,7 +171,7 @@
       keys_handle_collect (keys, now, &sender, key);
       break;
     case DECIDE_MSG_KEY_COLLECT_REPLY:
-      keys_collect_reply (keys, now, from, key);
+      keys_collect_reply (keys, now, &sender, key);
       break;
     default:
       break;
@@ -223,7 +223,7 @@
         }
       else
         {
-          entry->copy_due = false;
+          entry->copy_due = entry->copied = false;
           entry->copy = (keys_member_t){ 0 };
         }
     }
--- a/lib/decide/keys.h
+++ b/lib/decide/keys.h
@@ -19,6 +19,7 @@
 typedef struct keys_callbacks
 {
   void *context;
+  decide_id_t self; /* this instance */
   void (*send) (void *context, decide_id_t to, const decide_msg_t *msg);
   /* Whether this instance holds a valid lease on the slice.  */
   bool (*may_serve) (void *context, uint32_t slice);
@@ -80,6 +81,18 @@
                         keys_origin_t origin, decide_id_t previous);
 void keys_slice_lost (keys_t *keys, clock_ms_t now, uint32_t slice);
 
+/**
+ * keys_copies() - what this instance states about copies, for heartbeats
+ * @slices: set to a bit for each slice of which every entry has a copy
+ *
+ * Return: hash of the members that hold these copies.
+ */
+uint64_t keys_copies (const keys_t *keys, uint32_t *slices);
+
+/* Notes what another instance states.  */
+void keys_note_copies (keys_t *keys, decide_id_t from, uint64_t copies,
+                       uint32_t slices);
+
 /**
  * keys_tick() - resend, expire, collect
  * Return: the next time in ms at which something is due.
--- a/lib/decide/keys_collect.c
+++ b/lib/decide/keys_collect.c
@@ -16,6 +16,8 @@
 static void ask_source (keys_t *keys, const keys_slice_t *slice,
                         uint32_t index, keys_source_t *source);
 static void serve_entries (keys_t *keys, uint32_t index, bool serving);
+static uint64_t expected_copies (const keys_t *keys, const keys_slice_t *slice,
+                                 const keys_member_t *others, uint32_t count);
 static void set_sources (keys_t *keys, keys_slice_t *slice);
 static void update_unknown_before (keys_slice_t *slice);
 
@@ -73,6 +75,7 @@
   /* The last reply states how many came before it.  */
   end.u.key.left_ms = count;
   end.u.key.running_ms = now - keys->started;
+  end.u.key.copies = keys_stated (keys, msg->runner, msg->slice);
   /* The owner, or the last one, knows all entries but those that it could
      not collect itself.  */
   if (slice->serving || now - slice->lost < HANDED_MS)
@@ -88,7 +91,7 @@
 static void
 update_unknown_before (keys_slice_t *slice)
 {
-  clock_ms_t latest = slice->own_started;
+  clock_ms_t latest = slice->kept ? -1 : slice->own_started;
   bool waiting = false;
 
   for (uint32_t i = 0; i < slice->source_count; i++)
@@ -96,6 +99,8 @@
       const keys_source_t *source = &slice->sources[i];
       clock_ms_t before = source->answered ? source->started : slice->gained;
 
+      if (slice->kept && source->answered && !source->restarted)
+        before = -1;
       waiting |= !source->answered;
       if (before > latest)
         latest = before;
@@ -105,7 +110,7 @@
 }
 
 void
-keys_collect_reply (keys_t *keys, clock_ms_t now, decide_id_t from,
+keys_collect_reply (keys_t *keys, clock_ms_t now, const keys_member_t *from,
                     const decide_msg_key_t *msg)
 {
   keys_slice_t *slice = &keys->slices[msg->slice];
@@ -115,7 +120,7 @@
   if (!slice->collecting || msg->round != slice->round)
     return;
   for (uint32_t i = 0; i < slice->source_count; i++)
-    if (slice->sources[i].member.id == from)
+    if (slice->sources[i].member.id == from->id)
       source = &slice->sources[i];
   if (source == NULL || source->answered)
     return;
@@ -137,6 +142,8 @@
           return;
         }
       source->answered = true;
+      source->restarted = from->incarnation != source->member.incarnation;
+      slice->kept |= msg->copies != 0 && msg->copies == slice->copies;
       source->started = now - msg->running_ms;
       update_unknown_before (slice);
       return;
@@ -171,6 +178,24 @@
   keys_activate (keys, entry);
 }
 
+/* What the previous owner stated if the members that held copies then are
+   those of today.  */
+static uint64_t
+expected_copies (const keys_t *keys, const keys_slice_t *slice,
+                 const keys_member_t *others, uint32_t count)
+{
+  keys_member_t holders[DECIDE_MEMBERS_MAX];
+  uint32_t held = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (others[i].id != slice->previous)
+      holders[held++] = others[i];
+  if (slice->previous != keys->callbacks.self && held < DECIDE_MEMBERS_MAX)
+    holders[held++]
+        = (keys_member_t){ keys->callbacks.self, keys->incarnation };
+  return keys_hash_members (holders, held);
+}
+
 /* Sets the members that a collection waits for.  */
 static void
 set_sources (keys_t *keys, keys_slice_t *slice)
@@ -180,13 +205,20 @@
                                            DECIDE_MEMBERS_MAX);
   bool handed = slice->origin == KEYS_HANDED_OVER;
 
+  slice->kept = false;
   slice->source_count = 0;
   slice->unknown_before = slice->own_started = -1;
   if (slice->origin == KEYS_FIRST_OWNER)
     return;
   /* An earlier process of this instance may have held copies.  */
   if (!handed)
-    slice->own_started = keys->started;
+    {
+      slice->own_started = keys->started;
+      slice->copies = expected_copies (keys, slice, others, count);
+      slice->kept = slice->copies
+                    == keys_stated (keys, slice->previous,
+                                    (uint32_t)(slice - keys->slices));
+    }
   for (uint32_t i = 0; i < count; i++)
     if ((others[i].id == slice->previous) == handed)
       slice->sources[slice->source_count++]
@@ -207,7 +239,7 @@
         continue;
       entry->confirmed = true;
       entry->copy = (keys_member_t){ 0 };
-      entry->copy_due = false;
+      entry->copy_due = entry->copied = false;
       keys_activate (keys, entry);
     }
 }
@@ -259,6 +291,7 @@
   msg.u.key.slice = index;
   msg.u.key.round = slice->round;
   msg.u.key.after = source->after;
+  msg.u.key.runner = slice->previous;
   msg.u.key.record_version
       = keys->callbacks.record_version (keys->callbacks.context);
   keys->callbacks.send (keys->callbacks.context, source->member.id, &msg);
--- a/lib/decide/keys_copy.c
+++ b/lib/decide/keys_copy.c
@@ -10,6 +10,8 @@
 
   entry->copy_due = false;
   entry->copy_tries = 0;
+  if (!keys_may_hold (keys, &entry->copy))
+    entry->copied = false;
   if (keys_may_hold (keys, &entry->copy)
       || keys->callbacks.second (keys->callbacks.context, entry->slice,
                                  &entry->copy))
@@ -139,6 +141,7 @@
       || msg->request != entry->request)
     return;
   entry->copy_due = false;
+  entry->copied = true;
   if (entry->state != DECIDE_KEY_STATE_CLAIMED || entry->confirmed)
     return;
   if (!keys->callbacks.may_serve (keys->callbacks.context, entry->slice))
--- a/lib/decide/keys_hold.c
+++ b/lib/decide/keys_hold.c
@@ -7,13 +7,18 @@
 #define CHECK_MS 20
 /* Finds entries that were collected, or whose copy was never confirmed.  */
 #define FIND_MS 1000
+/* Upper bound of key_retention_ms in a profile.  */
+#define RETENTION_MAX_MS 3600000
 
 static uint32_t list_holders (const keys_t *keys, keys_member_t *holders);
 static bool may_be_replaced (const keys_slice_t *slice,
                              const keys_member_t *owner,
                              uint64_t record_version);
-static void find_uncopied (keys_t *keys, const keys_member_t *holders,
-                           uint32_t count);
+static void find_uncopied (keys_t *keys, clock_ms_t now,
+                           const keys_member_t *holders, uint32_t count);
+static uint32_t list_certain (const keys_t *keys, clock_ms_t now);
+static bool needs_copy (const keys_entry_t *entry,
+                        const keys_member_t *holders, uint32_t count);
 static bool is_listed (const keys_member_t *members, uint32_t count,
                        const keys_member_t *member);
 
@@ -55,6 +60,7 @@
                     const keys_member_t *requester)
 {
   entry->copy = *requester;
+  entry->copied = true;
   entry->copy_due = false;
   entry->confirmed = true;
   keys_activate (keys, entry);
@@ -129,20 +135,55 @@
     keys_merge (entry, outcome->state, outcome);
 }
 
+/* Whether the loss of this instance would lose the entry.  A request that has
+   not begun, or did not run, may be claimed anew.  */
+static bool
+needs_copy (const keys_entry_t *entry, const keys_member_t *holders,
+            uint32_t count)
+{
+  return entry->serving && entry->confirmed
+         && entry->state != DECIDE_KEY_STATE_NOT_RUN
+         && !(entry->copied && is_listed (holders, count, &entry->copy));
+}
+
+/* Slices whose previous owners' entries are all known here.  */
+static uint32_t
+list_certain (const keys_t *keys, clock_ms_t now)
+{
+  uint32_t slices = 0;
+
+  for (uint32_t i = 0; i < DECIDE_SLICES; i++)
+    {
+      const keys_slice_t *slice = &keys->slices[i];
+
+      if (slice->serving && !slice->collecting
+          && (slice->unknown_before < 0
+              || now - slice->unknown_before > RETENTION_MAX_MS))
+        slices |= 1U << i;
+    }
+  return slices;
+}
+
 static void
-find_uncopied (keys_t *keys, const keys_member_t *holders, uint32_t count)
+find_uncopied (keys_t *keys, clock_ms_t now, const keys_member_t *holders,
+               uint32_t count)
 {
   GHashTableIter iter;
   void *value;
 
   g_array_set_size (keys->uncopied, 0);
+  keys->copied_slices = 0;
   if (count == 0)
     return;
+  keys->copies = keys_hash_members (holders, count);
+  keys->copied_slices = list_certain (keys, now);
   g_hash_table_iter_init (&iter, keys->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const keys_entry_t *entry = value;
 
+      if (needs_copy (entry, holders, count))
+        keys->copied_slices &= ~(1U << entry->slice);
       if (entry->serving && !entry->copy_due
           && !is_listed (holders, count, &entry->copy))
         g_array_append_val (keys->uncopied, entry->key);
@@ -166,7 +207,7 @@
         {
           memcpy (keys->holders, holders, sizeof holders);
           keys->found = now;
-          find_uncopied (keys, holders, count);
+          find_uncopied (keys, now, holders, count);
         }
     }
   while (keys->uncopied->len > 0 && sent < COPY_BATCH)
--- a/lib/decide/keys_state.h
+++ b/lib/decide/keys_state.h
@@ -31,6 +31,7 @@
   keys_member_t copy; /* member that has or gets the copy; id 0: none */
   clock_ms_t copy_sent;
   uint32_t copy_tries;
+  bool copied;             /* it has at least the claim */
   bool copy_due;           /* the state has changed since the copy */
   bool listed;             /* in the active list */
   decide_answer_t *answer; /* without the unused part of its body */
@@ -43,6 +44,7 @@
 {
   keys_member_t member;
   bool answered;
+  bool restarted;     /* since the record named it */
   uint32_t received;  /* entries of this page */
   uint64_t after;     /* sequence at the source of the last entry before it */
   clock_ms_t started; /* of the member's process, own clock */
@@ -63,12 +65,23 @@
   clock_ms_t progressed;
   /* Claims made before this time may be unknown here; negative: none.  */
   clock_ms_t unknown_before;
+  /* No member lost a copy since the previous owner stated that all entries
+     have one.  */
+  bool kept;
+  uint64_t copies;        /* what it would have stated about today's members */
   clock_ms_t own_started; /* of this process if it lost copies; negative: no */
   GQueue entries;         /* keys_entry_t in the order of adding */
   uint32_t source_count;
   keys_source_t sources[DECIDE_MEMBERS_MAX];
 } keys_slice_t;
 
+/* What an owner of slices last stated about their copies; 0: nothing.  */
+typedef struct keys_stated
+{
+  decide_id_t owner;
+  uint64_t copies[DECIDE_SLICES];
+} keys_stated_t;
+
 struct keys
 {
   keys_callbacks_t callbacks;
@@ -83,9 +96,16 @@
   GPtrArray *active;   /* entries with something to send or to time */
   GArray *uncopied;    /* decide_key_t of entries that need a new copy */
   keys_member_t holders[DECIDE_MEMBERS_MAX]; /* when uncopied was filled */
+  uint64_t copies;                           /* as keys_copies() states it */
+  uint32_t copied_slices;
+  keys_stated_t stated[DECIDE_MEMBERS_MAX];
+  uint32_t stated_turn;
   keys_slice_t slices[DECIDE_SLICES];
 };
 
+uint64_t keys_hash_members (const keys_member_t *members, uint32_t count);
+uint64_t keys_stated (const keys_t *keys, decide_id_t owner, uint32_t slice);
+
 keys_entry_t *keys_find_entry (const keys_t *keys, const decide_key_t *key);
 keys_entry_t *keys_add_entry (keys_t *keys, clock_ms_t now,
                               const decide_msg_key_t *msg);
@@ -127,7 +147,8 @@
 void keys_handle_collect (keys_t *keys, clock_ms_t now,
                           const keys_member_t *from,
                           const decide_msg_key_t *msg);
-void keys_collect_reply (keys_t *keys, clock_ms_t now, decide_id_t from,
+void keys_collect_reply (keys_t *keys, clock_ms_t now,
+                         const keys_member_t *from,
                          const decide_msg_key_t *msg);
 void keys_tick_collect (keys_t *keys, clock_ms_t now, uint32_t index);
 
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -51,6 +51,8 @@
   else if (msg->type == DECIDE_MSG_HEARTBEAT)
     {
       msg->u.heartbeat.revision = catalog_revision (node->catalog);
+      msg->u.heartbeat.key_copies
+          = keys_copies (node->keys, &msg->u.heartbeat.key_slices);
       node_fill_loads (node, &msg->u.heartbeat);
     }
 }
@@ -168,6 +170,7 @@
   return count;
 }
 
+/* A process that was started again holds nothing until the record names it. */
 static bool
 may_hold_copies (const decide_t *node, const decide_member_t *member,
                  decide_id_t id)
@@ -175,6 +178,7 @@
   return id != node->id && member->incarnation != 0
          && member->state == DECIDE_MEMBER_ACTIVE
          && ownership_heard (node->ownership, node->now, id)
+         && ownership_incarnation (node->ownership, id) == member->incarnation
          && !ownership_leaving (node->ownership, id);
 }
 
@@ -339,6 +343,7 @@
   };
   keys_callbacks_t keys = {
     .context = node,
+    .self = decide_id (settings->instance),
     .send = send_message,
     .may_serve = key_may_serve,
     .second = key_second,
--- a/lib/decide/node_messages.c
+++ b/lib/decide/node_messages.c
@@ -115,6 +115,7 @@
   for (uint32_t i = 0; i < beat->load_count; i++)
     node_note_loads (node, beat->loads[i].pool, beat->loads[i].free,
                      beat->loads[i].queued);
+  keys_note_copies (node->keys, from, beat->key_copies, beat->key_slices);
   node_pull (node, from, beat->revision);
 }
 
--- a/lib/decide/ownership.h
+++ b/lib/decide/ownership.h
@@ -198,6 +198,9 @@
 bool ownership_heard (const ownership_t *o, clock_ms_t now,
                       decide_id_t instance);
 
+/* Incarnation of the process that was heard last; 0: none.  */
+uint64_t ownership_incarnation (const ownership_t *o, decide_id_t instance);
+
 /* Whether the last heartbeat said that the instance is leaving.  */
 bool ownership_leaving (const ownership_t *o, decide_id_t instance);
 
--- a/lib/decide/ownership_view.c
+++ b/lib/decide/ownership_view.c
@@ -102,6 +102,14 @@
   return peer != NULL && ownership_age (now, peer->spoke) < DECIDE_CONTACT_MS;
 }
 
+uint64_t
+ownership_incarnation (const ownership_t *o, decide_id_t instance)
+{
+  const ownership_peer_t *peer = ownership_peer_find (o, instance);
+
+  return peer == NULL ? 0 : peer->incarnation;
+}
+
 bool
 ownership_leaving (const ownership_t *o, decide_id_t instance)
 {
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -29,6 +29,8 @@
   to->state = from->state;
   to->record_version = from->record_version;
   to->revision = from->revision;
+  to->key_slices = from->key_slices;
+  to->key_copies = from->key_copies;
   to->acting_count = from->acting.acting_len;
   for (uint32_t i = 0; i < to->acting_count; i++)
     {
@@ -182,6 +184,7 @@
   to->runner = from->runner;
   to->round = from->round;
   to->after = from->after;
+  to->copies = from->copies;
   to->authoritative = from->authoritative;
   to->running_ms = from->running_ms;
   to->has_answer = from->answer != NULL;
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -27,6 +27,8 @@
   to->state = from->state;
   to->record_version = from->record_version;
   to->revision = from->revision;
+  to->key_slices = from->key_slices;
+  to->key_copies = from->key_copies;
   /* One more than needed, since calloc (0) may return NULL.  */
   to->acting.acting_val
       = calloc (from->acting_count + 1, sizeof *to->acting.acting_val);
@@ -173,6 +175,7 @@
     .runner = from->runner,
     .round = from->round,
     .after = from->after,
+    .copies = from->copies,
     .authoritative = from->authoritative,
     .running_ms = from->running_ms,
   };
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -65,6 +65,8 @@
 	u_int state;
 	u_quad_t record_version;
 	u_quad_t revision;
+	u_int key_slices;
+	u_quad_t key_copies;
 	struct {
 		u_int acting_len;
 		wire_acting *acting_val;
@@ -190,6 +192,7 @@
 	u_quad_t runner;
 	u_quad_t round;
 	u_quad_t after;
+	u_quad_t copies;
 	bool_t authoritative;
 	quad_t running_ms;
 	wire_answer *answer;
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -50,6 +50,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->key_slices))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->key_copies))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->acting.acting_val, (u_int *) &objp->acting.acting_len, WIRE_SLICES,
 		sizeof (wire_acting), (xdrproc_t) xdr_wire_acting))
 		 return FALSE;
@@ -343,6 +347,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->after))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->copies))
+			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->authoritative))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
@@ -391,6 +397,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->after))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->copies))
+			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->authoritative))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
@@ -431,6 +439,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->after))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->copies))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->authoritative))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->running_ms))
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -55,6 +55,8 @@
   unsigned int state;
   unsigned hyper record_version;
   unsigned hyper revision;
+  unsigned int key_slices;
+  unsigned hyper key_copies;
   wire_acting acting<WIRE_SLICES>;
   wire_pool_load loads<WIRE_LOADS_MAX>;
 };
@@ -168,6 +170,7 @@
   unsigned hyper runner;
   unsigned hyper round;
   unsigned hyper after;
+  unsigned hyper copies;
   bool authoritative;
   hyper running_ms;
   wire_answer *answer;
--- a/test/unit/keys.c
+++ b/test/unit/keys.c
@@ -165,6 +165,16 @@
   advance (1000);
   g_assert_false (find_caller (second)->ran);
   g_assert_cmpint (find_caller (second)->refusal.ran, ==, DECIDE_RAN_UNKNOWN);
+
+  /* Nor does a further owner, whatever the one before it stated.  */
+  start_node (0);
+  advance (3000);
+  stop_node (2);
+  change_owner (1, KEYS_TAKEN_OVER);
+  advance (1000);
+  second = call (4, 7);
+  advance (1000);
+  g_assert_false (find_caller (second)->ran);
   end_world ();
 }
 
@@ -266,6 +276,71 @@
   end_world ();
 }
 
+/* Guards against an owner that restarts, takes its own slice back and refuses
+   new keys, although all entries have a copy at another member and it had
+   stated so.  */
+static void
+test_own_slice_again (void)
+{
+  uint64_t first;
+  uint64_t repeat;
+  uint64_t other;
+
+  start_world (1);
+  first = call (3, 7);
+  advance (20);
+  finish (first, DECIDE_KEY_STATE_DONE);
+  advance (20);
+  advance (2000);
+  stop_node (0);
+  start_node (0);
+  change_owner (0, KEYS_TAKEN_OVER);
+  advance (100);
+  repeat = call (2, 7);
+  other = call (2, 8);
+  advance (100);
+  g_assert_true (find_caller (repeat)->replayed);
+  g_assert_true (find_caller (other)->ran);
+  end_world ();
+}
+
+/* Guards against a slice whose new keys are refused for the retention time
+   because a member restarted long before its owner was lost, and against one
+   whose keys run again because that member restarted just before.  */
+static void
+test_copies_renewed (const void *wait)
+{
+  bool renewed = GPOINTER_TO_UINT (wait) > 1000;
+  uint64_t first;
+  uint64_t repeat;
+  uint64_t other;
+
+  start_world (1);
+  first = call (3, 7);
+  advance (20);
+  finish (first, DECIDE_KEY_STATE_DONE);
+  advance (2000);
+  stop_node (3);
+  start_node (3);
+  world.delay_ms = renewed ? 1 : 600;
+  /* Lets the owner look at its copies again while they are under way.  */
+  advance (60);
+  world.leaving = 1U << 4;
+  advance (60);
+  world.leaving = 0;
+  advance (GPOINTER_TO_UINT (wait));
+  world.delay_ms = 1;
+  stop_node (0);
+  change_owner (2, KEYS_TAKEN_OVER);
+  advance (100);
+  repeat = call (4, 7);
+  other = call (4, 8);
+  advance (600);
+  g_assert_cmpint (find_caller (repeat)->replayed, ==, renewed);
+  g_assert_cmpint (find_caller (other)->ran, ==, renewed);
+  end_world ();
+}
+
 /* Guards against a collection that never ends because the entries of a slice
    are more than the messages that may wait for a peer.  */
 static void
@@ -430,6 +505,13 @@
                         test_replaced_owner);
   g_test_add_func ("/keys/handed-over", test_handed_over);
   g_test_add_func ("/keys/restarted-owner", test_restarted_owner);
+  g_test_add_func ("/keys/own-slice-again", test_own_slice_again);
+  g_test_add_data_func ("/keys/copies-renewed", GUINT_TO_POINTER (3000),
+                        test_copies_renewed);
+  g_test_add_data_func ("/keys/copies-under-way", GUINT_TO_POINTER (300),
+                        test_copies_renewed);
+  g_test_add_data_func ("/keys/copies-lost", GUINT_TO_POINTER (0),
+                        test_copies_renewed);
   g_test_add_func ("/keys/many-handed-over", test_many_handed_over);
   g_test_add_func ("/keys/many-taken-over", test_many_taken_over);
   g_test_add_func ("/keys/random", test_random);
--- a/test/unit/keys_world.c
+++ b/test/unit/keys_world.c
@@ -183,6 +183,7 @@
 {
   node_t *node = &world.nodes[index];
   keys_callbacks_t keys = { .context = node,
+                            .self = node_id (index),
                             .send = send_packet,
                             .may_serve = may_serve,
                             .second = find_second,
@@ -279,11 +280,33 @@
     }
 }
 
+/* Heartbeats state the copies of keys; some are lost.  */
+static void
+state_copies (void)
+{
+  for (uint32_t from = 0; from < NODES; from++)
+    for (uint32_t to = 0; to < NODES; to++)
+      {
+        uint64_t copies;
+        uint32_t slices;
+
+        if (from == to || !world.nodes[from].up || !world.nodes[to].up
+            || (world.cut[from] & (1U << to))
+            || decide_rng_below (&world.rng, 100) < world.loss_percent)
+          continue;
+        copies = keys_copies (world.nodes[from].keys, &slices);
+        keys_note_copies (world.nodes[to].keys, node_id (from), copies,
+                          slices);
+      }
+}
+
 void
 advance (clock_ms_t ms)
 {
   for (clock_ms_t end = world.now + ms; world.now < end; world.now++)
     {
+      if (world.now % DECIDE_HEARTBEAT_MS == 0)
+        state_copies ();
       deliver_due ();
       for (uint32_t i = 0; i < NODES; i++)
         if (world.nodes[i].up)
