--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -283,6 +283,10 @@
   decide_member_state_t state;
   uint64_t record_version;
   uint64_t revision; /* configuration known completely */
+  /* Key slices of which every entry has a copy, a bit for each, and a hash of
+     the members that hold the copies.  */
+  uint32_t key_slices;
+  uint64_t key_copies;
   uint32_t acting_count;
   decide_acting_t acting[DECIDE_SLICES];
   uint32_t load_count;
@@ -386,7 +390,8 @@
   DECIDE_KEY_CONFLICT,
   DECIDE_KEY_UNCERTAIN,
   DECIDE_KEY_NO_COPY,
-  DECIDE_KEY_NOT_OWNER
+  DECIDE_KEY_NOT_OWNER,
+  DECIDE_KEY_RUN_WITH_COPY /* as RUN; the requester holds the copy */
 } decide_key_status_t;
 
 typedef enum decide_key_state
@@ -400,8 +405,15 @@
 typedef struct decide_msg_key
 {
   uint64_t request;
-  decide_id_t runner; /* COPY, COLLECT_REPLY: instance of the claim */
+  decide_id_t runner; /* COPY, COLLECT_REPLY, RUN_WITH_COPY: instance of the
+                         claim */
   uint64_t round;     /* COLLECT, echoed in COLLECT_REPLY */
+  /* COLLECT: number, at the source, of the last entry that is known; last
+     COLLECT_REPLY: the same after this page.  */
+  uint64_t after;
+  /* Last COLLECT_REPLY: what the previous owner, @runner of COLLECT, stated
+     about the copies of the slice; 0: nothing.  */
+  uint64_t copies;
   uint32_t centre;
   uint32_t slice;
   uint64_t record_version;
--- a/lib/decide/keys.h
+++ b/lib/decide/keys.h
@@ -1,8 +1,9 @@
 #ifndef PERIDOT_KEYS_H
 #define PERIDOT_KEYS_H
 
-/* Idempotency keys: the owner of a key's slice lets a request run once, after
-   a second member has confirmed its copy of the claim.  */
+/* Idempotency keys: the owner of a key's slice lets a request run once.  A
+   second member has a copy of the claim before the request runs: the
+   requester itself if it is a member, otherwise one that confirms it.  */
 
 #include "decide.h"
 
@@ -18,11 +19,15 @@
 typedef struct keys_callbacks
 {
   void *context;
+  decide_id_t self; /* this instance */
   void (*send) (void *context, decide_id_t to, const decide_msg_t *msg);
   /* Whether this instance holds a valid lease on the slice.  */
   bool (*may_serve) (void *context, uint32_t slice);
   /* Member that keeps the copies of a slice; false when there is none.  */
   bool (*second) (void *context, uint32_t slice, keys_member_t *member);
+  /* Members that may hold copies: active, heard and not leaving; returns their
+     number.  */
+  uint32_t (*holders) (void *context, keys_member_t *members, uint32_t max);
   /* Other members of the record; returns their number.  */
   uint32_t (*others) (void *context, keys_member_t *members, uint32_t max);
   uint64_t (*record_version) (void *context);
@@ -45,6 +50,21 @@
 void keys_message (keys_t *keys, clock_ms_t now, decide_id_t from,
                    const decide_msg_t *msg);
 
+/**
+ * keys_hold_claim() - store the copy that a reply RUN_WITH_COPY carries
+ * @from: owner that sent the reply
+ * @incarnation: the owner's
+ *
+ * Return: false when the request must not run on this reply, because the owner
+ * may have been replaced.
+ */
+bool keys_hold_claim (keys_t *keys, clock_ms_t now, decide_id_t from,
+                      uint64_t incarnation, const decide_msg_key_t *reply);
+
+/* A request of this instance has ended: its copy, if any, gets the outcome
+   before the owner is told.  */
+void keys_note_outcome (keys_t *keys, const decide_msg_key_t *outcome);
+
 /* How a slice came to this instance.  */
 typedef enum keys_origin
 {
@@ -61,6 +81,18 @@
                         keys_origin_t origin, decide_id_t previous);
 void keys_slice_lost (keys_t *keys, clock_ms_t now, uint32_t slice);
 
+/**
+ * keys_copies() - what this instance states about copies, for heartbeats
+ * @slices: set to a bit for each slice of which every entry has a copy
+ *
+ * Return: hash of the members that hold these copies.
+ */
+uint64_t keys_copies (const keys_t *keys, uint32_t *slices);
+
+/* Notes what another instance states.  */
+void keys_note_copies (keys_t *keys, decide_id_t from, uint64_t copies,
+                       uint32_t slices);
+
 /**
  * keys_tick() - resend, expire, collect
  * Return: the next time in ms at which something is due.
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -56,6 +56,8 @@
   unsigned int state;
   unsigned hyper record_version;
   unsigned hyper revision;
+  unsigned int key_slices;
+  unsigned hyper key_copies;
   wire_acting acting<WIRE_SLICES>;
   wire_pool_load loads<WIRE_LOADS_MAX>;
 };
@@ -179,6 +181,8 @@
   bool empty;
   unsigned hyper runner;
   unsigned hyper round;
+  unsigned hyper after;
+  unsigned hyper copies;
   bool authoritative;
   hyper running_ms;
   wire_answer *answer;
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -14,6 +14,8 @@
             .state = DECIDE_MEMBER_LEAVING,
             .record_version = 3,
             .revision = 4,
+            .key_slices = 19,
+            .key_copies = 20,
             .acting_count = 2,
             .acting = { { 5, 6, 7, 8 }, { UINT64_MAX, 10, 15, 15 } },
             .load_count = 2,
@@ -46,13 +48,15 @@
     = { .u.key = { .request = 1,
                    .runner = 21,
                    .round = 22,
+                   .after = 23,
+                   .copies = 24,
                    .centre = 2,
                    .slice = 3,
                    .record_version = 4,
                    .key = { { 5, 6 }, 7 },
                    .left_ms = 8,
                    .retention_ms = 9,
-                   .status = DECIDE_KEY_NOT_OWNER,
+                   .status = DECIDE_KEY_RUN_WITH_COPY,
                    .state = DECIDE_KEY_STATE_NOT_RUN,
                    .more = true,
                    .empty = true,
@@ -255,7 +259,7 @@
   messages[4].body.wire_body_u.grant.priority = 8;
   messages[5].body.wire_body_u.grant.left_ms = INT64_MIN;
   messages[6].body.wire_body_u.release.result = DECIDE_ATTEMPT_UNUSED + 1;
-  messages[7].body.wire_body_u.key.status = DECIDE_KEY_NOT_OWNER + 1;
+  messages[7].body.wire_body_u.key.status = DECIDE_KEY_RUN_WITH_COPY + 1;
   messages[8].body.wire_body_u.key.slice = DECIDE_SLICES;
   messages[9].body.type = 23;
 }
