Add a run of a planned stop with long requests in flight

run-store_down stops an instance under short requests, so a stop that does not wait for them would seldom be noticed. run-planned_stop stops two of four instances, one of them without the store, while each has two downloads, a slot check and a confirmation that take 4 s.

--- /dev/null
+++ b/test/run/planned_stop.py
@@ -0,0 +1,113 @@
+"""Two instances stop while they have long requests and downloads in flight;
+one of them cannot reach the store.
+
+Guards against a planned stop that ends before the requests that it has, and
+against one that needs the store.
+"""
+
+import http.client
+import json
+import socket
+from concurrent.futures import ThreadPoolExecutor
+
+from faultrun import Faults, now_us
+from harness import main, request, wait_for
+from topology import Deployment, Service, StoreLinks
+
+# Longer than everything else that a stop waits for.
+LONG_MS = 4000
+ARCHIVE = 24 << 20
+DEPLOYMENT = Deployment(
+    "stop", ["quezon"], [Service("booking", 8, 3), Service("records", 8, 3)],
+    4, profile={"timeout_ms": 9000, "run_ms": 8000})
+
+
+def download(instance, name):
+    """Reads an archive evenly in LONG_MS; returns the time of its end in us,
+    or None when it was cut."""
+    connection = http.client.HTTPConnection("127.0.0.1", instance.callers)
+    connection.sock = socket.socket()
+    # A large buffer would take the rest of the answer from the instance.
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    connection.sock.settimeout(10)
+    connection.sock.connect(("127.0.0.1", instance.callers))
+    connection.request("GET", "/s/records/archive/" + name, None,
+                       {"Request-Id": name})
+    answer = connection.getresponse()
+    begin_us = now_us()
+    read = 0
+    try:
+        while read < ARCHIVE:
+            due = min(1, (now_us() - begin_us) / (LONG_MS * 1000)) * ARCHIVE
+            if read < due:
+                read += len(answer.read(int(due) - read))
+                if answer.isclosed():
+                    break
+            else:
+                wait_for("the next part is due", lambda at=begin_us + read
+                         * LONG_MS * 1000 / ARCHIVE + 20000: now_us() >= at)
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+    return now_us() if answer.status == 200 and read == ARCHIVE else None
+
+
+def ask(instance, method, path, name):
+    """A long request; returns the time of its whole answer in us, or None."""
+    try:
+        answer = request(instance.callers, method, "/s/booking/" + path,
+                         json.dumps({"booking": name}),
+                         {"Idempotency-Key": name, "Request-Id": name,
+                          "Content-Type": "application/json"})
+    except (OSError, http.client.HTTPException):
+        return None
+    return now_us() if answer.status == 200 else None
+
+
+def script(run):
+    faults = Faults(run, DEPLOYMENT, StoreLinks,
+                    ("--archive-bytes", ARCHIVE))
+    topology = faults.topology
+    for endpoint in topology.endpoints:
+        if endpoint.service.name == "booking":
+            endpoint.control(slow_ms=LONG_MS)
+    stopping = topology.instances[:2]
+    topology.stores.control(stopping[0].name, cut=True)
+    with ThreadPoolExecutor() as pool:
+        ends = {instance.name: [
+            pool.submit(download, instance, instance.name + "-one"),
+            pool.submit(download, instance, instance.name + "-two"),
+            pool.submit(ask, instance, "GET", "slot-check", instance.name),
+            pool.submit(ask, instance, "POST", "confirm", instance.name)]
+            for instance in stopping}
+        wait_for("all requests are in flight", lambda: sum(
+            entry["in_flight"] for entry in topology.stats().values()) == 8)
+        stop_us = now_us()
+        for instance in stopping:
+            instance.process.ask_to_stop()
+        served = [ask(topology.instances[3], "POST", "confirm", f"other-{i}")
+                  for i in range(2)]
+        for instance in reversed(stopping):
+            faults.statuses[instance.name] = instance.process.wait(15)
+            faults.note(f"{instance.name} stopped after "
+                        f"{(now_us() - stop_us) / 1e6:.1f} s")
+        cut = {name: [future.result() for future in futures].count(None)
+               for name, futures in ends.items()}
+        last_us = max(future.result() or 0 for futures in ends.values()
+                      for future in futures)
+    faults.note(f"cut: {cut}, last answer after "
+                f"{(last_us - stop_us) / 1e6:.1f} s")
+    faults.say("no request of a stopping instance is cut",
+               not any(cut.values()))
+    faults.say("others serve meanwhile", None not in served)
+    faults.say("planned stops end with status 0",
+               not any(faults.statuses.values()))
+    keys = [entry["key"] for entry in topology.journal()]
+    faults.say("no confirmation ran twice", len(keys) == len(set(keys)))
+    for instance in faults.running():
+        instance.process.ask_to_stop()
+    return 0 if faults.held else 1
+
+
+main(script)
--- a/test/run/topology.py
+++ b/test/run/topology.py
@@ -23,8 +23,10 @@
 
 
 class Deployment:
+    """profile: values of every profile instead of the usual ones."""
+
     def __init__(self, name, data_centres, services, instances,
-                 client_delay_ms, peer_delay_ms, mix):
+                 client_delay_ms=0, peer_delay_ms=0, mix="", profile=None):
         self.name = name
         self.data_centres = data_centres
         self.services = services
@@ -32,6 +34,7 @@
         self.client_delay_ms = client_delay_ms
         self.peer_delay_ms = peer_delay_ms
         self.mix = mix
+        self.profile = profile or {}
 
 
 KALAMANSI = Deployment(
@@ -51,6 +54,7 @@
     return {service.name: {
         "priority": 3, "timeout_ms": 2000, "run_ms": 1000, "queue_max": 64,
         "retry": True, "hedge": False, "key_retention_ms": 600000}
+        | deployment.profile
         for service in deployment.services}
 
 
@@ -130,7 +134,7 @@
             for i in range(deployment.instances)]
         self._start_backends(backend_options)
         self._fill_platform()
-        if delays:
+        if delays and len(deployment.data_centres) > 1:
             self._add_delays()
 
     def _centre(self, index):
@@ -289,3 +293,16 @@
                     for instance in self.instances]
         self.ports.close()
         return statuses
+
+
+class StoreLinks(Topology):
+    """Each instance reaches the store through its own pair of a proxy."""
+
+    def _fill_platform(self):
+        self.stores = FaultProxy(
+            self.run, {instance.name: self.platform.port
+                       for instance in self.instances}, "stores")
+        super()._fill_platform()
+
+    def store_port(self, instance):
+        return self.stores.ports[instance.name]
