Add a run of lost answers and of lost owners of keys

No run had an endpoint that does the work and then loses the answer, and the owner of key slices was killed in runs that ended before a new owner may treat an unknown key as new, so the copies were not needed there. The stand-in's endpoints can now lose answers. run-keys_copied confirms 40 keys with a retention time of 8 s, kills an owner of key slices, and repeats the confirmations through others until 7.5 s.

--- /dev/null
+++ b/test/run/keys_copied.py
@@ -0,0 +1,73 @@
+"""Endpoints run confirmations and lose the answers; then an instance that
+owns slices of keys is killed right after confirmations.
+
+Guards against a caller who is told that its request did not run although an
+endpoint ran it, and against a key that runs again because its entry was lost
+with the owner of its slice.
+"""
+
+from faultrun import Faults, now_us
+from harness import main, wait_for
+from outage import Confirmations
+from topology import Deployment, Service
+
+# A new owner may treat a key as new once every other process has been up for
+# the retention time; repeats end before the keys expire.
+RETENTION_MS = 8000
+LAST_REPEAT_MS = 7500
+LOST = 12
+KEYS = 40
+DEPLOYMENT = Deployment(
+    "keys", ["quezon"], [Service("booking", 4, 3)], 4,
+    profile={"run_ms": 300, "timeout_ms": 1000,
+             "key_retention_ms": RETENTION_MS})
+
+
+def script(run):
+    faults = Faults(run, DEPLOYMENT)
+    topology = faults.topology
+    first, killed, *others = topology.instances
+
+    def starts():
+        keys = [entry["key"] for entry in topology.journal()]
+        return {key: keys.count(key) for key in keys}
+
+    for endpoint in topology.endpoints:
+        endpoint.control(lose_answers=True)
+    lost = Confirmations("lost", LOST)
+    for key in lost.keys:
+        lost.send(first, key)
+    ran = sum(key in starts() for key in lost.keys)
+    faults.note(f"ran with a lost answer: {ran} of {LOST}, told: "
+                f"{sorted(told[0][0] for told in lost.told.values())}")
+    faults.say("endpoints ran confirmations whose answers were lost", ran > 0)
+    faults.say("no caller is told that such a confirmation did not run",
+               lost.honest(starts()))
+    for endpoint in topology.endpoints:
+        endpoint.control(lose_answers=False)
+
+    done = Confirmations("done", KEYS)
+    begin_us = now_us()
+    for key in done.keys:
+        wait_for("the confirmation is answered",
+                 lambda key=key: done.send(first, key) == "yes")
+    killed_us = faults.kill(killed)
+    faults.note(f"confirmed in {(killed_us - begin_us) / 1000:.0f} ms")
+    left = list(done.keys)
+    repeats = 0
+    while left and now_us() - begin_us < LAST_REPEAT_MS * 1000:
+        key = left.pop(0)
+        repeats += 1
+        if done.send(others[repeats % 2], key) != "yes":
+            left.append(key)
+    for key in lost.keys:
+        lost.send(others[0], key)
+    faults.note(f"{repeats} repeats in {(now_us() - killed_us) / 1e6:.1f} s, "
+                f"without the recorded answer: {len(left)}")
+    faults.say("repeats get the recorded answer", not left)
+    faults.say("no confirmation runs twice",
+               lost.honest(starts()) and done.honest(starts()))
+    return 0 if faults.held and not any(topology.stop_instances()) else 1
+
+
+main(script)
--- a/test/run/planned_stop.py
+++ b/test/run/planned_stop.py
@@ -105,9 +105,7 @@
                not any(faults.statuses.values()))
     keys = [entry["key"] for entry in topology.journal()]
     faults.say("no confirmation ran twice", len(keys) == len(set(keys)))
-    for instance in faults.running():
-        instance.process.ask_to_stop()
-    return 0 if faults.held else 1
+    return 0 if faults.held and not any(topology.stop_instances()) else 1
 
 
 main(script)
--- a/test/run/topology.py
+++ b/test/run/topology.py
@@ -286,11 +286,13 @@
                         for instance in self.instances)
 
     def stop_instances(self, timeout=30):
-        """Planned stop of all at once; returns their exit statuses."""
-        for instance in self.instances:
-            instance.process.ask_to_stop()
-        statuses = [instance.process.wait(timeout)
-                    for instance in self.instances]
+        """Planned stop of all that run, at once; returns their exit
+        statuses."""
+        running = [instance.process for instance in self.instances
+                   if instance.process.child.poll() is None]
+        for process in running:
+            process.ask_to_stop()
+        statuses = [process.wait(timeout) for process in running]
         self.ports.close()
         return statuses
 
--- a/test/standin/endpoint.c
+++ b/test/standin/endpoint.c
@@ -258,6 +258,8 @@
   pthread_mutex_lock (&endpoint->lock);
   endpoint->cancelled += result == ENTER_GONE;
   endpoint->expired += result == ENTER_EXPIRED;
+  if (result == ENTERED && endpoint->loses_answers)
+    result = ENTER_LOST;
   pthread_mutex_unlock (&endpoint->lock);
   return result;
 }
@@ -371,6 +373,8 @@
     endpoint->shed = json_object_get_boolean (member);
   if (json_object_object_get_ex (value, "fail", &member))
     endpoint->failing = json_object_get_boolean (member);
+  if (json_object_object_get_ex (value, "lose_answers", &member))
+    endpoint->loses_answers = json_object_get_boolean (member);
   if (json_object_object_get_ex (value, "mark", &member)
       && json_object_is_type (member, json_type_string))
     endpoint->out_since_us
--- a/test/standin/endpoint.h
+++ b/test/standin/endpoint.h
@@ -64,6 +64,7 @@
   int slow_ms;
   bool shed;
   bool failing;
+  bool loses_answers;
   endpoint_load_t history[ENDPOINT_HISTORY];
   unsigned int history_next;
   int64_t requests;
@@ -86,6 +87,7 @@
   ENTER_SHED,    /* did not run */
   ENTER_FAILED,  /* fails at once */
   ENTER_EXPIRED, /* deadline passed in the queue, did not run */
+  ENTER_LOST,    /* did the work, but loses the answer */
   ENTER_GONE     /* caller gone, or the endpoint fell over */
 } entered_t;
 
@@ -106,7 +108,8 @@
 
 /**
  * endpoint_run() - spend a service time with the given mean
- * Return: ENTERED when the work was done, else ENTER_EXPIRED or ENTER_GONE.
+ * Return: ENTERED when the work was done, else ENTER_EXPIRED, ENTER_LOST or
+ * ENTER_GONE.
  */
 entered_t endpoint_run (endpoint_t *endpoint, const work_t *work,
                         double mean_ms);
