Free slot, queue place and worker of callers that stop reading or leave

A write to a caller blocked in CivetWeb for up to 5 s after each part that it took, without regard to the deadline, and an attempt that ended so was resumed elsewhere, which held a second slot. A request that waited in a queue was not withdrawn when its caller closed the connection.

Answers after the first part are now written on the descriptor until the attempt's deadline, and the caller is then cut off. The connection of a waiting request is looked at every 20 ms. The engine is told before the end of the attempt, so that it does not start a retry for a caller that has left. A key whose request has not been handed out is reported as not run; one that may run goes on. CivetWeb does not give the descriptor; it is searched only for requests that take longer than 20 ms or have further parts to write. A shorter time limit of CivetWeb was ruled out, since each part that the caller takes restarts it.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -525,7 +525,16 @@
                      const decide_msg_t *msg);
 void decide_request (decide_t *node, clock_ms_t now,
                      const decide_request_t *request);
-void decide_request_gone (decide_t *node, clock_ms_t now, uint64_t request);
+
+/**
+ * decide_request_gone() - withdraw the request of a caller that has left
+ *
+ * A request with a key that may run goes on, so that its outcome is recorded
+ * for a repeat, and ends like any other.
+ *
+ * Return: whether the request has ended.
+ */
+bool decide_request_gone (decide_t *node, clock_ms_t now, uint64_t request);
 
 /**
  * decide_attempt_done() - an attempt ended
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -188,20 +188,26 @@
   node_run_loop (node);
 }
 
-void
+bool
 decide_request_gone (decide_t *node, clock_ms_t now, uint64_t request)
 {
+  bool ended = true;
+
   node->now = now;
-  if (g_hash_table_contains (node->keyed, &request))
+  if (!g_hash_table_contains (node->keyed, &request))
+    router_gone (node->router, now, request);
+  else if (!claims_gone (node->claims, now, request))
+    g_hash_table_remove (node->keyed, &request);
+  else if (router_withdraw (node->router, now, request))
     {
-      /* A request that may run goes on, so that its outcome is recorded for
-         a repeat with the same key.  */
-      if (!claims_gone (node->claims, now, request))
-        g_hash_table_remove (node->keyed, &request);
+      claims_ended (node->claims, now, request, DECIDE_KEY_STATE_NOT_RUN,
+                    NULL);
+      g_hash_table_remove (node->keyed, &request);
     }
   else
-    router_gone (node->router, now, request);
+    ended = false;
   node_run_loop (node);
+  return ended;
 }
 
 bool
--- a/lib/decide/router.c
+++ b/lib/decide/router.c
@@ -232,6 +232,18 @@
     router_end (router, now, pending);
 }
 
+bool
+router_withdraw (router_t *router, clock_ms_t now, uint64_t request)
+{
+  router_pending_t *pending = router_find (&router->pendings, request, 0);
+
+  if (pending == NULL || pending->ran != DECIDE_RAN_NO
+      || !TAILQ_EMPTY (&pending->attempts))
+    return false;
+  router_end (router, now, pending);
+  return true;
+}
+
 /* One hedge for each request, while its only attempt is running.  */
 static void
 try_hedge (router_t *router, clock_ms_t now, router_pending_t *pending)
--- a/lib/decide/router.h
+++ b/lib/decide/router.h
@@ -94,6 +94,12 @@
 /* The caller has gone: attempts are cancelled and nothing is reported.  */
 void router_gone (router_t *router, clock_ms_t now, uint64_t request);
 
+/**
+ * router_withdraw() - like router_gone(), for a request that cannot have run
+ * Return: false when it is not pending or may have run; then it goes on.
+ */
+bool router_withdraw (router_t *router, clock_ms_t now, uint64_t request);
+
 /* GRANT, QUEUED, REFUSED and RECALL of an owner.  */
 void router_granted (router_t *router, clock_ms_t now, decide_id_t owner,
                      const decide_msg_grant_t *msg);
--- a/peridotrouter/answer.c
+++ b/peridotrouter/answer.c
@@ -24,12 +24,17 @@
 {
   if (answer->failed)
     return -EPIPE;
-  if (length > 0 && mg_write (answer->conn, data, length) != (int)length)
-    {
-      answer->failed = true;
-      return -EPIPE;
-    }
-  return 0;
+  if (length == 0)
+    return 0;
+  /* The first part fits into the socket's buffer.  */
+  if (answer->sent == 0)
+    answer->failed
+        = mg_write (answer->caller.conn, data, length) != (int)length;
+  else
+    answer->failed
+        = caller_write (&answer->caller, data, length, answer->write_by)
+          != length;
+  return answer->failed ? -EPIPE : 0;
 }
 
 static void
@@ -37,7 +42,7 @@
 {
   g_string_append_printf (
       text, "HTTP/1.1 %u %s\r\n", status,
-      mg_get_response_code_text (answer->conn, (int)status));
+      mg_get_response_code_text (answer->caller.conn, (int)status));
   if (answer->request_id != NULL)
     g_string_append_printf (text, "Request-Id: %s\r\n", answer->request_id);
   if (answer->closing)
@@ -151,6 +156,8 @@
     error = write_all (answer, data, length);
   if (error == 0)
     error = write_all (answer, "\r\n", 2);
+  if (error == 0)
+    answer->sent += (int64_t)length;
   return error;
 }
 
@@ -205,7 +212,7 @@
   json_object_object_add (root, "type", json_object_new_string (type));
   json_object_object_add (root, "title",
                           json_object_new_string (mg_get_response_code_text (
-                              answer->conn, (int)status)));
+                              answer->caller.conn, (int)status)));
   json_object_object_add (root, "status",
                           json_object_new_int ((int32_t)status));
   json_object_object_add (root, "detail", json_object_new_string (detail));
--- a/peridotrouter/answer.h
+++ b/peridotrouter/answer.h
@@ -6,11 +6,13 @@
 #include <civetweb.h>
 
 #include "backend.h"
+#include "caller.h"
 #include "decide.h"
 
 typedef struct answer
 {
-  struct mg_connection *conn;
+  caller_t caller;
+  clock_ms_t write_by;    /* deadline of the attempt that writes */
   const char *request_id; /* echoed, or NULL */
   bool closing;           /* the connection ends after this answer */
   bool is_head;           /* HEAD: no body is written */
@@ -39,7 +41,14 @@
 int answer_resume (const answer_t *answer, const backend_head_t *head);
 bool answer_can_resume (const answer_t *answer);
 
-/* Return: 0, or -EPIPE when the caller has gone.  */
+/**
+ * answer_write() - write a part of the body
+ *
+ * A caller that takes it too slowly for the attempt's deadline is given up
+ * like one that has gone: a resumed answer would hold a second slot.
+ *
+ * Return: 0 or -EPIPE.
+ */
 int answer_write (answer_t *answer, const void *data, size_t length);
 
 /* Return: whether the whole answer has been written.  */
--- a/peridotrouter/attempt.c
+++ b/peridotrouter/attempt.c
@@ -110,9 +110,15 @@
 is_cancelled (void *context)
 {
   const run_t *run = context;
-  uint64_t winner = atomic_load (&run->request->winner);
+  request_t *request = run->request;
+  uint64_t winner = atomic_load (&request->winner);
 
-  return atomic_load (&run->request->cancelled) == run->forward->attempt
+  /* A request with a key goes on, so that its outcome is recorded for a
+     repeat.  A hedge may outlast the connection, so it does not look.  */
+  if (!run->forward->hedge && !request->keyed
+      && (request->gone || caller_has_left (&request->watch)))
+    return true;
+  return atomic_load (&request->cancelled) == run->forward->attempt
          || (winner != 0 && winner != run->forward->attempt);
 }
 
@@ -127,6 +133,7 @@
   if (!atomic_compare_exchange_strong (&run->request->winner, &none,
                                        run->forward->attempt))
     return -ECANCELED;
+  run->request->answer->write_by = run->forward->deadline;
   if (run->resumes)
     return answer_resume (run->request->answer, head);
   return answer_start (run->request->answer, head);
@@ -219,6 +226,15 @@
               clock_now_us () - start_us);
 }
 
+void
+attempts_check_caller (attempts_t *attempts, request_t *request)
+{
+  if (request->gone || !caller_has_left (&request->watch))
+    return;
+  request->gone = true;
+  engine_post_gone (attempts->engine, request);
+}
+
 bool
 attempts_run (attempts_t *attempts, request_t *request, forward_t *forward)
 {
@@ -245,6 +261,11 @@
     }
   else if (result.end.result == DECIDE_ATTEMPT_ANSWERED)
     result.end.result = DECIDE_ATTEMPT_CANCELLED;
+  /* Before the end of the attempt, which would be followed by a retry.  */
+  if (won && answer->failed)
+    engine_post_gone (attempts->engine, request);
+  else if (!forward->hedge)
+    attempts_check_caller (attempts, request);
   engine_post_attempt (attempts->engine, request, forward->attempt,
                        &result.end, kept);
   /* Lets a further attempt continue the answer, unless the caller has gone and
--- a/peridotrouter/engine_event.c
+++ b/peridotrouter/engine_event.c
@@ -305,9 +305,12 @@
           record_gone (engine->record, now, event->u.request->id);
           if (engine->baseline != NULL)
             baseline_request_gone (engine->baseline, event->u.request->id);
-          else
-            decide_request_gone (engine->node, now, event->u.request->id);
-          engine_end_request (engine, event->u.request->id);
+          if (engine->baseline != NULL
+              || decide_request_gone (engine->node, now, event->u.request->id))
+            {
+              request_decide (event->u.request, DECISION_GONE, NULL);
+              engine_end_request (engine, event->u.request->id);
+            }
         }
       request_unref (event->u.request);
       break;
--- a/peridotrouter/request.h
+++ b/peridotrouter/request.h
@@ -9,6 +9,7 @@
 #include <stdatomic.h>
 
 #include "backend.h"
+#include "caller.h"
 #include "decide.h"
 #include "telemetry.h"
 
@@ -21,7 +22,8 @@
   DECISION_REPLAY,
   DECISION_NEED_KEY, /* POST or PATCH without an idempotency key */
   DECISION_HEDGE_ANSWERED,
-  DECISION_HEDGE_FAILED
+  DECISION_HEDGE_FAILED,
+  DECISION_GONE /* the request of a caller that has left is withdrawn */
 } decision_t;
 
 /* Copy of a decide_forward_t that outlives the callback.  */
@@ -70,6 +72,11 @@
   decide_refusal_t refusal;
   decide_answer_t replay;
 
+  /* The worker's view of the connection, apart from the answer, which a hedge
+     may be writing.  */
+  caller_t watch;
+  bool gone; /* the caller has left, and the engine was told */
+
   /* Answer on its way to the caller; only the attempt that set `winner'
      touches the rest.  */
   atomic_uint_fast64_t winner;    /* attempt, or 0 */
--- a/peridotrouter/serve.c
+++ b/peridotrouter/serve.c
@@ -18,6 +18,8 @@
 #define KEY_MAX 255
 /* Time beyond the deadline in which the engine must have decided.  */
 #define DECIDE_GRACE_MS 2000
+/* Time between checks whether the caller of a waiting request has left.  */
+#define LEFT_CHECK_MS 20
 /* Handled; whether the connection stays is set apart.  */
 #define HANDLED 200
 
@@ -147,7 +149,7 @@
 refuse_input (struct mg_connection *conn, const request_t *request,
               uint32_t status, const char *type, const char *detail)
 {
-  answer_t answer = { .conn = conn, .closing = true };
+  answer_t answer = { .caller.conn = conn, .closing = true };
 
   if (request != NULL && request->answer != NULL)
     answer.request_id = request->answer->request_id;
@@ -452,7 +454,7 @@
                       "this method needs an Idempotency-Key", "no", 0);
       return true;
     }
-  return send_refusal (request);
+  return decision != DECISION_GONE && send_refusal (request);
 }
 
 /* Follows the engine's decisions until the request has ended.
@@ -468,7 +470,9 @@
   for (;;)
     {
       forward_t *forward;
-      decision_t decision = request_wait (request, until, &forward);
+      clock_ms_t check = clock_now_ms () + LEFT_CHECK_MS;
+      decision_t decision
+          = request_wait (request, MIN (until, check), &forward);
 
       switch (decision)
         {
@@ -482,6 +486,11 @@
         case DECISION_HEDGE_FAILED:
           break;
         case DECISION_NONE:
+          if (clock_now_ms () < until)
+            {
+              attempts_check_caller (serve->attempts, request);
+              continue;
+            }
           g_warning ("no decision for a request of service %s in time",
                      request->service);
           engine_post_gone (serve->engine, request);
@@ -497,10 +506,7 @@
       if (request->answer->failed
           && (decision == DECISION_FORWARD
               || decision == DECISION_HEDGE_FAILED))
-        {
-          engine_post_gone (serve->engine, request);
-          return false;
-        }
+        return false;
       /* A hedge may be writing the answer; then it reports its end.  */
       if (final != DECISION_NONE && win_for_router (request))
         return send_local (request, final);
@@ -529,7 +535,8 @@
     }
   request->received_us = clock_now_us ();
   request->answer = g_new0 (answer_t, 1);
-  request->answer->conn = conn;
+  request->answer->caller.conn = conn;
+  request->watch.conn = conn;
   request->answer->request_id = id;
   request->answer->closing = engine_is_stopping (serve->engine);
   request->answer->is_head
--- /dev/null
+++ b/test/run/slow_callers.py
@@ -0,0 +1,133 @@
+"""Callers that stop reading their answer, read it very slowly, or leave while
+their request waits in a queue.
+
+Guards against a slow caller that holds a slot beyond the run time of the
+profile or a worker beyond its deadline, and against a caller that has left
+and still holds a place in the queue or gets its request run.
+"""
+
+import select
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from faultrun import Faults, now_us, wait_until
+from harness import main, request, wait_for
+from topology import Deployment, Service, Topology
+
+RUN_MS = 1000
+# Time to notice and to tell, on a busy machine.
+GRACE_MS = 500
+READERS = 6
+LEAVERS = 6
+# The queue takes two requests for each usable slot.
+PLACES = 2
+LEFT_MS = 100
+OCCUPIED_MS = 800
+DEPLOYMENT = Deployment(
+    "slow", ["quezon"], [Service("booking", 1, 3), Service("records", 8, 3)],
+    2, profile={"run_ms": RUN_MS, "timeout_ms": 4000})
+
+
+def send(instance, method, path, headers, body=""):
+    """Sends a request with a small receive buffer; returns the socket."""
+    one = socket.socket()
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    one.settimeout(10)
+    one.connect(("127.0.0.1", instance.callers))
+    one.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\n{headers}"
+                f"Content-Length: {len(body)}\r\n\r\n{body}".encode())
+    return one
+
+
+def read_slowly(one, ended):
+    """Takes 2 KB in a second."""
+    try:
+        while not ended.wait(0.5) and one.recv(1024):
+            pass
+    except OSError:
+        pass
+
+
+def slow_readers(faults, instance):
+    """Half of the readers stop after the head, the others read on slowly."""
+    topology = faults.topology
+    ended = threading.Event()
+    begin_us = now_us()
+    readers = [send(instance, "GET", f"/s/records/archive/{i}",
+                    f"Request-Id: slow-{i}\r\n") for i in range(READERS)]
+    heads = [one.recv(1024) for one in readers]
+    faults.say("slow readers get the head of their answer", all(
+        head.startswith(b"HTTP/1.1 200") for head in heads))
+    for one in readers[::2]:
+        threading.Thread(target=read_slowly, args=(one, ended),
+                         daemon=True).start()
+    # All workers serve the readers; this request waits for one of them.
+    answer = request(instance.callers, "GET", "/s/records/history/1", None,
+                     {"Request-Id": "other"})
+    worker_ms = (now_us() - begin_us) // 1000
+    wait_for("the slots of slow readers are free", lambda: not any(
+        entry["in_flight"] for entry in topology.stats().values()))
+    slots_ms = (now_us() - begin_us) // 1000
+    faults.note(f"slow readers: worker free after {worker_ms} ms, slots "
+                f"after {slots_ms} ms")
+    faults.say("a slow reader holds no worker beyond the run time",
+               answer.status == 200 and worker_ms <= RUN_MS + GRACE_MS)
+    faults.say("a slow reader holds no slot beyond the run time",
+               slots_ms <= RUN_MS + GRACE_MS)
+    ended.set()
+    for one in readers:
+        one.close()
+
+
+def leavers(faults, instance, pool):
+    """Callers leave while their requests wait for the only usable slot."""
+    topology = faults.topology
+    endpoint = topology.endpoints[0]
+    endpoint.control(slow_ms=OCCUPIED_MS)
+
+    def ask(by, name):
+        return request(by.callers, "GET", "/s/booking/slot-check", None,
+                       {"Request-Id": name})
+    # Requests that wait are given up early when others took less time.
+    ask(instance, "first")
+    occupied = pool.submit(ask, instance, "occupies")
+    wait_for("the slot is occupied", lambda: any(
+        entry["in_flight"] for entry in topology.stats().values()))
+    waiting = [send(instance, "POST", "/s/booking/confirm",
+                    f"Request-Id: left\r\nIdempotency-Key: left-{i}\r\n",
+                    "{}") for i in range(LEAVERS)]
+    # A refusal says that the queue is full.
+    wait_for("a request is refused",
+             lambda: select.select(waiting, [], [], 0)[0])
+    for one in waiting:
+        one.close()
+    left_us = now_us()
+    wait_until(left_us + LEFT_MS * 1000, "the instance notices")
+    during = not occupied.done()
+    # The instance that was refused leaves the pool alone for a while.
+    stayed = [pool.submit(ask, topology.instances[1], f"stays-{i}")
+              for i in range(PLACES)]
+    statuses = [one.result().status for one in stayed]
+    keys = [entry["key"] for entry in topology.journal()]
+    faults.note(f"answers in their places: {statuses}, ran: {keys}")
+    faults.say("places of callers that left the queue are free at once",
+               during and statuses == [200] * PLACES)
+    faults.say("no request of a caller that left the queue ran", not keys)
+    faults.say("the request in the slot is answered",
+               occupied.result().status == 200)
+
+
+def script(run):
+    faults = Faults(run, DEPLOYMENT, lambda *args: Topology(
+        *args, settings={"workers": READERS}),
+        ("--archive-bytes", 24 << 20))
+    instance = faults.topology.instances[0]
+    slow_readers(faults, instance)
+    with ThreadPoolExecutor() as pool:
+        leavers(faults, instance, pool)
+    return 0 if faults.held and not any(
+        faults.topology.stop_instances()) else 1
+
+
+main(script)
