End a planned stop when all other members leave and the store is down

An instance whose offer was refused by another one that stops kept waiting for that offer, and a delegate cannot pass slices on before the record names it. Without the store both waited until STOP_MAX_MS, 15 s. Instances that announce their stop within 350 ms of each other made no offers and were not affected.

When all other members have announced that they leave, the slices are lost in any case. Callers still use the others until their address answers have expired, so the instance stays for that time after the last announcement. A member that is silent, or whose process was replaced, does not count as leaving: it may still take or need the slices. Stopping at once was ruled out, since it would take grants from callers of the last instance.

--- a/lib/decide/ownership.c
+++ b/lib/decide/ownership.c
@@ -19,6 +19,7 @@
 static bool centre_missing (const ownership_t *o);
 static bool contend (ownership_t *o, clock_ms_t now);
 static void act (ownership_t *o, clock_ms_t now);
+static bool has_company (const ownership_t *o);
 
 static bool
 settings_valid (const ownership_settings_t *settings)
@@ -403,6 +404,8 @@
   clock_ms_t next = now + TICK_MS;
 
   act (o, now);
+  if (o->stopping && has_company (o))
+    o->company_at = now;
   if (now >= o->next_heartbeat)
     ownership_heartbeat_send (o, now);
   return o->next_heartbeat < next ? o->next_heartbeat : next;
@@ -415,10 +418,29 @@
     return;
   o->stopping = true;
   o->stop_at = now;
+  o->company_at = now;
   o->attempt.active = false;
   ownership_heartbeat_send (o, now);
 }
 
+/* Whether another member has not announced that it leaves.  A silent one may
+   be paused and take slices later.  */
+static bool
+has_company (const ownership_t *o)
+{
+  for (uint32_t i = 0; i < o->record.member_count; i++)
+    {
+      const decide_member_t *member = &o->record.members[i];
+      const ownership_peer_t *peer = ownership_peer_find (o, o->member_ids[i]);
+
+      if (o->member_ids[i] != o->self && member->incarnation != 0
+          && (peer == NULL || peer->incarnation != member->incarnation
+              || peer->state != DECIDE_MEMBER_LEAVING))
+        return true;
+    }
+  return false;
+}
+
 bool
 ownership_stopped (const ownership_t *o, clock_ms_t now)
 {
@@ -430,6 +452,11 @@
     return true;
   if (now < o->stop_at + 2 * DECIDE_HEARTBEAT_MS || (o->put.busy && store))
     return false;
+  /* Without the store and a successor the slices are lost in any case.  Until
+     callers have left the others, these may need them.  */
+  if (!store
+      && now - o->company_at > DECIDE_ADDRESS_LIFETIME_MS + DECIDE_HEARTBEAT_MS)
+    return true;
   for (uint32_t c = 0; c < o->record.centre_count; c++)
     for (uint32_t s = 0; s < DECIDE_SLICES; s++)
       {
--- a/lib/decide/ownership_private.h
+++ b/lib/decide/ownership_private.h
@@ -131,6 +131,7 @@
 
   bool stopping;
   clock_ms_t stop_at;
+  clock_ms_t company_at; /* last time at which another one could succeed */
 };
 
 /* Time since @then, or INT64_MAX for OWNERSHIP_NEVER.  */
--- a/test/run/planned_stop.py
+++ b/test/run/planned_stop.py
@@ -1,8 +1,8 @@
 """Two instances stop while they have long requests and downloads in flight;
-one of them cannot reach the store.
+one of them cannot reach the store.  Then the other two stop without the store.
 
 Guards against a planned stop that ends before the requests that it has, and
-against one that needs the store.
+against one that needs the store or a successor when all others leave.
 """
 
 import http.client
@@ -10,13 +10,16 @@
 import socket
 from concurrent.futures import ThreadPoolExecutor
 
-from faultrun import Faults, now_us
+from faultrun import Faults, now_us, wait_until
 from harness import main, request, wait_for
 from topology import Deployment, Service, StoreLinks
 
 # Longer than everything else that a stop waits for.
-LONG_MS = 4000
+LONG_MS = 3000
 ARCHIVE = 24 << 20
+HANDED_OVER_MS = 500
+# Callers leave for 2 s, and the listeners take up to 2 s each to close.
+LAST_STOP_S = 9
 DEPLOYMENT = Deployment(
     "stop", ["quezon"], [Service("booking", 8, 3), Service("records", 8, 3)],
     4, profile={"timeout_ms": 9000, "run_ms": 8000})
@@ -105,7 +108,18 @@
                not any(faults.statuses.values()))
     keys = [entry["key"] for entry in topology.journal()]
     faults.say("no confirmation ran twice", len(keys) == len(set(keys)))
-    return 0 if faults.held and not any(topology.stop_instances()) else 1
+    topology.platform.faults(down=True)
+    last_but_one, last = faults.running()
+    last_but_one.process.ask_to_stop()
+    stop_us = now_us()
+    # By then it has handed its slices over to the last.
+    wait_until(stop_us + HANDED_OVER_MS * 1000, "the last one is asked to stop")
+    statuses = topology.stop_instances()
+    took_s = (now_us() - stop_us) / 1e6
+    faults.note(f"the last two stopped after {took_s:.1f} s")
+    faults.say("the last two stop without the store and a successor",
+               took_s <= LAST_STOP_S and not any(statuses))
+    return 0 if faults.held else 1
 
 
 main(script)
--- a/test/unit/ownership.c
+++ b/test/unit/ownership.c
@@ -276,6 +276,85 @@
   model_free (m);
 }
 
+/* Slices that an instance would still hand over or serve for another one.  */
+static uint32_t
+unfinished (const ownership_t *o)
+{
+  uint32_t count = 0;
+
+  for (uint32_t c = 0; c < o->record.centre_count; c++)
+    for (uint32_t s = 0; s < DECIDE_SLICES; s++)
+      count += o->slices[c][s].delegate
+               || (o->slices[c][s].offered && !o->slices[c][s].acked);
+  return count;
+}
+
+/* Guards against instances that wait for a successor when all others have
+   announced that they leave, and against one that takes slices away while
+   the last of them still serves callers.  */
+static void
+test_stop_all (gconstpointer gap)
+{
+  model_t *m = settled (6, 2, 11);
+  uint32_t held = 0;
+  int64_t last;
+
+  m->store_down = true;
+  model_run (m, 5000);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      if (i > 0)
+        model_run (m, GPOINTER_TO_INT (gap));
+      ownership_stop (m->instances[i].o, model_clock (m, i));
+    }
+  last = m->now;
+  while (m->now < last + DECIDE_ADDRESS_LIFETIME_MS)
+    {
+      for (uint32_t i = 0; i < 6; i++)
+        {
+          const ownership_t *o = m->instances[i].o;
+
+          held += unfinished (o);
+          g_assert_true (unfinished (o) == 0
+                         || !ownership_stopped (o, model_clock (m, i)));
+        }
+      model_run (m, 20);
+    }
+  g_assert_cmpuint (held, >, 0);
+  model_run (m, 1000);
+  for (uint32_t i = 0; i < 6; i++)
+    g_assert_true (
+        ownership_stopped (m->instances[i].o, model_clock (m, i)));
+  assert_safe (m);
+  model_free (m);
+}
+
+/* Guards against an instance that leaves before a member that was paused can
+   take its slices.  */
+static void
+test_stop_paused (void)
+{
+  model_t *m = settled (3, 1, 12);
+
+  m->store_down = true;
+  model_run (m, 5000);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      ownership_stop (m->instances[i].o, model_clock (m, i));
+      model_run (m, 400);
+    }
+  m->instances[2].paused = true;
+  model_run (m, 6000);
+  g_assert_cmpuint (unfinished (m->instances[0].o)
+                        + unfinished (m->instances[1].o),
+                    >, 0);
+  for (uint32_t i = 0; i < 2; i++)
+    g_assert_true (unfinished (m->instances[i].o) == 0
+                   || !ownership_stopped (m->instances[i].o,
+                                          model_clock (m, i)));
+  model_free (m);
+}
+
 /* Guards against a slice without a successor when the one that it was offered
    to stops before the offer arrives.  */
 static void
@@ -511,6 +590,11 @@
   g_test_add_data_func ("/ownership/stop-store-down", GINT_TO_POINTER (TRUE),
                         test_stop);
   g_test_add_func ("/ownership/stop-several", test_stop_several);
+  g_test_add_data_func ("/ownership/stop-all", GINT_TO_POINTER (100),
+                        test_stop_all);
+  g_test_add_data_func ("/ownership/stop-all-slowly", GINT_TO_POINTER (400),
+                        test_stop_all);
+  g_test_add_func ("/ownership/stop-paused", test_stop_paused);
   g_test_add_func ("/ownership/refused", test_refused);
   g_test_add_func ("/ownership/join", test_join);
   g_test_add_func ("/ownership/remove", test_remove);
