--- a/test/unit/ownership.c
+++ b/test/unit/ownership.c
@@ -323,8 +323,7 @@
   g_assert_cmpuint (held, >, 0);
   model_run (m, 1000);
   for (uint32_t i = 0; i < 6; i++)
-    g_assert_true (
-        ownership_stopped (m->instances[i].o, model_clock (m, i)));
+    g_assert_true (ownership_stopped (m->instances[i].o, model_clock (m, i)));
   assert_safe (m);
   model_free (m);
 }
@@ -345,13 +344,12 @@
     }
   m->instances[2].paused = true;
   model_run (m, 6000);
-  g_assert_cmpuint (unfinished (m->instances[0].o)
-                        + unfinished (m->instances[1].o),
-                    >, 0);
+  g_assert_cmpuint (
+      unfinished (m->instances[0].o) + unfinished (m->instances[1].o), >, 0);
   for (uint32_t i = 0; i < 2; i++)
-    g_assert_true (unfinished (m->instances[i].o) == 0
-                   || !ownership_stopped (m->instances[i].o,
-                                          model_clock (m, i)));
+    g_assert_true (
+        unfinished (m->instances[i].o) == 0
+        || !ownership_stopped (m->instances[i].o, model_clock (m, i)));
   model_free (m);
 }
 
