Look for a caller's descriptor first where it was found last

Cause: CivetWeb does not tell the descriptor of a connection, so that a request that waits or runs for 20 ms looked through all open descriptors.

A worker serves one connection after the other, so the last descriptor is nearly always the right one; it is compared with the connection's addresses before it is used.

Ruled out: keeping it with CivetWeb's connection data, which would have to be cleared when a connection ends.

--- a/peridotrouter/caller.c
+++ b/peridotrouter/caller.c
@@ -53,10 +53,12 @@
 }
 
 /* The search costs a system call for each open descriptor, so it is left to
-   requests that wait or have long answers.  */
+   requests that wait or have long answers, and begins with the descriptor that
+   it found last: a worker serves one connection after the other.  */
 static int
 find_descriptor (caller_t *caller)
 {
+  static _Thread_local int last;
   const struct mg_request_info *info;
   int row = 0;
 
@@ -64,11 +66,16 @@
     return caller->fd;
   info = mg_get_request_info (caller->conn);
   caller->fd = -1;
+  if (last > 0 && is_connection (last, info))
+    {
+      caller->fd = last;
+      return last;
+    }
   for (int fd = 3; row < FREE_ROW; fd++)
     {
       if (is_connection (fd, info))
         {
-          caller->fd = fd;
+          caller->fd = last = fd;
           break;
         }
       row = errno == EBADF ? row + 1 : 0;
