Limit the memory of idempotency keys of an instance

Cause: entries and their recorded answers (up to 4 KiB each) are kept for the retention time without any bound.

Change: setting limits.key_bytes, 1 MiB to 4 GiB, 64 MiB unless set. An instance whose entries exceed it refuses a new claim as not run with a retry time, as owner (status KEY_FULL) and as the requester that is to hold the copy, which withdraws its claim. Refusals are counted in peridot_requests_refused_total{reason="key_full"}. The recording carries the limit, so that a replay decides the same.

Ruled out: refusing KEY_COPY above the limit. The copy may be of a claim that already runs, and without it the loss of the owner could let the key run twice.

Limitation: the owner keeps the withdrawn claim of a full requester as not run until the retention ends, about 180 bytes for each key.

--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -65,6 +65,7 @@
   uint32_t workers; /* CivetWeb threads: concurrent caller connections */
   uint64_t body_bytes;
   uint32_t header_bytes;
+  uint64_t key_bytes;           /* limit of idempotency keys in memory */
   clock_ms_t request_header_ms; /* longest wait for a request's header */
   GLogLevelFlags log_level;     /* least important level that is written */
   double trace; /* share 0..1 of requests whose spans are written */
--- a/lib/conf/settings.c
+++ b/lib/conf/settings.c
@@ -116,6 +116,7 @@
     .workers = 128,
     .body_bytes = 1 << 20,
     .header_bytes = 16384,
+    .key_bytes = 64 << 20,
     .request_header_ms = 5000,
     .log_level = G_LOG_LEVEL_INFO,
   };
@@ -347,10 +348,11 @@
 static int
 read_limits (reader_t *reader, json_object *root, conf_settings_t *settings)
 {
-  static const char *const keys[]
-      = { "body_bytes", "header_bytes", "request_header_ms", NULL };
+  static const char *const keys[] = { "body_bytes", "header_bytes",
+                                      "request_header_ms", "key_bytes", NULL };
   int64_t body = (int64_t)settings->body_bytes;
   int64_t header = settings->header_bytes;
+  int64_t key = (int64_t)settings->key_bytes;
   json_object *limits;
   size_t depth;
   int result = read_object (reader, root, "limits", OPTIONAL, &limits);
@@ -368,10 +370,15 @@
       || (result = read_integer (reader, limits, "request_header_ms", OPTIONAL,
                                  (range_t){ 100, 60000 },
                                  &settings->request_header_ms))
+             != 0
+      || (result
+          = read_integer (reader, limits, "key_bytes", OPTIONAL,
+                          (range_t){ 1 << 20, INT64_C (1) << 32 }, &key))
              != 0)
     return result;
   settings->body_bytes = (uint64_t)body;
   settings->header_bytes = (uint32_t)header;
+  settings->key_bytes = (uint64_t)key;
   reader_leave (reader, depth);
   return 0;
 }
--- a/lib/decide/claim.c
+++ b/lib/decide/claim.c
@@ -43,8 +43,8 @@
 
 static void ask (claims_t *claims, clock_ms_t now, claim_t *claim);
 static void free_claim (gpointer data);
-static void handle_reply (claims_t *claims, claim_t *claim, decide_id_t from,
-                          const decide_msg_t *msg);
+static void handle_reply (claims_t *claims, clock_ms_t now, claim_t *claim,
+                          decide_id_t from, const decide_msg_t *msg);
 static void refuse (claims_t *claims, claim_t *claim, decide_reason_t reason,
                     decide_ran_t ran, clock_ms_t retry_after_ms);
 static void report (claims_t *claims, clock_ms_t now, claim_t *claim,
@@ -172,7 +172,8 @@
 }
 
 void
-claims_message (claims_t *claims, decide_id_t from, const decide_msg_t *msg)
+claims_message (claims_t *claims, clock_ms_t now, decide_id_t from,
+                const decide_msg_t *msg)
 {
   const decide_msg_key_t *key = &msg->u.key;
   claim_t *claim = g_hash_table_lookup (claims->by_request, &key->request);
@@ -183,23 +184,32 @@
       || claim->key.hash[1] != key->key.hash[1])
     return;
   if (msg->type == DECIDE_MSG_KEY_CLAIM_REPLY && claim->phase == PHASE_ASKING)
-    handle_reply (claims, claim, from, msg);
+    handle_reply (claims, now, claim, from, msg);
   else if (msg->type == DECIDE_MSG_KEY_COPY_ACK
            && claim->phase == PHASE_REPORTING && key->state == claim->state)
     g_hash_table_remove (claims->by_request, &claim->request);
 }
 
 static void
-handle_reply (claims_t *claims, claim_t *claim, decide_id_t from,
-              const decide_msg_t *msg)
+handle_reply (claims_t *claims, clock_ms_t now, claim_t *claim,
+              decide_id_t from, const decide_msg_t *msg)
 {
   const decide_msg_key_t *key = &msg->u.key;
+  decide_key_status_t held;
 
   switch (key->status)
     {
     case DECIDE_KEY_RUN_WITH_COPY:
-      if (!claims->callbacks.hold (claims->callbacks.context, from, msg))
+      held = claims->callbacks.hold (claims->callbacks.context, from, msg);
+      if (held == DECIDE_KEY_NOT_OWNER)
         return; /* asked again as after NOT_OWNER */
+      if (held == DECIDE_KEY_FULL)
+        {
+          refuse (claims, claim, DECIDE_REASON_KEY_FULL, DECIDE_RAN_NO,
+                  RETRY_AFTER_MS);
+          start_report (claims, now, claim, DECIDE_KEY_STATE_NOT_RUN);
+          return;
+        }
       G_GNUC_FALLTHROUGH;
     case DECIDE_KEY_RUN:
       claim->phase = PHASE_RUNNING;
@@ -222,6 +232,10 @@
       refuse (claims, claim, DECIDE_REASON_KEY_UNCERTAIN, DECIDE_RAN_UNKNOWN,
               RETRY_AFTER_MS);
       break;
+    case DECIDE_KEY_FULL:
+      refuse (claims, claim, DECIDE_REASON_KEY_FULL, DECIDE_RAN_NO,
+              RETRY_AFTER_MS);
+      break;
     case DECIDE_KEY_NO_COPY:
       refuse (claims, claim, DECIDE_REASON_KEY_NO_COPY, DECIDE_RAN_NO,
               RETRY_AFTER_MS);
--- a/lib/decide/claim.h
+++ b/lib/decide/claim.h
@@ -14,9 +14,10 @@
   /* Instance that serves a key slice; 0 when there is none.  */
   decide_id_t (*target) (void *context, uint32_t slice);
   void (*send) (void *context, decide_id_t to, const decide_msg_t *msg);
-  /* Stores the copy that a reply carries; false when it may come from an owner
-     that has been replaced.  */
-  bool (*hold) (void *context, decide_id_t from, const decide_msg_t *reply);
+  /* Stores the copy that a reply carries: RUN, NOT_OWNER when it may come from
+     an owner that has been replaced, or FULL.  */
+  decide_key_status_t (*hold) (void *context, decide_id_t from,
+                               const decide_msg_t *reply);
   /* The outcome that is about to be reported.  */
   void (*ended) (void *context, const decide_msg_key_t *outcome);
   /* The request may run; claims_ended() must follow.  */
@@ -42,7 +43,7 @@
                    clock_ms_t retention_ms);
 
 /* Handles KEY_CLAIM_REPLY and KEY_COPY_ACK.  */
-void claims_message (claims_t *claims, decide_id_t from,
+void claims_message (claims_t *claims, clock_ms_t now, decide_id_t from,
                      const decide_msg_t *msg);
 
 /**
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -174,6 +174,7 @@
   DECIDE_REASON_KEY_IN_PROGRESS,
   DECIDE_REASON_KEY_UNCERTAIN, /* an earlier attempt may have run */
   DECIDE_REASON_KEY_NO_COPY,   /* no second instance keeps the claim */
+  DECIDE_REASON_KEY_FULL,      /* no room for another key */
   DECIDE_REASON_STOPPING
 } decide_reason_t;
 
@@ -366,7 +367,8 @@
   DECIDE_KEY_UNCERTAIN,
   DECIDE_KEY_NO_COPY,
   DECIDE_KEY_NOT_OWNER,
-  DECIDE_KEY_RUN_WITH_COPY /* as RUN; the requester holds the copy */
+  DECIDE_KEY_RUN_WITH_COPY, /* as RUN; the requester holds the copy */
+  DECIDE_KEY_FULL           /* no room for another key */
 } decide_key_status_t;
 
 typedef enum decide_key_state
@@ -490,6 +492,7 @@
   char group[DECIDE_NAME_MAX]; /* ownership group */
   uint64_t incarnation;        /* random, not 0 */
   uint64_t seed;
+  uint64_t key_bytes; /* limit of key entries; 0: none */
   /* All configured instances, this one included; copied.  */
   uint32_t instance_count;
   const decide_instance_t *instances;
--- a/lib/decide/keys.c
+++ b/lib/decide/keys.c
@@ -8,6 +8,8 @@
 /* Longer than any delay between a request's deadline and its outcome.  */
 #define OUTCOME_GRACE_MS 2000
 #define SCAN_MS 1000
+/* An entry with its share of the table and of the allocator.  */
+#define ENTRY_BYTES (sizeof (keys_entry_t) + 64)
 
 static bool tick_entry (keys_t *keys, clock_ms_t now, keys_entry_t *entry);
 static gboolean equal_key (gconstpointer a, gconstpointer b);
@@ -42,12 +44,13 @@
 
 keys_t *
 keys_new (const keys_callbacks_t *callbacks, uint64_t incarnation,
-          clock_ms_t now)
+          uint64_t bytes_max, clock_ms_t now)
 {
   keys_t *keys = g_new0 (keys_t, 1);
 
   keys->callbacks = *callbacks;
   keys->incarnation = incarnation;
+  keys->bytes_max = bytes_max;
   keys->started = now;
   keys->entries
       = g_hash_table_new_full (hash_key, equal_key, NULL, free_entry);
@@ -84,6 +87,12 @@
   return g_hash_table_size (keys->entries);
 }
 
+bool
+keys_is_full (const keys_t *keys)
+{
+  return keys->bytes_max > 0 && keys->bytes >= keys->bytes_max;
+}
+
 keys_entry_t *
 keys_find_entry (const keys_t *keys, const decide_key_t *key)
 {
@@ -100,6 +109,7 @@
   entry->expires = now + msg->retention_ms;
   entry->run_until = now + msg->left_ms;
   g_hash_table_insert (keys->entries, entry->key.hash, entry);
+  keys->bytes += ENTRY_BYTES;
   return entry;
 }
 
@@ -108,6 +118,9 @@
 {
   if (entry->listed)
     g_ptr_array_remove_fast (keys->active, entry);
+  keys->bytes -= ENTRY_BYTES;
+  if (entry->answer != NULL)
+    keys->bytes -= keys_answer_size (entry->answer);
   g_hash_table_remove (keys->entries, entry->key.hash);
 }
 
--- a/lib/decide/keys.h
+++ b/lib/decide/keys.h
@@ -35,9 +35,11 @@
 /**
  * keys_new() - create an empty table
  * @incarnation: this process's incarnation, for messages
+ * @bytes_max: limit of all entries; above it new claims are refused, copies
+ *   for other members are still taken; 0 for no limit
  */
 keys_t *keys_new (const keys_callbacks_t *callbacks, uint64_t incarnation,
-                  clock_ms_t now);
+                  uint64_t bytes_max, clock_ms_t now);
 void keys_free (keys_t *keys);
 
 uint32_t keys_slice (const decide_key_t *key);
@@ -54,11 +56,12 @@
  * @from: owner that sent the reply
  * @incarnation: the owner's
  *
- * Return: false when the request must not run on this reply, because the owner
- * may have been replaced.
+ * Return: RUN; NOT_OWNER when the owner may have been replaced, so that the
+ * request must not run on this reply; FULL when there is no room.
  */
-bool keys_hold_claim (keys_t *keys, clock_ms_t now, decide_id_t from,
-                      uint64_t incarnation, const decide_msg_key_t *reply);
+decide_key_status_t keys_hold_claim (keys_t *keys, clock_ms_t now,
+                                     decide_id_t from, uint64_t incarnation,
+                                     const decide_msg_key_t *reply);
 
 /* A request of this instance has ended: its copy, if any, gets the outcome
    before the owner is told.  */
--- a/lib/decide/keys_claim.c
+++ b/lib/decide/keys_claim.c
@@ -103,7 +103,13 @@
       refuse_uncertain (keys, now, from->id, msg);
       return;
     }
+  if (keys_is_full (keys))
+    {
+      refuse_claim (keys, from->id, msg, DECIDE_KEY_FULL);
+      return;
+    }
   entry = keys_add_entry (keys, now, msg);
+  entry->state = DECIDE_KEY_STATE_NOT_RUN;
   entry->serving = true;
   start_claim (keys, now, entry, from, msg);
 }
@@ -261,7 +267,7 @@
       bool kept = entry->request == msg->request
                   && keys_same_member (&entry->copy, from);
 
-      keys_merge (entry, msg->state, msg);
+      keys_merge (keys, entry, msg->state, msg);
       /* The requester has recorded the outcome in its copy.  */
       if (kept)
         keys_answer_waiters (keys, now, entry);
--- a/lib/decide/keys_collect.c
+++ b/lib/decide/keys_collect.c
@@ -147,7 +147,7 @@
     }
   else if (keys_state_rank (msg->state) >= keys_state_rank (entry->state))
     {
-      keys_merge (entry, msg->state, msg);
+      keys_merge (keys, entry, msg->state, msg);
       entry->request = msg->request;
       entry->runner = msg->runner;
     }
--- a/lib/decide/keys_copy.c
+++ b/lib/decide/keys_copy.c
@@ -79,13 +79,17 @@
 }
 
 void
-keys_merge (keys_entry_t *entry, decide_key_state_t state,
+keys_merge (keys_t *keys, keys_entry_t *entry, decide_key_state_t state,
             const decide_msg_key_t *msg)
 {
   entry->state = state;
   if (state == DECIDE_KEY_STATE_DONE && msg->has_answer
       && entry->answer == NULL)
-    entry->answer = g_memdup2 (&msg->answer, keys_answer_size (&msg->answer));
+    {
+      entry->answer
+          = g_memdup2 (&msg->answer, keys_answer_size (&msg->answer));
+      keys->bytes += keys_answer_size (entry->answer);
+    }
 }
 
 void
@@ -111,7 +115,7 @@
      after its own outcome is a late message.  */
   if (keys_state_rank (msg->state) >= keys_state_rank (entry->state))
     {
-      keys_merge (entry, msg->state, msg);
+      keys_merge (keys, entry, msg->state, msg);
       entry->request = msg->request;
       entry->runner = msg->runner;
       entry->run_until = now + msg->left_ms;
--- a/lib/decide/keys_hold.c
+++ b/lib/decide/keys_hold.c
@@ -96,7 +96,7 @@
              && !keys_same_member (&slice->collector, owner));
 }
 
-bool
+decide_key_status_t
 keys_hold_claim (keys_t *keys, clock_ms_t now, decide_id_t from,
                  uint64_t incarnation, const decide_msg_key_t *reply)
 {
@@ -105,18 +105,20 @@
 
   if (may_be_replaced (&keys->slices[keys_slice (&reply->key)], &owner,
                        reply->record_version))
-    return false;
+    return DECIDE_KEY_NOT_OWNER;
   if (entry != NULL && entry->expires > now
       && keys_state_rank (entry->state)
              > keys_state_rank (DECIDE_KEY_STATE_CLAIMED))
-    return false;
+    return DECIDE_KEY_NOT_OWNER;
+  if (keys_is_full (keys))
+    return DECIDE_KEY_FULL;
   if (entry != NULL)
     keys_remove_entry (keys, entry);
   entry = keys_add_entry (keys, now, reply);
   entry->state = DECIDE_KEY_STATE_CLAIMED;
   entry->request = reply->request;
   entry->runner = reply->runner;
-  return true;
+  return DECIDE_KEY_RUN;
 }
 
 void
@@ -126,7 +128,7 @@
 
   if (entry != NULL && !keys->slices[entry->slice].serving
       && keys_outcome_applies (entry, outcome))
-    keys_merge (entry, outcome->state, outcome);
+    keys_merge (keys, entry, outcome->state, outcome);
 }
 
 static void
--- a/lib/decide/keys_state.h
+++ b/lib/decide/keys_state.h
@@ -67,6 +67,8 @@
 {
   keys_callbacks_t callbacks;
   uint64_t incarnation;
+  uint64_t bytes; /* of all entries and their answers */
+  uint64_t bytes_max;
   clock_ms_t started;
   clock_ms_t scanned;
   clock_ms_t checked; /* the list of holders */
@@ -103,8 +105,9 @@
 void keys_send_copy (keys_t *keys, clock_ms_t now, const keys_entry_t *entry,
                      decide_msg_type_t type);
 int keys_state_rank (decide_key_state_t state);
-void keys_merge (keys_entry_t *entry, decide_key_state_t state,
+void keys_merge (keys_t *keys, keys_entry_t *entry, decide_key_state_t state,
                  const decide_msg_key_t *msg);
+bool keys_is_full (const keys_t *keys);
 void keys_handle_copy (keys_t *keys, clock_ms_t now, decide_id_t from,
                        const decide_msg_key_t *msg);
 void keys_handle_copy_ack (keys_t *keys, clock_ms_t now,
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -11,8 +11,8 @@
 static bool key_second (void *context, uint32_t slice, keys_member_t *member);
 static uint32_t key_holders (void *context, keys_member_t *members,
                              uint32_t max);
-static bool key_hold (void *context, decide_id_t from,
-                      const decide_msg_t *reply);
+static decide_key_status_t key_hold (void *context, decide_id_t from,
+                                     const decide_msg_t *reply);
 static void key_ended (void *context, const decide_msg_key_t *outcome);
 static void note_key_owners (decide_t *node);
 static uint64_t record_version (void *context);
@@ -198,7 +198,7 @@
   return count;
 }
 
-static bool
+static decide_key_status_t
 key_hold (void *context, decide_id_t from, const decide_msg_t *reply)
 {
   decide_t *node = context;
@@ -380,7 +380,8 @@
   own.centres = (const char *const *)centres->pdata;
   node->ownership = ownership_new (&own, &ownership, &node->rng, node->now);
   node->router = router_new (&router, &node->rng, node->now);
-  node->keys = keys_new (&keys, settings->incarnation, node->now);
+  node->keys = keys_new (&keys, settings->incarnation, settings->key_bytes,
+                         node->now);
   node->claims = claims_new (&claims, settings->incarnation);
   g_ptr_array_free (centres, TRUE);
 }
--- a/lib/decide/node_messages.c
+++ b/lib/decide/node_messages.c
@@ -170,10 +170,10 @@
       handle_router_message (node, from, msg);
       break;
     case DECIDE_MSG_KEY_CLAIM_REPLY:
-      claims_message (node->claims, from, msg);
+      claims_message (node->claims, now, from, msg);
       break;
     case DECIDE_MSG_KEY_COPY_ACK:
-      claims_message (node->claims, from, msg);
+      claims_message (node->claims, now, from, msg);
       keys_message (node->keys, now, from, msg);
       break;
     case DECIDE_MSG_KEY_CLAIM:
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -161,8 +161,7 @@
 static bool
 decode_key (const wire_key *from, decide_msg_key_t *to)
 {
-  if (!is_slice (from->centre, from->slice)
-      || from->status > DECIDE_KEY_RUN_WITH_COPY
+  if (!is_slice (from->centre, from->slice) || from->status > DECIDE_KEY_FULL
       || from->state > DECIDE_KEY_STATE_NOT_RUN || !is_duration (from->left_ms)
       || !is_duration (from->retention_ms) || !is_duration (from->running_ms))
     return false;
--- a/peridotrouter/answer.c
+++ b/peridotrouter/answer.c
@@ -255,6 +255,9 @@
   [DECIDE_REASON_KEY_NO_COPY]
   = { 503, "/problems/key-no-copy",
       "no second instance can record the idempotency key now" },
+  [DECIDE_REASON_KEY_FULL]
+  = { 503, "/problems/key-full",
+      "there is no room to record the idempotency key now" },
   [DECIDE_REASON_STOPPING]
   = { 503, "/problems/stopping", "this instance is leaving service" },
 };
--- a/peridotrouter/engine.c
+++ b/peridotrouter/engine.c
@@ -95,6 +95,7 @@
   if (error != 0)
     return error;
   own.incarnation |= 1;
+  own.key_bytes = settings->key_bytes;
   if (settings->has_seed)
     own.seed = settings->seed;
   g_strlcpy (own.instance, settings->instance, sizeof own.instance);
--- a/peridotrouter/record.c
+++ b/peridotrouter/record.c
@@ -73,9 +73,10 @@
 {
   if (record == NULL)
     return;
-  fprintf (record->file, "%" PRId64 " start %s %s %s %" PRIu64 " %" PRIu64,
-           now, settings->instance, settings->data_centre, settings->group,
-           settings->incarnation, settings->seed);
+  fprintf (record->file,
+           "%" PRId64 " start %s %s %s %" PRIu64 " %" PRIu64 " %" PRIu64, now,
+           settings->instance, settings->data_centre, settings->group,
+           settings->incarnation, settings->seed, settings->key_bytes);
   for (uint32_t i = 0; i < settings->instance_count; i++)
     fprintf (record->file, " %s %s", settings->instances[i].name,
              settings->instances[i].data_centre);
--- a/test/unit/conf.c
+++ b/test/unit/conf.c
@@ -84,6 +84,8 @@
   { WITH ("\"workers\":\"8\""), ": $.workers: must be a whole number" },
   { WITH ("\"limits\":{\"body_bytes\":1023}"),
     ": $.limits.body_bytes: must be from 1024 to 67108864" },
+  { WITH ("\"limits\":{\"key_bytes\":1048575}"),
+    ": $.limits.key_bytes: must be from 1048576 to 4294967296" },
   { WITH ("\"limits\":{\"x\":1}"), ": $.limits: unknown key \"x\"" },
   { WITH ("\"trace\":1.01"), ": $.trace: must be from 0 to 1" },
   { WITH ("\"trace\":NaN"), ": $.trace: must be from 0 to 1" },
@@ -133,7 +135,8 @@
   static const char full[] = "// head\n" WITH (
       "\"advertise\":\"[::1]:65535\",\"group\":\"g\",\"workers\":4096,"
       "\"limits\":{\"body_bytes\":1024,\"header_bytes\":65536,"
-      "\"request_header_ms\":100},/* inner */\"log_level\":\"debug\","
+      "\"request_header_ms\":100,\"key_bytes\":4294967296},/* inner "
+      "*/\"log_level\":\"debug\","
       "\"trace\":1,\"policy\":\"power-of-two\","
       "\"seed\":9223372036854775807") " // tail";
   static const char minimal[] = WITH ("\"trace\":0.5");
@@ -149,6 +152,7 @@
   g_assert_cmpuint (s.body_bytes, ==, 1024);
   g_assert_cmpuint (s.header_bytes, ==, 65536);
   g_assert_cmpint (s.request_header_ms, ==, 100);
+  g_assert_cmpuint (s.key_bytes, ==, UINT64_C (4294967296));
   g_assert_cmpint (s.log_level, ==, G_LOG_LEVEL_DEBUG);
   g_assert_cmpfloat (s.trace, ==, 1.0);
   g_assert_cmpint (s.policy, ==, CONF_POLICY_POWER_OF_TWO);
@@ -162,6 +166,7 @@
   g_assert_cmpstr (s.group, ==, "default");
   g_assert_cmpstr (s.store_url, ==, "http://127.0.0.1:9");
   g_assert_cmpint (s.store_timeout_ms, ==, 800);
+  g_assert_cmpuint (s.key_bytes, ==, 67108864);
   g_assert_cmpint (s.log_level, ==, G_LOG_LEVEL_INFO);
   g_assert_cmpint (s.policy, ==, CONF_POLICY_OWNER);
   g_assert_cmpuint (s.instance_count, ==, 1);
--- a/test/unit/keys_holder.c
+++ b/test/unit/keys_holder.c
@@ -459,6 +459,81 @@
   end_world ();
 }
 
+static void
+assert_full (uint64_t request)
+{
+  g_assert_true (find_caller (request)->refused);
+  g_assert_cmpint (find_caller (request)->refusal.reason, ==,
+                   DECIDE_REASON_KEY_FULL);
+  g_assert_cmpint (find_caller (request)->refusal.ran, ==, DECIDE_RAN_NO);
+  g_assert_cmpint (find_caller (request)->refusal.retry_after_ms, >, 0);
+}
+
+/* Keys may run again after the retention time.  */
+static void
+forget_runs (void)
+{
+  for (uint32_t i = 1; i <= world.callers->len; i++)
+    find_caller (i)->run_ends = -1;
+}
+
+/* Guards against memory that grows with the keys, a limit that also stops
+   repeats of known keys, and room that does not come back.  */
+static void
+test_full (void)
+{
+  uint64_t request;
+
+  key_bytes = 6000; /* key 8 has an answer of 4 KiB */
+  start_world (1);
+  key_bytes = 0;
+  for (int round = 0; round < 3; round++)
+    {
+      request = call (REQUESTER, 8);
+      advance (SOON_MS);
+      finish (request, DECIDE_KEY_STATE_DONE);
+      for (uint32_t i = 11; i < 41; i += 2)
+        request = call (REPEATER, i);
+      advance (SOON_MS);
+      assert_full (request);
+      g_assert_cmpuint (keys_count (world.nodes[OWNER].keys), >, 4);
+      g_assert_cmpuint (keys_count (world.nodes[OWNER].keys), <, 12);
+      request = call (REPEATER, 8);
+      advance (SOON_MS);
+      g_assert_true (find_caller (request)->replayed);
+      forget_runs ();
+      world.now += RETENTION_MS;
+      advance (2000);
+    }
+  end_world ();
+}
+
+/* Guards against a full requester that runs a request without its copy, or
+   blocks the key for others.  */
+static void
+test_requester_full (void)
+{
+  uint64_t request;
+
+  start_world (1);
+  stop_node (REQUESTER);
+  key_bytes = 1;
+  start_node (REQUESTER);
+  key_bytes = 0;
+  world.leaving = ~(1U << REQUESTER);
+  call (OWNER, 7); /* its copy is taken above the limit */
+  advance (SOON_MS);
+  g_assert_true (find_caller (1)->ran);
+  world.leaving = 0;
+  request = call (REQUESTER, 8);
+  advance (SOON_MS);
+  assert_full (request);
+  request = call (REPEATER, 8);
+  advance (SOON_MS);
+  g_assert_true (find_caller (request)->ran);
+  end_world ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -492,5 +567,7 @@
   g_test_add_func ("/keys-holder/lost-reply", test_lost_reply);
   g_test_add_func ("/keys-holder/lapsed-lease", test_lapsed_lease);
   g_test_add_func ("/keys-holder/own-copy", test_own_copy);
+  g_test_add_func ("/keys-holder/full", test_full);
+  g_test_add_func ("/keys-holder/requester-full", test_requester_full);
   return g_test_run ();
 }
--- a/test/unit/keys_world.c
+++ b/test/unit/keys_world.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 world_t world;
+uint64_t key_bytes;
 
 static decide_id_t
 node_id (uint32_t index)
@@ -141,7 +142,7 @@
   caller->ended = true;
 }
 
-static bool
+static decide_key_status_t
 on_hold (void *context, decide_id_t from, const decide_msg_t *reply)
 {
   const node_t *node = context;
@@ -192,7 +193,7 @@
   node->index = index;
   node->up = true;
   node->incarnation = ++world.incarnations;
-  node->keys = keys_new (&keys, node->incarnation, world.now);
+  node->keys = keys_new (&keys, node->incarnation, key_bytes, world.now);
   node->claims = claims_new (&claims, node->incarnation);
 }
 
@@ -246,7 +247,7 @@
     return;
   if (msg->type == DECIDE_MSG_KEY_CLAIM_REPLY
       || msg->type == DECIDE_MSG_KEY_COPY_ACK)
-    claims_message (node->claims, node_id (packet->from), msg);
+    claims_message (node->claims, world.now, node_id (packet->from), msg);
   if (msg->type != DECIDE_MSG_KEY_CLAIM_REPLY)
     keys_message (node->keys, world.now, node_id (packet->from), msg);
 }
--- a/test/unit/keys_world.h
+++ b/test/unit/keys_world.h
@@ -63,6 +63,7 @@
 } world_t;
 
 extern world_t world;
+extern uint64_t key_bytes; /* limit of nodes that are started */
 
 void start_world (uint64_t seed);
 void end_world (void);
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -47,7 +47,7 @@
                    .key = { { 5, 6 }, 7 },
                    .left_ms = 8,
                    .retention_ms = 9,
-                   .status = DECIDE_KEY_RUN_WITH_COPY,
+                   .status = DECIDE_KEY_FULL,
                    .state = DECIDE_KEY_STATE_NOT_RUN,
                    .more = true,
                    .empty = true,
@@ -247,7 +247,7 @@
   messages[4].body.wire_body_u.grant.priority = 8;
   messages[5].body.wire_body_u.grant.left_ms = INT64_MIN;
   messages[6].body.wire_body_u.release.result = DECIDE_ATTEMPT_UNUSED + 1;
-  messages[7].body.wire_body_u.key.status = DECIDE_KEY_RUN_WITH_COPY + 1;
+  messages[7].body.wire_body_u.key.status = DECIDE_KEY_FULL + 1;
   messages[8].body.wire_body_u.key.slice = DECIDE_SLICES;
   messages[9].body.type = 23;
 }
--- a/test/unit/telemetry.c
+++ b/test/unit/telemetry.c
@@ -257,7 +257,7 @@
   g_auto (GStrv) lines = NULL;
 
   telemetry_add (TELEMETRY_REFUSED, DECIDE_REASON_STOPPING, 11);
-  telemetry_add (TELEMETRY_REFUSED, DECIDE_REASON_KEY_NO_COPY, 10);
+  telemetry_add (TELEMETRY_REFUSED, DECIDE_REASON_KEY_FULL, 10);
   telemetry_count (TELEMETRY_REFUSED, DECIDE_REASON_STOPPING + 1);
   telemetry_add (TELEMETRY_ATTEMPTS, DECIDE_ATTEMPT_UNUSED, 8);
   telemetry_count (TELEMETRY_PEER_SENT, 0);
@@ -275,7 +275,7 @@
   g_assert_true (g_strv_contains ((const char *const *)lines, line))
   HAS ("# TYPE peridot_requests_refused_total counter");
   HAS ("peridot_requests_refused_total{reason=\"stopping\"} 11");
-  HAS ("peridot_requests_refused_total{reason=\"key_no_copy\"} 10");
+  HAS ("peridot_requests_refused_total{reason=\"key_full\"} 10");
   HAS ("peridot_requests_refused_total{reason=\"other\"} 1");
   HAS ("peridot_attempts_total{result=\"unused\"} 8");
   HAS ("peridot_peer_messages_sent_total{type=\"heartbeat\"} 3");
