Send acknowledgements with the next heartbeat

Each of 12 members sent 44 heartbeats/s and 44 acknowledgements/s, each an RPC of its own with about 80 bytes of framing for 52 bytes. A promise is still made when the heartbeat is received, so support for a takeover is refused from then on. Its sequence and sent time go with the next heartbeat to that member, at the record version of that heartbeat. Evidence counts from the echoed sent time, so a waiting promise is the same as a late message.

HEARTBEAT_ACK stays where waiting would cost service: the first promise to a process at a record version, a changed acting_for list (a delegate's first evidence), no promise for 500 ms (pause, lost messages), supported_against, and instances that get no heartbeats, which hear of this one by acknowledgements only.

Ruled out: stating the version of the receipt in the carried promise; one of an older version is left out instead, which saves 8 bytes and counts less. Answers that promise nothing are no longer sent: heartbeats state version and revision.

Five instead of six heartbeats in a row may be lost before evidence by majority ends.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -270,6 +270,14 @@
   uint16_t queued;
 } decide_pool_load_t;
 
+/* A heartbeat of the receiver that the sender promised, at the record version
+   of the message that carries this.  */
+typedef struct decide_promise
+{
+  uint64_t sequence;
+  clock_ms_t sent; /* echo */
+} decide_promise_t;
+
 typedef struct decide_msg_heartbeat
 {
   uint64_t sequence;
@@ -277,6 +285,8 @@
   decide_member_state_t state;
   uint64_t record_version;
   uint64_t revision; /* configuration known completely */
+  bool has_promise;
+  decide_promise_t promise; /* replaces a HEARTBEAT_ACK */
   uint32_t acting_count;
   decide_acting_t acting[DECIDE_SLICES];
   uint32_t load_count;
--- a/lib/decide/ownership.c
+++ b/lib/decide/ownership.c
@@ -368,6 +368,8 @@
         peer->heard_older = peer->heard;
       peer->incarnation = msg->incarnation;
       peer->acting_count = 0;
+      peer->promised_version = 0;
+      peer->promise_waits = false;
     }
   peer->heard = peer->spoke = now;
   switch (msg->type)
--- a/lib/decide/ownership_private.h
+++ b/lib/decide/ownership_private.h
@@ -30,6 +30,12 @@
   uint64_t ack_incarnation;
   uint64_t ack_sequence;
   clock_ms_t ack_sent;
+  /* Last promise to this process.  It goes with the next heartbeat unless it
+     has been sent, or another version was learned in between.  */
+  uint64_t promised_version;
+  clock_ms_t promised_at;
+  bool promise_waits;
+  decide_promise_t promise;
   uint32_t acting_count;
   decide_acting_t acting[DECIDE_SLICES];
 } ownership_peer_t;
--- a/lib/decide/promise.c
+++ b/lib/decide/promise.c
@@ -2,11 +2,22 @@
 
 #include <string.h>
 
+/* Without a promise for this long the sender's evidence may be running out,
+   after a pause or lost messages, so the next one is sent at once.  */
+#define PROMISE_GAP_MS (2 * DECIDE_HEARTBEAT_MS)
+
+static bool gets_heartbeats (const ownership_t *o,
+                             const ownership_peer_t *peer);
 static bool acting_valid (const ownership_t *o, const decide_acting_t *acting);
 static bool promise (const ownership_t *o, decide_id_t from,
                      const decide_msg_t *msg);
 static bool told_support (const ownership_t *o, decide_id_t from,
                           const decide_msg_t *msg);
+static void read_heartbeat (ownership_peer_t *peer,
+                            const decide_msg_heartbeat_t *heartbeat);
+static void note_promise (ownership_t *o, clock_ms_t now,
+                          ownership_peer_t *peer, uint64_t incarnation,
+                          uint64_t version, const decide_promise_t *promise);
 
 ownership_peer_t *
 ownership_peer_find (const ownership_t *o, decide_id_t id)
@@ -121,6 +132,13 @@
   return others == 0 ? OWNERSHIP_EVIDENCE_MS : left[others - 1];
 }
 
+/* Others hear of this instance by acknowledgements only.  */
+static bool
+gets_heartbeats (const ownership_t *o, const ownership_peer_t *peer)
+{
+  return peer->configured || ownership_member (o, peer->id) >= 0;
+}
+
 void
 ownership_heartbeat_send (ownership_t *o, clock_ms_t now)
 {
@@ -150,10 +168,18 @@
       }
   o->callbacks.fill (o->callbacks.context, &msg);
   for (uint32_t i = 0; i < OWNERSHIP_PEERS_MAX; i++)
-    if (o->peers[i].id != 0
-        && (o->peers[i].configured
-            || ownership_member (o, o->peers[i].id) >= 0))
-      o->callbacks.send (o->callbacks.context, o->peers[i].id, &msg);
+    {
+      ownership_peer_t *peer = &o->peers[i];
+
+      if (peer->id == 0 || !gets_heartbeats (o, peer))
+        continue;
+      /* A promise counts at the version at which it was made.  */
+      heartbeat->has_promise
+          = peer->promise_waits && peer->promised_version == o->record.version;
+      heartbeat->promise = peer->promise;
+      peer->promise_waits = false;
+      o->callbacks.send (o->callbacks.context, peer->id, &msg);
+    }
   o->next_heartbeat = now + DECIDE_HEARTBEAT_MS;
 }
 
@@ -206,6 +232,22 @@
   return false;
 }
 
+static void
+read_heartbeat (ownership_peer_t *peer,
+                const decide_msg_heartbeat_t *heartbeat)
+{
+  size_t size = heartbeat->acting_count * sizeof peer->acting[0];
+
+  /* Evidence of a delegate begins with the announcement of a slice.  */
+  if (peer->acting_count != heartbeat->acting_count
+      || memcmp (peer->acting, heartbeat->acting, size) != 0)
+    peer->promised_version = 0;
+  peer->state = heartbeat->state;
+  peer->revision = heartbeat->revision;
+  peer->acting_count = heartbeat->acting_count;
+  memcpy (peer->acting, heartbeat->acting, size);
+}
+
 void
 ownership_heartbeat (ownership_t *o, clock_ms_t now, decide_id_t from,
                      const decide_msg_t *msg)
@@ -214,19 +256,38 @@
   ownership_peer_t *peer = ownership_peer_find (o, from);
   decide_msg_t ack;
   bool known = true;
+  bool promised;
+  bool supported;
+  bool waits;
 
   if (peer == NULL || heartbeat->acting_count > DECIDE_SLICES)
     return;
-  peer->state = heartbeat->state;
-  peer->revision = heartbeat->revision;
-  peer->acting_count = heartbeat->acting_count;
-  memcpy (peer->acting, heartbeat->acting,
-          heartbeat->acting_count * sizeof peer->acting[0]);
+  read_heartbeat (peer, heartbeat);
+  if (heartbeat->has_promise)
+    note_promise (o, now, peer, msg->incarnation, heartbeat->record_version,
+                  &heartbeat->promise);
   /* A promise that could not be remembered is not given.  */
   for (uint32_t i = 0; i < heartbeat->acting_count; i++)
     known = ownership_peer_touch (o, now, heartbeat->acting[i].owner,
                                   heartbeat->acting[i].owner_incarnation)
             && known;
+  promised = known && promise (o, from, msg);
+  supported = told_support (o, from, msg);
+  waits
+      = gets_heartbeats (o, peer) && !supported
+        && (!promised
+            || (peer->promised_version == o->record.version
+                && ownership_age (now, peer->promised_at) <= PROMISE_GAP_MS));
+  peer->promise_waits = promised && waits;
+  if (promised)
+    {
+      peer->promised_version = o->record.version;
+      peer->promised_at = now;
+      peer->promise = (decide_promise_t){ .sequence = heartbeat->sequence,
+                                          .sent = heartbeat->sent };
+    }
+  if (waits)
+    return;
 
   memset (&ack, 0, sizeof ack);
   ack.type = DECIDE_MSG_HEARTBEAT_ACK;
@@ -234,17 +295,36 @@
   ack.u.ack.sequence = heartbeat->sequence;
   ack.u.ack.sent = heartbeat->sent;
   ack.u.ack.record_version = o->record.version;
-  ack.u.ack.promised = known && promise (o, from, msg);
-  ack.u.ack.supported_against = told_support (o, from, msg);
+  ack.u.ack.promised = promised;
+  ack.u.ack.supported_against = supported;
   o->callbacks.fill (o->callbacks.context, &ack);
   o->callbacks.send (o->callbacks.context, from, &ack);
 }
 
+static void
+note_promise (ownership_t *o, clock_ms_t now, ownership_peer_t *peer,
+              uint64_t incarnation, uint64_t version,
+              const decide_promise_t *promise)
+{
+  /* Sequences start at a random number, so a promise meant for an earlier
+     process of this name fails the comparison.  */
+  if (version != o->record.version || version == 0
+      || promise->sequence > o->sequence || promise->sent > now
+      || o->sequence - promise->sequence > UINT32_MAX
+      || promise->sequence <= peer->ack_sequence)
+    return;
+  peer->ack_version = version;
+  peer->ack_incarnation = incarnation;
+  peer->ack_sequence = promise->sequence;
+  peer->ack_sent = promise->sent;
+}
+
 void
 ownership_heartbeat_ack (ownership_t *o, clock_ms_t now, decide_id_t from,
                          const decide_msg_t *msg)
 {
   const decide_msg_heartbeat_ack_t *ack = &msg->u.ack;
+  decide_promise_t promise = { .sequence = ack->sequence, .sent = ack->sent };
   ownership_peer_t *peer = ownership_peer_find (o, from);
 
   if (peer == NULL)
@@ -254,14 +334,7 @@
     return;
   if (ack->supported_against)
     o->rewrite_due = true;
-  /* Sequences start at a random number, so an acknowledgement meant for an
-     earlier process of this name fails the comparison.  */
-  if (!ack->promised || ack->sequence > o->sequence || ack->sent > now
-      || o->sequence - ack->sequence > UINT32_MAX
-      || ack->sequence <= peer->ack_sequence)
-    return;
-  peer->ack_version = ack->record_version;
-  peer->ack_incarnation = msg->incarnation;
-  peer->ack_sequence = ack->sequence;
-  peer->ack_sent = ack->sent;
+  if (ack->promised)
+    note_promise (o, now, peer, msg->incarnation, ack->record_version,
+                  &promise);
 }
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -29,6 +29,10 @@
   to->state = from->state;
   to->record_version = from->record_version;
   to->revision = from->revision;
+  to->has_promise = from->promise != NULL;
+  if (to->has_promise)
+    to->promise = (decide_promise_t){ .sequence = from->promise->sequence,
+                                      .sent = from->promise->sent };
   to->acting_count = from->acting.acting_len;
   for (uint32_t i = 0; i < to->acting_count; i++)
     {
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -27,6 +27,14 @@
   to->state = from->state;
   to->record_version = from->record_version;
   to->revision = from->revision;
+  if (from->has_promise)
+    {
+      to->promise = malloc (sizeof *to->promise);
+      if (to->promise == NULL)
+        return -ENOMEM;
+      *to->promise = (wire_promise){ .sequence = from->promise.sequence,
+                                     .sent = from->promise.sent };
+    }
   /* One more than needed, since calloc (0) may return NULL.  */
   to->acting.acting_val
       = calloc (from->acting_count + 1, sizeof *to->acting.acting_val);
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -59,12 +59,19 @@
 };
 typedef struct wire_pool_load wire_pool_load;
 
+struct wire_promise {
+	u_quad_t sequence;
+	quad_t sent;
+};
+typedef struct wire_promise wire_promise;
+
 struct wire_heartbeat {
 	u_quad_t sequence;
 	quad_t sent;
 	u_int state;
 	u_quad_t record_version;
 	u_quad_t revision;
+	wire_promise *promise;
 	struct {
 		u_int acting_len;
 		wire_acting *acting_val;
@@ -247,6 +254,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_wire_acting (XDR *, wire_acting*);
 extern  bool_t xdr_wire_pool_load (XDR *, wire_pool_load*);
+extern  bool_t xdr_wire_promise (XDR *, wire_promise*);
 extern  bool_t xdr_wire_heartbeat (XDR *, wire_heartbeat*);
 extern  bool_t xdr_wire_heartbeat_ack (XDR *, wire_heartbeat_ack*);
 extern  bool_t xdr_wire_support (XDR *, wire_support*);
@@ -265,6 +273,7 @@
 #else /* K&R C */
 extern bool_t xdr_wire_acting ();
 extern bool_t xdr_wire_pool_load ();
+extern bool_t xdr_wire_promise ();
 extern bool_t xdr_wire_heartbeat ();
 extern bool_t xdr_wire_heartbeat_ack ();
 extern bool_t xdr_wire_support ();
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -35,6 +35,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_promise (XDR *xdrs, wire_promise *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_heartbeat (XDR *xdrs, wire_heartbeat *objp)
 {
@@ -50,6 +62,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->promise, sizeof (wire_promise), (xdrproc_t) xdr_wire_promise))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->acting.acting_val, (u_int *) &objp->acting.acting_len, WIRE_SLICES,
 		sizeof (wire_acting), (xdrproc_t) xdr_wire_acting))
 		 return FALSE;
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -48,6 +48,12 @@
   unsigned int queued;
 };
 
+struct wire_promise
+{
+  unsigned hyper sequence;
+  hyper sent;
+};
+
 struct wire_heartbeat
 {
   unsigned hyper sequence;
@@ -55,6 +61,7 @@
   unsigned int state;
   unsigned hyper record_version;
   unsigned hyper revision;
+  wire_promise *promise;
   wire_acting acting<WIRE_SLICES>;
   wire_pool_load loads<WIRE_LOADS_MAX>;
 };
--- a/test/unit/ownership_rules.c
+++ b/test/unit/ownership_rules.c
@@ -17,6 +17,10 @@
   decide_rng_t rng;
   decide_msg_t last; /* last message of any type */
   decide_msg_t heartbeat;
+  decide_id_t asker; /* sent the heartbeat that is to be acknowledged */
+  bool answered;
+  decide_msg_heartbeat_ack_t answer;
+  bool carry; /* give_ack() sends the promise in a heartbeat */
   uint32_t sent[DECIDE_MSG_KEY_COLLECT_REPLY + 1];
   uint32_t puts;
   uint64_t operation;
@@ -52,11 +56,24 @@
 {
   fixture_t *f = context;
 
-  (void)instance;
   f->last = *msg;
   f->sent[msg->type]++;
   if (msg->type == DECIDE_MSG_HEARTBEAT)
     f->heartbeat = *msg;
+  if (instance != f->asker)
+    return;
+  if (msg->type == DECIDE_MSG_HEARTBEAT_ACK)
+    f->answer = msg->u.ack;
+  else if (msg->type == DECIDE_MSG_HEARTBEAT && msg->u.heartbeat.has_promise)
+    f->answer = (decide_msg_heartbeat_ack_t){
+      .sequence = msg->u.heartbeat.promise.sequence,
+      .sent = msg->u.heartbeat.promise.sent,
+      .record_version = msg->u.heartbeat.record_version,
+      .promised = true,
+    };
+  else
+    return;
+  f->answered = true;
 }
 
 static void
@@ -171,13 +188,17 @@
   g_assert_cmpint (ownership_record (f->o, NOW - 5000, &record), ==, 0);
 }
 
+/* Return: whether a heartbeat was answered at once.  */
 static bool
-promised (fixture_t *f, clock_ms_t now, const char *from, uint64_t incarnation,
-          uint64_t version, const char *acting_for)
+beat (fixture_t *f, clock_ms_t now, const char *from, uint64_t incarnation,
+      uint64_t version, const char *acting_for)
 {
+  static uint64_t sequence = 100;
   decide_msg_t msg
       = { .type = DECIDE_MSG_HEARTBEAT, .incarnation = incarnation };
 
+  msg.u.heartbeat.sequence = ++sequence;
+  msg.u.heartbeat.sent = -(clock_ms_t)sequence;
   msg.u.heartbeat.record_version = version;
   if (acting_for != NULL)
     {
@@ -185,9 +206,28 @@
       msg.u.heartbeat.acting[0]
           = (decide_acting_t){ decide_id (acting_for), 1, 0, 0 };
     }
-  ownership_message (f->o, now, decide_id (from), &msg);
-  g_assert_cmpint (f->last.type, ==, DECIDE_MSG_HEARTBEAT_ACK);
-  return f->last.u.ack.promised;
+  f->asker = decide_id (from);
+  f->answered = false;
+  f->answer = (decide_msg_heartbeat_ack_t){ .sequence = sequence,
+                                            .sent = -(clock_ms_t)sequence };
+  ownership_message (f->o, now, f->asker, &msg);
+  return f->answered;
+}
+
+/* Whether a heartbeat is promised, at once or with the next heartbeat to its
+   sender.  */
+static bool
+promised (fixture_t *f, clock_ms_t now, const char *from, uint64_t incarnation,
+          uint64_t version, const char *acting_for)
+{
+  uint64_t sequence;
+
+  if (!beat (f, now, from, incarnation, version, acting_for))
+    (void)ownership_tick (f->o, now + DECIDE_HEARTBEAT_MS);
+  sequence = f->answer.sequence;
+  g_assert_cmpint (f->answer.sent, ==, -(clock_ms_t)sequence);
+  g_assert_true (!f->answer.promised || f->answer.record_version == version);
+  return f->answer.promised;
 }
 
 /* Requests support against "old".  */
@@ -218,6 +258,16 @@
   msg.u.ack.sent = f->heartbeat.u.heartbeat.sent;
   msg.u.ack.record_version = version;
   msg.u.ack.promised = true;
+  if (f->carry)
+    {
+      decide_promise_t promise = { msg.u.ack.sequence, msg.u.ack.sent };
+
+      memset (&msg.u, 0, sizeof msg.u);
+      msg.type = DECIDE_MSG_HEARTBEAT;
+      msg.u.heartbeat.record_version = version;
+      msg.u.heartbeat.has_promise = true;
+      msg.u.heartbeat.promise = promise;
+    }
   ownership_message (f->o, now, decide_id (from), &msg);
 }
 
@@ -312,9 +362,9 @@
   set_up (&f, "old", 1);
   g_assert_true (granted (&f, NOW, "new", 1, VERSION));
   g_assert_false (promised (&f, NOW + 1, "old", 1, VERSION, NULL));
-  g_assert_true (f.last.u.ack.supported_against);
+  g_assert_true (f.answer.supported_against);
   g_assert_false (promised (&f, NOW + 1, "other", 1, VERSION, "old"));
-  g_assert_true (f.last.u.ack.supported_against);
+  g_assert_true (f.answer.supported_against);
   g_assert_true (promised (&f, NOW + 1, "other", 1, VERSION, NULL));
   /* Nor does it become a delegate of the owner itself.  */
   offer (&f, NOW + 1, VERSION);
@@ -330,12 +380,13 @@
    from another process, for another process's heartbeat, and against evidence
    that is measured from its arrival.  */
 static void
-test_majority (void)
+test_majority (const void *carry)
 {
   fixture_t f;
   uint64_t sequence;
 
   set_up (&f, "me", MY_INCARNATION);
+  f.carry = carry != NULL;
   (void)ownership_tick (f.o, NOW);
   give_ack (&f, NOW + 10, "old", 1, VERSION);
   g_assert_cmpint (ownership_lease_left (f.o, NOW + 10), ==, 0);
@@ -356,6 +407,52 @@
   ownership_free (f.o);
 }
 
+/* Guards against an RPC for each acknowledgement where none is urgent, against
+   an acknowledgement that waits where evidence begins or may be running out,
+   and against a waiting one that is sent to another instance, twice, at a
+   later version or to a later process.  */
+static void
+test_carried (void)
+{
+  fixture_t f;
+  decide_record_t record;
+
+  set_up (&f, "old", 1);
+  g_assert_true (beat (&f, NOW, "old", 1, VERSION, NULL));
+  g_assert_false (beat (&f, NOW + 250, "old", 1, VERSION, NULL));
+  f.asker = decide_id ("new");
+  (void)ownership_tick (f.o, NOW + 300);
+  g_assert_false (f.answered);
+  f.asker = decide_id ("old");
+  (void)ownership_tick (f.o, NOW + 550);
+  g_assert_false (f.answered);
+
+  g_assert_false (beat (&f, NOW + 600, "old", 1, VERSION, NULL));
+  g_assert_false (f.answer.promised);
+  (void)ownership_tick (f.o, NOW + 800);
+  g_assert_true (f.answered && f.answer.promised);
+
+  g_assert_true (beat (&f, NOW + 1101, "old", 1, VERSION, NULL));
+  g_assert_true (beat (&f, NOW + 1110, "new", 1, VERSION, NULL));
+  g_assert_true (beat (&f, NOW + 1120, "new", 1, VERSION, "old"));
+  g_assert_false (beat (&f, NOW + 1130, "new", 1, VERSION, "old"));
+  g_assert_true (beat (&f, NOW + 1140, "stranger", 1, VERSION, NULL));
+
+  /* Neither a promise to the process before nor one of the version before.  */
+  g_assert_false (beat (&f, NOW + 1200, "old", 1, VERSION, NULL));
+  g_assert_false (beat (&f, NOW + 1210, "old", 2, VERSION, NULL));
+  (void)ownership_tick (f.o, NOW + 1250);
+  g_assert_false (f.answered);
+  g_assert_false (beat (&f, NOW + 1260, "new", 1, VERSION, "old"));
+  record = *ownership_get_record (f.o);
+  record.version++;
+  (void)ownership_record (f.o, NOW + 1270, &record);
+  (void)ownership_tick (f.o, NOW + 1500);
+  g_assert_false (f.answered);
+  g_assert_true (beat (&f, NOW + 1510, "new", 1, VERSION + 1, NULL));
+  ownership_free (f.o);
+}
+
 /* Guards against evidence that outlives the version it was given at.  */
 static void
 test_new_version (void)
@@ -521,7 +618,10 @@
   g_test_add_func ("/ownership-rules/support", test_support);
   g_test_add_func ("/ownership-rules/started", test_started);
   g_test_add_func ("/ownership-rules/supported", test_supported);
-  g_test_add_func ("/ownership-rules/majority", test_majority);
+  g_test_add_data_func ("/ownership-rules/majority", NULL, test_majority);
+  g_test_add_data_func ("/ownership-rules/majority-carried", "carried",
+                        test_majority);
+  g_test_add_func ("/ownership-rules/carried", test_carried);
   g_test_add_func ("/ownership-rules/new-version", test_new_version);
   g_test_add_func ("/ownership-rules/read", test_read);
   g_test_add_func ("/ownership-rules/delegate", test_delegate);
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -14,6 +14,8 @@
             .state = DECIDE_MEMBER_LEAVING,
             .record_version = 3,
             .revision = 4,
+            .has_promise = true,
+            .promise = { 19, -20 },
             .acting_count = 2,
             .acting = { { 5, 6, 7, 8 }, { UINT64_MAX, 10, 15, 15 } },
             .load_count = 2,
