Report uses of a lent grant together

Each use of a lent grant sent a RELEASE of its own: 0.94 for each call at 15.7 calls/s and instance, of which 0.14 gave a grant back. The holder now collects the ends: one message with up to 8, in order, sent when 8 are collected, 100 ms after the first, or with the end that gives the grant back. The owner feeds each end to the endpoint's limit in order. The first use of a grant, a cold mark and another identity than the one before are reported at once; an end that is not a good answer, or has a drain mark, gives the grant back and so is sent at once too, as before.

The 20 ms that were planned collect little: uses of one grant are about 70 ms apart at 15 calls/s.

Ruled out: sending slow answers (above 3 times the fastest of the grant and 4 ms more) at once, no effect in the model.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -359,12 +359,17 @@
   uint16_t queued;
 } decide_msg_grant_t;
 
+#define DECIDE_RELEASE_ENDS_MAX 8
+
 typedef struct decide_msg_release
 {
   uint64_t grant;
   decide_id_t pool;
-  bool keep; /* report of one use of a lent grant */
+  bool keep; /* report of uses of a lent grant */
   decide_attempt_end_t end;
+  /* Uses that ended before, in order, and were not reported yet.  */
+  uint32_t earlier_count;
+  decide_attempt_end_t earlier[DECIDE_RELEASE_ENDS_MAX - 1];
 } decide_msg_release_t;
 
 typedef enum decide_key_status
--- a/lib/decide/pool_grant.c
+++ b/lib/decide/pool_grant.c
@@ -372,6 +372,8 @@
     return;
   index--;
   member = pool_find_member (pool, released->endpoint);
+  for (uint32_t i = 0; i < msg->earlier_count; i++)
+    limit_ended (&member->limit, now, &msg->earlier[i], median_16 (pool));
   limit_ended (&member->limit, now, &msg->end, median_16 (pool));
   if ((!released->lent || released->chained)
       && msg->end.result != DECIDE_ATTEMPT_UNUSED)
--- a/lib/decide/router.c
+++ b/lib/decide/router.c
@@ -69,6 +69,7 @@
   router->next = decide_rng_next (rng);
   router->due = now;
   TAILQ_INIT (&router->pending);
+  TAILQ_INIT (&router->reports);
   TAILQ_INIT (&router->service_list);
   return router;
 }
@@ -312,6 +313,7 @@
   {
     tick_idle (router, now, service);
   }
+  router_report_due (router, now);
   return router->due;
 }
 
--- a/lib/decide/router_attempt.c
+++ b/lib/decide/router_attempt.c
@@ -5,8 +5,6 @@
 
 #define STATUS_SERVER_ERROR 500
 
-static void release (router_t *router, router_held_t *held,
-                     const decide_attempt_end_t *end, bool keep);
 static bool may_reuse (const router_t *router, clock_ms_t now,
                        const router_held_t *held,
                        const decide_attempt_end_t *end);
@@ -38,24 +36,6 @@
                                           : pending->reason);
 }
 
-static void
-release (router_t *router, router_held_t *held,
-         const decide_attempt_end_t *end, bool keep)
-{
-  decide_msg_release_t msg = {
-    .grant = held->key.number, .pool = held->pool, .keep = keep, .end = *end
-  };
-  decide_id_t owner = held->key.owner;
-
-  if (!keep)
-    {
-      router_remove (&router->helds, held);
-      router->held_count--;
-      free (held);
-    }
-  router->callbacks.release (router->callbacks.context, owner, &msg);
-}
-
 void
 router_release_unknown (router_t *router, decide_id_t owner,
                         const decide_msg_grant_t *msg)
@@ -82,7 +62,7 @@
   decide_attempt_end_t unused = { .result = DECIDE_ATTEMPT_UNUSED };
 
   unlink_idle (held);
-  release (router, held, &unused, false);
+  router_release (router, held, &unused, false);
 }
 
 router_held_t *
@@ -207,14 +187,14 @@
 {
   if (!may_reuse (router, now, held, end))
     {
-      release (router, held, end, false);
+      router_release (router, held, end, false);
       return;
     }
   if (held->chained)
     {
       router_pending_t *next = find_waiting (router, now, service, held);
 
-      release (router, held, end, next != NULL);
+      router_release (router, held, end, next != NULL);
       if (next == NULL)
         return;
       router_drop_ask (router, next, true);
@@ -226,7 +206,7 @@
   held->service = service;
   TAILQ_INSERT_HEAD (&service->idle, held, link);
   router_due_by (router, held->start_by);
-  release (router, held, end, true);
+  router_report (router, now, held, end);
 }
 
 static bool
--- a/lib/decide/router_state.h
+++ b/lib/decide/router_state.h
@@ -73,6 +73,13 @@
   bool idle; /* in the service's list */
   router_service_t *service;
   TAILQ_ENTRY (router_held) link;
+  /* Ends of uses that the owner has not been told, in order.  */
+  bool reported;     /* a use was reported or is among them */
+  uint64_t identity; /* that the last use stated */
+  clock_ms_t report_by;
+  uint32_t end_count; /* 0: not in the router's list */
+  decide_attempt_end_t ends[DECIDE_RELEASE_ENDS_MAX - 1];
+  TAILQ_ENTRY (router_held) report;
 };
 TAILQ_HEAD (router_held_list, router_held);
 
@@ -138,6 +145,7 @@
   void *services;
   void *notes;
   struct router_pending_list pending;
+  struct router_held_list reports; /* by the time at which they are due */
   TAILQ_HEAD (, router_service) service_list;
 };
 
@@ -153,6 +161,15 @@
                     router_pending_t *pending, decide_reason_t reason);
 void router_note_retry (router_pending_t *pending, clock_ms_t retry_after_ms);
 
+/* router_report.c: one use of a grant ended and others may follow.  */
+void router_report (router_t *router, clock_ms_t now, router_held_t *held,
+                    const decide_attempt_end_t *end);
+void router_report_due (router_t *router, clock_ms_t now);
+/* Sends what was not reported and the last end, at once.  Without @keep the
+   grant is gone.  */
+void router_release (router_t *router, router_held_t *held,
+                     const decide_attempt_end_t *end, bool keep);
+
 /* Uses an idle lent grant or asks an owner; refuses when there is none.  */
 void router_start (router_t *router, clock_ms_t now,
                    router_pending_t *pending);
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -125,20 +125,17 @@
 }
 
 static bool
-decode_release (const wire_release *from, decide_msg_release_t *to)
+decode_end (const wire_end *from, decide_attempt_end_t *to)
 {
   if (from->result > DECIDE_ATTEMPT_UNUSED || !is_duration (from->latency_ms)
       || !is_duration (from->retry_after_ms))
     return false;
-  to->grant = from->grant;
-  to->pool = from->pool;
-  to->keep = from->keep != 0;
-  to->end.result = from->result;
-  to->end.latency_ms = from->latency_ms;
-  to->end.status = from->status;
-  to->end.retry_after_ms = from->retry_after_ms;
+  to->result = from->result;
+  to->latency_ms = from->latency_ms;
+  to->status = from->status;
+  to->retry_after_ms = from->retry_after_ms;
   if (from->load != NULL)
-    to->end.load = (decide_load_t){
+    to->load = (decide_load_t){
       .present = true,
       .in_flight = from->load->in_flight,
       .queued = from->load->queued,
@@ -150,6 +147,23 @@
   return true;
 }
 
+static bool
+decode_release (const wire_release *from, decide_msg_release_t *to)
+{
+  u_int count = from->ends.ends_len;
+
+  if (count == 0)
+    return false;
+  to->grant = from->grant;
+  to->pool = from->pool;
+  to->keep = from->keep != 0;
+  to->earlier_count = count - 1;
+  for (u_int i = 0; i < count - 1; i++)
+    if (!decode_end (&from->ends.ends_val[i], &to->earlier[i]))
+      return false;
+  return decode_end (&from->ends.ends_val[count - 1], &to->end);
+}
+
 /* The lengths have been checked by the XDR routines.  */
 static void
 decode_answer (const wire_answer *from, decide_answer_t *to)
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -14,6 +14,7 @@
 _Static_assert(WIRE_SLICES == DECIDE_SLICES
                    && WIRE_LOADS_MAX == DECIDE_LOADS_MAX
                    && WIRE_GRANTS_MAX == DECIDE_HANDOVER_GRANTS_MAX
+                   && WIRE_ENDS_MAX == DECIDE_RELEASE_ENDS_MAX
                    && WIRE_ANSWER_MAX == DECIDE_ANSWER_MAX
                    && WIRE_TYPE_MAX + 1 == DECIDE_NAME_MAX
                    && WIRE_BATCH_MAX == PEER_BATCH_MESSAGES,
@@ -115,18 +116,15 @@
 }
 
 static int
-encode_release (const decide_msg_release_t *from, wire_release *to)
+encode_end (const decide_attempt_end_t *from, wire_end *to)
 {
-  const decide_load_t *load = &from->end.load;
+  const decide_load_t *load = &from->load;
 
-  *to = (wire_release){
-    .grant = from->grant,
-    .pool = from->pool,
-    .keep = from->keep,
-    .result = from->end.result,
-    .latency_ms = from->end.latency_ms,
-    .status = from->end.status,
-    .retry_after_ms = from->end.retry_after_ms,
+  *to = (wire_end){
+    .result = from->result,
+    .latency_ms = from->latency_ms,
+    .status = from->status,
+    .retry_after_ms = from->retry_after_ms,
   };
   if (!load->present)
     return 0;
@@ -144,6 +142,25 @@
   return 0;
 }
 
+/* Ends in the order in which the uses ended.  */
+static int
+encode_release (const decide_msg_release_t *from, wire_release *to)
+{
+  u_int count = from->earlier_count;
+
+  to->grant = from->grant;
+  to->pool = from->pool;
+  to->keep = from->keep;
+  to->ends.ends_val = calloc (count + 1, sizeof *to->ends.ends_val);
+  if (to->ends.ends_val == NULL)
+    return -ENOMEM;
+  to->ends.ends_len = count + 1;
+  for (u_int i = 0; i < count; i++)
+    if (encode_end (&from->earlier[i], &to->ends.ends_val[i]) != 0)
+      return -ENOMEM;
+  return encode_end (&from->end, &to->ends.ends_val[count]);
+}
+
 static int
 encode_answer (const decide_answer_t *from, wire_key *to)
 {
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -17,6 +17,7 @@
 #define WIRE_SLICES 16
 #define WIRE_LOADS_MAX 32
 #define WIRE_GRANTS_MAX 128
+#define WIRE_ENDS_MAX 8
 #define WIRE_ANSWER_MAX 4096
 #define WIRE_TYPE_MAX 63
 #define WIRE_NAME_MAX 255
@@ -159,16 +160,24 @@
 };
 typedef struct wire_load wire_load;
 
-struct wire_release {
-	u_quad_t grant;
-	u_quad_t pool;
-	bool_t keep;
+struct wire_end {
 	u_int result;
 	quad_t latency_ms;
 	u_int status;
 	quad_t retry_after_ms;
 	wire_load *load;
 };
+typedef struct wire_end wire_end;
+
+struct wire_release {
+	u_quad_t grant;
+	u_quad_t pool;
+	bool_t keep;
+	struct {
+		u_int ends_len;
+		wire_end *ends_val;
+	} ends;
+};
 typedef struct wire_release wire_release;
 
 struct wire_answer {
@@ -263,6 +272,7 @@
 extern  bool_t xdr_wire_object (XDR *, wire_object*);
 extern  bool_t xdr_wire_grant (XDR *, wire_grant*);
 extern  bool_t xdr_wire_load (XDR *, wire_load*);
+extern  bool_t xdr_wire_end (XDR *, wire_end*);
 extern  bool_t xdr_wire_release (XDR *, wire_release*);
 extern  bool_t xdr_wire_answer (XDR *, wire_answer*);
 extern  bool_t xdr_wire_key (XDR *, wire_key*);
@@ -282,6 +292,7 @@
 extern bool_t xdr_wire_object ();
 extern bool_t xdr_wire_grant ();
 extern bool_t xdr_wire_load ();
+extern bool_t xdr_wire_end ();
 extern bool_t xdr_wire_release ();
 extern bool_t xdr_wire_answer ();
 extern bool_t xdr_wire_key ();
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -272,16 +272,10 @@
 }
 
 bool_t
-xdr_wire_release (XDR *xdrs, wire_release *objp)
+xdr_wire_end (XDR *xdrs, wire_end *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->grant))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->pool))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->keep))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->result))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->latency_ms))
@@ -295,6 +289,23 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_release (XDR *xdrs, wire_release *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->grant))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->keep))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, WIRE_ENDS_MAX,
+		sizeof (wire_end), (xdrproc_t) xdr_wire_end))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_answer (XDR *xdrs, wire_answer *objp)
 {
--- a/lib/peer/message.c
+++ b/lib/peer/message.c
@@ -37,7 +37,9 @@
     case DECIDE_MSG_GRANT_CANCEL:
       return SIZE (grant);
     case DECIDE_MSG_RELEASE:
-      return SIZE (release);
+      return SIZE (release)
+             - (DECIDE_RELEASE_ENDS_MAX - 1 - msg->u.release.earlier_count)
+                   * sizeof (decide_attempt_end_t);
     case DECIDE_MSG_KEY_CLAIM:
     case DECIDE_MSG_KEY_CLAIM_REPLY:
     case DECIDE_MSG_KEY_COPY:
@@ -87,6 +89,9 @@
       return msg->u.handover.grant_count <= DECIDE_HANDOVER_GRANTS_MAX
                  ? 0
                  : -EINVAL;
+    case DECIDE_MSG_RELEASE:
+      return msg->u.release.earlier_count < DECIDE_RELEASE_ENDS_MAX ? 0
+                                                                    : -EINVAL;
     case DECIDE_MSG_OBJECT_PUSH:
       return check_object (&msg->u.object);
     case DECIDE_MSG_KEY_CLAIM:
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -5,6 +5,7 @@
 const WIRE_SLICES = 16;
 const WIRE_LOADS_MAX = 32;
 const WIRE_GRANTS_MAX = 128;
+const WIRE_ENDS_MAX = 8;
 const WIRE_ANSWER_MAX = 4096;
 const WIRE_TYPE_MAX = 63;
 const WIRE_NAME_MAX = 255;
@@ -139,11 +140,8 @@
   unsigned hyper identity;
 };
 
-struct wire_release
+struct wire_end
 {
-  unsigned hyper grant;
-  unsigned hyper pool;
-  bool keep;
   unsigned int result;
   hyper latency_ms;
   unsigned int status;
@@ -151,6 +149,14 @@
   wire_load *load;
 };
 
+struct wire_release
+{
+  unsigned hyper grant;
+  unsigned hyper pool;
+  bool keep;
+  wire_end ends<WIRE_ENDS_MAX>;
+};
+
 struct wire_answer
 {
   unsigned int status;
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -37,7 +37,14 @@
   = { 1,
       2,
       true,
-      { DECIDE_ATTEMPT_UNUSED, 3, 503, 4, { true, 5, 6, 7, true, true, 8 } } }
+      { DECIDE_ATTEMPT_UNUSED, 3, 503, 4, { true, 5, 6, 7, true, true, 8 } },
+      2,
+      { { DECIDE_ATTEMPT_SHED,
+          9,
+          10,
+          11,
+          { true, 12, 13, 14, true, true, 15 } },
+        { DECIDE_ATTEMPT_BROKEN, 16, 17, 18, { .present = false } } } }
 };
 static const decide_msg_t key
     = { .u.key = { .request = 1,
@@ -248,7 +255,8 @@
   messages[3].body.wire_body_u.handover.centre = DECIDE_DATA_CENTRES_MAX;
   messages[4].body.wire_body_u.grant.priority = 8;
   messages[5].body.wire_body_u.grant.left_ms = INT64_MIN;
-  messages[6].body.wire_body_u.release.result = DECIDE_ATTEMPT_UNUSED + 1;
+  messages[6].body.wire_body_u.release.ends.ends_val[1].result
+      = DECIDE_ATTEMPT_UNUSED + 1;
   messages[7].body.wire_body_u.key.status = DECIDE_KEY_NOT_OWNER + 1;
   messages[8].body.wire_body_u.key.slice = DECIDE_SLICES;
   messages[9].body.type = 23;
--- a/test/unit/slots_owner.c
+++ b/test/unit/slots_owner.c
@@ -242,6 +242,36 @@
   pool_free (pool);
 }
 
+/* Guards against ends of one report that are left out, counted as one, or
+   taken in another order.  */
+static void
+test_report (void)
+{
+  pool_t *pool = new_pool (1, 3);
+  sent_t lent = ask (pool, 0, HOLDER, 1, 3, 900, true);
+  decide_msg_release_t report
+      = { .grant = lent.msg.grant, .keep = true, .earlier_count = 7 };
+  decide_attempt_end_t failed = answer (5);
+  pool_endpoint_view_t view;
+
+  report.end = answer (5);
+  for (uint32_t i = 0; i < 7; i++)
+    report.earlier[i] = answer (5);
+  pool_release (pool, 300, HOLDER, &report);
+  g_assert_cmpint (pool_get_endpoint (pool, 0, &view), ==, 0);
+  g_assert_cmpuint (view.limit, ==, 2);
+  g_assert_cmpuint (pool_grant_count (pool), ==, 1);
+  /* Two failures, an answer and two failures are no run of three.  */
+  failed.status = 500;
+  report.earlier_count = 4;
+  report.earlier[0] = report.earlier[1] = report.earlier[3] = failed;
+  report.end = failed;
+  pool_release (pool, 301, HOLDER, &report);
+  g_assert_cmpint (pool_get_endpoint (pool, 0, &view), ==, 0);
+  g_assert_cmpuint (view.limit, ==, 2);
+  pool_free (pool);
+}
+
 /* A slot whose holder is silent stays taken until lend and run time are over;
    wrong or repeated releases free nothing.  */
 static void
@@ -421,6 +451,7 @@
   g_test_add_func ("/pool/order", test_order);
   g_test_add_func ("/pool/early-refusal", test_early_refusal);
   g_test_add_func ("/pool/lending", test_lending);
+  g_test_add_func ("/pool/report", test_report);
   g_test_add_func ("/pool/expiry", test_expiry);
   g_test_add_func ("/pool/settling", test_settling);
   g_test_add_func ("/pool/configure", test_configure);
--- a/test/unit/slots_requester.c
+++ b/test/unit/slots_requester.c
@@ -1,5 +1,8 @@
 #include "fake_owners.h"
 
+/* As in router_report.c.  */
+#define REPORT_MS 100
+
 /* Rules of routers about owners and grants, step by step.  */
 
 /* A silent owner costs 40 ms; its late grant goes back at once.  */
@@ -115,6 +118,68 @@
   router_free (router);
 }
 
+static void
+use (router_t *router, clock_ms_t now, uint64_t id, decide_load_t load)
+{
+  decide_attempt_end_t end
+      = { .status = 200, .latency_ms = (clock_ms_t)id, .load = load };
+
+  fake_request (router, now, id, true, false);
+  router_attempt_done (router, now, fake_forward ()->attempt, &end);
+}
+
+/* Guards against a message for each use of a lent grant, and against ends that
+   are lost, out of order, or late when they say something new.  */
+static void
+test_reports (void)
+{
+  router_t *router = fake_router ();
+  const decide_load_t fine = { .present = true, .identity = 7 };
+  const decide_load_t cold = { true, .cold = true, .identity = 7 };
+  const decide_load_t other = { true, .identity = 8 };
+  uint64_t id = 2;
+
+  fake_request (router, 0, 1, true, false);
+  fake_grant (router, 0, fake_ask (), 1, DECIDE_LEND_MS, 0);
+  router_attempt_done (router, 1, fake_forward ()->attempt,
+                       &(decide_attempt_end_t){ .load = fine });
+  g_assert_cmpuint (fake_given->len, ==, 1);
+  while (id < 10)
+    use (router, 2, id++, fine);
+  g_assert_cmpuint (fake_given->len, ==, 2);
+  g_assert_true (fake_last_given ()->msg.keep);
+  g_assert_cmpuint (fake_last_given ()->msg.earlier_count, ==, 7);
+  for (uint32_t i = 0; i < 7; i++)
+    g_assert_cmpint (fake_last_given ()->msg.earlier[i].latency_ms, ==, i + 2);
+  g_assert_cmpint (fake_last_given ()->msg.end.latency_ms, ==, 9);
+
+  use (router, 10, id++, fine);
+  use (router, 20, id++, fine);
+  g_assert_cmpint (router_tick (router, 10 + REPORT_MS - 1), ==,
+                   10 + REPORT_MS);
+  g_assert_cmpuint (fake_given->len, ==, 2);
+  router_tick (router, 10 + REPORT_MS);
+  g_assert_cmpuint (fake_given->len, ==, 3);
+  g_assert_true (fake_last_given ()->msg.keep);
+  g_assert_cmpuint (fake_last_given ()->msg.earlier_count, ==, 1);
+
+  use (router, 200, id++, fine);
+  use (router, 200, id++, cold);
+  g_assert_cmpuint (fake_given->len, ==, 4);
+  use (router, 201, id++, other);
+  g_assert_cmpuint (fake_given->len, ==, 5);
+  g_assert_cmpuint (fake_last_given ()->msg.earlier_count, ==, 0);
+  use (router, 202, id++, other);
+  router_stop_lending (router, 203);
+  g_assert_cmpuint (fake_given->len, ==, 6);
+  g_assert_false (fake_last_given ()->msg.keep);
+  g_assert_cmpuint (fake_last_given ()->msg.earlier_count, ==, 1);
+  g_assert_cmpint (fake_last_given ()->msg.earlier[0].latency_ms, ==, id - 1);
+  router_tick (router, 1000);
+  g_assert_cmpuint (fake_given->len, ==, 6);
+  router_free (router);
+}
+
 /* A grant from a queue is passed on to requests that wait in the same queue
    with enough priority, else it goes back.  */
 static void
@@ -215,6 +280,7 @@
   g_test_add_func ("/router/late-owner", test_late_owner);
   g_test_add_func ("/router/validity", test_validity);
   g_test_add_func ("/router/lent", test_lent);
+  g_test_add_func ("/router/reports", test_reports);
   g_test_add_func ("/router/chain", test_chain);
   g_test_add_func ("/router/refusal", test_refusal);
   status = g_test_run ();
