Send only the fields that a message for a call uses

All messages of a grant exchange had the same 80 bytes of fields, most of them zero. Each type now has its own structure in peer.x, and times in these messages and in ends of uses take 4 bytes instead of 8. With type and incarnation a GRANT_REQUEST takes 44 bytes instead of 92, a GRANT 68, QUEUED and REFUSED 44, RECALL and GRANT_CANCEL 36; an end of a use 8 bytes less. Times above 24 days are shortened, which only makes a grant end or a request be refused sooner.

Ruled out: leaving the queue out of load reports (8 bytes of 48 for an end); they are recorded and shown.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -343,6 +343,10 @@
   const char *body;
 } decide_msg_object_t;
 
+/* Between instances a REQUEST carries request, pool, priority, left_ms, run_ms
+   and lend_ms; a GRANT all but left_ms and reason; QUEUED and REFUSED request,
+   pool, wait_ms, reason, free and queued; RECALL and CANCEL request, grant and
+   pool.  */
 typedef struct decide_msg_grant
 {
   uint64_t request; /* requester's number */
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -6,6 +6,7 @@
 
 /* Durations beyond 34 years are rejected, so that sums can't overflow.  */
 #define DURATION_MAX (INT64_C (1) << 40)
+#define PRIORITY_MAX 7
 
 static bool
 is_duration (int64_t ms)
@@ -99,13 +100,27 @@
   return to->name != NULL && to->body != NULL ? 0 : -ENOMEM;
 }
 
+static bool
+decode_request (const wire_request *from, decide_msg_grant_t *to)
+{
+  if (from->priority > PRIORITY_MAX)
+    return false;
+  *to = (decide_msg_grant_t){
+    .request = from->request,
+    .pool = from->pool,
+    .priority = from->priority,
+    .left_ms = from->left_ms,
+    .run_ms = from->run_ms,
+    .lend_ms = from->lend_ms,
+  };
+  return true;
+}
+
 static bool
 decode_grant (const wire_grant *from, decide_msg_grant_t *to)
 {
-  if (from->priority > 7 || from->reason > DECIDE_REASON_STOPPING
-      || from->free > UINT16_MAX || from->queued > UINT16_MAX
-      || !is_duration (from->left_ms) || !is_duration (from->run_ms)
-      || !is_duration (from->lend_ms) || !is_duration (from->wait_ms))
+  if (from->priority > PRIORITY_MAX || from->free > UINT16_MAX
+      || from->queued > UINT16_MAX)
     return false;
   *to = (decide_msg_grant_t){
     .request = from->request,
@@ -113,10 +128,25 @@
     .pool = from->pool,
     .endpoint = from->endpoint,
     .priority = from->priority,
-    .left_ms = from->left_ms,
     .run_ms = from->run_ms,
     .lend_ms = from->lend_ms,
     .wait_ms = from->wait_ms,
+    .free = (uint16_t)from->free,
+    .queued = (uint16_t)from->queued,
+  };
+  return true;
+}
+
+static bool
+decode_refusal (const wire_refusal *from, decide_msg_grant_t *to)
+{
+  if (from->reason > DECIDE_REASON_STOPPING || from->free > UINT16_MAX
+      || from->queued > UINT16_MAX)
+    return false;
+  *to = (decide_msg_grant_t){
+    .request = from->request,
+    .pool = from->pool,
+    .wait_ms = from->wait_ms,
     .reason = from->reason,
     .free = (uint16_t)from->free,
     .queued = (uint16_t)from->queued,
@@ -127,8 +157,7 @@
 static bool
 decode_end (const wire_end *from, decide_attempt_end_t *to)
 {
-  if (from->result > DECIDE_ATTEMPT_UNUSED || !is_duration (from->latency_ms)
-      || !is_duration (from->retry_after_ms))
+  if (from->result > DECIDE_ATTEMPT_UNUSED)
     return false;
   to->result = from->result;
   to->latency_ms = from->latency_ms;
@@ -247,13 +276,25 @@
     case WIRE_OBJECT_PUSH:
       return decode_object (&body->wire_body_u.object, &msg->u.object);
     case WIRE_GRANT_REQUEST:
+      return decode_request (&body->wire_body_u.request, &msg->u.grant)
+                 ? 0
+                 : -EPROTO;
     case WIRE_GRANT:
+      return decode_grant (&body->wire_body_u.grant, &msg->u.grant) ? 0
+                                                                    : -EPROTO;
     case WIRE_QUEUED:
     case WIRE_REFUSED:
+      return decode_refusal (&body->wire_body_u.refusal, &msg->u.grant)
+                 ? 0
+                 : -EPROTO;
     case WIRE_RECALL:
     case WIRE_GRANT_CANCEL:
-      return decode_grant (&body->wire_body_u.grant, &msg->u.grant) ? 0
-                                                                    : -EPROTO;
+      msg->u.grant = (decide_msg_grant_t){
+        .request = body->wire_body_u.reference.request,
+        .grant = body->wire_body_u.reference.grant,
+        .pool = body->wire_body_u.reference.pool,
+      };
+      return 0;
     case WIRE_RELEASE:
       return decode_release (&body->wire_body_u.release, &msg->u.release)
                  ? 0
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -96,23 +96,65 @@
   return to->name != NULL && to->body != NULL ? 0 : -ENOMEM;
 }
 
+/* Longer times than fit are shortened, which makes a grant end earlier or a
+   request be refused sooner, never later.  */
+static int
+fit_ms (clock_ms_t ms)
+{
+  if (ms > INT32_MAX)
+    return INT32_MAX;
+  return ms < -INT32_MAX ? -INT32_MAX : (int)ms;
+}
+
 static void
-encode_grant (const decide_msg_grant_t *from, wire_grant *to)
+encode_grant (decide_msg_type_t type, const decide_msg_grant_t *from,
+              wire_body *to)
 {
-  *to = (wire_grant){
-    .request = from->request,
-    .grant = from->grant,
-    .pool = from->pool,
-    .endpoint = from->endpoint,
-    .priority = from->priority,
-    .left_ms = from->left_ms,
-    .run_ms = from->run_ms,
-    .lend_ms = from->lend_ms,
-    .wait_ms = from->wait_ms,
-    .reason = from->reason,
-    .free = from->free,
-    .queued = from->queued,
-  };
+  switch (type)
+    {
+    case DECIDE_MSG_GRANT_REQUEST:
+      to->wire_body_u.request = (wire_request){
+        .request = from->request,
+        .pool = from->pool,
+        .priority = from->priority,
+        .left_ms = fit_ms (from->left_ms),
+        .run_ms = fit_ms (from->run_ms),
+        .lend_ms = fit_ms (from->lend_ms),
+      };
+      break;
+    case DECIDE_MSG_GRANT:
+      to->wire_body_u.grant = (wire_grant){
+        .request = from->request,
+        .grant = from->grant,
+        .pool = from->pool,
+        .endpoint = from->endpoint,
+        .priority = from->priority,
+        .run_ms = fit_ms (from->run_ms),
+        .lend_ms = fit_ms (from->lend_ms),
+        .wait_ms = fit_ms (from->wait_ms),
+        .free = from->free,
+        .queued = from->queued,
+      };
+      break;
+    case DECIDE_MSG_QUEUED:
+    case DECIDE_MSG_REFUSED:
+      to->wire_body_u.refusal = (wire_refusal){
+        .request = from->request,
+        .pool = from->pool,
+        .wait_ms = fit_ms (from->wait_ms),
+        .reason = from->reason,
+        .free = from->free,
+        .queued = from->queued,
+      };
+      break;
+    default:
+      to->wire_body_u.reference = (wire_reference){
+        .request = from->request,
+        .grant = from->grant,
+        .pool = from->pool,
+      };
+      break;
+    }
 }
 
 static int
@@ -122,9 +164,9 @@
 
   *to = (wire_end){
     .result = from->result,
-    .latency_ms = from->latency_ms,
+    .latency_ms = fit_ms (from->latency_ms),
     .status = from->status,
-    .retry_after_ms = from->retry_after_ms,
+    .retry_after_ms = fit_ms (from->retry_after_ms),
   };
   if (!load->present)
     return 0;
@@ -245,7 +287,7 @@
     case DECIDE_MSG_REFUSED:
     case DECIDE_MSG_RECALL:
     case DECIDE_MSG_GRANT_CANCEL:
-      encode_grant (&msg->u.grant, &body->wire_body_u.grant);
+      encode_grant (msg->type, &msg->u.grant, body);
       return 0;
     case DECIDE_MSG_RELEASE:
       return encode_release (&msg->u.release, &body->wire_body_u.release);
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -134,22 +134,47 @@
 };
 typedef struct wire_object wire_object;
 
+struct wire_request {
+	u_quad_t request;
+	u_quad_t pool;
+	u_int priority;
+	int left_ms;
+	int run_ms;
+	int lend_ms;
+};
+typedef struct wire_request wire_request;
+
 struct wire_grant {
 	u_quad_t request;
 	u_quad_t grant;
 	u_quad_t pool;
 	u_quad_t endpoint;
 	u_int priority;
-	quad_t left_ms;
-	quad_t run_ms;
-	quad_t lend_ms;
-	quad_t wait_ms;
-	u_int reason;
+	int run_ms;
+	int lend_ms;
+	int wait_ms;
 	u_int free;
 	u_int queued;
 };
 typedef struct wire_grant wire_grant;
 
+struct wire_refusal {
+	u_quad_t request;
+	u_quad_t pool;
+	int wait_ms;
+	u_int reason;
+	u_int free;
+	u_int queued;
+};
+typedef struct wire_refusal wire_refusal;
+
+struct wire_reference {
+	u_quad_t request;
+	u_quad_t grant;
+	u_quad_t pool;
+};
+typedef struct wire_reference wire_reference;
+
 struct wire_load {
 	u_int in_flight;
 	u_int queued;
@@ -162,9 +187,9 @@
 
 struct wire_end {
 	u_int result;
-	quad_t latency_ms;
+	int latency_ms;
 	u_int status;
-	quad_t retry_after_ms;
+	int retry_after_ms;
 	wire_load *load;
 };
 typedef struct wire_end wire_end;
@@ -220,7 +245,10 @@
 		wire_handover handover;
 		u_quad_t pull_since;
 		wire_object object;
+		wire_request request;
 		wire_grant grant;
+		wire_refusal refusal;
+		wire_reference reference;
 		wire_release release;
 		wire_key key;
 	} wire_body_u;
@@ -270,7 +298,10 @@
 extern  bool_t xdr_wire_handover_grant (XDR *, wire_handover_grant*);
 extern  bool_t xdr_wire_handover (XDR *, wire_handover*);
 extern  bool_t xdr_wire_object (XDR *, wire_object*);
+extern  bool_t xdr_wire_request (XDR *, wire_request*);
 extern  bool_t xdr_wire_grant (XDR *, wire_grant*);
+extern  bool_t xdr_wire_refusal (XDR *, wire_refusal*);
+extern  bool_t xdr_wire_reference (XDR *, wire_reference*);
 extern  bool_t xdr_wire_load (XDR *, wire_load*);
 extern  bool_t xdr_wire_end (XDR *, wire_end*);
 extern  bool_t xdr_wire_release (XDR *, wire_release*);
@@ -290,7 +321,10 @@
 extern bool_t xdr_wire_handover_grant ();
 extern bool_t xdr_wire_handover ();
 extern bool_t xdr_wire_object ();
+extern bool_t xdr_wire_request ();
 extern bool_t xdr_wire_grant ();
+extern bool_t xdr_wire_refusal ();
+extern bool_t xdr_wire_reference ();
 extern bool_t xdr_wire_load ();
 extern bool_t xdr_wire_end ();
 extern bool_t xdr_wire_release ();
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -168,11 +168,145 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_request (XDR *xdrs, wire_request *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->left_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->run_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->lend_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_LONG(buf, objp->left_ms);
+			IXDR_PUT_LONG(buf, objp->run_ms);
+			IXDR_PUT_LONG(buf, objp->lend_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->left_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->run_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->lend_ms))
+				 return FALSE;
+		} else {
+			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->left_ms = IXDR_GET_LONG(buf);
+			objp->run_ms = IXDR_GET_LONG(buf);
+			objp->lend_ms = IXDR_GET_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->run_ms))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->lend_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_grant (XDR *xdrs, wire_grant *objp)
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->grant))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->run_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->lend_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_LONG(buf, objp->run_ms);
+			IXDR_PUT_LONG(buf, objp->lend_ms);
+			IXDR_PUT_LONG(buf, objp->wait_ms);
+			IXDR_PUT_U_LONG(buf, objp->free);
+			IXDR_PUT_U_LONG(buf, objp->queued);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->grant))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->run_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->lend_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+		} else {
+			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->run_ms = IXDR_GET_LONG(buf);
+			objp->lend_ms = IXDR_GET_LONG(buf);
+			objp->wait_ms = IXDR_GET_LONG(buf);
+			objp->free = IXDR_GET_U_LONG(buf);
+			objp->queued = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->request))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->grant))
@@ -183,13 +317,76 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->left_ms))
+	 if (!xdr_int (xdrs, &objp->run_ms))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->run_ms))
+	 if (!xdr_int (xdrs, &objp->lend_ms))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->lend_ms))
+	 if (!xdr_int (xdrs, &objp->wait_ms))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->wait_ms))
+	 if (!xdr_u_int (xdrs, &objp->free))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queued))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_refusal (XDR *xdrs, wire_refusal *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reason))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+		} else {
+			IXDR_PUT_LONG(buf, objp->wait_ms);
+			IXDR_PUT_U_LONG(buf, objp->reason);
+			IXDR_PUT_U_LONG(buf, objp->free);
+			IXDR_PUT_U_LONG(buf, objp->queued);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reason))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+		} else {
+			objp->wait_ms = IXDR_GET_LONG(buf);
+			objp->reason = IXDR_GET_U_LONG(buf);
+			objp->free = IXDR_GET_U_LONG(buf);
+			objp->queued = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->wait_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->reason))
 		 return FALSE;
@@ -200,6 +397,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_reference (XDR *xdrs, wire_reference *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->grant))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->pool))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_load (XDR *xdrs, wire_load *objp)
 {
@@ -276,13 +487,58 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->result))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->latency_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->result);
+		IXDR_PUT_LONG(buf, objp->latency_ms);
+		IXDR_PUT_U_LONG(buf, objp->status);
+		IXDR_PUT_LONG(buf, objp->retry_after_ms);
+		}
+		 if (!xdr_pointer (xdrs, (char **)&objp->load, sizeof (wire_load), (xdrproc_t) xdr_wire_load))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->result))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->latency_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+
+		} else {
+		objp->result = IXDR_GET_U_LONG(buf);
+		objp->latency_ms = IXDR_GET_LONG(buf);
+		objp->status = IXDR_GET_U_LONG(buf);
+		objp->retry_after_ms = IXDR_GET_LONG(buf);
+		}
+		 if (!xdr_pointer (xdrs, (char **)&objp->load, sizeof (wire_load), (xdrproc_t) xdr_wire_load))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->result))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->latency_ms))
+	 if (!xdr_int (xdrs, &objp->latency_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->status))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->retry_after_ms))
+	 if (!xdr_int (xdrs, &objp->retry_after_ms))
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->load, sizeof (wire_load), (xdrproc_t) xdr_wire_load))
 		 return FALSE;
@@ -494,12 +750,21 @@
 			 return FALSE;
 		break;
 	case WIRE_GRANT_REQUEST:
+		 if (!xdr_wire_request (xdrs, &objp->wire_body_u.request))
+			 return FALSE;
+		break;
 	case WIRE_GRANT:
+		 if (!xdr_wire_grant (xdrs, &objp->wire_body_u.grant))
+			 return FALSE;
+		break;
 	case WIRE_QUEUED:
 	case WIRE_REFUSED:
+		 if (!xdr_wire_refusal (xdrs, &objp->wire_body_u.refusal))
+			 return FALSE;
+		break;
 	case WIRE_RECALL:
 	case WIRE_GRANT_CANCEL:
-		 if (!xdr_wire_grant (xdrs, &objp->wire_body_u.grant))
+		 if (!xdr_wire_reference (xdrs, &objp->wire_body_u.reference))
 			 return FALSE;
 		break;
 	case WIRE_RELEASE:
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -114,6 +114,18 @@
   string body<WIRE_BODY_MAX>;
 };
 
+/* Messages for calls carry only what their type uses, and times of at most 24
+   days.  */
+struct wire_request
+{
+  unsigned hyper request;
+  unsigned hyper pool;
+  unsigned int priority;
+  int left_ms;
+  int run_ms;
+  int lend_ms;
+};
+
 struct wire_grant
 {
   unsigned hyper request;
@@ -121,15 +133,30 @@
   unsigned hyper pool;
   unsigned hyper endpoint;
   unsigned int priority;
-  hyper left_ms;
-  hyper run_ms;
-  hyper lend_ms;
-  hyper wait_ms;
+  int run_ms;
+  int lend_ms;
+  int wait_ms;
+  unsigned int free;
+  unsigned int queued;
+};
+
+struct wire_refusal
+{
+  unsigned hyper request;
+  unsigned hyper pool;
+  int wait_ms;
   unsigned int reason;
   unsigned int free;
   unsigned int queued;
 };
 
+struct wire_reference
+{
+  unsigned hyper request;
+  unsigned hyper grant;
+  unsigned hyper pool;
+};
+
 struct wire_load
 {
   unsigned int in_flight;
@@ -143,9 +170,9 @@
 struct wire_end
 {
   unsigned int result;
-  hyper latency_ms;
+  int latency_ms;
   unsigned int status;
-  hyper retry_after_ms;
+  int retry_after_ms;
   wire_load *load;
 };
 
@@ -202,12 +229,15 @@
 case WIRE_OBJECT_PUSH:
   wire_object object;
 case WIRE_GRANT_REQUEST:
+  wire_request request;
 case WIRE_GRANT:
+  wire_grant grant;
 case WIRE_QUEUED:
 case WIRE_REFUSED:
+  wire_refusal refusal;
 case WIRE_RECALL:
 case WIRE_GRANT_CANCEL:
-  wire_grant grant;
+  wire_reference reference;
 case WIRE_RELEASE:
   wire_release release;
 case WIRE_KEY_CLAIM:
