--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -277,6 +277,14 @@
   uint16_t queued;
 } decide_pool_load_t;
 
+/* A heartbeat of the receiver that the sender promised, at the record version
+   of the message that carries this.  */
+typedef struct decide_promise
+{
+  uint64_t sequence;
+  clock_ms_t sent; /* echo */
+} decide_promise_t;
+
 typedef struct decide_msg_heartbeat
 {
   uint64_t sequence;
@@ -288,6 +296,8 @@
      the members that hold the copies.  */
   uint32_t key_slices;
   uint64_t key_copies;
+  bool has_promise;
+  decide_promise_t promise; /* replaces a HEARTBEAT_ACK */
   uint32_t acting_count;
   decide_acting_t acting[DECIDE_SLICES];
   uint32_t load_count;
@@ -359,6 +369,10 @@
   const char *body;
 } decide_msg_object_t;
 
+/* Between instances a REQUEST carries request, pool, priority, left_ms, run_ms
+   and lend_ms; a GRANT all but left_ms and reason; QUEUED and REFUSED request,
+   pool, wait_ms, reason, free and queued; RECALL and CANCEL request, grant and
+   pool.  */
 typedef struct decide_msg_grant
 {
   uint64_t request; /* requester's number */
@@ -375,12 +389,17 @@
   uint16_t queued;
 } decide_msg_grant_t;
 
+#define DECIDE_RELEASE_ENDS_MAX 8
+
 typedef struct decide_msg_release
 {
   uint64_t grant;
   decide_id_t pool;
-  bool keep; /* report of one use of a lent grant */
+  bool keep; /* report of uses of a lent grant */
   decide_attempt_end_t end;
+  /* Uses that ended before, in order, and were not reported yet.  */
+  uint32_t earlier_count;
+  decide_attempt_end_t earlier[DECIDE_RELEASE_ENDS_MAX - 1];
 } decide_msg_release_t;
 
 typedef enum decide_key_status
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -6,6 +6,7 @@
 
 /* Durations beyond 34 years are rejected, so that sums can't overflow.  */
 #define DURATION_MAX (INT64_C (1) << 40)
+#define PRIORITY_MAX 7
 
 static bool
 is_duration (int64_t ms)
@@ -31,6 +32,10 @@
   to->revision = from->revision;
   to->key_slices = from->key_slices;
   to->key_copies = from->key_copies;
+  to->has_promise = from->promise != NULL;
+  if (to->has_promise)
+    to->promise = (decide_promise_t){ .sequence = from->promise->sequence,
+                                      .sent = from->promise->sent };
   to->acting_count = from->acting.acting_len;
   for (uint32_t i = 0; i < to->acting_count; i++)
     {
@@ -110,13 +115,27 @@
   return to->name != NULL && to->body != NULL ? 0 : -ENOMEM;
 }
 
+static bool
+decode_request (const wire_request *from, decide_msg_grant_t *to)
+{
+  if (from->priority > PRIORITY_MAX)
+    return false;
+  *to = (decide_msg_grant_t){
+    .request = from->request,
+    .pool = from->pool,
+    .priority = from->priority,
+    .left_ms = from->left_ms,
+    .run_ms = from->run_ms,
+    .lend_ms = from->lend_ms,
+  };
+  return true;
+}
+
 static bool
 decode_grant (const wire_grant *from, decide_msg_grant_t *to)
 {
-  if (from->priority > 7 || from->reason > DECIDE_REASON_STOPPING
-      || from->free > UINT16_MAX || from->queued > UINT16_MAX
-      || !is_duration (from->left_ms) || !is_duration (from->run_ms)
-      || !is_duration (from->lend_ms) || !is_duration (from->wait_ms))
+  if (from->priority > PRIORITY_MAX || from->free > UINT16_MAX
+      || from->queued > UINT16_MAX)
     return false;
   *to = (decide_msg_grant_t){
     .request = from->request,
@@ -124,10 +143,25 @@
     .pool = from->pool,
     .endpoint = from->endpoint,
     .priority = from->priority,
-    .left_ms = from->left_ms,
     .run_ms = from->run_ms,
     .lend_ms = from->lend_ms,
     .wait_ms = from->wait_ms,
+    .free = (uint16_t)from->free,
+    .queued = (uint16_t)from->queued,
+  };
+  return true;
+}
+
+static bool
+decode_refusal (const wire_refusal *from, decide_msg_grant_t *to)
+{
+  if (from->reason > DECIDE_REASON_STOPPING || from->free > UINT16_MAX
+      || from->queued > UINT16_MAX)
+    return false;
+  *to = (decide_msg_grant_t){
+    .request = from->request,
+    .pool = from->pool,
+    .wait_ms = from->wait_ms,
     .reason = from->reason,
     .free = (uint16_t)from->free,
     .queued = (uint16_t)from->queued,
@@ -136,20 +170,16 @@
 }
 
 static bool
-decode_release (const wire_release *from, decide_msg_release_t *to)
+decode_end (const wire_end *from, decide_attempt_end_t *to)
 {
-  if (from->result > DECIDE_ATTEMPT_UNUSED || !is_duration (from->latency_ms)
-      || !is_duration (from->retry_after_ms))
+  if (from->result > DECIDE_ATTEMPT_UNUSED)
     return false;
-  to->grant = from->grant;
-  to->pool = from->pool;
-  to->keep = from->keep != 0;
-  to->end.result = from->result;
-  to->end.latency_ms = from->latency_ms;
-  to->end.status = from->status;
-  to->end.retry_after_ms = from->retry_after_ms;
+  to->result = from->result;
+  to->latency_ms = from->latency_ms;
+  to->status = from->status;
+  to->retry_after_ms = from->retry_after_ms;
   if (from->load != NULL)
-    to->end.load = (decide_load_t){
+    to->load = (decide_load_t){
       .present = true,
       .in_flight = from->load->in_flight,
       .queued = from->load->queued,
@@ -161,6 +191,23 @@
   return true;
 }
 
+static bool
+decode_release (const wire_release *from, decide_msg_release_t *to)
+{
+  u_int count = from->ends.ends_len;
+
+  if (count == 0)
+    return false;
+  to->grant = from->grant;
+  to->pool = from->pool;
+  to->keep = from->keep != 0;
+  to->earlier_count = count - 1;
+  for (u_int i = 0; i < count - 1; i++)
+    if (!decode_end (&from->ends.ends_val[i], &to->earlier[i]))
+      return false;
+  return decode_end (&from->ends.ends_val[count - 1], &to->end);
+}
+
 /* The lengths have been checked by the XDR routines.  */
 static void
 decode_answer (const wire_answer *from, decide_answer_t *to)
@@ -245,13 +292,25 @@
     case WIRE_OBJECT_PUSH:
       return decode_object (&body->wire_body_u.object, &msg->u.object);
     case WIRE_GRANT_REQUEST:
+      return decode_request (&body->wire_body_u.request, &msg->u.grant)
+                 ? 0
+                 : -EPROTO;
     case WIRE_GRANT:
+      return decode_grant (&body->wire_body_u.grant, &msg->u.grant) ? 0
+                                                                    : -EPROTO;
     case WIRE_QUEUED:
     case WIRE_REFUSED:
+      return decode_refusal (&body->wire_body_u.refusal, &msg->u.grant)
+                 ? 0
+                 : -EPROTO;
     case WIRE_RECALL:
     case WIRE_GRANT_CANCEL:
-      return decode_grant (&body->wire_body_u.grant, &msg->u.grant) ? 0
-                                                                    : -EPROTO;
+      msg->u.grant = (decide_msg_grant_t){
+        .request = body->wire_body_u.reference.request,
+        .grant = body->wire_body_u.reference.grant,
+        .pool = body->wire_body_u.reference.pool,
+      };
+      return 0;
     case WIRE_RELEASE:
       return decode_release (&body->wire_body_u.release, &msg->u.release)
                  ? 0
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -15,6 +15,7 @@
                    && WIRE_LOADS_MAX == DECIDE_LOADS_MAX
                    && WIRE_GRANTS_MAX == DECIDE_HANDOVER_GRANTS_MAX
                    && WIRE_LIMITS_MAX == DECIDE_HANDOVER_LIMITS_MAX
+                   && WIRE_ENDS_MAX == DECIDE_RELEASE_ENDS_MAX
                    && WIRE_ANSWER_MAX == DECIDE_ANSWER_MAX
                    && WIRE_TYPE_MAX + 1 == DECIDE_NAME_MAX
                    && WIRE_BATCH_MAX == PEER_BATCH_MESSAGES,
@@ -30,6 +31,14 @@
   to->revision = from->revision;
   to->key_slices = from->key_slices;
   to->key_copies = from->key_copies;
+  if (from->has_promise)
+    {
+      to->promise = malloc (sizeof *to->promise);
+      if (to->promise == NULL)
+        return -ENOMEM;
+      *to->promise = (wire_promise){ .sequence = from->promise.sequence,
+                                     .sent = from->promise.sent };
+    }
   /* One more than needed, since calloc (0) may return NULL.  */
   to->acting.acting_val
       = calloc (from->acting_count + 1, sizeof *to->acting.acting_val);
@@ -102,38 +111,77 @@
   return to->name != NULL && to->body != NULL ? 0 : -ENOMEM;
 }
 
+/* Longer times than fit are shortened, which makes a grant end earlier or a
+   request be refused sooner, never later.  */
+static int
+fit_ms (clock_ms_t ms)
+{
+  if (ms > INT32_MAX)
+    return INT32_MAX;
+  return ms < -INT32_MAX ? -INT32_MAX : (int)ms;
+}
+
 static void
-encode_grant (const decide_msg_grant_t *from, wire_grant *to)
+encode_grant (decide_msg_type_t type, const decide_msg_grant_t *from,
+              wire_body *to)
 {
-  *to = (wire_grant){
-    .request = from->request,
-    .grant = from->grant,
-    .pool = from->pool,
-    .endpoint = from->endpoint,
-    .priority = from->priority,
-    .left_ms = from->left_ms,
-    .run_ms = from->run_ms,
-    .lend_ms = from->lend_ms,
-    .wait_ms = from->wait_ms,
-    .reason = from->reason,
-    .free = from->free,
-    .queued = from->queued,
-  };
+  switch (type)
+    {
+    case DECIDE_MSG_GRANT_REQUEST:
+      to->wire_body_u.request = (wire_request){
+        .request = from->request,
+        .pool = from->pool,
+        .priority = from->priority,
+        .left_ms = fit_ms (from->left_ms),
+        .run_ms = fit_ms (from->run_ms),
+        .lend_ms = fit_ms (from->lend_ms),
+      };
+      break;
+    case DECIDE_MSG_GRANT:
+      to->wire_body_u.grant = (wire_grant){
+        .request = from->request,
+        .grant = from->grant,
+        .pool = from->pool,
+        .endpoint = from->endpoint,
+        .priority = from->priority,
+        .run_ms = fit_ms (from->run_ms),
+        .lend_ms = fit_ms (from->lend_ms),
+        .wait_ms = fit_ms (from->wait_ms),
+        .free = from->free,
+        .queued = from->queued,
+      };
+      break;
+    case DECIDE_MSG_QUEUED:
+    case DECIDE_MSG_REFUSED:
+      to->wire_body_u.refusal = (wire_refusal){
+        .request = from->request,
+        .pool = from->pool,
+        .wait_ms = fit_ms (from->wait_ms),
+        .reason = from->reason,
+        .free = from->free,
+        .queued = from->queued,
+      };
+      break;
+    default:
+      to->wire_body_u.reference = (wire_reference){
+        .request = from->request,
+        .grant = from->grant,
+        .pool = from->pool,
+      };
+      break;
+    }
 }
 
 static int
-encode_release (const decide_msg_release_t *from, wire_release *to)
+encode_end (const decide_attempt_end_t *from, wire_end *to)
 {
-  const decide_load_t *load = &from->end.load;
+  const decide_load_t *load = &from->load;
 
-  *to = (wire_release){
-    .grant = from->grant,
-    .pool = from->pool,
-    .keep = from->keep,
-    .result = from->end.result,
-    .latency_ms = from->end.latency_ms,
-    .status = from->end.status,
-    .retry_after_ms = from->end.retry_after_ms,
+  *to = (wire_end){
+    .result = from->result,
+    .latency_ms = fit_ms (from->latency_ms),
+    .status = from->status,
+    .retry_after_ms = fit_ms (from->retry_after_ms),
   };
   if (!load->present)
     return 0;
@@ -151,6 +199,25 @@
   return 0;
 }
 
+/* Ends in the order in which the uses ended.  */
+static int
+encode_release (const decide_msg_release_t *from, wire_release *to)
+{
+  u_int count = from->earlier_count;
+
+  to->grant = from->grant;
+  to->pool = from->pool;
+  to->keep = from->keep;
+  to->ends.ends_val = calloc (count + 1, sizeof *to->ends.ends_val);
+  if (to->ends.ends_val == NULL)
+    return -ENOMEM;
+  to->ends.ends_len = count + 1;
+  for (u_int i = 0; i < count; i++)
+    if (encode_end (&from->earlier[i], &to->ends.ends_val[i]) != 0)
+      return -ENOMEM;
+  return encode_end (&from->end, &to->ends.ends_val[count]);
+}
+
 static int
 encode_answer (const decide_answer_t *from, wire_key *to)
 {
@@ -237,7 +304,7 @@
     case DECIDE_MSG_REFUSED:
     case DECIDE_MSG_RECALL:
     case DECIDE_MSG_GRANT_CANCEL:
-      encode_grant (&msg->u.grant, &body->wire_body_u.grant);
+      encode_grant (msg->type, &msg->u.grant, body);
       return 0;
     case DECIDE_MSG_RELEASE:
       return encode_release (&msg->u.release, &body->wire_body_u.release);
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -18,6 +18,7 @@
 #define WIRE_LOADS_MAX 32
 #define WIRE_GRANTS_MAX 128
 #define WIRE_LIMITS_MAX 64
+#define WIRE_ENDS_MAX 8
 #define WIRE_ANSWER_MAX 4096
 #define WIRE_TYPE_MAX 63
 #define WIRE_NAME_MAX 255
@@ -60,6 +61,12 @@
 };
 typedef struct wire_pool_load wire_pool_load;
 
+struct wire_promise {
+	u_quad_t sequence;
+	quad_t sent;
+};
+typedef struct wire_promise wire_promise;
+
 struct wire_heartbeat {
 	u_quad_t sequence;
 	quad_t sent;
@@ -68,6 +75,7 @@
 	u_quad_t revision;
 	u_int key_slices;
 	u_quad_t key_copies;
+	wire_promise *promise;
 	struct {
 		u_int acting_len;
 		wire_acting *acting_val;
@@ -143,22 +151,47 @@
 };
 typedef struct wire_object wire_object;
 
+struct wire_request {
+	u_quad_t request;
+	u_quad_t pool;
+	u_int priority;
+	int left_ms;
+	int run_ms;
+	int lend_ms;
+};
+typedef struct wire_request wire_request;
+
 struct wire_grant {
 	u_quad_t request;
 	u_quad_t grant;
 	u_quad_t pool;
 	u_quad_t endpoint;
 	u_int priority;
-	quad_t left_ms;
-	quad_t run_ms;
-	quad_t lend_ms;
-	quad_t wait_ms;
-	u_int reason;
+	int run_ms;
+	int lend_ms;
+	int wait_ms;
 	u_int free;
 	u_int queued;
 };
 typedef struct wire_grant wire_grant;
 
+struct wire_refusal {
+	u_quad_t request;
+	u_quad_t pool;
+	int wait_ms;
+	u_int reason;
+	u_int free;
+	u_int queued;
+};
+typedef struct wire_refusal wire_refusal;
+
+struct wire_reference {
+	u_quad_t request;
+	u_quad_t grant;
+	u_quad_t pool;
+};
+typedef struct wire_reference wire_reference;
+
 struct wire_load {
 	u_int in_flight;
 	u_int queued;
@@ -169,15 +202,23 @@
 };
 typedef struct wire_load wire_load;
 
+struct wire_end {
+	u_int result;
+	int latency_ms;
+	u_int status;
+	int retry_after_ms;
+	wire_load *load;
+};
+typedef struct wire_end wire_end;
+
 struct wire_release {
 	u_quad_t grant;
 	u_quad_t pool;
 	bool_t keep;
-	u_int result;
-	quad_t latency_ms;
-	u_int status;
-	quad_t retry_after_ms;
-	wire_load *load;
+	struct {
+		u_int ends_len;
+		wire_end *ends_val;
+	} ends;
 };
 typedef struct wire_release wire_release;
 
@@ -223,7 +264,10 @@
 		wire_handover handover;
 		u_quad_t pull_since;
 		wire_object object;
+		wire_request request;
 		wire_grant grant;
+		wire_refusal refusal;
+		wire_reference reference;
 		wire_release release;
 		wire_key key;
 	} wire_body_u;
@@ -266,6 +310,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_wire_acting (XDR *, wire_acting*);
 extern  bool_t xdr_wire_pool_load (XDR *, wire_pool_load*);
+extern  bool_t xdr_wire_promise (XDR *, wire_promise*);
 extern  bool_t xdr_wire_heartbeat (XDR *, wire_heartbeat*);
 extern  bool_t xdr_wire_heartbeat_ack (XDR *, wire_heartbeat_ack*);
 extern  bool_t xdr_wire_support (XDR *, wire_support*);
@@ -273,8 +318,12 @@
 extern  bool_t xdr_wire_handover_limit (XDR *, wire_handover_limit*);
 extern  bool_t xdr_wire_handover (XDR *, wire_handover*);
 extern  bool_t xdr_wire_object (XDR *, wire_object*);
+extern  bool_t xdr_wire_request (XDR *, wire_request*);
 extern  bool_t xdr_wire_grant (XDR *, wire_grant*);
+extern  bool_t xdr_wire_refusal (XDR *, wire_refusal*);
+extern  bool_t xdr_wire_reference (XDR *, wire_reference*);
 extern  bool_t xdr_wire_load (XDR *, wire_load*);
+extern  bool_t xdr_wire_end (XDR *, wire_end*);
 extern  bool_t xdr_wire_release (XDR *, wire_release*);
 extern  bool_t xdr_wire_answer (XDR *, wire_answer*);
 extern  bool_t xdr_wire_key (XDR *, wire_key*);
@@ -285,6 +334,7 @@
 #else /* K&R C */
 extern bool_t xdr_wire_acting ();
 extern bool_t xdr_wire_pool_load ();
+extern bool_t xdr_wire_promise ();
 extern bool_t xdr_wire_heartbeat ();
 extern bool_t xdr_wire_heartbeat_ack ();
 extern bool_t xdr_wire_support ();
@@ -292,8 +342,12 @@
 extern bool_t xdr_wire_handover_limit ();
 extern bool_t xdr_wire_handover ();
 extern bool_t xdr_wire_object ();
+extern bool_t xdr_wire_request ();
 extern bool_t xdr_wire_grant ();
+extern bool_t xdr_wire_refusal ();
+extern bool_t xdr_wire_reference ();
 extern bool_t xdr_wire_load ();
+extern bool_t xdr_wire_end ();
 extern bool_t xdr_wire_release ();
 extern bool_t xdr_wire_answer ();
 extern bool_t xdr_wire_key ();
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -6,6 +6,7 @@
 const WIRE_LOADS_MAX = 32;
 const WIRE_GRANTS_MAX = 128;
 const WIRE_LIMITS_MAX = 64;
+const WIRE_ENDS_MAX = 8;
 const WIRE_ANSWER_MAX = 4096;
 const WIRE_TYPE_MAX = 63;
 const WIRE_NAME_MAX = 255;
@@ -49,6 +50,12 @@
   unsigned int queued;
 };
 
+struct wire_promise
+{
+  unsigned hyper sequence;
+  hyper sent;
+};
+
 struct wire_heartbeat
 {
   unsigned hyper sequence;
@@ -58,6 +65,7 @@
   unsigned hyper revision;
   unsigned int key_slices;
   unsigned hyper key_copies;
+  wire_promise *promise;
   wire_acting acting<WIRE_SLICES>;
   wire_pool_load loads<WIRE_LOADS_MAX>;
 };
@@ -120,6 +128,18 @@
   string body<WIRE_BODY_MAX>;
 };
 
+/* Messages for calls carry only what their type uses, and times of at most 24
+   days.  */
+struct wire_request
+{
+  unsigned hyper request;
+  unsigned hyper pool;
+  unsigned int priority;
+  int left_ms;
+  int run_ms;
+  int lend_ms;
+};
+
 struct wire_grant
 {
   unsigned hyper request;
@@ -127,15 +147,30 @@
   unsigned hyper pool;
   unsigned hyper endpoint;
   unsigned int priority;
-  hyper left_ms;
-  hyper run_ms;
-  hyper lend_ms;
-  hyper wait_ms;
+  int run_ms;
+  int lend_ms;
+  int wait_ms;
+  unsigned int free;
+  unsigned int queued;
+};
+
+struct wire_refusal
+{
+  unsigned hyper request;
+  unsigned hyper pool;
+  int wait_ms;
   unsigned int reason;
   unsigned int free;
   unsigned int queued;
 };
 
+struct wire_reference
+{
+  unsigned hyper request;
+  unsigned hyper grant;
+  unsigned hyper pool;
+};
+
 struct wire_load
 {
   unsigned int in_flight;
@@ -146,16 +181,21 @@
   unsigned hyper identity;
 };
 
+struct wire_end
+{
+  unsigned int result;
+  int latency_ms;
+  unsigned int status;
+  int retry_after_ms;
+  wire_load *load;
+};
+
 struct wire_release
 {
   unsigned hyper grant;
   unsigned hyper pool;
   bool keep;
-  unsigned int result;
-  hyper latency_ms;
-  unsigned int status;
-  hyper retry_after_ms;
-  wire_load *load;
+  wire_end ends<WIRE_ENDS_MAX>;
 };
 
 struct wire_answer
@@ -205,12 +245,15 @@
 case WIRE_OBJECT_PUSH:
   wire_object object;
 case WIRE_GRANT_REQUEST:
+  wire_request request;
 case WIRE_GRANT:
+  wire_grant grant;
 case WIRE_QUEUED:
 case WIRE_REFUSED:
+  wire_refusal refusal;
 case WIRE_RECALL:
 case WIRE_GRANT_CANCEL:
-  wire_grant grant;
+  wire_reference reference;
 case WIRE_RELEASE:
   wire_release release;
 case WIRE_KEY_CLAIM:
