Do not send to a server that closed its pooled connection

Cause: when an endpoint restarts, libcurl sends each request that was in flight on a reused connection once more, on a new connection, at the same time as the others and without the owner; the owner saw nothing of it. Besides, grants that were lent or made before the restart opened a new connection when the pooled one was found closed.

With no_repeat an attempt never goes on to a new connection. A request that was sent ends as reset, and the owner learns of the restart. A pooled connection found closed before sending ends the attempt as CLOSED: nothing was sent, the grant goes back, the request is asked for again without the retry budget, and the holder's other idle grants on the endpoint go back. The owner takes the endpoint as restarted (limit 1, ramp, recall), unless the connection was last used before the restart that it knows. A connection idle for 2 s or more is taken as closed by the server's idle time-out. Probes and the baselines keep repeating.

Ruled out: work that the stand-in still counts between its restart and the reset of its connections.

--- a/lib/backend/attempt.c
+++ b/lib/backend/attempt.c
@@ -21,6 +21,12 @@
   return request->cancelled != NULL && request->cancelled (request->context);
 }
 
+static bool
+may_repeat (const backend_request_t *request)
+{
+  return request->idempotent && !request->no_repeat;
+}
+
 /* libcurl calls this when it is about to send the request, for a pooled
    connection too.  */
 static int
@@ -36,7 +42,7 @@
   (void)local_address;
   (void)peer_port;
   (void)local_port;
-  if (result->sent && !request->idempotent)
+  if (result->sent && !may_repeat (request))
     {
       atomic_fetch_add (
           &backend_pool_get_counters (attempt->pool)->repeats_refused, 1);
@@ -72,7 +78,7 @@
   counters_t *counters = backend_pool_get_counters (attempt->pool);
 
   (void)purpose;
-  if (result->sent && !attempt->request->idempotent)
+  if (result->sent && !may_repeat (attempt->request))
     {
       atomic_fetch_add (&counters->repeats_refused, 1);
       return CURL_SOCKET_BAD;
@@ -282,6 +288,7 @@
                  backend_result_t *result)
 {
   attempt_t attempt = { .pool = pool, .request = request, .result = result };
+  int64_t closed_us = -1;
   int err;
 
   *result = (backend_result_t){ .end.result = DECIDE_ATTEMPT_NOT_SENT };
@@ -292,6 +299,16 @@
     }
   atomic_fetch_add (&backend_pool_get_counters (pool)->attempts, 1);
   attempt.begin_us = backend_now_us ();
+  if (request->no_repeat)
+    closed_us = backend_pool_check_closed (pool, request->address);
+  if (closed_us >= 0)
+    {
+      result->end.result = DECIDE_ATTEMPT_CLOSED;
+      result->end.latency_ms = closed_us / 1000;
+      snprintf (result->error, sizeof result->error,
+                "closed by the backend server while idle");
+      return 0;
+    }
   if (!request->fresh)
     attempt.conn = backend_pool_take (
         pool, request->address,
--- a/lib/backend/backend.h
+++ b/lib/backend/backend.h
@@ -53,6 +53,9 @@
   clock_ms_t deadline;      /* the whole answer ends by this time */
   bool idempotent;
   bool fresh; /* use a new connection */
+  /* Never go on to a new connection when a pooled one turns out to be closed
+     by the backend server, which may have restarted.  */
+  bool no_repeat;
   /* Readable when the attempt is to be cancelled (an eventfd, for example);
      -1: none.  */
   int cancel_fd;
@@ -92,6 +95,7 @@
   uint64_t repeats_refused; /* of non-idempotent requests */
   uint64_t dropped_silent;  /* idle connections dropped after a timeout */
   uint64_t expired;         /* idle connections closed for their age */
+  uint64_t closed;          /* idle connections found closed by the server */
   uint64_t idle;            /* idle connections now */
 } backend_stats_t;
 
@@ -126,7 +130,8 @@
  * An answer that was cut short, that has no framing or whose header is too
  * large is DECIDE_ATTEMPT_BROKEN; a failure after sending and before the
  * header's end is DECIDE_ATTEMPT_RESET.  A timeout during the body is
- * DECIDE_ATTEMPT_TIMEOUT.
+ * DECIDE_ATTEMPT_TIMEOUT.  With no_repeat, DECIDE_ATTEMPT_CLOSED says that the
+ * backend server had closed a pooled connection; nothing was sent.
  *
  * Return: 0 when an attempt was made; -EINVAL for a malformed request and
  * -ENOMEM: nothing was sent.
--- a/lib/backend/pool.c
+++ b/lib/backend/pool.c
@@ -12,6 +12,8 @@
 #define IDLE_MS 4000
 #define HEADER_MAX (32 * 1024)
 #define SWEEP_US 1000000
+/* Servers close idle connections after 2 s or more.  */
+#define IDLE_CLOSE_US 2000000
 /* An endpoint without connections is forgotten after a minute, so that the
    table doesn't grow as endpoints are replaced.  */
 #define FORGET_US 60000000
@@ -257,6 +259,16 @@
          && errno == EAGAIN;
 }
 
+/* Return: whether the backend server has closed the connection.  */
+static bool
+is_closed (const conn_t *conn)
+{
+  char byte;
+  ssize_t got = recv (conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  return got == 0 || (got < 0 && errno != EAGAIN);
+}
+
 static conn_t *
 take (backend_pool_t *pool, const char *address, int64_t since_us)
 {
@@ -295,6 +307,27 @@
   return conn;
 }
 
+int64_t
+backend_pool_check_closed (backend_pool_t *pool, const char *address)
+{
+  int64_t now_us = backend_now_us ();
+  int64_t idle_us = -1;
+  endpoint_t *endpoint;
+  conn_t *victims = NULL;
+
+  pthread_mutex_lock (&pool->lock);
+  endpoint = find (pool, address);
+  if (endpoint != NULL && endpoint->idle != NULL && is_closed (endpoint->idle))
+    {
+      idle_us = now_us - endpoint->idle->answered_us;
+      atomic_fetch_add (&pool->counters.closed,
+                        cut (pool, endpoint, INT64_MAX, &victims));
+    }
+  pthread_mutex_unlock (&pool->lock);
+  free_list (victims);
+  return idle_us < IDLE_CLOSE_US ? idle_us : -1;
+}
+
 void
 backend_pool_put (backend_pool_t *pool, const char *address, conn_t *conn)
 {
@@ -354,6 +387,7 @@
     .repeats_refused = atomic_load (&counters->repeats_refused),
     .dropped_silent = atomic_load (&counters->dropped_silent),
     .expired = atomic_load (&counters->expired),
+    .closed = atomic_load (&counters->closed),
     .idle = atomic_load (&counters->idle),
   };
 }
--- a/lib/backend/pool.h
+++ b/lib/backend/pool.h
@@ -28,6 +28,7 @@
   atomic_uint_fast64_t repeats_refused;
   atomic_uint_fast64_t dropped_silent;
   atomic_uint_fast64_t expired;
+  atomic_uint_fast64_t closed;
   atomic_uint_fast64_t idle;
 } counters_t;
 
@@ -54,6 +55,17 @@
 void backend_pool_put (backend_pool_t *pool, const char *address,
                        conn_t *conn);
 
+/**
+ * backend_pool_check_closed() - look for a restart of the backend server
+ *
+ * When it has closed the idle connection that answered last, none of the
+ * endpoint's idle connections is used again.  A server may close a connection
+ * after a long idle time without a restart; this is not reported.
+ *
+ * Return: time since the connection's last answer in us, or -1.
+ */
+int64_t backend_pool_check_closed (backend_pool_t *pool, const char *address);
+
 /* Closes the endpoint's idle connections whose last answer ended before
    @sent_us or before the endpoint's last good answer: a request sent at
    @sent_us got no first byte.  */
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -186,7 +186,10 @@
   DECIDE_ATTEMPT_TIMEOUT,
   DECIDE_ATTEMPT_BROKEN, /* body cut short */
   DECIDE_ATTEMPT_CANCELLED,
-  DECIDE_ATTEMPT_UNUSED /* grant returned without use */
+  DECIDE_ATTEMPT_UNUSED, /* grant returned without use */
+  /* Returned without use, because the backend server had closed a connection
+     that was idle only for latency_ms.  */
+  DECIDE_ATTEMPT_CLOSED
 } decide_attempt_result_t;
 
 /* Load as a backend server states it in an answer, a probe or a shed.  */
@@ -204,7 +207,7 @@
 typedef struct decide_attempt_end
 {
   decide_attempt_result_t result;
-  clock_ms_t latency_ms; /* from sending to the first byte */
+  clock_ms_t latency_ms; /* from sending to the first byte; see CLOSED */
   uint32_t status;
   clock_ms_t retry_after_ms; /* of a shed; 0 when not stated */
   decide_load_t load;
--- a/lib/decide/limit.c
+++ b/lib/decide/limit.c
@@ -63,6 +63,7 @@
   limit->probed_at = now - PROBE_INTERVAL_MS;
   limit->step_ms = RAMP_STEP_MS;
   limit->step_from = now + RAMP_STEP_MS;
+  limit->restarted_at = now;
 }
 
 void
@@ -91,6 +92,7 @@
   turn_cold (limit);
   limit->step_ms = RAMP_STEP_MS;
   limit->step_from = now + RAMP_STEP_MS;
+  limit->restarted_at = now;
 }
 
 void
@@ -273,6 +275,12 @@
         return;
       sample (limit, now, latency_16);
       break;
+    case DECIDE_ATTEMPT_CLOSED:
+      /* A connection that was last used before the restart that is known
+         tells nothing new.  */
+      if (now - end->latency_ms >= limit->restarted_at)
+        restarted (limit, now);
+      return;
     case DECIDE_ATTEMPT_UNUSED:
     default:
       return;
--- a/lib/decide/limit.h
+++ b/lib/decide/limit.h
@@ -18,13 +18,14 @@
   bool draining;
   bool suspended; /* ended by a successful probe only */
   bool probing;
-  clock_ms_t cold_since; /* start of the report that it is cold */
-  clock_ms_t step_ms;    /* shortest step of the ramp; 0 unless restarted */
-  clock_ms_t step_from;  /* earliest time of the next rise while cold */
-  clock_ms_t used_at;    /* last grant or answer */
-  clock_ms_t drained_at; /* last sign of draining */
-  clock_ms_t probe_from; /* earliest time of the next probe */
-  clock_ms_t probed_at;  /* start of the last probe */
+  clock_ms_t cold_since;   /* start of the report that it is cold */
+  clock_ms_t step_ms;      /* shortest step of the ramp; 0 unless restarted */
+  clock_ms_t step_from;    /* earliest time of the next rise while cold */
+  clock_ms_t restarted_at; /* when the last restart became known */
+  clock_ms_t used_at;      /* last grant or answer */
+  clock_ms_t drained_at;   /* last sign of draining */
+  clock_ms_t probe_from;   /* earliest time of the next probe */
+  clock_ms_t probed_at;    /* start of the last probe */
   clock_ms_t backoff_ms;
   uint64_t identity; /* 0 until reported */
   /* Moving averages of the latency in 1/16 ms; 0 without a sample.  The
--- a/lib/decide/pool_grant.c
+++ b/lib/decide/pool_grant.c
@@ -374,7 +374,8 @@
   member = pool_find_member (pool, released->endpoint);
   limit_ended (&member->limit, now, &msg->end, median_16 (pool));
   if ((!released->lent || released->chained)
-      && msg->end.result != DECIDE_ATTEMPT_UNUSED)
+      && msg->end.result != DECIDE_ATTEMPT_UNUSED
+      && msg->end.result != DECIDE_ATTEMPT_CLOSED)
     measure_hold (pool, now - released->used_from);
   released->used_from = now;
   switch (msg->end.result)
@@ -391,6 +392,7 @@
     case DECIDE_ATTEMPT_SHED:
     case DECIDE_ATTEMPT_NOT_SENT:
     case DECIDE_ATTEMPT_UNUSED:
+    case DECIDE_ATTEMPT_CLOSED:
     default:
       if (!msg->keep)
         drop_grant (pool, index);
--- a/lib/decide/router_attempt.c
+++ b/lib/decide/router_attempt.c
@@ -16,6 +16,8 @@
 static router_pending_t *find_waiting (router_t *router, clock_ms_t now,
                                        const router_service_t *service,
                                        const router_held_t *held);
+static void return_idle (router_t *router, router_service_t *service,
+                         decide_id_t endpoint);
 static bool is_not_run (decide_attempt_result_t result);
 static void retry_or_refuse (router_t *router, clock_ms_t now,
                              router_pending_t *pending,
@@ -233,7 +235,7 @@
 is_not_run (decide_attempt_result_t result)
 {
   return result == DECIDE_ATTEMPT_SHED || result == DECIDE_ATTEMPT_NOT_SENT
-         || result == DECIDE_ATTEMPT_UNUSED;
+         || result == DECIDE_ATTEMPT_UNUSED || result == DECIDE_ATTEMPT_CLOSED;
 }
 
 static void
@@ -242,7 +244,8 @@
 {
   const router_request_t *request = &pending->request;
   /* Nothing was sent, so a further try adds no load.  */
-  bool unused = end->result == DECIDE_ATTEMPT_UNUSED;
+  bool unused = end->result == DECIDE_ATTEMPT_UNUSED
+                || end->result == DECIDE_ATTEMPT_CLOSED;
 
   if (now >= request->deadline)
     {
@@ -261,6 +264,23 @@
   router_start (router, now, pending);
 }
 
+/* Returns the idle grants on an endpoint that may have restarted: used
+   together, they could be more than it bears.  */
+static void
+return_idle (router_t *router, router_service_t *service, decide_id_t endpoint)
+{
+  router_held_t *held = TAILQ_FIRST (&service->idle);
+
+  while (held != NULL)
+    {
+      router_held_t *next = TAILQ_NEXT (held, link);
+
+      if (held->endpoint == endpoint)
+        router_return_unused (router, held);
+      held = next;
+    }
+}
+
 bool
 router_attempt_done (router_t *router, clock_ms_t now, uint64_t number,
                      const decide_attempt_end_t *end)
@@ -277,6 +297,9 @@
       TAILQ_REMOVE (&pending->attempts, attempt, link);
       pending->failed_on = attempt->held->endpoint;
     }
+  if (end->result == DECIDE_ATTEMPT_CLOSED
+      || end->result == DECIDE_ATTEMPT_RESET)
+    return_idle (router, attempt->service, attempt->held->endpoint);
   give_back (router, now, attempt->service, attempt->held, end);
   free (attempt);
   if (pending == NULL)
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -123,7 +123,7 @@
 static bool
 decode_release (const wire_release *from, decide_msg_release_t *to)
 {
-  if (from->result > DECIDE_ATTEMPT_UNUSED || !is_duration (from->latency_ms)
+  if (from->result > DECIDE_ATTEMPT_CLOSED || !is_duration (from->latency_ms)
       || !is_duration (from->retry_after_ms))
     return false;
   to->grant = from->grant;
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -21,8 +21,8 @@
         "no_contact",      "failed",      "key_conflict", "key_in_progress",
         "key_uncertain",   "key_no_copy", "stopping",     NULL };
 static const char *const attempts[]
-    = { "answered", "shed",      "not_sent", "reset", "timeout",
-        "broken",   "cancelled", "unused",   NULL };
+    = { "answered", "shed",      "not_sent", "reset",  "timeout",
+        "broken",   "cancelled", "unused",   "closed", NULL };
 static const char *const messages[] = { "",
                                         "heartbeat",
                                         "heartbeat_ack",
--- a/peridotrouter/attempt.c
+++ b/peridotrouter/attempt.c
@@ -154,6 +154,7 @@
     [DECIDE_ATTEMPT_BROKEN] = "broken",
     [DECIDE_ATTEMPT_CANCELLED] = "cancelled",
     [DECIDE_ATTEMPT_UNUSED] = "unused",
+    [DECIDE_ATTEMPT_CLOSED] = "closed",
   };
   telemetry_span_t span = {
     .trace = trace,
@@ -194,6 +195,7 @@
     .start_by = run->forward->start_by,
     .deadline = run->forward->deadline,
     .idempotent = request->idempotent,
+    .no_repeat = engine_grants_slots (attempts->engine),
     .cancel_fd = -1,
     .context = run,
     .cancelled = is_cancelled,
--- a/peridotrouter/engine.c
+++ b/peridotrouter/engine.c
@@ -120,6 +120,12 @@
   return engine->baseline == NULL ? -EINVAL : 0;
 }
 
+bool
+engine_grants_slots (const engine_t *engine)
+{
+  return engine->baseline == NULL;
+}
+
 static void
 unref_request (gpointer request)
 {
--- a/peridotrouter/engine.h
+++ b/peridotrouter/engine.h
@@ -28,6 +28,9 @@
  */
 int engine_post_request (engine_t *engine, request_t *request);
 
+/* Whether owners grant slots; false with a baseline policy.  */
+bool engine_grants_slots (const engine_t *engine);
+
 /* Reports how an attempt ended.  @answer may be NULL; it is copied.  */
 void engine_post_attempt (engine_t *engine, request_t *request,
                           uint64_t attempt, const decide_attempt_end_t *end,
--- /dev/null
+++ b/test/run/endpoints_restart.py
@@ -0,0 +1,46 @@
+"""Endpoints restart again and again under load.
+
+Guards against grants, made or lent before a restart, that are still used and
+together exceed the one request that a cold server bears.
+"""
+
+import random
+
+from faultrun import Faults, now_us, wait_until
+from harness import main
+
+RATE = 100  # requests per second and data centre
+LEAD_MS = 1500
+RESTARTS = 60
+# About 250 ms for an endpoint to be cold, then some time with more slots.
+STEP_MS = 120
+SEEDS = (20261, 20262, 20263)
+
+
+def script(run):
+    faults = Faults(run, backend_options=(
+        "--cold-ms", 250, "--slot-check-ms", 25, "--confirm-ms", 25))
+    endpoints = [endpoint for endpoint in faults.topology.endpoints
+                 if endpoint.service.name == "booking"]
+    faults.load(RATE, LEAD_MS + len(SEEDS) * RESTARTS * STEP_MS,
+                repeat_share=0)
+    before = sum(entry["cold_overloads"]
+                 for entry in faults.topology.stats().values())
+    next_us = now_us() + LEAD_MS * 1000
+    for seed in SEEDS:
+        choice = random.Random(seed)
+        for turn in range(RESTARTS):
+            if turn % len(endpoints) == 0:
+                choice.shuffle(endpoints)
+            wait_until(next_us, "the next restart")
+            endpoints[turn % len(endpoints)].control(restart=True)
+            next_us += choice.uniform(0.5, 1.5) * STEP_MS * 1000
+        total = sum(entry["cold_overloads"]
+                    for entry in faults.topology.stats().values())
+        faults.note(f"seed {seed}: {total - before} overloads in {RESTARTS} "
+                    f"restarts")
+        before = total
+    return faults.finish(0.9)
+
+
+main(script)
--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -115,6 +115,38 @@
   g_assert_cmpuint (stats.repeats, ==, 1);
 }
 
+/* Guards against a request that goes on to a new connection, and so to a cold
+   server, after a restart closed the pooled ones.  */
+static void
+test_no_repeat (void)
+{
+  backend_result_t result;
+  answer_t answer;
+  backend_request_t request;
+  char *address;
+
+  assert_end ("GET", "/ok", DECIDE_ATTEMPT_ANSWERED);
+  request = make_request ("GET", "/close-reused", &answer);
+  request.no_repeat = true;
+  g_assert_cmpint (backend_attempt (pool, &request, &result), ==, 0);
+  g_assert_cmpint (result.end.result, ==, DECIDE_ATTEMPT_RESET);
+  g_assert_cmpint (httpserver_get_count (server, "/close-reused"), ==, 1);
+  open_connections (2);
+  address = g_strdup (request.address);
+  request.address = address;
+  request.idempotent = false;
+  replace_server ();
+  g_assert_cmpint (backend_attempt (pool, &request, &result), ==, 0);
+  g_assert_cmpint (result.end.result, ==, DECIDE_ATTEMPT_CLOSED);
+  g_assert_false (result.sent);
+  g_assert_cmpuint (get_idle (), ==, 0);
+  /* Reported once; then a new connection is tried.  */
+  g_assert_cmpint (backend_attempt (pool, &request, &result), ==, 0);
+  g_assert_cmpint (result.end.result, ==, DECIDE_ATTEMPT_NOT_SENT);
+  g_string_free (answer.body, TRUE);
+  g_free (address);
+}
+
 /* Guards against a shed answer passed to the caller, or taken as one that may
    have run, and against losing what it says.  */
 static void
@@ -268,6 +300,7 @@
   g_test_add_data_func ("/backend/broken", test_broken, with_server);
   g_test_add_data_func ("/backend/post-once", test_post_once, with_server);
   g_test_add_data_func ("/backend/get-repeat", test_get_repeat, with_server);
+  g_test_add_data_func ("/backend/no-repeat", test_no_repeat, with_server);
   g_test_add_data_func ("/backend/shed", test_shed, with_server);
   g_test_add_data_func ("/backend/range", test_range, with_server);
   g_test_add_data_func ("/backend/extra", test_extra, with_server);
--- a/test/unit/backend_fixture.c
+++ b/test/unit/backend_fixture.c
@@ -195,6 +195,13 @@
   return stats.idle;
 }
 
+void
+replace_server (void)
+{
+  httpserver_stop (server);
+  server = httpserver_start (handle, NULL);
+}
+
 void
 with_server (gconstpointer test)
 {
--- a/test/unit/backend_fixture.h
+++ b/test/unit/backend_fixture.h
@@ -42,6 +42,9 @@
 /* Opens @count connections, at most 4, at the same time.  */
 void open_connections (int count);
 
+/* Ends the server with its connections and starts another one.  */
+void replace_server (void);
+
 /* Runs a test with a server and a pool of its own.  */
 void with_server (gconstpointer test);
 
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -246,7 +246,7 @@
   messages[3].body.wire_body_u.handover.centre = DECIDE_DATA_CENTRES_MAX;
   messages[4].body.wire_body_u.grant.priority = 8;
   messages[5].body.wire_body_u.grant.left_ms = INT64_MIN;
-  messages[6].body.wire_body_u.release.result = DECIDE_ATTEMPT_UNUSED + 1;
+  messages[6].body.wire_body_u.release.result = DECIDE_ATTEMPT_CLOSED + 1;
   messages[7].body.wire_body_u.key.status = DECIDE_KEY_NOT_OWNER + 1;
   messages[8].body.wire_body_u.key.slice = DECIDE_SLICES;
   messages[9].body.type = 23;
--- a/test/unit/slots_limit.c
+++ b/test/unit/slots_limit.c
@@ -168,11 +168,40 @@
   g_assert_cmpuint (limit_current (&limit), ==, 1);
 }
 
+/* Closed connections tell of a restart, but those that were last used before
+   the known restart do not start the ramp anew, and none suspends.  */
+static void
+test_closed (void)
+{
+  decide_attempt_end_t end = ended (DECIDE_ATTEMPT_CLOSED);
+  decide_attempt_end_t good = answer (5);
+  limit_t limit;
+
+  limit_init (&limit, 3, -2000);
+  warm (&limit, 0);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
+  end.latency_ms = 20;
+  limit_ended (&limit, 10, &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+  for (int i = 0; i < 8; i++)
+    limit_ended (&limit, 250 + i, &good, 80);
+  limit_ended (&limit, 260, &good, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 2);
+  end.latency_ms = 270;
+  for (int i = 0; i < 5; i++)
+    limit_ended (&limit, 270, &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 2);
+  end.latency_ms = 10;
+  limit_ended (&limit, 280, &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/limit/ramp", test_ramp);
+  g_test_add_func ("/limit/closed", test_closed);
   g_test_add_func ("/limit/reported-cold", test_reported_cold);
   g_test_add_func ("/limit/failing", test_failing);
   g_test_add_func ("/limit/drain", test_drain);
--- a/test/unit/slots_requester.c
+++ b/test/unit/slots_requester.c
@@ -115,6 +115,37 @@
   router_free (router);
 }
 
+/* Idle grants on an endpoint that may have restarted go back, and the request
+   is asked for again without the retry budget.  */
+static void
+test_closed (void)
+{
+  router_t *router = fake_router ();
+
+  for (uint64_t id = 1; id <= 40; id++)
+    {
+      clock_ms_t now = 10 * (clock_ms_t)id;
+      uint64_t closed;
+
+      fake_request (router, now, id, true, false);
+      fake_grant (router, now, fake_ask (), 1, DECIDE_LEND_MS, 0);
+      closed = fake_forward ()->attempt;
+      fake_request (router, now, id + 100, true, false);
+      fake_grant (router, now, fake_ask (), 1, DECIDE_LEND_MS, 0);
+      fake_done (router, now + 1, fake_forward ()->attempt,
+                 DECIDE_ATTEMPT_ANSWERED);
+      fake_done (router, now + 2, closed, DECIDE_ATTEMPT_CLOSED);
+      g_assert_cmpint (fake_last_given ()->msg.end.result, ==,
+                       DECIDE_ATTEMPT_CLOSED);
+      g_assert_cmpuint (router_held (router), ==, 0);
+      fake_grant (router, now + 3, fake_ask (), 2, 0, 0);
+      g_assert_true (fake_done (router, now + 4, fake_forward ()->attempt,
+                                DECIDE_ATTEMPT_ANSWERED));
+    }
+  g_assert_cmpuint (fake_refusals->len, ==, 0);
+  router_free (router);
+}
+
 /* A grant from a queue is passed on to requests that wait in the same queue
    with enough priority, else it goes back.  */
 static void
@@ -215,6 +246,7 @@
   g_test_add_func ("/router/late-owner", test_late_owner);
   g_test_add_func ("/router/validity", test_validity);
   g_test_add_func ("/router/lent", test_lent);
+  g_test_add_func ("/router/closed", test_closed);
   g_test_add_func ("/router/chain", test_chain);
   g_test_add_func ("/router/refusal", test_refusal);
   status = g_test_run ();
--- a/test/unit/slots_retry.c
+++ b/test/unit/slots_retry.c
@@ -16,7 +16,7 @@
     { DECIDE_ATTEMPT_SHED, true },       { DECIDE_ATTEMPT_NOT_SENT, true },
     { DECIDE_ATTEMPT_UNUSED, true },     { DECIDE_ATTEMPT_RESET, false },
     { DECIDE_ATTEMPT_TIMEOUT, false },   { DECIDE_ATTEMPT_BROKEN, false },
-    { DECIDE_ATTEMPT_CANCELLED, false },
+    { DECIDE_ATTEMPT_CANCELLED, false }, { DECIDE_ATTEMPT_CLOSED, true },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
