Notice restarts of endpoints that were idle for up to 10 s

Cause: holders closed idle connections after 4 s, and a connection found closed after 2 s or more was taken as an idle time-out, while an endpoint counts as warm for 10 s without use. A restart in between was noticed by nobody before a burst of requests.

Idle connections are kept for 10 s. A closed one always makes the endpoint cold, and the server's idle time-out is told from a restart by the next report: the same identity in an answer that was granted after the close restores the limit. A server without identity is not made cold by a close after 2 s or more.

--- a/lib/backend/backend.h
+++ b/lib/backend/backend.h
@@ -12,7 +12,7 @@
 typedef struct backend_options
 {
   uint32_t idle_max;   /* idle connections kept for each endpoint; 0: 32 */
-  clock_ms_t idle_ms;  /* an idle connection is closed after it; 0: 4,000 */
+  clock_ms_t idle_ms;  /* an idle connection is closed after it; 0: 10,000 */
   uint32_t header_max; /* bytes of all header lines; 0: 32 KiB */
 } backend_options_t;
 
--- a/lib/backend/pool.c
+++ b/lib/backend/pool.c
@@ -9,11 +9,11 @@
 #include <time.h>
 
 #define IDLE_MAX 32
-#define IDLE_MS 4000
+/* As long as an endpoint is taken as warm without use: a restart in that time
+   shows by the closed connection.  */
+#define IDLE_MS 10000
 #define HEADER_MAX (32 * 1024)
 #define SWEEP_US 1000000
-/* Servers close idle connections after 2 s or more.  */
-#define IDLE_CLOSE_US 2000000
 /* An endpoint without connections is forgotten after a minute, so that the
    table doesn't grow as endpoints are replaced.  */
 #define FORGET_US 60000000
@@ -325,7 +325,7 @@
     }
   pthread_mutex_unlock (&pool->lock);
   free_list (victims);
-  return idle_us < IDLE_CLOSE_US ? idle_us : -1;
+  return idle_us;
 }
 
 void
--- a/lib/backend/pool.h
+++ b/lib/backend/pool.h
@@ -59,8 +59,7 @@
  * backend_pool_check_closed() - look for a restart of the backend server
  *
  * When it has closed the idle connection that answered last, none of the
- * endpoint's idle connections is used again.  A server may close a connection
- * after a long idle time without a restart; this is not reported.
+ * endpoint's idle connections is used again.
  *
  * Return: time since the connection's last answer in us, or -1.
  */
--- a/lib/decide/limit.c
+++ b/lib/decide/limit.c
@@ -12,6 +12,9 @@
 /* Caches and pools of a server without work for this long are taken as gone.
  */
 #define IDLE_COLD_MS 10000
+/* Servers close idle connections after this time or more; without an identity
+   in its reports, such a server would turn cold each time.  */
+#define IDLE_CLOSE_MS 2000
 /* An endpoint is slow when its recent average is this many times the pool's
    median, and SLOW_MIN_MS more: small differences of fast answers are noise.
  */
@@ -43,6 +46,7 @@
 static bool is_slow (int64_t latency_16, int64_t median_16);
 static void average (int64_t *average_16, int64_t latency_16, int weight);
 static void sample (limit_t *limit, clock_ms_t now, int64_t latency_16);
+static void closed (limit_t *limit, clock_ms_t now, clock_ms_t idle_ms);
 static void read_load (limit_t *limit, clock_ms_t now,
                        const decide_load_t *load);
 
@@ -93,6 +97,7 @@
   limit->step_ms = RAMP_STEP_MS;
   limit->step_from = now + RAMP_STEP_MS;
   limit->restarted_at = now;
+  limit->before_close = 0;
 }
 
 void
@@ -233,6 +238,31 @@
     }
 }
 
+static void
+closed (limit_t *limit, clock_ms_t now, clock_ms_t idle_ms)
+{
+  uint32_t before = limit->cold ? 0 : limit->limit;
+
+  if (limit->identity == 0 && idle_ms >= IDLE_CLOSE_MS)
+    return;
+  restarted (limit, now);
+  limit->before_close = before;
+}
+
+void
+limit_confirm (limit_t *limit, clock_ms_t granted_at,
+               const decide_load_t *load)
+{
+  if (limit->before_close == 0 || granted_at <= limit->restarted_at
+      || !load->present || load->cold || load->identity == 0
+      || load->identity != limit->identity)
+    return;
+  limit->limit = limit->before_close;
+  limit->before_close = 0;
+  limit->cold = false;
+  limit->step_ms = 0;
+}
+
 void
 limit_ended (limit_t *limit, clock_ms_t now, const decide_attempt_end_t *end,
              int64_t median_16)
@@ -279,7 +309,7 @@
       /* A connection that was last used before the restart that is known
          tells nothing new.  */
       if (now - end->latency_ms >= limit->restarted_at)
-        restarted (limit, now);
+        closed (limit, now, end->latency_ms);
       return;
     case DECIDE_ATTEMPT_UNUSED:
     default:
--- a/lib/decide/limit.h
+++ b/lib/decide/limit.h
@@ -21,6 +21,7 @@
   clock_ms_t cold_since;   /* start of the report that it is cold */
   clock_ms_t step_ms;      /* shortest step of the ramp; 0 unless restarted */
   clock_ms_t step_from;    /* earliest time of the next rise while cold */
+  uint32_t before_close;   /* limit before a connection was closed; 0: none */
   clock_ms_t restarted_at; /* when the last restart became known */
   clock_ms_t used_at;      /* last grant or answer */
   clock_ms_t drained_at;   /* last sign of draining */
@@ -54,6 +55,16 @@
  */
 void limit_used (limit_t *limit, clock_ms_t now, uint32_t in_flight);
 
+/**
+ * limit_confirm() - a report of an attempt, before limit_ended()
+ * @granted_at: when the owner granted the attempt
+ *
+ * When the same process reports after one of its connections was found
+ * closed, it did not restart, and the limit is as it was before.
+ */
+void limit_confirm (limit_t *limit, clock_ms_t granted_at,
+                    const decide_load_t *load);
+
 /**
  * limit_ended() - an attempt ended
  * @median_16: median of the pool's long averages in 1/16 ms, or 0 when
--- a/lib/decide/pool_grant.c
+++ b/lib/decide/pool_grant.c
@@ -372,6 +372,7 @@
     return;
   index--;
   member = pool_find_member (pool, released->endpoint);
+  limit_confirm (&member->limit, released->granted_at, &msg->end.load);
   limit_ended (&member->limit, now, &msg->end, median_16 (pool));
   if ((!released->lent || released->chained)
       && msg->end.result != DECIDE_ATTEMPT_UNUSED
--- a/test/run/endpoints_restart.py
+++ b/test/run/endpoints_restart.py
@@ -1,13 +1,15 @@
-"""Endpoints restart again and again under load.
+"""Endpoints restart again and again under load, and once while idle.
 
 Guards against grants, made or lent before a restart, that are still used and
-together exceed the one request that a cold server bears.
+together exceed the one request that a cold server bears; and against a burst
+of requests before anybody knows of a restart.
 """
 
+import concurrent.futures
 import random
 
 from faultrun import Faults, now_us, wait_until
-from harness import main
+from harness import main, request
 
 RATE = 100  # requests per second and data centre
 LEAD_MS = 1500
@@ -15,6 +17,19 @@
 # About 250 ms for an endpoint to be cold, then some time with more slots.
 STEP_MS = 120
 SEEDS = (20261, 20262, 20263)
+IDLE_S = 3
+BURST = 36
+
+
+def burst(topology):
+    """Requests through all instances at once; returns their statuses."""
+    def ask(turn):
+        port = topology.instances[turn % len(topology.instances)].callers
+        return request(port, "GET", "/s/booking/slot-check", None,
+                       {"Request-Timeout-Ms": 1500}).status
+
+    with concurrent.futures.ThreadPoolExecutor(BURST) as pool:
+        return list(pool.map(ask, range(BURST)))
 
 
 def script(run):
@@ -40,6 +55,16 @@
         faults.note(f"seed {seed}: {total - before} overloads in {RESTARTS} "
                     f"restarts")
         before = total
+    for caller in faults.callers:
+        caller.finish()
+    wait_until(now_us() + IDLE_S * 1e6, "the endpoints are idle for a while")
+    for endpoint in endpoints:
+        endpoint.control(restart=True)
+    statuses = burst(faults.topology)
+    total = sum(entry["cold_overloads"]
+                for entry in faults.topology.stats().values())
+    faults.note(f"burst after {IDLE_S} s: {total - before} overloads, "
+                f"{statuses.count(200)} of {BURST} answered")
     return faults.finish(0.9)
 
 
--- a/test/unit/slots_limit.c
+++ b/test/unit/slots_limit.c
@@ -196,12 +196,42 @@
   g_assert_cmpuint (limit_current (&limit), ==, 1);
 }
 
+/* A server that closes idle connections does not stay cold for it: its next
+   report shows the same process.  Reports of earlier grants show nothing.  */
+static void
+test_idle_close (void)
+{
+  decide_attempt_end_t end = ended (DECIDE_ATTEMPT_CLOSED);
+  limit_t limit;
+
+  limit_init (&limit, 3, -2000);
+  warm (&limit, 0);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
+  end.latency_ms = 100;
+  limit_ended (&limit, 1000, &end, 80);
+  limit_confirm (&limit, 1000, &plain);
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+  limit_confirm (&limit, 1001, &plain);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
+  limit_ended (&limit, 3600, &end, 80);
+  limit_confirm (&limit, 3601,
+                 &(decide_load_t){ .present = true, .identity = 6 });
+  g_assert_cmpuint (limit_current (&limit), ==, 1);
+  /* Without an identity a close after a long idle time says nothing.  */
+  limit.identity = 0;
+  limit.limit = 3;
+  end.latency_ms = 2500;
+  limit_ended (&limit, 7000, &end, 80);
+  g_assert_cmpuint (limit_current (&limit), ==, 3);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/limit/ramp", test_ramp);
   g_test_add_func ("/limit/closed", test_closed);
+  g_test_add_func ("/limit/idle-close", test_idle_close);
   g_test_add_func ("/limit/reported-cold", test_reported_cold);
   g_test_add_func ("/limit/failing", test_failing);
   g_test_add_func ("/limit/drain", test_drain);
