--- a/lib/decide/limit.c
+++ b/lib/decide/limit.c
@@ -12,6 +12,9 @@
 /* Caches and pools of a server without work for this long are taken as gone.
  */
 #define IDLE_COLD_MS 10000
+/* Servers close idle connections after this time or more; without an identity
+   in its reports, such a server would turn cold each time.  */
+#define IDLE_CLOSE_MS 2000
 /* An endpoint is slow when its recent average is this many times the pool's
    median, and SLOW_MIN_MS more: small differences of fast answers are noise.
  */
@@ -43,6 +46,7 @@
 static bool is_slow (int64_t latency_16, int64_t median_16);
 static void average (int64_t *average_16, int64_t latency_16, int weight);
 static void sample (limit_t *limit, clock_ms_t now, int64_t latency_16);
+static void closed (limit_t *limit, clock_ms_t now, clock_ms_t idle_ms);
 static void read_load (limit_t *limit, clock_ms_t now,
                        const decide_load_t *load);
 
@@ -63,6 +67,7 @@
   limit->probed_at = now - PROBE_INTERVAL_MS;
   limit->step_ms = RAMP_STEP_MS;
   limit->step_from = now + RAMP_STEP_MS;
+  limit->restarted_at = now;
 }
 
 void
@@ -91,6 +96,8 @@
   turn_cold (limit);
   limit->step_ms = RAMP_STEP_MS;
   limit->step_from = now + RAMP_STEP_MS;
+  limit->restarted_at = now;
+  limit->before_close = 0;
 }
 
 void
@@ -124,6 +131,8 @@
     }
   limit->cold = false;
   limit->step_ms = 0;
+  /* Connections that were used under the previous owner tell of restarts.  */
+  limit->restarted_at = now - IDLE_COLD_MS;
   limit->limit = state->limit > 0 ? state->limit : 1;
   if (limit->limit > limit->slots)
     limit->limit = limit->slots;
@@ -261,6 +270,31 @@
     }
 }
 
+static void
+closed (limit_t *limit, clock_ms_t now, clock_ms_t idle_ms)
+{
+  uint32_t before = limit->cold ? 0 : limit->limit;
+
+  if (limit->identity == 0 && idle_ms >= IDLE_CLOSE_MS)
+    return;
+  restarted (limit, now);
+  limit->before_close = before;
+}
+
+void
+limit_confirm (limit_t *limit, clock_ms_t granted_at,
+               const decide_load_t *load)
+{
+  if (limit->before_close == 0 || granted_at <= limit->restarted_at
+      || !load->present || load->cold || load->identity == 0
+      || load->identity != limit->identity)
+    return;
+  limit->limit = limit->before_close;
+  limit->before_close = 0;
+  limit->cold = false;
+  limit->step_ms = 0;
+}
+
 void
 limit_ended (limit_t *limit, clock_ms_t now, const decide_attempt_end_t *end,
              int64_t median_16)
@@ -303,6 +337,12 @@
         return;
       sample (limit, now, latency_16);
       break;
+    case DECIDE_ATTEMPT_CLOSED:
+      /* A connection that was last used before the restart that is known
+         tells nothing new.  */
+      if (now - end->latency_ms >= limit->restarted_at)
+        closed (limit, now, end->latency_ms);
+      return;
     case DECIDE_ATTEMPT_UNUSED:
     default:
       return;
--- a/lib/decide/pool_grant.c
+++ b/lib/decide/pool_grant.c
@@ -374,9 +374,11 @@
   member = pool_find_member (pool, released->endpoint);
   for (uint32_t i = 0; i < msg->earlier_count; i++)
     limit_ended (&member->limit, now, &msg->earlier[i], median_16 (pool));
+  limit_confirm (&member->limit, released->granted_at, &msg->end.load);
   limit_ended (&member->limit, now, &msg->end, median_16 (pool));
   if ((!released->lent || released->chained)
-      && msg->end.result != DECIDE_ATTEMPT_UNUSED)
+      && msg->end.result != DECIDE_ATTEMPT_UNUSED
+      && msg->end.result != DECIDE_ATTEMPT_CLOSED)
     measure_hold (pool, now - released->used_from);
   released->used_from = now;
   switch (msg->end.result)
@@ -393,6 +395,7 @@
     case DECIDE_ATTEMPT_SHED:
     case DECIDE_ATTEMPT_NOT_SENT:
     case DECIDE_ATTEMPT_UNUSED:
+    case DECIDE_ATTEMPT_CLOSED:
     default:
       if (!msg->keep)
         drop_grant (pool, index);
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -172,7 +172,7 @@
 static bool
 decode_end (const wire_end *from, decide_attempt_end_t *to)
 {
-  if (from->result > DECIDE_ATTEMPT_UNUSED)
+  if (from->result > DECIDE_ATTEMPT_CLOSED)
     return false;
   to->result = from->result;
   to->latency_ms = from->latency_ms;
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -30,8 +30,8 @@
                                        "stopping",
                                        NULL };
 static const char *const attempts[]
-    = { "answered", "shed",      "not_sent", "reset", "timeout",
-        "broken",   "cancelled", "unused",   NULL };
+    = { "answered", "shed",      "not_sent", "reset",  "timeout",
+        "broken",   "cancelled", "unused",   "closed", NULL };
 static const char *const messages[] = { "",
                                         "heartbeat",
                                         "heartbeat_ack",
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -330,7 +330,7 @@
   messages[5].body.wire_body_u.handover.grants.grants_val[0].left_ms
       = INT64_MIN;
   messages[6].body.wire_body_u.release.ends.ends_val[1].result
-      = DECIDE_ATTEMPT_UNUSED + 1;
+      = DECIDE_ATTEMPT_CLOSED + 1;
   messages[7].body.wire_body_u.key.status = DECIDE_KEY_FULL + 1;
   messages[8].body.wire_body_u.key.slice = DECIDE_SLICES;
   messages[9].body.type = 23;
