--- a/test/unit/keys_holder.c
+++ b/test/unit/keys_holder.c
@@ -26,11 +26,15 @@
   g_assert_not_reached ();
 }
 
-static void
+/* A claim whose reply has left the owner.  */
+static uint64_t
 hold_reply (void)
 {
-  advance (1);
+  uint64_t request = call (REQUESTER, 7);
+
+  advance (2);
   hold_message (DECIDE_MSG_KEY_CLAIM_REPLY, REQUESTER);
+  return request;
 }
 
 static void
@@ -41,6 +45,43 @@
   advance (1);
 }
 
+/* A call whose request ends at once with an answer.  */
+static void
+run_whole (uint32_t node, uint32_t key)
+{
+  uint64_t request = call (node, key);
+
+  advance (SOON_MS);
+  finish (request, DECIDE_KEY_STATE_DONE);
+  advance (SOON_MS);
+}
+
+static void
+lose_owner (uint32_t to)
+{
+  stop_node (world.owner);
+  change_owner (to, KEYS_TAKEN_OVER);
+  advance (SOON_MS);
+}
+
+static bool
+is_run (uint32_t node, uint32_t key)
+{
+  uint64_t request = call (node, key);
+
+  advance (SOON_MS);
+  return find_caller (request)->ran;
+}
+
+static void
+assert_replayed (uint32_t key)
+{
+  uint64_t repeat = call (REPEATER, key);
+
+  advance (100);
+  g_assert_true (find_caller (repeat)->replayed);
+}
+
 static uint32_t
 sent_keys (void)
 {
@@ -92,14 +133,9 @@
 test_holder_gone (const void *how)
 {
   int kind = GPOINTER_TO_INT (how);
-  uint64_t first;
-  uint64_t repeat;
 
   start_world (1);
-  first = call (REQUESTER, 7);
-  advance (SOON_MS);
-  finish (first, DECIDE_KEY_STATE_DONE);
-  advance (SOON_MS);
+  run_whole (REQUESTER, 7);
   if (kind == 1)
     {
       world.leaving = 1U << REQUESTER;
@@ -111,12 +147,8 @@
   start_node (REQUESTER);
   if (kind == 2)
     advance (1500);
-  stop_node (OWNER);
-  change_owner (2, KEYS_TAKEN_OVER);
-  advance (SOON_MS);
-  repeat = call (REPEATER, 7);
-  advance (100);
-  g_assert_true (find_caller (repeat)->replayed);
+  lose_owner (2);
+  assert_replayed (7);
   end_world ();
 }
 
@@ -184,9 +216,7 @@
   uint64_t second;
 
   start_world (1);
-  first = call (REQUESTER, 7);
-  advance (1);
-  hold_reply ();
+  first = hold_reply ();
   stop_node (OWNER);
   if (kind == 1)
     world.version--;
@@ -214,7 +244,6 @@
 {
   packet_t collect;
   uint64_t first;
-  uint64_t second;
 
   start_world (1);
   world.version--;
@@ -223,16 +252,12 @@
   collect = held;
   release_reply ();
   advance (SOON_MS);
-  first = call (REQUESTER, 7);
-  advance (1);
-  hold_reply ();
+  first = hold_reply ();
   stop_node (2);
   world.version--;
   change_owner (1, KEYS_TAKEN_OVER);
   advance (SOON_MS);
-  second = call (1, 7);
-  advance (SOON_MS);
-  g_assert_true (find_caller (second)->ran);
+  g_assert_true (is_run (1, 7));
   collect.due = world.now;
   g_array_append_val (world.packets, collect);
   advance (1);
@@ -269,7 +294,6 @@
 test_out_of_reach (void)
 {
   uint64_t first;
-  uint64_t repeat;
 
   start_world (1);
   first = call (OWNER, 7);
@@ -279,12 +303,8 @@
   advance (500);
   world.cut[OWNER] = 0;
   advance (1500);
-  stop_node (OWNER);
-  change_owner (2, KEYS_TAKEN_OVER);
-  advance (SOON_MS);
-  repeat = call (REPEATER, 7);
-  advance (100);
-  g_assert_true (find_caller (repeat)->replayed);
+  lose_owner (2);
+  assert_replayed (7);
   end_world ();
 }
 
@@ -294,7 +314,6 @@
 test_handed_back (void)
 {
   uint64_t first;
-  uint64_t repeat;
 
   start_world (1);
   first = call (OWNER, 7);
@@ -308,35 +327,29 @@
   stop_node (2);
   stop_node (3);
   advance (1500);
-  stop_node (OWNER);
-  change_owner (REPEATER, KEYS_TAKEN_OVER);
-  advance (SOON_MS);
-  repeat = call (REPEATER, 7);
-  advance (100);
-  g_assert_true (find_caller (repeat)->replayed);
+  lose_owner (REPEATER);
+  assert_replayed (7);
   end_world ();
 }
 
-/* Guards against a claim of a replaced owner that is let run while a member
-   that knows of a later run has not answered.  */
+/* Guards against a claim of a replaced owner that is let run although a later
+   one ran: its holder has not answered (0), or is the new owner (1).  */
 static void
-test_uncertain (void)
+test_earlier_claim (const void *how)
 {
   uint64_t first;
-  uint64_t second;
 
   start_world (1);
-  first = call (REQUESTER, 7);
-  advance (1);
-  hold_reply ();
+  first = hold_reply ();
   change_owner (1, KEYS_TAKEN_OVER);
   advance (SOON_MS);
-  second = call (1, 7);
-  advance (SOON_MS);
-  g_assert_true (find_caller (second)->ran);
-  stop_node (1);
-  world.cut[2] = 1U << REPEATER;
-  change_owner (REPEATER, KEYS_TAKEN_OVER);
+  g_assert_true (is_run (1, 7));
+  if (GPOINTER_TO_INT (how) == 0)
+    {
+      stop_node (1);
+      world.cut[2] = 1U << REPEATER;
+    }
+  change_owner (GPOINTER_TO_INT (how) == 0 ? REPEATER : 2, KEYS_TAKEN_OVER);
   advance (1000);
   g_assert_false (find_caller (first)->ran);
   end_world ();
@@ -347,7 +360,6 @@
 test_not_run_copied (void)
 {
   uint64_t first;
-  uint64_t second;
 
   start_world (1);
   first = call (OWNER, 7);
@@ -356,12 +368,8 @@
   advance (SOON_MS);
   world.leaving = 1U << 1;
   advance (1500);
-  stop_node (OWNER);
-  change_owner (REQUESTER, KEYS_TAKEN_OVER);
-  advance (SOON_MS);
-  second = call (REPEATER, 7);
-  advance (SOON_MS);
-  g_assert_true (find_caller (second)->ran);
+  lose_owner (REQUESTER);
+  g_assert_true (is_run (REPEATER, 7));
   end_world ();
 }
 
@@ -372,12 +380,8 @@
   uint64_t first;
 
   start_world (1);
-  first = call (REQUESTER, 7);
-  advance (1);
-  hold_reply ();
-  stop_node (OWNER);
-  change_owner (2, KEYS_TAKEN_OVER);
-  advance (SOON_MS);
+  first = hold_reply ();
+  lose_owner (2);
   release_reply ();
   g_assert_false (find_caller (first)->ran);
   advance (100);
@@ -395,9 +399,7 @@
   uint64_t repeat;
 
   start_world (1);
-  first = call (REQUESTER, 7);
-  advance (1);
-  hold_reply ();
+  first = hold_reply ();
   world.leaving = 1U << REQUESTER;
   world.cut[OWNER] = 1U << 1;
   advance (100);
@@ -405,9 +407,7 @@
   world.cut[OWNER] = 0;
   advance (100);
   g_assert_true (find_caller (first)->ran);
-  stop_node (OWNER);
-  change_owner (2, KEYS_TAKEN_OVER);
-  advance (SOON_MS);
+  lose_owner (2);
   repeat = call (REPEATER, 7);
   advance (100);
   g_assert_false (find_caller (repeat)->ran);
@@ -441,14 +441,10 @@
 static void
 test_own_copy (void)
 {
-  uint64_t first;
   uint64_t repeat;
 
   start_world (1);
-  first = call (REQUESTER, 7);
-  advance (SOON_MS);
-  finish (first, DECIDE_KEY_STATE_DONE);
-  advance (SOON_MS);
+  run_whole (REQUESTER, 7);
   stop_node (OWNER);
   /* A first owner collects nothing.  */
   change_owner (2, KEYS_FIRST_OWNER);
@@ -528,9 +524,7 @@
   request = call (REQUESTER, 8);
   advance (SOON_MS);
   assert_full (request);
-  request = call (REPEATER, 8);
-  advance (SOON_MS);
-  g_assert_true (find_caller (request)->ran);
+  g_assert_true (is_run (REPEATER, 8));
   end_world ();
 }
 
@@ -561,7 +555,10 @@
   g_test_add_func ("/keys-holder/copy-to-owner", test_copy_to_owner);
   g_test_add_func ("/keys-holder/out-of-reach", test_out_of_reach);
   g_test_add_func ("/keys-holder/handed-back", test_handed_back);
-  g_test_add_func ("/keys-holder/uncertain", test_uncertain);
+  g_test_add_data_func ("/keys-holder/earlier-claim/no-answer",
+                        GINT_TO_POINTER (0), test_earlier_claim);
+  g_test_add_data_func ("/keys-holder/earlier-claim/known",
+                        GINT_TO_POINTER (1), test_earlier_claim);
   g_test_add_func ("/keys-holder/not-run-copied", test_not_run_copied);
   g_test_add_func ("/keys-holder/asked-again", test_asked_again);
   g_test_add_func ("/keys-holder/lost-reply", test_lost_reply);
