--- a/lib/decide/ownership.c
+++ b/lib/decide/ownership.c
@@ -455,7 +455,8 @@
   /* Without the store and a successor the slices are lost in any case.  Until
      callers have left the others, these may need them.  */
   if (!store
-      && now - o->company_at > DECIDE_ADDRESS_LIFETIME_MS + DECIDE_HEARTBEAT_MS)
+      && now - o->company_at
+             > DECIDE_ADDRESS_LIFETIME_MS + DECIDE_HEARTBEAT_MS)
     return true;
   for (uint32_t c = 0; c < o->record.centre_count; c++)
     for (uint32_t s = 0; s < DECIDE_SLICES; s++)
--- a/test/run/faultrun.py
+++ b/test/run/faultrun.py
@@ -123,6 +123,32 @@
         instance.process.signal(signal.SIGCONT)
         self.paused[f"127.0.0.1:{instance.callers}"][1] = now_us()
 
+    def busy_owner(self, data_centre, slow_ms, rate, duration_ms):
+        """Load whose long requests keep all slots of a data centre in use, so
+        that one grant too many is above them; returns the owner of its first
+        pool and the endpoints that it owns."""
+        for endpoint in self.topology.in_data_centre(data_centre):
+            endpoint.control(slow_ms=slow_ms)
+        self.load(rate, duration_ms)
+        owner = self.owner(data_centre)
+        pools = self.owned_endpoints(owner)
+        self.say("the owner has pools", len(pools) > 0)
+        return owner, pools
+
+    def starts(self):
+        """How often endpoints started each key."""
+        return collections.Counter(entry["key"]
+                                   for entry in self.topology.journal())
+
+    def say_left(self, leaving, limit_s):
+        """Verdict on work that came late after a data centre was marked."""
+        stats = self.topology.stats()
+        stats = [stats[endpoint.name] for endpoint in leaving]
+        self.note("last new work in ms: " + str(sorted(
+            entry["last_after_out_ms"] for entry in stats)))
+        self.say(f"no new work {limit_s} s after the command",
+                 not any(entry["late_after_out"] for entry in stats))
+
     def late(self, records):
         """Timeouts of requests that no paused instance had meanwhile."""
         def excused(record):
