Add group objects and the mapping of services to groups

Two groups on one store would each grant all slots, because nothing says which group serves a service. shared/group/NAME lists the data centres of a group's region and, for callers of other groups, its instances; a service may name its groups and a data centre for its idempotency keys.

groups_choose() takes the first named group of the data centre's region, otherwise the highest XXH64 of service and group name. A hash modulo the number of groups was ruled out: it moves most services when a group is added. Lists that overlap without being the same are found by conf_compare_groups(); the mapping itself gives every data centre one group whatever the lists are, so that two such objects stored by a race divide the services unevenly but never twice.

Test groups: 400 services over 3 groups, each with exactly one group in each region, the same for two orders of the objects; a fourth group takes 65 to 135 of them and nothing else moves.

--- a/lib/conf/check.c
+++ b/lib/conf/check.c
@@ -380,3 +380,33 @@
                   (unsigned int)port);
   return strcmp (again, address) == 0 ? 0 : -EINVAL;
 }
+
+int
+read_names (reader_t *reader, const char *key, json_object *list,
+            char names[][DECIDE_NAME_MAX])
+{
+  size_t outer = reader_enter (reader, key);
+  char shown[64];
+
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      json_object *item = json_object_array_get_idx (list, i);
+      const char *text = json_object_is_type (item, json_type_string)
+                             ? json_object_get_string (item)
+                             : "";
+      size_t depth = reader_enter_index (reader, i);
+
+      if (conf_check_name (text) != 0)
+        return reader_fail (reader,
+                            "\"%s\" is not a name (letters, digits, '-', "
+                            "'_', '.')",
+                            printable (text, shown));
+      for (size_t j = 0; j < i; j++)
+        if (strcmp (names[j], text) == 0)
+          return reader_fail (reader, "duplicate name \"%s\"", text);
+      (void)g_strlcpy (names[i], text, DECIDE_NAME_MAX);
+      reader_leave (reader, depth);
+    }
+  reader_leave (reader, outer);
+  return 0;
+}
--- a/lib/conf/check.h
+++ b/lib/conf/check.h
@@ -73,10 +73,15 @@
 int read_array (reader_t *reader, json_object *object, const char *key,
                 range_t length, json_object **value);
 
+/* The different names in @list, the array at @key.  */
+int read_names (reader_t *reader, const char *key, json_object *list,
+                char names[][DECIDE_NAME_MAX]);
+
 /* Copies @text with all but printable ASCII replaced, at most 60 bytes, so
    that it can be shown in an error.  */
 const char *printable (const char *text, char shown[64]);
 
+int parse_group (reader_t *reader, json_object *root, decide_group_t *group);
 int parse_record (reader_t *reader, json_object *root,
                   decide_record_t *record);
 
--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -20,6 +20,7 @@
 #define CONF_PREFIX_SERVICE "shared/service/"
 #define CONF_PREFIX_OUT_CENTRE "shared/out/data-centre/"
 #define CONF_PREFIX_OUT_INSTANCE "shared/out/instance/"
+#define CONF_PREFIX_GROUP "shared/group/"
 #define CONF_PREFIX_OWNERSHIP "shared/ownership/"
 
 /* Place and reason, for example
@@ -110,6 +111,7 @@
     decide_profile_t profile;
     decide_service_t service;
     decide_record_t record;
+    decide_group_t group;
     char out[DECIDE_NAME_MAX];
   } u;
 } conf_object_t;
@@ -136,6 +138,16 @@
 /* Frees an object; NULL is allowed.  */
 void conf_object_free (conf_object_t *object);
 
+/**
+ * conf_compare_groups() - check that two groups fit together
+ * @error: names the data centre that only one of them has
+ *
+ * Return: 0 when their data centres are the same or have none in common,
+ *   otherwise -EINVAL.
+ */
+int conf_compare_groups (const decide_group_t *one,
+                         const decide_group_t *other, conf_error_t *error);
+
 /**
  * conf_format_record() - JSON text of an ownership record
  *
--- a/lib/conf/object.c
+++ b/lib/conf/object.c
@@ -19,6 +19,12 @@
                       conf_object_t *object, const char *name);
 static int parse_ownership (reader_t *reader, json_object *root,
                             conf_object_t *object, const char *name);
+static int parse_group_object (reader_t *reader, json_object *root,
+                               conf_object_t *object, const char *name);
+static int check_key_region (reader_t *reader,
+                             const decide_service_t *service);
+static int parse_service_groups (reader_t *reader, json_object *root,
+                                 decide_service_t *service);
 static int parse_endpoint (reader_t *reader, json_object *item,
                            decide_service_t *service);
 static int parse_body (conf_object_t *object, parse_t parse, const char *name,
@@ -35,6 +41,7 @@
   { CONF_PREFIX_SERVICE, DECIDE_OBJECT_SERVICE, parse_service },
   { CONF_PREFIX_OUT_CENTRE, DECIDE_OBJECT_OUT_CENTRE, parse_out },
   { CONF_PREFIX_OUT_INSTANCE, DECIDE_OBJECT_OUT_INSTANCE, parse_out },
+  { CONF_PREFIX_GROUP, DECIDE_OBJECT_GROUP, parse_group_object },
   { CONF_PREFIX_OWNERSHIP, DECIDE_OBJECT_RECORD, parse_ownership },
 };
 
@@ -212,9 +219,11 @@
 parse_service (reader_t *reader, json_object *root, conf_object_t *object,
                const char *name)
 {
-  static const char *const keys[] = { "profile", "endpoints", NULL };
+  static const char *const keys[]
+      = { "profile", "endpoints", "groups", "key_region", NULL };
   decide_service_t *service = &object->u.service;
   json_object *list;
+  size_t outer;
   size_t count;
   int result;
 
@@ -226,13 +235,17 @@
       || (result
           = read_array (reader, root, "endpoints",
                         (range_t){ 1, DECIDE_SERVICE_ENDPOINTS_MAX }, &list))
-             != 0)
+             != 0
+      || (result = read_name (reader, root, "key_region", OPTIONAL,
+                              service->key_region))
+             != 0
+      || (result = parse_service_groups (reader, root, service)) != 0)
     return result;
   count = json_object_array_length (list);
   service->endpoints = calloc (count, sizeof *service->endpoints);
   if (service->endpoints == NULL)
     return -ENOMEM;
-  reader_enter (reader, "endpoints");
+  outer = reader_enter (reader, "endpoints");
   for (size_t i = 0; i < count; i++)
     {
       size_t depth = reader_enter_index (reader, i);
@@ -243,8 +256,53 @@
         return result;
       reader_leave (reader, depth);
     }
+  reader_leave (reader, outer);
   object->object.u.service = service;
-  return 0;
+  return check_key_region (reader, service);
+}
+
+static int
+parse_service_groups (reader_t *reader, json_object *root,
+                      decide_service_t *service)
+{
+  json_object *list;
+  int result;
+
+  if (!json_object_object_get_ex (root, "groups", NULL))
+    return 0;
+  result = read_array (reader, root, "groups",
+                       (range_t){ 1, DECIDE_SERVICE_GROUPS_MAX }, &list);
+  if (result == 0)
+    result = read_names (reader, "groups", list, service->groups);
+  if (result == 0)
+    service->group_count = (uint32_t)json_object_array_length (list);
+  return result;
+}
+
+/* Keyed requests run at the group that has the keys, so it needs
+   endpoints.  */
+static int
+check_key_region (reader_t *reader, const decide_service_t *service)
+{
+  if (service->key_region[0] == '\0')
+    return 0;
+  for (uint32_t i = 0; i < service->endpoint_count; i++)
+    if (strcmp (service->endpoints[i].data_centre, service->key_region) == 0)
+      return 0;
+  return reader_fail_key (reader, "key_region",
+                          "no endpoint is in data centre \"%s\"",
+                          service->key_region);
+}
+
+static int
+parse_group_object (reader_t *reader, json_object *root, conf_object_t *object,
+                    const char *name)
+{
+  int result = parse_group (reader, root, &object->u.group);
+
+  (void)g_strlcpy (object->u.group.name, name, sizeof object->u.group.name);
+  object->object.u.group = &object->u.group;
+  return result;
 }
 
 static int
--- a/lib/decide/catalog.c
+++ b/lib/decide/catalog.c
@@ -24,10 +24,11 @@
   GHashTable *profiles;      /* id of name -> decide_profile_t */
   GHashTable *out;           /* id -> name of a data centre */
   GHashTable *out_instances; /* id -> name */
-  GArray *services;          /* catalog_service_t */
-  GArray *pools;             /* catalog_pool_t */
-  GArray *endpoints;         /* catalog_endpoint_t */
-  GHashTable *by_service;    /* id -> index + 1 */
+  groups_t *groups;
+  GArray *services;       /* catalog_service_t */
+  GArray *pools;          /* catalog_pool_t */
+  GArray *endpoints;      /* catalog_endpoint_t */
+  GHashTable *by_service; /* id -> index + 1 */
   GHashTable *by_pool;
   GHashTable *by_endpoint;
 };
@@ -76,6 +77,7 @@
   c->out = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   c->out_instances
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  c->groups = groups_new ();
   c->services = g_array_new (FALSE, TRUE, sizeof (catalog_service_t));
   c->pools = g_array_new (FALSE, TRUE, sizeof (catalog_pool_t));
   c->endpoints = g_array_new (FALSE, TRUE, sizeof (catalog_endpoint_t));
@@ -98,6 +100,7 @@
   g_hash_table_destroy (c->profiles);
   g_hash_table_destroy (c->out);
   g_hash_table_destroy (c->out_instances);
+  groups_free (c->groups);
   g_hash_table_destroy (c->by_service);
   g_hash_table_destroy (c->by_pool);
   g_hash_table_destroy (c->by_endpoint);
@@ -174,6 +177,11 @@
       apply_out (c->out_instances, object);
       changed = CATALOG_CHANGED_OUT;
       break;
+    case DECIDE_OBJECT_GROUP:
+      groups_apply (c->groups, strrchr (object->name, '/') + 1,
+                    object->deleted ? NULL : object->u.group);
+      changed = CATALOG_CHANGED_GROUP;
+      break;
     case DECIDE_OBJECT_RECORD:
       changed = CATALOG_CHANGED_RECORD;
       break;
@@ -329,6 +337,13 @@
     return 0;
   g_strlcpy (service->profile_name, object->u.service->profile,
              sizeof service->profile_name);
+  g_strlcpy (service->key_centre,
+             object->u.service->key_region[0] != '\0'
+                 ? object->u.service->key_region
+                 : object->u.service->endpoints[0].data_centre,
+             sizeof service->key_centre);
+  service->group_count = object->u.service->group_count;
+  memcpy (service->groups, object->u.service->groups, sizeof service->groups);
   rebuild_pools (c, object->u.service);
   list_pools (c, service);
   return 0;
@@ -496,6 +511,23 @@
   return profile == NULL ? &default_profile : profile;
 }
 
+groups_t *
+catalog_groups (const catalog_t *c)
+{
+  return c->groups;
+}
+
+const char *
+catalog_group (const catalog_t *c, decide_id_t service, const char *centre)
+{
+  const catalog_service_t *found = catalog_find_service (c, service);
+
+  return found == NULL
+             ? NULL
+             : groups_choose (c->groups, found->name, found->group_count,
+                              found->groups, centre);
+}
+
 clock_ms_t
 catalog_longest_run (const catalog_t *c)
 {
--- a/lib/decide/catalog.h
+++ b/lib/decide/catalog.h
@@ -6,6 +6,7 @@
    only go up.  */
 
 #include "decide.h"
+#include "groups.h"
 
 /* Enough for the most endpoints of a service spread over all data centres.  */
 #define CATALOG_SERVICE_POOLS_MAX 96
@@ -46,6 +47,10 @@
   /* Longest run_ms that any profile of the service had: grants made before a
      change may still be out.  */
   clock_ms_t longest_run_ms;
+  /* Data centre that decides which group has the idempotency keys.  */
+  char key_centre[DECIDE_NAME_MAX];
+  uint32_t group_count;
+  char groups[DECIDE_SERVICE_GROUPS_MAX][DECIDE_NAME_MAX];
   uint32_t pool_count;
   pool_handle_t pools[CATALOG_SERVICE_POOLS_MAX];
 } catalog_service_t;
@@ -56,7 +61,8 @@
   CATALOG_CHANGED_SERVICE = 1,
   CATALOG_CHANGED_PROFILE = 2,
   CATALOG_CHANGED_OUT = 4,
-  CATALOG_CHANGED_RECORD = 8
+  CATALOG_CHANGED_RECORD = 8,
+  CATALOG_CHANGED_GROUP = 16
 } catalog_change_t;
 
 catalog_t *catalog_new (void);
@@ -100,6 +106,16 @@
 const decide_profile_t *catalog_profile (const catalog_t *catalog,
                                          decide_id_t service);
 
+groups_t *catalog_groups (const catalog_t *catalog);
+
+/**
+ * catalog_group() - group that a service belongs to in a data centre
+ * Return: its name, or NULL when there is no such service or no group has the
+ *   data centre.
+ */
+const char *catalog_group (const catalog_t *catalog, decide_id_t service,
+                           const char *centre);
+
 /* Longest run of any service in ms; 0 without a service.  */
 clock_ms_t catalog_longest_run (const catalog_t *catalog);
 
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -28,6 +28,7 @@
 #define DECIDE_KEY_CENTRE "*"
 #define DECIDE_POOL_ENDPOINTS_MAX 4
 #define DECIDE_SERVICE_ENDPOINTS_MAX 256
+#define DECIDE_SERVICE_GROUPS_MAX 8
 #define DECIDE_ANSWER_MAX 4096
 #define DECIDE_LOADS_MAX 32
 
@@ -89,8 +90,32 @@
   char profile[DECIDE_NAME_MAX];
   uint32_t endpoint_count;
   decide_endpoint_t *endpoints;
+  /* Groups that serve it, at most one for each region; a region without one
+     is mapped by hash.  */
+  uint32_t group_count;
+  char groups[DECIDE_SERVICE_GROUPS_MAX][DECIDE_NAME_MAX];
+  /* A data centre of the region whose group has the idempotency keys; empty:
+     that of the first endpoint.  */
+  char key_region[DECIDE_NAME_MAX];
 } decide_service_t;
 
+/* Instance of a group as callers of other groups are told of it.  */
+typedef struct decide_group_instance
+{
+  char name[DECIDE_NAME_MAX];
+  char data_centre[DECIDE_NAME_MAX];
+  char address[DECIDE_ADDRESS_MAX]; /* IP:PORT for callers */
+} decide_group_instance_t;
+
+typedef struct decide_group
+{
+  char name[DECIDE_NAME_MAX];
+  uint32_t centre_count; /* data centres of the group's region */
+  char centres[DECIDE_DATA_CENTRES_MAX][DECIDE_NAME_MAX];
+  uint32_t instance_count;
+  decide_group_instance_t instances[DECIDE_MEMBERS_MAX];
+} decide_group_t;
+
 typedef enum decide_member_state
 {
   DECIDE_MEMBER_ACTIVE,
@@ -134,7 +159,8 @@
   DECIDE_OBJECT_SERVICE,
   DECIDE_OBJECT_OUT_CENTRE,
   DECIDE_OBJECT_OUT_INSTANCE,
-  DECIDE_OBJECT_RECORD
+  DECIDE_OBJECT_RECORD,
+  DECIDE_OBJECT_GROUP
 } decide_object_kind_t;
 
 typedef struct decide_object
@@ -150,6 +176,7 @@
     const decide_profile_t *profile;
     const decide_service_t *service;
     const decide_record_t *record;
+    const decide_group_t *group;
     const char *out; /* data centre or instance name */
   } u;
 } decide_object_t;
@@ -174,6 +201,7 @@
   DECIDE_REASON_KEY_IN_PROGRESS,
   DECIDE_REASON_KEY_UNCERTAIN, /* an earlier attempt may have run */
   DECIDE_REASON_KEY_NO_COPY,   /* no second instance keeps the claim */
+  DECIDE_REASON_OTHER_GROUP,   /* another group serves the request */
   DECIDE_REASON_STOPPING
 } decide_reason_t;
 
@@ -386,6 +414,9 @@
   uint64_t record_version;
   decide_key_t key;
   clock_ms_t left_ms;         /* CLAIM: until the request's deadline */
+  decide_id_t service;        /* CLAIM */
+  clock_ms_t moved_ms;        /* CLAIM: time in which a claim by the service's
+                                 earlier group may still be kept */
   clock_ms_t retention_ms;    /* time for which the entry is still kept */
   decide_key_status_t status; /* CLAIM_REPLY */
   decide_key_state_t state;   /* COPY, OUTCOME, COLLECT_REPLY */
@@ -556,7 +587,9 @@
   bool store_fresh;
   bool majority_fresh;
   bool stopping;
-  bool foreign_group; /* another group's record is in the store: no grants */
+  /* Another group's record is in the store, and no group objects say what
+     this one serves: no grants.  */
+  bool foreign_group;
 } decide_status_t;
 
 void decide_get_status (const decide_t *node, clock_ms_t now,
@@ -586,10 +619,33 @@
                       void (*visit) (void *context, const char *name),
                       void *context);
 
+/**
+ * decide_service_group() - group to use for a service
+ * @centre: the caller's data centre
+ * @keyed: the request has an idempotency key that is to be claimed
+ *
+ * Return: its name; empty when no group serves the service; NULL when services
+ *   are not divided among groups, or there is no such service.
+ */
+const char *decide_service_group (const decide_t *node, decide_id_t service,
+                                  const char *centre, bool keyed);
+
+/**
+ * decide_each_group_instance() - instances of a group that callers can use
+ *
+ * Visits what the group's object lists, without those that are known to be
+ * out, leaving or gone.
+ */
+void decide_each_group_instance (
+    const decide_t *node, const char *group,
+    void (*visit) (void *context, const decide_group_instance_t *instance),
+    void *context);
+
 typedef struct decide_endpoint_view
 {
   const decide_endpoint_t *endpoint;
   const char *service;
+  const char *group; /* that serves the pool; empty: not divided, or none */
   decide_id_t owner;
   uint32_t limit;
   uint32_t in_flight;
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -16,10 +16,19 @@
 } family_t;
 
 /* In the order of decide.h; test/unit/telemetry.c compares them.  */
-static const char *const reasons[]
-    = { "unknown_service", "queue_full",  "deadline",     "no_capacity",
-        "no_contact",      "failed",      "key_conflict", "key_in_progress",
-        "key_uncertain",   "key_no_copy", "stopping",     NULL };
+static const char *const reasons[] = { "unknown_service",
+                                       "queue_full",
+                                       "deadline",
+                                       "no_capacity",
+                                       "no_contact",
+                                       "failed",
+                                       "key_conflict",
+                                       "key_in_progress",
+                                       "key_uncertain",
+                                       "key_no_copy",
+                                       "other_group",
+                                       "stopping",
+                                       NULL };
 static const char *const attempts[]
     = { "answered", "shed",      "not_sent", "reset", "timeout",
         "broken",   "cancelled", "unused",   NULL };
--- a/peridotrouter/answer.c
+++ b/peridotrouter/answer.c
@@ -255,6 +255,9 @@
   [DECIDE_REASON_KEY_NO_COPY]
   = { 503, "/problems/key-no-copy",
       "no second instance can record the idempotency key now" },
+  [DECIDE_REASON_OTHER_GROUP]
+  = { 421, "/problems/other-group",
+      "another group of instances serves this request" },
   [DECIDE_REASON_STOPPING]
   = { 503, "/problems/stopping", "this instance is leaving service" },
 };
--- a/test/unit/conf.c
+++ b/test/unit/conf.c
@@ -203,6 +203,14 @@
   { P, "{\"idempotent_prefix\":\"x\"}",
     P ": $.idempotent_prefix: must begin with '/'" },
   { P, "{\"run\":1}", P ": $: unknown key \"run\"" },
+  { S,
+    "{\"profile\":\"p\",\"groups\":[\"a\",\"a\"],\"endpoints\":[" ENDPOINT (
+        "e", "1", "1") "]}",
+    S ": $.groups[1]: duplicate name \"a\"" },
+  { S,
+    "{\"profile\":\"p\",\"key_region\":\"r\",\"endpoints\":[" ENDPOINT (
+        "e", "1", "1") "]}",
+    S ": $.key_region: no endpoint is in data centre \"r\"" },
   { S, "{}", S ": $.profile: missing" },
   { S, SERVICE (""), S ": $.endpoints: must have 1 to 256 items" },
   { S, SERVICE (ENDPOINT ("e", "1", "0")),
--- /dev/null
+++ b/test/unit/groups.c
@@ -0,0 +1,209 @@
+/* Division of services among groups: the objects and the mapping.  */
+
+#include "conf.h"
+#include "groups.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+
+#define SERVICES 400
+
+static const char north[] = "{\"data_centres\":[\"n1\",\"n2\"]}";
+static const char south[] = "{\"data_centres\":[\"s1\"]}";
+
+static conf_object_t *
+parse (const char *name, const char *body, conf_error_t *error)
+{
+  g_autofree char *full = g_strconcat (CONF_PREFIX_GROUP, name, NULL);
+  conf_object_t *object;
+
+  conf_parse_object (full, body, 1, 1, false, &object, error);
+  return object;
+}
+
+static void
+add (groups_t *groups, const char *name, const char *body)
+{
+  conf_error_t error;
+  conf_object_t *object = parse (name, body, &error);
+
+  g_assert_cmpstr (error.text, ==, "");
+  groups_apply (groups, name, object->object.u.group);
+  conf_object_free (object);
+}
+
+static groups_t *
+four_groups (bool reversed)
+{
+  static const char *const names[] = { "a", "b", "c", "x" };
+  groups_t *groups = groups_new ();
+
+  for (int i = 0; i < 4; i++)
+    {
+      const char *name = names[reversed ? 3 - i : i];
+
+      add (groups, name, name[0] == 'x' ? south : north);
+    }
+  return groups;
+}
+
+static const char *
+choose (const groups_t *groups, int service, const char *centre)
+{
+  char name[16];
+
+  g_snprintf (name, sizeof name, "service-%d", service);
+  return groups_choose (groups, name, 0, NULL, centre);
+}
+
+/* Guards against a service with two groups in a region or with none: all
+   instances must map it alike, whatever the order in which objects came.  */
+static void
+test_one_group (void)
+{
+  groups_t *groups = four_groups (false);
+  groups_t *reversed = four_groups (true);
+  int count[4] = { 0 };
+
+  for (int i = 0; i < SERVICES; i++)
+    {
+      const char *group = choose (groups, i, "n1");
+
+      g_assert_cmpstr (group, ==, choose (groups, i, "n2"));
+      g_assert_cmpstr (group, ==, choose (reversed, i, "n1"));
+      g_assert_cmpstr (choose (groups, i, "s1"), ==, "x");
+      g_assert_null (choose (groups, i, "elsewhere"));
+      count[group[0] - 'a']++;
+    }
+  /* A third of 400 within 4 standard deviations of 9.4.  */
+  for (int i = 0; i < 3; i++)
+    g_assert_true (count[i] > 95 && count[i] < 172);
+  groups_free (groups);
+  groups_free (reversed);
+}
+
+/* Guards against services that move between groups that were there before,
+   which would hold them back for nothing.  */
+static void
+test_minimal_movement (void)
+{
+  groups_t *groups = four_groups (false);
+  groups_t *more = four_groups (false);
+  int moved = 0;
+
+  add (more, "d", north);
+  for (int i = 0; i < SERVICES; i++)
+    if (strcmp (choose (groups, i, "n1"), choose (more, i, "n1")) != 0)
+      {
+        g_assert_cmpstr (choose (more, i, "n1"), ==, "d");
+        moved++;
+      }
+  g_assert_true (moved > 65 && moved < 135);
+  groups_apply (more, "d", NULL);
+  for (int i = 0; i < SERVICES; i++)
+    g_assert_cmpstr (choose (groups, i, "n1"), ==, choose (more, i, "n1"));
+  groups_free (groups);
+  groups_free (more);
+}
+
+/* Guards against a named group that is not used, and against a service that
+   no group serves because the named one is in another region or gone.  */
+static void
+test_named (void)
+{
+  static const char names[][DECIDE_NAME_MAX] = { "gone", "c" };
+  groups_t *groups = four_groups (false);
+
+  for (int i = 0; i < 20; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "service-%d", i);
+      g_assert_cmpstr (groups_choose (groups, name, 2, names, "n1"), ==, "c");
+      g_assert_cmpstr (groups_choose (groups, name, 1, names, "n1"), ==,
+                       choose (groups, i, "n1"));
+      g_assert_cmpstr (groups_choose (groups, name, 2, names, "s1"), ==, "x");
+    }
+  groups_free (groups);
+}
+
+/* Guards against objects with a fault that are taken, or refused without
+   their place and reason.  */
+static void
+test_faults (void)
+{
+  static const struct
+  {
+    const char *body;
+    const char *place;
+    const char *reason;
+  } cases[] = {
+    { "{}", "$.data_centres", "missing" },
+    { "{\"data_centres\":[]}", "$.data_centres", "1 to 16" },
+    { "{\"data_centres\":[\"a\",7]}", "$.data_centres[1]", "not a name" },
+    { "{\"data_centres\":[\"a\",\"a\"]}", "$.data_centres[1]", "duplicate" },
+    { "{\"data_centres\":[\"a\"],\"region\":1}", "$",
+      "unknown key \"region\"" },
+    { "{\"data_centres\":[\"a\"],\"instances\":[{\"name\":\"i\","
+      "\"data_centre\":\"b\",\"address\":\"127.0.0.1:80\"}]}",
+      "$.instances[0].data_centre", "not one of the group's" },
+    { "{\"data_centres\":[\"a\"],\"instances\":[{\"name\":\"i\","
+      "\"data_centre\":\"a\",\"address\":\"localhost\"}]}",
+      "$.instances[0].address", "IP:PORT" },
+  };
+  conf_error_t error;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_assert_null (parse ("g", cases[i].body, &error));
+      g_test_message ("%s", error.text);
+      g_assert_nonnull (strstr (error.text, cases[i].place));
+      g_assert_nonnull (strstr (error.text, cases[i].reason));
+    }
+}
+
+/* Guards against regions that overlap.  */
+static void
+test_regions (void)
+{
+  static const struct
+  {
+    const char *body;
+    int result;
+  } cases[] = {
+    { "{\"data_centres\":[\"n2\",\"n1\"]}", 0 },
+    { "{\"data_centres\":[\"s1\"]}", 0 },
+    { "{\"data_centres\":[\"n2\"]}", -EINVAL },
+    { "{\"data_centres\":[\"n1\",\"n2\",\"n3\"]}", -EINVAL },
+    { "{\"data_centres\":[\"n1\",\"n3\"]}", -EINVAL },
+  };
+  conf_error_t error;
+  conf_object_t *first = parse ("first", north, &error);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      conf_object_t *other = parse ("other", cases[i].body, &error);
+
+      g_assert_cmpint (
+          conf_compare_groups (&other->u.group, &first->u.group, &error), ==,
+          cases[i].result);
+      if (cases[i].result != 0)
+        g_assert_nonnull (strstr (error.text, "group/other: $.data_centres: "
+                                              "group \"first\""));
+      conf_object_free (other);
+    }
+  conf_object_free (first);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/groups/one-group", test_one_group);
+  g_test_add_func ("/groups/minimal-movement", test_minimal_movement);
+  g_test_add_func ("/groups/named", test_named);
+  g_test_add_func ("/groups/faults", test_faults);
+  g_test_add_func ("/groups/regions", test_regions);
+  return g_test_run ();
+}
