Create, list and grant only the pools of the own group

Pools were created and listed whatever group they belong to. Now each instance keeps, for every service and data centre and for the keys of every service, whether it is its group's and since when it has known that. The old group stops at the moment it learns of a move: its pools are suspended, and a grant that arrives late is not used. The new one grants after 4 s and the longest grant. An instance whose first read of the store shows group objects takes everything as new, since it did not see the move. An instance that serves a service alone already, when group objects are added, goes on without a gap.

Keys of a service that moved: a key that the new group does not know is refused as unknown until 4 s and the retention time have passed. Collecting the old group's entries was ruled out: its members are not peers, and it may be gone. KEY_CLAIM carries the service and the time left as the requester knows it, and the owner takes the shorter of that and its own: an instance that restarted after the move cannot tell when it was, and one witness is enough.

The guard against a second group stays while a foreign record is there and the own group has no object.

Tests move, start-after-move, guard and moved-keys of unit-node. Seen to fail: granted after 500 ms instead of 6,500 without the hold, the same without the rule for the first read, a key run again without the check of moved_ms, no grant at all with a guard that ignores the own object, and second-group without the guard.

--- a/lib/decide/keys_claim.c
+++ b/lib/decide/keys_claim.c
@@ -96,6 +96,11 @@
       reply_state (keys, now, entry, from, msg);
       return;
     }
+  if (msg->moved_ms > 0)
+    {
+      refuse_claim (keys, from, msg, DECIDE_KEY_UNCERTAIN);
+      return;
+    }
   if (slice_is_uncertain (keys, now, index, msg->retention_ms))
     {
       refuse_uncertain (keys, now, from, msg);
@@ -151,6 +156,12 @@
       keys_reply (keys, entry, from, msg->request, DECIDE_KEY_UNCERTAIN);
       break;
     case DECIDE_KEY_STATE_NOT_RUN:
+      /* The group that had the keys in between may have let it run.  */
+      if (msg->moved_ms > 0)
+        {
+          refuse_claim (keys, from, msg, DECIDE_KEY_UNCERTAIN);
+          break;
+        }
       /* An earlier owner may have let a later request run.  */
       if (slice_is_uncertain (keys, now, entry->slice, msg->retention_ms))
         {
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -18,6 +18,8 @@
                                const decide_msg_grant_t *msg);
 static void router_release (void *context, decide_id_t owner,
                             const decide_msg_release_t *msg);
+static void send_claim (void *context, decide_id_t to,
+                        const decide_msg_t *msg);
 static void send_message (void *context, decide_id_t to,
                           const decide_msg_t *msg);
 static void slice_changed (void *context, uint32_t centre, uint32_t slice,
@@ -103,6 +105,23 @@
 
 /* ---- Keys ---- */
 
+static void
+send_claim (void *context, decide_id_t to, const decide_msg_t *msg)
+{
+  decide_t *node = context;
+  const node_keyed_t *keyed
+      = g_hash_table_lookup (node->keyed, &msg->u.key.request);
+  decide_msg_t claim = *msg;
+
+  if (msg->type == DECIDE_MSG_KEY_CLAIM && keyed != NULL)
+    {
+      claim.u.key.service = keyed->request.service;
+      claim.u.key.moved_ms = node_keys_moved_ms (node, keyed->request.service,
+                                                 msg->u.key.retention_ms);
+    }
+  node_send (node, to, &claim);
+}
+
 static uint32_t
 key_centre (const decide_t *node)
 {
@@ -126,7 +145,7 @@
   decide_t *node = context;
   uint32_t centre = key_centre (node);
 
-  return centre != DECIDE_NO_HANDLE && !node->foreign_group
+  return centre != DECIDE_NO_HANDLE && !node_is_guarded (node)
          && ownership_may_grant (node->ownership, node->now, centre, slice,
                                  KEY_HOLD_MS);
 }
@@ -299,7 +318,7 @@
   claims_callbacks_t claims = {
     .context = node,
     .target = key_target,
-    .send = send_message,
+    .send = send_claim,
     .run = node_claim_run,
     .replay = node_claim_replay,
     .refuse = node_claim_refuse,
@@ -353,6 +372,7 @@
   decide_rng_seed (&node->rng, settings->seed);
   g_queue_init (&node->loop);
   node->catalog = catalog_new ();
+  node->divisions = node_new_divisions ();
   node->touched = g_ptr_array_new ();
   node->peers = g_array_new (FALSE, TRUE, sizeof (node_peer_t));
   node->pools = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
@@ -393,6 +413,7 @@
     router_free (node->router);
   if (node->ownership != NULL)
     ownership_free (node->ownership);
+  g_hash_table_destroy (node->divisions);
   g_hash_table_destroy (node->pools);
   g_hash_table_destroy (node->loads);
   g_hash_table_destroy (node->keyed);
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -13,6 +13,10 @@
 #include "pool.h"
 #include "router.h"
 
+/* A pool that comes from another owner is not granted before all instances
+   have learnt of the move (4 s) and the old grants have ended.  */
+#define NODE_MOVE_HOLD_MS 4000
+
 /* Pool that this instance owns, or owned while its grants last.  */
 typedef struct node_pool
 {
@@ -81,9 +85,9 @@
   clock_ms_t stopping_at;
   bool stopping;
   bool pools_changed;
-  /* Another group's record is in the store.  Services are not divided among
-     groups, so both would grant the same slots and keys.  */
-  bool foreign_group;
+  bool synced;           /* the store was read completely once */
+  GHashTable *divisions; /* of services among groups, by service and centre */
+  uint64_t division_round;
   clock_ms_t pools_due; /* earliest due time of all pools */
   GPtrArray *touched;   /* node_pool_t that were called since their tick */
   /* Incarnation of the last recorded owner of each key slice, to tell a first
@@ -120,6 +124,34 @@
                         const decide_answer_t *answer);
 void node_claim_refuse (void *context, const decide_refusal_t *refusal);
 
+/* node_groups.c */
+GHashTable *node_new_divisions (void);
+
+/* Whether nothing may be granted because the store has the record of another
+   group, and this one has no group object that says what it serves: both
+   would grant the same slots and keys.  */
+bool node_is_guarded (const decide_t *node);
+
+/* Applies a change of groups, or of one service; @service is 0 for all.  */
+void node_update_groups (decide_t *node, decide_id_t service);
+
+/* Whether the pool belongs to this instance's group.  */
+bool node_serves_pool (const decide_t *node, const catalog_pool_t *pool);
+
+/* When this instance learned that the pool is its group's; far in the future
+   when it is not, far in the past when it always was.  */
+clock_ms_t node_served_since (const decide_t *node,
+                              const catalog_pool_t *pool);
+
+/* Whether this instance's group serves such requests of a service.  */
+bool node_takes_request (const decide_t *node, decide_id_t service,
+                         bool keyed);
+
+/* Time in ms for which another group may still have claims of the service's
+   keys that were made before the keys came to this group; 0: no more.  */
+clock_ms_t node_keys_moved_ms (const decide_t *node, decide_id_t service,
+                               clock_ms_t retention_ms);
+
 /* node_messages.c */
 void node_send (decide_t *node, decide_id_t to, const decide_msg_t *msg);
 void node_send_grant (decide_t *node, decide_id_t to, decide_msg_type_t type,
--- a/lib/decide/node_config.c
+++ b/lib/decide/node_config.c
@@ -114,7 +114,15 @@
 
       if (slash == NULL || strcmp (slash + 1, node->settings.group) != 0)
         {
-          node->foreign_group = !object->deleted;
+          if (slash != NULL)
+            {
+              bool guarded = node_is_guarded (node);
+
+              groups_note_record (catalog_groups (node->catalog), slash + 1,
+                                  object->deleted ? NULL : object->u.record);
+              if (node_is_guarded (node) != guarded)
+                node_update_groups (node, 0);
+            }
           return 0;
         }
       if (!object->deleted)
@@ -133,7 +141,12 @@
   if (changed < 0)
     return changed;
   if (changed & CATALOG_CHANGED_SERVICE)
-    node_add_centres (node);
+    {
+      node_add_centres (node);
+      node_update_groups (node, decide_id (strrchr (object->name, '/') + 1));
+    }
+  if (changed & CATALOG_CHANGED_GROUP)
+    node_update_groups (node, 0);
   if (changed != 0)
     node->pools_changed = true;
   node_run_loop (node);
@@ -167,6 +180,9 @@
     {
       catalog_complete (node->catalog, 0, revision);
       node->store_contact = sent;
+      if (!node->synced)
+        node_update_groups (node, 0);
+      node->synced = true;
     }
   ownership_store_synced (node->ownership, now, sent,
                           ok && !node->record_failed, node->record_seen);
--- a/lib/decide/node_messages.c
+++ b/lib/decide/node_messages.c
@@ -107,6 +107,19 @@
     }
 }
 
+/* An instance that started after a move does not know when it was; one that
+   saw it is enough.  */
+static void
+handle_claim (decide_t *node, decide_id_t from, const decide_msg_t *msg)
+{
+  decide_msg_t claim = *msg;
+  clock_ms_t own
+      = node_keys_moved_ms (node, msg->u.key.service, msg->u.key.retention_ms);
+
+  claim.u.key.moved_ms = MIN (msg->u.key.moved_ms, own);
+  keys_message (node->keys, node->now, from, &claim);
+}
+
 static void
 handle_heartbeat (decide_t *node, decide_id_t from, const decide_msg_t *msg)
 {
@@ -177,6 +190,8 @@
       keys_message (node->keys, now, from, msg);
       break;
     case DECIDE_MSG_KEY_CLAIM:
+      handle_claim (node, from, msg);
+      break;
     case DECIDE_MSG_KEY_COPY:
     case DECIDE_MSG_KEY_OUTCOME:
     case DECIDE_MSG_KEY_COLLECT:
--- a/lib/decide/node_pools.c
+++ b/lib/decide/node_pools.c
@@ -1,8 +1,5 @@
 #include "node.h"
 
-/* An endpoint that moves to another pool is not granted there before all
-   instances have learnt of the move (4 s) and the old grants have ended.  */
-#define MOVE_HOLD_MS 4000
 /* Pools are looked at this often for a change of ownership evidence.  */
 #define POOL_CHECK_MS 50
 /* Pool loads in one round of heartbeats to all members.  With 32 loads in each
@@ -84,7 +81,9 @@
       = catalog_find_service (node->catalog, pool->service);
   uint32_t centre = node_pool_centre (node, pool);
 
-  return service != NULL && pool->count > 0 && !node->foreign_group
+  return service != NULL && pool->count > 0 && !node_is_guarded (node)
+         && node->now >= node_served_since (node, pool) + NODE_MOVE_HOLD_MS
+                             + DECIDE_LEND_MS + service->longest_run_ms
          && centre != DECIDE_NO_HANDLE
          && ownership_may_grant (node->ownership, node->now, centre,
                                  pool->slice,
@@ -127,7 +126,7 @@
       target->slots = e->endpoint.slots;
       if (current != NULL && !has_endpoint (current, e->id) && e->moved)
         target->hold_until
-            = node->now + MOVE_HOLD_MS + DECIDE_LEND_MS + run_ms;
+            = node->now + NODE_MOVE_HOLD_MS + DECIDE_LEND_MS + run_ms;
     }
 }
 
@@ -198,7 +197,8 @@
       const catalog_pool_t *pool = catalog_pool (node->catalog, i);
       uint32_t centre = node_pool_centre (node, pool);
       node_pool_t *entry = g_hash_table_lookup (node->pools, &pool->id);
-      bool held = pool->count > 0 && centre != DECIDE_NO_HANDLE
+      bool held = pool->count > 0 && node_serves_pool (node, pool)
+                  && centre != DECIDE_NO_HANDLE
                   && ownership_holds (node->ownership, centre, pool->slice);
       pool_settings_t settings;
 
@@ -219,7 +219,8 @@
       node_pool_t *entry = value;
       const catalog_pool_t *pool = catalog_pool (node->catalog, entry->handle);
       uint32_t centre = node_pool_centre (node, pool);
-      bool held = pool->count > 0 && centre != DECIDE_NO_HANDLE
+      bool held = pool->count > 0 && node_serves_pool (node, pool)
+                  && centre != DECIDE_NO_HANDLE
                   && ownership_holds (node->ownership, centre, pool->slice);
 
       node_ready_pool (node, entry->id);
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -26,7 +26,7 @@
       const node_load_t *load = g_hash_table_lookup (node->loads, &pool->id);
       decide_id_t owner;
 
-      if (centre == DECIDE_NO_HANDLE)
+      if (centre == DECIDE_NO_HANDLE || !node_serves_pool (node, pool))
         continue;
       owner
           = ownership_target (node->ownership, node->now, centre, pool->slice);
@@ -59,6 +59,7 @@
     return false;
   found = catalog_endpoint (node->catalog, handle);
   return found->live && found->service == service
+         && node_serves_pool (node, catalog_pool (node->catalog, found->pool))
          && !catalog_centre_is_out (node->catalog,
                                     decide_id (found->endpoint.data_centre));
 }
@@ -163,6 +164,12 @@
       refuse (node, request->id, DECIDE_REASON_NO_CONTACT, REFUSE_RETRY_MS);
       return;
     }
+  if (!node_takes_request (node, request->service,
+                           request->keyed && !request->idempotent))
+    {
+      refuse (node, request->id, DECIDE_REASON_OTHER_GROUP, 0);
+      return;
+    }
   if (now >= request->deadline)
     {
       refuse (node, request->id, DECIDE_REASON_DEADLINE, 0);
--- a/lib/decide/node_view.c
+++ b/lib/decide/node_view.c
@@ -22,7 +22,7 @@
     .store_fresh = own.store_fresh,
     .majority_fresh = own.majority_fresh,
     .stopping = node->stopping,
-    .foreign_group = node->foreign_group,
+    .foreign_group = node_is_guarded (node),
   };
 }
 
@@ -81,6 +81,8 @@
   uint32_t centre = node_pool_centre (node, pool);
   const catalog_service_t *service
       = catalog_find_service (node->catalog, pool->service);
+  const char *group
+      = catalog_group (node->catalog, pool->service, pool->centre_name);
 
   for (uint32_t i = 0; i < pool->count; i++)
     {
@@ -89,11 +91,12 @@
       decide_endpoint_view_t view = {
         .endpoint = &e->endpoint,
         .service = service == NULL ? "" : service->name,
+        .group = group == NULL ? "" : group,
         .out = catalog_centre_is_out (node->catalog, pool->centre),
       };
       pool_endpoint_view_t state;
 
-      if (centre != DECIDE_NO_HANDLE)
+      if (centre != DECIDE_NO_HANDLE && node_serves_pool (node, pool))
         view.owner = ownership_target (node->ownership, node->now, centre,
                                        pool->slice);
       for (uint32_t j = 0;
--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -164,7 +164,8 @@
   if (!is_slice (from->centre, from->slice)
       || from->status > DECIDE_KEY_NOT_OWNER
       || from->state > DECIDE_KEY_STATE_NOT_RUN || !is_duration (from->left_ms)
-      || !is_duration (from->retention_ms) || !is_duration (from->running_ms))
+      || !is_duration (from->retention_ms) || !is_duration (from->running_ms)
+      || !is_duration (from->moved_ms))
     return false;
   to->request = from->request;
   to->centre = from->centre;
@@ -183,6 +184,8 @@
   to->round = from->round;
   to->authoritative = from->authoritative;
   to->running_ms = from->running_ms;
+  to->service = from->service;
+  to->moved_ms = from->moved_ms;
   to->has_answer = from->answer != NULL;
   if (to->has_answer)
     decode_answer (from->answer, &to->answer);
--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -174,6 +174,8 @@
     .round = from->round,
     .authoritative = from->authoritative,
     .running_ms = from->running_ms,
+    .service = from->service,
+    .moved_ms = from->moved_ms,
   };
   return from->has_answer ? encode_answer (&from->answer, to) : 0;
 }
--- a/lib/peer/gen/peer.h
+++ b/lib/peer/gen/peer.h
@@ -191,6 +191,8 @@
 	u_quad_t round;
 	bool_t authoritative;
 	quad_t running_ms;
+	u_quad_t service;
+	quad_t moved_ms;
 	wire_answer *answer;
 };
 typedef struct wire_key wire_key;
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -345,6 +345,10 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->moved_ms))
+			 return FALSE;
 		 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
 			 return FALSE;
 		return TRUE;
@@ -391,6 +395,10 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->moved_ms))
+			 return FALSE;
 		 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
 			 return FALSE;
 	 return TRUE;
@@ -429,6 +437,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->running_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->moved_ms))
+		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
 		 return FALSE;
 	return TRUE;
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -169,6 +169,8 @@
   unsigned hyper round;
   bool authoritative;
   hyper running_ms;
+  unsigned hyper service;
+  hyper moved_ms;
   wire_answer *answer;
 };
 
--- a/test/unit/node.c
+++ b/test/unit/node.c
@@ -7,6 +7,9 @@
 #include <string.h>
 
 #define WARM_MS 4000
+/* Learning of a change, lend time, and run time of the default profile.  */
+#define MOVE_MS (4000 + DECIDE_LEND_MS + 2000)
+#define RETENTION_MS 600000
 
 typedef struct world
 {
@@ -151,8 +154,9 @@
       decide_object (world->node, world->now, UINT64_MAX, &object), ==, 0);
 }
 
+/* @group: the group that the service names, or NULL.  */
 static void
-add_service (world_t *world)
+put_service (world_t *world, const char *group)
 {
   decide_endpoint_t endpoints[2];
   decide_service_t service = { .name = "booking",
@@ -167,6 +171,8 @@
                              .u.service = &service };
 
   memset (endpoints, 0, sizeof endpoints);
+  if (group != NULL)
+    g_strlcpy (service.groups[service.group_count++], group, DECIDE_NAME_MAX);
   for (int i = 0; i < 2; i++)
     {
       g_snprintf (endpoints[i].name, sizeof endpoints[i].name, "e%d", i);
@@ -178,10 +184,27 @@
       decide_object (world->node, world->now, UINT64_MAX, &object), ==, 0);
 }
 
+static void
+put_group (world_t *world, const char *name, bool deleted)
+{
+  g_autofree char *full = g_strconcat ("shared/group/", name, NULL);
+  decide_group_t group = { .centre_count = 1, .centres = { "d0" } };
+  decide_object_t object = { .kind = DECIDE_OBJECT_GROUP,
+                             .name = full,
+                             .revision = ++world->revision,
+                             .deleted = deleted,
+                             .body = "{}",
+                             .u.group = &group };
+
+  g_strlcpy (group.name, name, sizeof group.name);
+  g_assert_cmpint (
+      decide_object (world->node, world->now, UINT64_MAX, &object), ==, 0);
+}
+
 /* @members: 1, or 2 with a second instance that never runs and is in another
    data centre, so that it owns no endpoint's slice.  */
 static void
-start (world_t *world, uint32_t members)
+create (world_t *world, uint32_t members)
 {
   static const decide_instance_t instances[]
       = { { "a", "d0" }, { "b", "d1" } };
@@ -199,7 +222,13 @@
   *world = (world_t){ .now = 1000 };
   world->node = decide_new (&settings, &callbacks, world->now);
   g_assert_nonnull (world->node);
-  add_service (world);
+  put_service (world, NULL);
+}
+
+static void
+start (world_t *world, uint32_t members)
+{
+  create (world, members);
   advance (world, WARM_MS);
 }
 
@@ -264,6 +293,135 @@
   decide_free (world.node);
 }
 
+/* Return: how long in ms no request was forwarded.  */
+static clock_ms_t
+wait_for_grant (world_t *world)
+{
+  clock_ms_t since = world->now;
+
+  while (!try_request (world) && world->now - since < 20000)
+    ;
+  return world->now - since;
+}
+
+static void
+check_hold (world_t *world)
+{
+  clock_ms_t hold = wait_for_grant (world);
+
+  g_assert_cmpint (hold, >=, MOVE_MS);
+  g_assert_cmpint (hold, <, MOVE_MS + WARM_MS);
+}
+
+/* Guards against a group that grants on endpoints while the group that had
+   them before may still do so, or after it has learnt of the move.  */
+static void
+test_move (void)
+{
+  world_t world;
+
+  start (&world, 1);
+  put_service (&world, "g");
+  put_group (&world, "g", false);
+  put_group (&world, "h", false);
+  g_assert_cmpint (wait_for_grant (&world), <, DECIDE_LEND_MS);
+  put_service (&world, "h");
+  g_assert_false (try_request (&world));
+  g_assert_cmpint (world.refusal.reason, ==, DECIDE_REASON_OTHER_GROUP);
+  g_assert_cmpint (world.refusal.ran, ==, DECIDE_RAN_NO);
+  put_service (&world, "g");
+  check_hold (&world);
+  put_service (&world, "h");
+  /* A grant of this group that was lent before the move ends.  */
+  advance (&world, DECIDE_LEND_MS);
+  put_group (&world, "h", true);
+  put_group (&world, "g", true);
+  check_hold (&world);
+  decide_free (world.node);
+}
+
+/* Guards against an instance that starts after a move and does not hold the
+   endpoints back, since it did not see the move.  */
+static void
+test_start_after_move (void)
+{
+  world_t world;
+
+  create (&world, 1);
+  put_group (&world, "g", false);
+  check_hold (&world);
+  decide_free (world.node);
+}
+
+/* Guards against a group without an object that grants what the groups with
+   objects serve, and against a guard that stays when the objects divide the
+   services.  */
+static void
+test_guard (void)
+{
+  world_t world;
+
+  start (&world, 1);
+  give_record (&world, "shared/ownership/h");
+  put_group (&world, "h", false);
+  advance (&world, DECIDE_LEND_MS);
+  g_assert_cmpint (wait_for_grant (&world), >=, 20000);
+  put_service (&world, "g");
+  put_group (&world, "g", false);
+  check_hold (&world);
+  put_group (&world, "g", true);
+  advance (&world, DECIDE_LEND_MS);
+  g_assert_false (try_request (&world));
+  decide_free (world.node);
+}
+
+static bool
+try_key (world_t *world, uint64_t key)
+{
+  decide_request_t request = { .id = ++world->request,
+                               .service = decide_id ("booking"),
+                               .keyed = true,
+                               .key = { .hash = { key, key } },
+                               .deadline = world->now + 1000 };
+  decide_attempt_end_t end = { .result = DECIDE_ATTEMPT_ANSWERED };
+  uint64_t before = world->forwarded;
+  uint64_t refused = world->refused;
+
+  decide_request (world->node, world->now, &request);
+  while (world->forwarded == before && world->refused == refused)
+    advance (world, 1);
+  if (world->forwarded == before)
+    return false;
+  decide_attempt_done (world->node, world->now, request.id, world->attempt,
+                       &end, NULL);
+  return true;
+}
+
+/* Guards against a key that runs again because its service's keys came from
+   another group, which may have the claim.  */
+static void
+test_moved_keys (void)
+{
+  world_t world;
+
+  start (&world, 1);
+  put_service (&world, "g");
+  put_group (&world, "g", false);
+  put_group (&world, "h", false);
+  g_assert_true (try_key (&world, 1));
+  put_service (&world, "h");
+  g_assert_false (try_key (&world, 1));
+  g_assert_cmpint (world.refusal.reason, ==, DECIDE_REASON_OTHER_GROUP);
+  put_service (&world, "g");
+  advance (&world, 2 * MOVE_MS);
+  g_assert_false (try_key (&world, 2));
+  g_assert_cmpint (world.refusal.reason, ==, DECIDE_REASON_KEY_UNCERTAIN);
+  g_assert_cmpint (world.refusal.ran, ==, DECIDE_RAN_UNKNOWN);
+  advance (&world, RETENTION_MS);
+  g_assert_true (try_key (&world, 2));
+  decide_free (world.node);
+}
+
 /* Guards against work sent with a configuration that may be stale: without
    the store and without any peer nothing is known of changes.  */
 static void
@@ -302,6 +460,10 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/node/centre-out", test_centre_out);
   g_test_add_func ("/node/second-group", test_second_group);
+  g_test_add_func ("/node/move", test_move);
+  g_test_add_func ("/node/start-after-move", test_start_after_move);
+  g_test_add_func ("/node/guard", test_guard);
+  g_test_add_func ("/node/moved-keys", test_moved_keys);
   g_test_add_func ("/node/no-contact", test_no_contact);
   g_test_add_func ("/node/alone", test_alone);
   return g_test_run ();
--- a/test/unit/peer.c
+++ b/test/unit/peer.c
@@ -53,6 +53,8 @@
                    .empty = true,
                    .authoritative = true,
                    .running_ms = 10,
+                   .service = 11,
+                   .moved_ms = 12,
                    .has_answer = true,
                    .answer = { 201, "text/plain", 3, { 'a', 0, 'c' } } } };
 
