Tell callers and operators which group serves a service

A request of a service that another group serves was forwarded nowhere and refused for want of capacity. It is now refused at once with status 421, `ran: no` and the addresses to use; GET /addresses?service=NAME gives the addresses of the group that serves the service in the caller's region. The platform's instance list was ruled out: it has no addresses, and lags.

peridotctl group and /v1/groups share the code of profiles and services. A group whose data centres overlap with another's is refused with 409, a service that names a group that does not exist with 400. The status shows the group of each endpoint.

--- a/peridotctl/change.c
+++ b/peridotctl/change.c
@@ -202,6 +202,8 @@
     return "profile";
   if (strcmp (collection, "services") == 0)
     return "service";
+  if (strcmp (collection, "groups") == 0)
+    return "group";
   if (strcmp (collection, "instances") == 0)
     return "instance";
   return "data centre";
--- a/peridotctl/main.c
+++ b/peridotctl/main.c
@@ -88,12 +88,13 @@
 usage (poptContext options)
 {
   poptPrintUsage (options, stderr, 0);
-  (void)fputs ("commands: profiles|services list\n"
-               "          profiles|services get NAME\n"
-               "          profiles|services check FILE\n"
-               "          profiles|services put NAME FILE "
+  (void)fputs ("commands: profiles|services|group list\n"
+               "          profiles|services|group get NAME\n"
+               "          profiles|services|group check FILE\n"
+               "          profiles|services|group put NAME FILE "
+               "[--expect VERSION]\n"
+               "          profiles|services|group delete NAME "
                "[--expect VERSION]\n"
-               "          profiles|services delete NAME [--expect VERSION]\n"
                "          data-centre NAME out|in\n"
                "          instance NAME out|in|forget\n"
                "          status [--wait-for-version REVISION "
@@ -132,7 +133,10 @@
       warnx ("--expect goes with put and delete only");
       return usage (options);
     }
-  if (strcmp (noun, "profiles") == 0 || strcmp (noun, "services") == 0)
+  if (strcmp (noun, "group") == 0)
+    args[0] = noun = "groups";
+  if (strcmp (noun, "profiles") == 0 || strcmp (noun, "services") == 0
+      || strcmp (noun, "groups") == 0)
     return run_collection (options, ctl, args, count);
   if (strcmp (noun, "status") == 0 && count == 1)
     return show_status (ctl);
--- a/peridotctl/status.c
+++ b/peridotctl/status.c
@@ -239,11 +239,12 @@
   static const char *const flags[]
       = { "cold", "draining", "suspended", "out" };
   json_object *list = get_list (root, "endpoints");
-  table_t *table = table_new (7);
+  table_t *table = table_new (8);
 
   table_add (table, "SERVICE");
   table_add (table, "ENDPOINT");
   table_add (table, "DATA-CENTRE");
+  table_add (table, "GROUP");
   table_add (table, "OWNER");
   table_add (table, "LIMIT");
   table_add (table, "IN-FLIGHT");
@@ -252,6 +253,7 @@
     {
       json_object *item = json_object_array_get_idx (list, i);
       const char *owner = get_text (item, "owner");
+      const char *group = get_text (item, "group");
       char state[40] = "";
 
       for (size_t j = 0; j < sizeof flags / sizeof flags[0]; j++)
@@ -265,6 +267,7 @@
       table_add (table, get_text (item, "service"));
       table_add (table, get_text (item, "endpoint"));
       table_add (table, get_text (item, "data_centre"));
+      table_add (table, group[0] == '\0' ? "-" : group);
       table_add (table, owner[0] == '\0' ? "-" : owner);
       table_add_number (table, get_number (item, "limit"));
       table_add_number (table, get_number (item, "in_flight"));
--- a/peridotrouter/admin.c
+++ b/peridotrouter/admin.c
@@ -25,7 +25,7 @@
   char **path;
 } call_t;
 
-/* Profiles and services, which differ in their names only.  */
+/* Profiles, services and groups, which differ in their names only.  */
 typedef struct collection
 {
   const char *name;
@@ -38,7 +38,14 @@
   char service[DECIDE_NAME_MAX];
 } user_t;
 
+typedef struct overlap
+{
+  const decide_group_t *group;
+  conf_error_t error;
+} overlap_t;
+
 static const collection_t profiles = { "profiles", CONF_PREFIX_PROFILE };
+static const collection_t groups = { "groups", CONF_PREFIX_GROUP };
 static const collection_t services = { "services", CONF_PREFIX_SERVICE };
 
 static int handle_v1 (struct mg_connection *conn, void *context);
@@ -51,6 +58,9 @@
 static void add_listed (void *arg, const char *name,
                         const admin_object_t *object);
 static int get_object (const call_t *call, const char *name);
+static int check_regions (const call_t *call, const decide_group_t *group);
+static int check_groups (const call_t *call, const char *name,
+                         const decide_service_t *service);
 static int check_object (const call_t *call, const char *name);
 static int put_object (const call_t *call, const char *name);
 static int delete_object (const call_t *call, const char *name);
@@ -61,6 +71,8 @@
                          conf_object_t **object);
 static int read_expected (const call_t *call, const char *name,
                           uint64_t *expected);
+static void find_overlap (void *arg, const char *name,
+                          const admin_object_t *object);
 static void find_user (void *arg, const char *name,
                        const admin_object_t *object);
 static void new_change_id (char id[33]);
@@ -114,6 +126,8 @@
     return route_collection (call, &profiles);
   if (strcmp (first, services.name) == 0 && call->parts <= PARTS_MAX)
     return route_collection (call, &services);
+  if (strcmp (first, groups.name) == 0 && call->parts <= PARTS_MAX)
+    return route_collection (call, &groups);
   if (strcmp (first, "data-centres") == 0 && call->parts == 4)
     return route_mark (call, CONF_PREFIX_OUT_CENTRE, false);
   if (strcmp (first, "instances") == 0 && call->parts == 4)
@@ -293,6 +307,59 @@
   return admin_reply_json (call->conn, root);
 }
 
+/* Returns 0, or the status of the problem that was sent.  */
+static int
+check_regions (const call_t *call, const decide_group_t *group)
+{
+  overlap_t overlap = { .group = group };
+
+  call->callbacks->list (call->callbacks->context, CONF_PREFIX_GROUP,
+                         find_overlap, &overlap);
+  return overlap.error.text[0] == '\0'
+             ? 0
+             : admin_reply_problem (call->conn, 409, "%s", overlap.error.text);
+}
+
+/* A group that does not exist would leave the service to the hash.  Returns 0,
+   or the status of the problem that was sent.  */
+static int
+check_groups (const call_t *call, const char *name,
+              const decide_service_t *service)
+{
+  for (uint32_t i = 0; i < service->group_count; i++)
+    {
+      g_autofree char *wanted
+          = g_strconcat (CONF_PREFIX_GROUP, service->groups[i], NULL);
+      admin_object_t found = { 0 };
+      int result
+          = call->callbacks->read (call->callbacks->context, wanted, &found);
+
+      free (found.body);
+      if (result == -ENOENT)
+        return admin_reply_problem (
+            call->conn, 400, "%s: $.groups[%u]: group \"%s\" does not exist",
+            name, i, service->groups[i]);
+    }
+  return 0;
+}
+
+static void
+find_overlap (void *arg, const char *name, const admin_object_t *object)
+{
+  overlap_t *overlap = arg;
+  conf_object_t *parsed;
+  conf_error_t error;
+
+  if (overlap->error.text[0] != '\0'
+      || conf_parse_object (name, object->body, 0, 0, false, &parsed, &error)
+             != 0)
+    return;
+  if (strcmp (parsed->u.group.name, overlap->group->name) != 0)
+    (void)conf_compare_groups (overlap->group, &parsed->u.group,
+                               &overlap->error);
+  conf_object_free (parsed);
+}
+
 static int
 put_object (const call_t *call, const char *name)
 {
@@ -320,6 +387,10 @@
             name, profile);
       free (found.body);
     }
+  if (status == 0 && object->object.kind == DECIDE_OBJECT_SERVICE)
+    status = check_groups (call, name, object->object.u.service);
+  if (object->object.kind == DECIDE_OBJECT_GROUP)
+    status = check_regions (call, object->object.u.group);
   if (status == 0)
     status = read_expected (call, name, &expected);
   if (status == 0)
--- a/peridotrouter/admin.h
+++ b/peridotrouter/admin.h
@@ -1,9 +1,10 @@
 #ifndef PERIDOT_ADMIN_H
 #define PERIDOT_ADMIN_H
 
-/* Operators' HTTP interface: GET/PUT/DELETE /v1/profiles and /v1/services,
-   data centres and instances out and in, forget, status, metrics.  Handlers
-   run on CivetWeb's threads and reach the daemon through callbacks.  */
+/* Operators' HTTP interface: GET/PUT/DELETE /v1/profiles, /v1/services
+   and /v1/groups, data centres and instances out and in, forget, status,
+   metrics.  Handlers run on CivetWeb's threads and reach the daemon through
+   callbacks.  */
 
 #include <civetweb.h>
 #include <glib.h>
@@ -12,7 +13,7 @@
 
 #include "decide.h"
 
-/* A profile or service as read; the body is allocated with malloc().  */
+/* A profile, service or group as read; the body is allocated with malloc(). */
 typedef struct admin_object
 {
   uint64_t version;
@@ -50,6 +51,7 @@
   char service[DECIDE_NAME_MAX];
   char endpoint[DECIDE_NAME_MAX];
   char data_centre[DECIDE_NAME_MAX];
+  char group[DECIDE_NAME_MAX]; /* empty: not divided, or none */
   char owner[DECIDE_NAME_MAX]; /* empty: none */
   uint32_t limit;
   uint32_t in_flight;
--- a/peridotrouter/admin_status.c
+++ b/peridotrouter/admin_status.c
@@ -116,6 +116,7 @@
       add_string (item, "service", from->service);
       add_string (item, "endpoint", from->endpoint);
       add_string (item, "data_centre", from->data_centre);
+      add_string (item, "group", from->group);
       add_string (item, "owner", from->owner);
       add_number (item, "limit", from->limit);
       add_number (item, "in_flight", from->in_flight);
--- a/peridotrouter/answer.c
+++ b/peridotrouter/answer.c
@@ -212,6 +212,9 @@
   json_object_object_add (root, "ran", json_object_new_string (ran));
   json_object_object_add (root, "retry_after_ms",
                           json_object_new_int64 (retry_after_ms));
+  if (answer->addresses != NULL)
+    json_object_object_add (root, "addresses",
+                            json_tokener_parse (answer->addresses));
   if (retry_after_ms > 0)
     g_string_append_printf (headers, "Retry-After: %" PRId64 "\r\n",
                             (retry_after_ms + 999) / 1000);
--- a/peridotrouter/answer.h
+++ b/peridotrouter/answer.h
@@ -12,6 +12,7 @@
 {
   struct mg_connection *conn;
   const char *request_id; /* echoed, or NULL */
+  const char *addresses;  /* JSON list for a problem document, or NULL */
   bool closing;           /* the connection ends after this answer */
   bool is_head;           /* HEAD: no body is written */
   bool head_sent;
--- a/peridotrouter/control.c
+++ b/peridotrouter/control.c
@@ -256,6 +256,7 @@
                                 .suspended = view->suspended,
                                 .out = view->out };
 
+  g_strlcpy (endpoint.group, view->group, sizeof endpoint.group);
   g_strlcpy (endpoint.service, view->service, sizeof endpoint.service);
   g_strlcpy (endpoint.endpoint, view->endpoint->name,
              sizeof endpoint.endpoint);
--- a/peridotrouter/engine.h
+++ b/peridotrouter/engine.h
@@ -56,6 +56,15 @@
 /* Text of the answer to GET /addresses; to be freed with free().  */
 char *engine_format_addresses (engine_t *engine, const char *data_centre);
 
+/**
+ * engine_format_service_addresses() - the same for one service
+ *
+ * Return: the addresses of the group that serves it in the region of
+ *   @data_centre, to be freed with free(), or NULL when too many events wait.
+ */
+char *engine_format_service_addresses (engine_t *engine, const char *service,
+                                       const char *data_centre);
+
 /* Runs an attempt on a thread of its own, for hedges.  */
 typedef void (*engine_hedge_t) (void *context, request_t *request,
                                 forward_t *forward);
--- a/peridotrouter/engine_decision.c
+++ b/peridotrouter/engine_decision.c
@@ -74,6 +74,8 @@
   if (request == NULL)
     return;
   request->refusal = *refusal;
+  if (refusal->reason == DECIDE_REASON_OTHER_GROUP)
+    engine_add_addresses (engine, request);
   telemetry_count (TELEMETRY_REFUSED, refusal->reason);
   request_decide (request, DECISION_REFUSE, NULL);
   engine_end_request (engine, refusal->request);
--- a/peridotrouter/engine_publish.c
+++ b/peridotrouter/engine_publish.c
@@ -99,22 +99,18 @@
   json_object_array_add (list, entry);
 }
 
-char *
-engine_format_addresses (engine_t *engine, const char *data_centre)
+struct json_object *
+engine_new_answer (const address_table_t *table, const char *data_centre)
 {
   struct json_object *root = json_object_new_object ();
   struct json_object *list = json_object_new_array ();
-  const address_table_t *table;
-  uint32_t first;
-  char *text;
-
-  rcu_read_lock ();
-  table = rcu_dereference (engine->addresses);
   /* The order differs from answer to answer, so that callers that take the
      first address spread over all.  */
-  first = table->count == 0
-              ? 0
-              : (uint32_t)g_random_int_range (0, (gint32)table->count);
+  uint32_t first
+      = table->count == 0
+            ? 0
+            : (uint32_t)g_random_int_range (0, (gint32)table->count);
+
   for (int local = 1; local >= 0; local--)
     for (uint32_t i = 0; i < table->count; i++)
       {
@@ -124,10 +120,21 @@
         if ((strcmp (instance->data_centre, data_centre) == 0) == local)
           append_instance (list, instance);
       }
-  rcu_read_unlock ();
   json_object_object_add (root, "lifetime_ms",
                           json_object_new_int (DECIDE_ADDRESS_LIFETIME_MS));
   json_object_object_add (root, "addresses", list);
+  return root;
+}
+
+char *
+engine_format_addresses (engine_t *engine, const char *data_centre)
+{
+  struct json_object *root;
+  char *text;
+
+  rcu_read_lock ();
+  root = engine_new_answer (rcu_dereference (engine->addresses), data_centre);
+  rcu_read_unlock ();
   text
       = strdup (json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
   json_object_put (root);
--- a/peridotrouter/engine_state.h
+++ b/peridotrouter/engine_state.h
@@ -144,6 +144,11 @@
 void engine_on_probe (void *context, endpoint_handle_t endpoint,
                       const decide_endpoint_t *target);
 void engine_publish_addresses (engine_t *engine, clock_ms_t now);
+/* The answer to GET /addresses, to be put with json_object_put().  */
+struct json_object *engine_new_answer (const address_table_t *table,
+                                       const char *data_centre);
+/* Sets the addresses to use for a request of another group.  */
+void engine_add_addresses (engine_t *engine, request_t *request);
 void engine_publish_bytes (engine_t *engine);
 void engine_publish_gauges (engine_t *engine, clock_ms_t now);
 
--- a/peridotrouter/request.c
+++ b/peridotrouter/request.c
@@ -74,6 +74,7 @@
   g_free (request->path);
   g_free (request->idempotency_key);
   g_free (request->range);
+  g_free (request->addresses);
   g_free (request->answer);
   free (request->body);
   free (request);
--- a/peridotrouter/request.h
+++ b/peridotrouter/request.h
@@ -68,6 +68,7 @@
   pthread_cond_t changed;
   GQueue decisions; /* decision_item_t, in the order of deciding */
   decide_refusal_t refusal;
+  char *addresses; /* JSON list of a refusal for another group, or NULL */
   decide_answer_t replay;
 
   /* Answer on its way to the caller; only the attempt that set `winner'
--- a/peridotrouter/serve.c
+++ b/peridotrouter/serve.c
@@ -187,17 +187,30 @@
   serve_t *serve = data;
   const struct mg_request_info *info = mg_get_request_info (conn);
   char data_centre[DECIDE_NAME_MAX] = "";
+  char service[DECIDE_NAME_MAX] = "";
   char *text;
 
   if (strcmp (info->request_method, "GET") != 0)
     return refuse_input (conn, NULL, 405, "/problems/method",
                          "/addresses takes GET only");
   if (info->query_string != NULL)
-    mg_get_var (info->query_string, strlen (info->query_string), "data_centre",
-                data_centre, sizeof data_centre);
-  text = engine_format_addresses (
-      serve->engine,
-      data_centre[0] != '\0' ? data_centre : serve->settings.data_centre);
+    {
+      size_t length = strlen (info->query_string);
+
+      mg_get_var (info->query_string, length, "data_centre", data_centre,
+                  sizeof data_centre);
+      mg_get_var (info->query_string, length, "service", service,
+                  sizeof service);
+    }
+  if (data_centre[0] == '\0')
+    g_strlcpy (data_centre, serve->settings.data_centre, sizeof data_centre);
+  text = service[0] == '\0'
+             ? engine_format_addresses (serve->engine, data_centre)
+             : engine_format_service_addresses (serve->engine, service,
+                                                data_centre);
+  if (text == NULL)
+    return refuse_input (conn, NULL, 503, "/problems/overload",
+                         "too many requests wait at this instance");
   mg_printf (conn,
              "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
              "Cache-Control: max-age=%d\r\nContent-Length: %zu\r\n\r\n%s",
@@ -421,6 +434,7 @@
       telemetry_count (TELEMETRY_CUT_ANSWERS, 0);
       return false;
     }
+  request->answer->addresses = request->addresses;
   answer_refuse (request->answer, &request->refusal);
   telemetry_observe (TELEMETRY_REFUSED_US,
                      clock_now_us () - request->received_us);
--- a/test/unit/memory.c
+++ b/test/unit/memory.c
@@ -179,8 +179,9 @@
     { "pasig", 0, "" },
   };
   static const admin_endpoint_t endpoints[] = {
-    { "booking", "b1", "quezon", "entry-1", 3, 1, false, false, false, false },
-    { "booking", "b2", "pasig", "", 1, 0, true, true, false, true },
+    { "booking", "b1", "quezon", "north", "entry-1", 3, 1, false, false, false,
+      false },
+    { "booking", "b2", "pasig", "", "", 1, 0, true, true, false, true },
   };
 
   (void)context;
