--- a/test/unit/groups.c
+++ b/test/unit/groups.c
@@ -196,6 +196,75 @@
   conf_object_free (first);
 }
 
+static void
+give (decide_t *node, const char *name, const char *body)
+{
+  static uint64_t revision;
+  conf_error_t error;
+  conf_object_t *object;
+
+  revision++;
+  conf_parse_object (name, body, revision, revision, false, &object, &error);
+  g_assert_cmpstr (error.text, ==, "");
+  g_assert_cmpint (decide_object (node, 1, UINT64_MAX, &object->object), ==,
+                   0);
+  conf_object_free (object);
+}
+
+static void
+note_name (void *context, const decide_group_instance_t *instance)
+{
+  g_string_append_printf (context, " %s", instance->name);
+}
+
+/* Guards against callers that are sent to a group that does not serve them, or
+   to its instances that are out, leaving or gone.  */
+static void
+test_addresses (void)
+{
+#define MEMBER(name, state)                                                   \
+  "{\"name\":\"" name "\",\"data_centre\":\"s1\",\"incarnation\":"            \
+  "\"0000000000000001\",\"state\":\"" state "\"}"
+#define INSTANCE(name)                                                        \
+  "{\"name\":\"" name "\",\"data_centre\":\"s1\",\"address\":\"[::1]:80\"}"
+#define ENDPOINT(name, centre, port)                                          \
+  "{\"id\":\"" name "\",\"data_centre\":\"" centre                            \
+  "\",\"address\":\"[::1]:" port "\",\"slots\":1}"
+  static const decide_instance_t self = { "i", "n1" };
+  decide_settings_t settings = { "i", "n1", "a", 1, 1, 1, &self };
+  decide_callbacks_t callbacks = { 0 };
+  decide_t *node = decide_new (&settings, &callbacks, 1);
+  decide_id_t service = decide_id ("s");
+  g_autoptr (GString) names = g_string_new (NULL);
+
+  give (node, "shared/service/s",
+        "{\"profile\":\"p\",\"key_region\":\"s1\",\"endpoints\":[" ENDPOINT (
+            "e", "n1", "1") "," ENDPOINT ("f", "s1", "2") "]}");
+  g_assert_null (decide_service_group (node, service, "n1", false));
+  give (node, "shared/group/a", north);
+  give (
+      node, "shared/group/x",
+      "{\"data_centres\":[\"s1\"],\"instances\":[" INSTANCE ("away") "," INSTANCE (
+          "gone") "," INSTANCE ("good") "," INSTANCE ("leaves") "]}");
+  g_assert_cmpstr (decide_service_group (node, service, "n2", false), ==, "a");
+  g_assert_cmpstr (decide_service_group (node, service, "s1", false), ==, "x");
+  g_assert_cmpstr (decide_service_group (node, service, "n1", true), ==, "x");
+  g_assert_cmpstr (decide_service_group (node, service, "else", false), ==,
+                   "x");
+  g_assert_null (decide_service_group (node, decide_id ("t"), "n1", false));
+  decide_each_group_instance (node, "x", note_name, names);
+  g_assert_cmpstr (names->str, ==, " away gone good leaves");
+  g_string_truncate (names, 0);
+  give (node, "shared/out/instance/away", "{}");
+  give (node, "shared/ownership/x",
+        "{\"members\":[" MEMBER ("away", "active") "," MEMBER (
+            "good", "active") "," MEMBER ("leaves",
+                                          "leaving") "],\"data_centres\":[]}");
+  decide_each_group_instance (node, "x", note_name, names);
+  g_assert_cmpstr (names->str, ==, " good");
+  decide_free (node);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -205,5 +274,6 @@
   g_test_add_func ("/groups/named", test_named);
   g_test_add_func ("/groups/faults", test_faults);
   g_test_add_func ("/groups/regions", test_regions);
+  g_test_add_func ("/groups/addresses", test_addresses);
   return g_test_run ();
 }
