--- a/lib/peer/decode.c
+++ b/lib/peer/decode.c
@@ -225,7 +225,8 @@
 {
   if (!is_slice (from->centre, from->slice) || from->status > DECIDE_KEY_FULL
       || from->state > DECIDE_KEY_STATE_NOT_RUN || !is_duration (from->left_ms)
-      || !is_duration (from->retention_ms) || !is_duration (from->running_ms))
+      || !is_duration (from->retention_ms) || !is_duration (from->running_ms)
+      || !is_duration (from->moved_ms))
     return false;
   to->request = from->request;
   to->centre = from->centre;
@@ -246,6 +247,8 @@
   to->copies = from->copies;
   to->authoritative = from->authoritative;
   to->running_ms = from->running_ms;
+  to->service = from->service;
+  to->moved_ms = from->moved_ms;
   to->has_answer = from->answer != NULL;
   if (to->has_answer)
     decode_answer (from->answer, &to->answer);
--- a/lib/peer/gen/peer_xdr.c
+++ b/lib/peer/gen/peer_xdr.c
@@ -657,6 +657,10 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->moved_ms))
+			 return FALSE;
 		 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
 			 return FALSE;
 		return TRUE;
@@ -707,6 +711,10 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->running_ms))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->moved_ms))
+			 return FALSE;
 		 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
 			 return FALSE;
 	 return TRUE;
@@ -749,6 +757,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->running_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->moved_ms))
+		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (wire_answer), (xdrproc_t) xdr_wire_answer))
 		 return FALSE;
 	return TRUE;
--- a/lib/peer/peer.x
+++ b/lib/peer/peer.x
@@ -225,6 +225,8 @@
   unsigned hyper copies;
   bool authoritative;
   hyper running_ms;
+  unsigned hyper service;
+  hyper moved_ms;
   wire_answer *answer;
 };
 
--- a/peridotrouter/answer.c
+++ b/peridotrouter/answer.c
@@ -219,6 +219,9 @@
   json_object_object_add (root, "ran", json_object_new_string (ran));
   json_object_object_add (root, "retry_after_ms",
                           json_object_new_int64 (retry_after_ms));
+  if (answer->addresses != NULL)
+    json_object_object_add (root, "addresses",
+                            json_tokener_parse (answer->addresses));
   if (retry_after_ms > 0)
     g_string_append_printf (headers, "Retry-After: %" PRId64 "\r\n",
                             (retry_after_ms + 999) / 1000);
@@ -265,6 +268,9 @@
   [DECIDE_REASON_KEY_FULL]
   = { 503, "/problems/key-full",
       "there is no room to record the idempotency key now" },
+  [DECIDE_REASON_OTHER_GROUP]
+  = { 421, "/problems/other-group",
+      "another group of instances serves this request" },
   [DECIDE_REASON_STOPPING]
   = { 503, "/problems/stopping", "this instance is leaving service" },
 };
--- a/peridotrouter/answer.h
+++ b/peridotrouter/answer.h
@@ -14,6 +14,7 @@
   caller_t caller;
   clock_ms_t write_by;    /* deadline of the attempt that writes */
   const char *request_id; /* echoed, or NULL */
+  const char *addresses;  /* JSON list for a problem document, or NULL */
   bool closing;           /* the connection ends after this answer */
   bool is_head;           /* HEAD: no body is written */
   bool head_sent;
