Serve on until no caller can hold the address of a stopping instance

Cause: in a trial (12 instances, 1,200 requests/s, three instances restarted in turn) one request was cut 2.009 s after its instance began to stop. The instance stopped after the lifetime of address answers, 2,000 ms from its own start of the stop, but others state its address until they hear its heartbeat and publish the next list. Invariant 8, a planned stop cuts no request.

Ruled out: requests in flight, which a stop waits for; the request came 9 ms after the time.

Conclusion: 500 ms more, which cover one lost heartbeat (250 ms), the interval of publishing (100 ms) and the way to a caller.

--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -33,6 +33,10 @@
                        const decide_record_t *record);
 static void store_read (void *context);
 
+/* Others state the address of an instance that leaves until they hear of it:
+   a heartbeat may be lost (250 ms), lists of addresses are published every
+   100 ms, and the answer needs its way to the caller.  */
+#define LEAVE_HEARD_MS (2 * DECIDE_HEARTBEAT_MS)
 /* A claim of a key may be made at the owner for this long after its lease was
    checked; the collection of a new owner starts later.  */
 #define KEY_HOLD_MS 500
@@ -526,7 +530,8 @@
 decide_stopped (const decide_t *node, clock_ms_t now)
 {
   return node->stopping
-         && now - node->stopping_at >= DECIDE_ADDRESS_LIFETIME_MS
+         && now - node->stopping_at
+                >= DECIDE_ADDRESS_LIFETIME_MS + LEAVE_HEARD_MS
          && router_pending (node->router) == 0
          && claims_unreported (node->claims) == 0
          && ownership_stopped (node->ownership, now);
--- a/test/unit/node.c
+++ b/test/unit/node.c
@@ -454,6 +454,23 @@
   decide_free (world.node);
 }
 
+/* Guards against an instance that stops while a caller may still use its
+   address: others state it until they hear a heartbeat, of which one may be
+   lost, and publish the next list.  */
+static void
+test_stop (void)
+{
+  world_t world;
+
+  start (&world, 1);
+  decide_stop (world.node, world.now);
+  advance (&world, DECIDE_ADDRESS_LIFETIME_MS + DECIDE_HEARTBEAT_MS + 100);
+  g_assert_false (decide_stopped (world.node, world.now));
+  advance (&world, DECIDE_HEARTBEAT_MS);
+  g_assert_true (decide_stopped (world.node, world.now));
+  decide_free (world.node);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -466,5 +483,6 @@
   g_test_add_func ("/node/moved-keys", test_moved_keys);
   g_test_add_func ("/node/no-contact", test_no_contact);
   g_test_add_func ("/node/alone", test_alone);
+  g_test_add_func ("/node/stop", test_stop);
   return g_test_run ();
 }
