--- a/lib/peer/encode.c
+++ b/lib/peer/encode.c
@@ -11,10 +11,11 @@
                    && (int)WIRE_KEY_COLLECT_REPLY
                           == (int)DECIDE_MSG_KEY_COLLECT_REPLY,
                "message types of peer.x and decide.h differ");
+_Static_assert(WIRE_LIMITS_MAX == DECIDE_HANDOVER_LIMITS_MAX,
+               "a bound of peer.x differs from decide.h");
 _Static_assert(WIRE_SLICES == DECIDE_SLICES
                    && WIRE_LOADS_MAX == DECIDE_LOADS_MAX
                    && WIRE_GRANTS_MAX == DECIDE_HANDOVER_GRANTS_MAX
-                   && WIRE_LIMITS_MAX == DECIDE_HANDOVER_LIMITS_MAX
                    && WIRE_ENDS_MAX == DECIDE_RELEASE_ENDS_MAX
                    && WIRE_ANSWER_MAX == DECIDE_ANSWER_MAX
                    && WIRE_TYPE_MAX + 1 == DECIDE_NAME_MAX
