--- a/test/run/endpoints_restart.py
+++ b/test/run/endpoints_restart.py
@@ -48,7 +48,9 @@
             if turn % len(endpoints) == 0:
                 choice.shuffle(endpoints)
             wait_until(next_us, "the next restart")
+            before_us = now_us()
             endpoints[turn % len(endpoints)].control(restart=True)
+            faults.restarts += [before_us, now_us()]
             next_us += choice.uniform(0.5, 1.5) * STEP_MS * 1000
         total = sum(entry["cold_overloads"]
                     for entry in faults.topology.stats().values())
