--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -111,6 +111,13 @@
 void node_free_pool (void *pool);
 uint32_t node_pool_centre (const decide_t *node, const catalog_pool_t *pool);
 
+/* node_keys.c */
+void node_create_keys (decide_t *node, const decide_settings_t *settings);
+uint32_t node_key_centre (const decide_t *node);
+void node_key_slice_changed (decide_t *node, uint32_t slice,
+                             ownership_change_t change);
+void node_note_key_owners (decide_t *node);
+
 /* node_requests.c */
 uint32_t node_list_candidates (void *context, decide_id_t service,
                                router_candidate_t *candidates, uint32_t max);
--- /dev/null
+++ b/lib/decide/node_keys.c
@@ -0,0 +1,270 @@
+#include "node.h"
+
+#include <string.h>
+
+/* Connects idempotency keys with the ownership of their slices.  */
+
+/* A claim of a key may be made at the owner for this long after its lease was
+   checked; the collection of a new owner starts later.  */
+#define KEY_HOLD_MS 500
+
+static uint64_t record_version (void *context);
+static bool may_hold_copies (const decide_t *node,
+                             const decide_member_t *member, decide_id_t id);
+static keys_origin_t key_origin (const decide_t *node, uint32_t slice);
+static void send_claim (void *context, decide_id_t to,
+                        const decide_msg_t *msg);
+static void send_message (void *context, decide_id_t to,
+                          const decide_msg_t *msg);
+
+static void
+send_message (void *context, decide_id_t to, const decide_msg_t *msg)
+{
+  node_send (context, to, msg);
+}
+
+static void
+send_claim (void *context, decide_id_t to, const decide_msg_t *msg)
+{
+  decide_t *node = context;
+  const node_keyed_t *keyed
+      = g_hash_table_lookup (node->keyed, &msg->u.key.request);
+  decide_msg_t claim = *msg;
+
+  if (msg->type == DECIDE_MSG_KEY_CLAIM && keyed != NULL)
+    {
+      claim.u.key.service = keyed->request.service;
+      claim.u.key.moved_ms = node_keys_moved_ms (node, keyed->request.service,
+                                                 msg->u.key.retention_ms);
+    }
+  node_send (node, to, &claim);
+}
+
+uint32_t
+node_key_centre (const decide_t *node)
+{
+  return ownership_centre (node->ownership, DECIDE_KEY_CENTRE);
+}
+
+static decide_id_t
+key_target (void *context, uint32_t slice)
+{
+  decide_t *node = context;
+  uint32_t centre = node_key_centre (node);
+
+  return centre == DECIDE_NO_HANDLE
+             ? 0
+             : ownership_target (node->ownership, node->now, centre, slice);
+}
+
+static bool
+key_may_serve (void *context, uint32_t slice)
+{
+  decide_t *node = context;
+  uint32_t centre = node_key_centre (node);
+
+  return centre != DECIDE_NO_HANDLE && !node_is_guarded (node)
+         && ownership_may_grant (node->ownership, node->now, centre, slice,
+                                 KEY_HOLD_MS);
+}
+
+static uint64_t
+record_version (void *context)
+{
+  decide_t *node = context;
+  const decide_record_t *record = ownership_get_record (node->ownership);
+
+  return record == NULL ? 0 : record->version;
+}
+
+/* Members that have never run (incarnation 0) hold no copies.  */
+static uint32_t
+key_others (void *context, keys_member_t *members, uint32_t max)
+{
+  decide_t *node = context;
+  const decide_record_t *record = ownership_get_record (node->ownership);
+  uint32_t count = 0;
+
+  if (record == NULL)
+    return 0;
+  for (uint32_t i = 0; i < record->member_count && count < max; i++)
+    {
+      decide_id_t id = decide_id (record->members[i].name);
+
+      if (id == node->id || record->members[i].incarnation == 0)
+        continue;
+      members[count].id = id;
+      members[count].incarnation = record->members[i].incarnation;
+      count++;
+    }
+  return count;
+}
+
+/* A process that was started again holds nothing until the record names it. */
+static bool
+may_hold_copies (const decide_t *node, const decide_member_t *member,
+                 decide_id_t id)
+{
+  return id != node->id && member->incarnation != 0
+         && member->state == DECIDE_MEMBER_ACTIVE
+         && ownership_heard (node->ownership, node->now, id)
+         && ownership_incarnation (node->ownership, id) == member->incarnation
+         && !ownership_leaving (node->ownership, id);
+}
+
+static uint32_t
+key_holders (void *context, keys_member_t *members, uint32_t max)
+{
+  decide_t *node = context;
+  const decide_record_t *record = ownership_get_record (node->ownership);
+  uint32_t count = 0;
+
+  if (record == NULL)
+    return 0;
+  for (uint32_t i = 0; i < record->member_count && count < max; i++)
+    {
+      const decide_member_t *m = &record->members[i];
+      decide_id_t id = decide_id (m->name);
+
+      if (may_hold_copies (node, m, id))
+        members[count++] = (keys_member_t){ id, m->incarnation };
+    }
+  return count;
+}
+
+static decide_key_status_t
+key_hold (void *context, decide_id_t from, const decide_msg_t *reply)
+{
+  decide_t *node = context;
+
+  return keys_hold_claim (node->keys, node->now, from, reply->incarnation,
+                          &reply->u.key);
+}
+
+static void
+key_ended (void *context, const decide_msg_key_t *outcome)
+{
+  decide_t *node = context;
+
+  keys_note_outcome (node->keys, outcome);
+}
+
+/* Prefers a member of the own data centre, then the lowest hash with the
+   slice, so that the choice changes only when a member comes or goes.  */
+static bool
+key_second (void *context, uint32_t slice, keys_member_t *member)
+{
+  decide_t *node = context;
+  const decide_record_t *record = ownership_get_record (node->ownership);
+  uint64_t best = UINT64_MAX;
+
+  if (record == NULL)
+    return false;
+  for (uint32_t i = 0; i < record->member_count; i++)
+    {
+      const decide_member_t *m = &record->members[i];
+      decide_id_t id = decide_id (m->name);
+      uint64_t rank = (id ^ (slice * 0x9e3779b97f4a7c15)) >> 1;
+
+      if (!may_hold_copies (node, m, id))
+        continue;
+      if (strcmp (m->data_centre, node->settings.data_centre) != 0)
+        rank |= (uint64_t)1 << 63;
+      if (rank >= best)
+        continue;
+      best = rank;
+      member->id = id;
+      member->incarnation = m->incarnation;
+    }
+  return best != UINT64_MAX;
+}
+
+void
+node_note_key_owners (decide_t *node)
+{
+  const decide_record_t *record = ownership_get_record (node->ownership);
+  uint32_t centre = node_key_centre (node);
+
+  if (record == NULL || centre == DECIDE_NO_HANDLE)
+    return;
+  for (uint32_t i = 0; i < DECIDE_SLICES; i++)
+    {
+      const decide_slice_t *slice = &record->centres[centre].slices[i];
+
+      if (slice->owner == node->id
+          && slice->incarnation == node->settings.incarnation)
+        continue;
+      node->key_owner[i] = slice->owner;
+      node->key_incarnation[i] = slice->incarnation;
+    }
+}
+
+/* A previous owner that is heard has all entries; incarnation 0 has never
+   served.  */
+static keys_origin_t
+key_origin (const decide_t *node, uint32_t slice)
+{
+  decide_id_t previous = node->key_owner[slice];
+
+  if (previous == 0 || node->key_incarnation[slice] == 0)
+    return KEYS_FIRST_OWNER;
+  return ownership_heard (node->ownership, node->now, previous)
+             ? KEYS_HANDED_OVER
+             : KEYS_TAKEN_OVER;
+}
+
+void
+node_key_slice_changed (decide_t *node, uint32_t slice,
+                        ownership_change_t change)
+{
+  decide_id_t previous = node->key_owner[slice];
+
+  switch (change)
+    {
+    case OWNERSHIP_LOST:
+      keys_slice_lost (node->keys, node->now, slice);
+      node->key_delegated[slice] = false;
+      break;
+    case OWNERSHIP_DELEGATED:
+      node->key_delegated[slice] = true;
+      keys_slice_gained (node->keys, node->now, slice, KEYS_HANDED_OVER,
+                         previous);
+      break;
+    case OWNERSHIP_GAINED:
+      if (node->key_delegated[slice])
+        node->key_delegated[slice] = false;
+      else
+        keys_slice_gained (node->keys, node->now, slice,
+                           key_origin (node, slice), previous);
+      break;
+    }
+}
+
+void
+node_create_keys (decide_t *node, const decide_settings_t *settings)
+{
+  keys_callbacks_t keys = {
+    .context = node,
+    .self = decide_id (settings->instance),
+    .send = send_message,
+    .may_serve = key_may_serve,
+    .second = key_second,
+    .holders = key_holders,
+    .others = key_others,
+    .record_version = record_version,
+  };
+  claims_callbacks_t claims = {
+    .context = node,
+    .target = key_target,
+    .send = send_claim,
+    .hold = key_hold,
+    .ended = key_ended,
+    .run = node_claim_run,
+    .replay = node_claim_replay,
+    .refuse = node_claim_refuse,
+  };
+
+  node->keys = keys_new (&keys, settings->incarnation, settings->key_bytes,
+                         node->now);
+  node->claims = claims_new (&claims, settings->incarnation);
+}
