Revert "Stop all attempts whose grants are older than a restart"

Cause: stopped attempts whose grant was asked for before a connection of the endpoint was found closed or reset.

Which attempts are stopped again and again was not found.

--- a/lib/backend/attempt.c
+++ b/lib/backend/attempt.c
@@ -272,8 +272,6 @@
   if (result->reused)
     atomic_fetch_add (&counters->reused, 1);
   describe (attempt, code);
-  if (result->end.result == DECIDE_ATTEMPT_RESET)
-    backend_pool_note_reset (attempt->pool, address);
   if (attempt->stop == STOP_TIMEOUT && !result->first_byte)
     backend_pool_drop_silent (attempt->pool, address, attempt->sent_us);
   if (code != CURLE_OK || attempt->stop != STOP_NONE || attempt->closes
@@ -302,8 +300,7 @@
   atomic_fetch_add (&backend_pool_get_counters (pool)->attempts, 1);
   attempt.begin_us = backend_now_us ();
   if (request->no_repeat)
-    closed_us
-        = backend_pool_check_closed (pool, request->address, request->granted);
+    closed_us = backend_pool_check_closed (pool, request->address);
   if (closed_us >= 0)
     {
       result->end.result = DECIDE_ATTEMPT_CLOSED;
--- a/lib/backend/backend.h
+++ b/lib/backend/backend.h
@@ -56,9 +56,6 @@
   /* Never go on to a new connection when a pooled one turns out to be closed
      by the backend server, which may have restarted.  */
   bool no_repeat;
-  /* With no_repeat: not sent if the backend server may have restarted at this
-     time or later; 0: not known.  */
-  clock_ms_t granted;
   /* Readable when the attempt is to be cancelled (an eventfd, for example);
      -1: none.  */
   int cancel_fd;
--- a/lib/backend/pool.c
+++ b/lib/backend/pool.c
@@ -26,8 +26,6 @@
   uint32_t idle_count;
   int64_t good_us; /* end of the last complete answer */
   int64_t used_us;
-  int64_t closed_us;   /* last time a connection was found closed or reset */
-  int64_t answered_us; /* last answer on it, or before it */
 } endpoint_t;
 
 struct backend_pool
@@ -310,8 +308,7 @@
 }
 
 int64_t
-backend_pool_check_closed (backend_pool_t *pool, const char *address,
-                           clock_ms_t granted)
+backend_pool_check_closed (backend_pool_t *pool, const char *address)
 {
   int64_t now_us = backend_now_us ();
   int64_t idle_us = -1;
@@ -322,35 +319,15 @@
   endpoint = find (pool, address);
   if (endpoint != NULL && endpoint->idle != NULL && is_closed (endpoint->idle))
     {
-      endpoint->closed_us = now_us;
-      endpoint->answered_us = endpoint->idle->answered_us;
+      idle_us = now_us - endpoint->idle->answered_us;
       atomic_fetch_add (&pool->counters.closed,
                         cut (pool, endpoint, INT64_MAX, &victims));
-      idle_us = now_us - endpoint->answered_us;
     }
-  else if (endpoint != NULL && granted > 0
-           && granted <= endpoint->closed_us / 1000)
-    idle_us = now_us - endpoint->answered_us;
   pthread_mutex_unlock (&pool->lock);
   free_list (victims);
   return idle_us;
 }
 
-void
-backend_pool_note_reset (backend_pool_t *pool, const char *address)
-{
-  endpoint_t *endpoint;
-
-  pthread_mutex_lock (&pool->lock);
-  endpoint = find_or_add (pool, address);
-  if (endpoint != NULL)
-    {
-      endpoint->closed_us = endpoint->used_us = backend_now_us ();
-      endpoint->answered_us = endpoint->good_us;
-    }
-  pthread_mutex_unlock (&pool->lock);
-}
-
 void
 backend_pool_put (backend_pool_t *pool, const char *address, conn_t *conn)
 {
--- a/lib/backend/pool.h
+++ b/lib/backend/pool.h
@@ -59,17 +59,11 @@
  * backend_pool_check_closed() - look for a restart of the backend server
  *
  * When it has closed the idle connection that answered last, none of the
- * endpoint's idle connections is used again.  Attempts of grants that were
- * made before this, or before a reset, learn of it too: they would meet the
- * restarted server on new connections, all at once.
+ * endpoint's idle connections is used again.
  *
  * Return: time since the connection's last answer in us, or -1.
  */
-int64_t backend_pool_check_closed (backend_pool_t *pool, const char *address,
-                                   clock_ms_t granted);
-
-/* An attempt was reset after sending.  */
-void backend_pool_note_reset (backend_pool_t *pool, const char *address);
+int64_t backend_pool_check_closed (backend_pool_t *pool, const char *address);
 
 /* Closes the endpoint's idle connections whose last answer ended before
    @sent_us or before the endpoint's last good answer: a request sent at
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -524,7 +524,6 @@
   uint64_t attempt;
   endpoint_handle_t endpoint;
   const decide_endpoint_t *target;
-  clock_ms_t granted;  /* the grant was made at this time or later */
   clock_ms_t start_by; /* not sent after this time */
   clock_ms_t deadline; /* the attempt ends by this time */
   bool hedge;
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -75,7 +75,6 @@
     .attempt = forward->attempt,
     .endpoint = handle,
     .target = &catalog_endpoint (node->catalog, handle)->endpoint,
-    .granted = forward->granted,
     .start_by = forward->start_by,
     .deadline = forward->deadline,
     .hedge = forward->hedge,
--- a/lib/decide/router.h
+++ b/lib/decide/router.h
@@ -49,7 +49,6 @@
   decide_id_t service;
   decide_id_t pool;
   decide_id_t endpoint;
-  clock_ms_t granted;  /* the grant was made at this time or later */
   clock_ms_t start_by; /* not sent after this time */
   clock_ms_t deadline; /* the attempt ends by this time */
   bool hedge;
--- a/lib/decide/router_ask.c
+++ b/lib/decide/router_ask.c
@@ -321,7 +321,6 @@
   held->priority = msg->priority;
   held->expires = sent + valid_for - valid_for * ROUTER_DRIFT_PERCENT / 100
                   - ROUTER_TRANSIT_MS;
-  held->granted = sent;
   held->start_by = held->expires - 1;
   if (held->lent)
     held->start_by
--- a/lib/decide/router_attempt.c
+++ b/lib/decide/router_attempt.c
@@ -106,7 +106,6 @@
                                .service = request->service,
                                .pool = held->pool,
                                .endpoint = held->endpoint,
-                               .granted = held->granted,
                                .start_by = held->start_by,
                                .deadline = held->expires,
                                .hedge = !TAILQ_EMPTY (&pending->attempts) };
--- a/lib/decide/router_state.h
+++ b/lib/decide/router_state.h
@@ -64,7 +64,6 @@
   router_key_t key; /* grant and owner */
   decide_id_t pool;
   decide_id_t endpoint;
-  clock_ms_t granted; /* not later than the owner's grant */
   clock_ms_t start_by;
   clock_ms_t expires;
   bool lent;
--- a/peridotrouter/attempt.c
+++ b/peridotrouter/attempt.c
@@ -199,7 +199,6 @@
     .range = request->range,
     .body = request->body,
     .body_length = request->body_length,
-    .granted = run->forward->granted,
     .start_by = run->forward->start_by,
     .deadline = run->forward->deadline,
     .idempotent = request->idempotent,
--- a/peridotrouter/engine_decision.c
+++ b/peridotrouter/engine_decision.c
@@ -36,7 +36,6 @@
     g_error ("attempt for an unknown request, or out of memory");
   forward->attempt = decided->attempt;
   forward->hedge = decided->hedge;
-  forward->granted = decided->granted;
   forward->start_by = decided->start_by;
   forward->deadline = decided->deadline;
   g_strlcpy (forward->name, decided->target->name, sizeof forward->name);
--- a/peridotrouter/request.h
+++ b/peridotrouter/request.h
@@ -33,7 +33,6 @@
   bool hedge;
   char name[DECIDE_NAME_MAX];
   char address[DECIDE_ADDRESS_MAX];
-  clock_ms_t granted;
   clock_ms_t start_by;
   clock_ms_t deadline;
 } forward_t;
