--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES = build-essential cmake pkg-config clang-format clang-tidy mandoc \
 	liburcu-dev libcivetweb-dev libtirpc-dev rpcsvc-proto libpopt-dev \
 	libglib2.0-dev libjson-c-dev libcurl4-openssl-dev libck-dev \
-	libxxhash-dev python3 gnuplot-nox
+	libxxhash-dev libev-dev libhttp-parser-dev python3 gnuplot-nox
 
 all: build
 
--- /dev/null
+++ b/lib/balance/backends.c
@@ -0,0 +1,314 @@
+#include "backends_private.h"
+
+#include <string.h>
+
+/* Failed probes in a row double the pause up to this.  */
+#define AVOID_MIN_MS 250
+#define AVOID_MAX_MS 2000
+/* Weight of the newest request in the share of faults.  */
+#define FAULT_WEIGHT 0.3
+/* The share of faults halves in this time without requests, so that an
+   endpoint that has recovered is tried again.  */
+#define FAULT_HALF_MS 2000.0
+
+static void entry_copy (backend_entry_t *to, const backend_entry_t *from);
+static void entry_clear (backend_entry_t *entry);
+static backend_t *slot_for (backends_t *backends, const char *id);
+static void release (backends_t *backends, backend_t *backend);
+
+backends_t *
+backends_new (const char *own_data_centre)
+{
+  backends_t *backends = g_new0 (backends_t, 1);
+
+  backends->table = g_ptr_array_new ();
+  backends->services = g_ptr_array_new ();
+  backends->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  backends->out
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  backends->data_centre = g_strdup (own_data_centre);
+  return backends;
+}
+
+void
+backends_free (backends_t *backends)
+{
+  for (guint i = 0; i < backends->table->len; i++)
+    {
+      backend_t *backend = g_ptr_array_index (backends->table, i);
+
+      entry_clear (&backend->entry);
+      g_free (backend);
+    }
+  for (guint i = 0; i < backends->services->len; i++)
+    {
+      service_t *service = g_ptr_array_index (backends->services, i);
+
+      g_free (service->name);
+      g_free (service->health_path);
+      g_free (service);
+    }
+  g_ptr_array_free (backends->table, TRUE);
+  g_ptr_array_free (backends->services, TRUE);
+  g_hash_table_destroy (backends->by_id);
+  g_hash_table_destroy (backends->out);
+  g_free (backends->data_centre);
+  g_free (backends);
+}
+
+service_ref_t
+backends_service (backends_t *backends, const char *name)
+{
+  service_t *service;
+
+  for (guint i = 0; i < backends->services->len; i++)
+    {
+      service = g_ptr_array_index (backends->services, i);
+      if (strcmp (service->name, name) == 0)
+        return (service_ref_t)i;
+    }
+  service = g_new0 (service_t, 1);
+  service->name = g_strdup (name);
+  service->health_path = g_strdup ("/");
+  service->reports_load = true;
+  service->crowded = 1.0;
+  for (size_t i = 0; i < G_N_ELEMENTS (service->work); i++)
+    service->work[i] = 0;
+  g_ptr_array_add (backends->services, service);
+  return (service_ref_t)backends->services->len - 1;
+}
+
+service_t *
+backends_service_get (backends_t *backends, service_ref_t service)
+{
+  return g_ptr_array_index (backends->services, (guint)service);
+}
+
+int
+backends_service_count (const backends_t *backends)
+{
+  return (int)backends->services->len;
+}
+
+static void
+entry_copy (backend_entry_t *to, const backend_entry_t *from)
+{
+  *to = *from;
+  to->id = g_strdup (from->id);
+  to->service = g_strdup (from->service);
+  to->data_centre = g_strdup (from->data_centre);
+  to->software = g_strdup (from->software);
+}
+
+static void
+entry_clear (backend_entry_t *entry)
+{
+  g_free (entry->id);
+  g_free (entry->service);
+  g_free (entry->data_centre);
+  g_free (entry->software);
+}
+
+void
+backends_put (backends_t *backends, const backend_entry_t *entry,
+              clock_ms_t now)
+{
+  backend_t *backend = g_hash_table_lookup (backends->by_id, entry->id);
+  bool again;
+
+  if (backend != NULL && entry->revision < backend->entry.revision)
+    return;
+  again = backend != NULL
+          && (backend->entry.born != entry->born
+              || strcmp (backend->entry.service, entry->service) != 0
+              || backend->entry.address.sin_addr.s_addr
+                     != entry->address.sin_addr.s_addr
+              || backend->entry.address.sin_port != entry->address.sin_port);
+  if (again)
+    {
+      release (backends, backend);
+      backend = NULL;
+    }
+  if (backend == NULL)
+    {
+      backend = slot_for (backends, entry->id);
+      entry_copy (&backend->entry, entry);
+      backend->service = backends_service (backends, entry->service);
+      g_hash_table_insert (backends->by_id, backend->entry.id, backend);
+    }
+  else
+    {
+      backend->entry.slots = entry->slots;
+      backend->entry.draining = entry->draining;
+      backend->entry.cold = entry->cold;
+      backend->entry.revision = entry->revision;
+    }
+  backend->cold_until = MAX (backend->cold_until, now + entry->cold);
+}
+
+/* Takes a free slot of the table, or a new one.  */
+static backend_t *
+slot_for (backends_t *backends, const char *id)
+{
+  backend_t *backend = NULL;
+  uint32_t generation = 1;
+
+  (void)id;
+  for (guint i = 0; i < backends->table->len && backend == NULL; i++)
+    {
+      backend_t *slot = g_ptr_array_index (backends->table, i);
+
+      if (!slot->used)
+        backend = slot;
+    }
+  if (backend == NULL)
+    {
+      backend = g_new0 (backend_t, 1);
+      backend->load.pace = 100;
+      g_ptr_array_add (backends->table, backend);
+    }
+  else
+    generation = backend->generation + 1;
+  memset (backend, 0, sizeof *backend);
+  backend->generation = generation;
+  backend->used = true;
+  backend->load.pace = 100;
+  return backend;
+}
+
+static void
+release (backends_t *backends, backend_t *backend)
+{
+  g_hash_table_remove (backends->by_id, backend->entry.id);
+  entry_clear (&backend->entry);
+  memset (&backend->entry, 0, sizeof backend->entry);
+  backend->used = false;
+  backend->generation++;
+}
+
+bool
+backends_remove (backends_t *backends, const char *id)
+{
+  backend_t *backend = g_hash_table_lookup (backends->by_id, id);
+
+  if (backend == NULL)
+    return false;
+  release (backends, backend);
+  return true;
+}
+
+backend_t *
+backends_next (backends_t *backends, uint32_t *position)
+{
+  while (*position < backends->table->len)
+    {
+      backend_t *backend = g_ptr_array_index (backends->table, (*position)++);
+
+      if (backend->used)
+        return backend;
+    }
+  return NULL;
+}
+
+backend_t *
+backends_find (backends_t *backends, const char *id)
+{
+  return g_hash_table_lookup (backends->by_id, id);
+}
+
+backend_t *
+backends_get (backends_t *backends, backend_ref_t ref)
+{
+  backend_t *backend;
+
+  if (ref.index >= backends->table->len)
+    return NULL;
+  backend = g_ptr_array_index (backends->table, ref.index);
+  return backend->used && backend->generation == ref.generation ? backend
+                                                                : NULL;
+}
+
+backend_ref_t
+backends_ref (const backends_t *backends, const backend_t *backend)
+{
+  guint index = 0;
+
+  if (!g_ptr_array_find (backends->table, backend, &index))
+    g_assert_not_reached ();
+  return (backend_ref_t){ .index = index, .generation = backend->generation };
+}
+
+void
+backends_take_out (backends_t *backends, const char *data_centre, bool out)
+{
+  if (out)
+    g_hash_table_add (backends->out, g_strdup (data_centre));
+  else
+    g_hash_table_remove (backends->out, data_centre);
+}
+
+bool
+backends_is_out (const backends_t *backends, const char *data_centre)
+{
+  return g_hash_table_contains (backends->out, data_centre);
+}
+
+bool
+backend_is_local (const backends_t *backends, const backend_t *backend)
+{
+  return strcmp (backend->entry.data_centre, backends->data_centre) == 0;
+}
+
+bool
+backend_is_cold (const backend_t *backend, clock_ms_t now)
+{
+  return now < backend->cold_until;
+}
+
+void
+backend_probed (backend_t *backend, backend_health_t health,
+                const backend_load_t *load, clock_ms_t cold, clock_ms_t now)
+{
+  backend->health = health;
+  backend->health_at = now;
+  if (health == BACKEND_SILENT || health == BACKEND_OTHER)
+    {
+      clock_ms_t pause
+          = AVOID_MIN_MS << MIN (backend->silent_in_a_row, 5U);
+
+      backend->silent_in_a_row++;
+      backend->avoid_until = now + MIN (pause, AVOID_MAX_MS);
+      return;
+    }
+  backend->silent_in_a_row = 0;
+  backend->avoid_until = health == BACKEND_ILL ? now + AVOID_MIN_MS : 0;
+  backend->cold_until = cold > 0 ? now + cold : 0;
+  if (load != NULL)
+    backend_reported (backend, load, now);
+}
+
+void
+backend_reported (backend_t *backend, const backend_load_t *load,
+                  clock_ms_t now)
+{
+  backend->load = *load;
+  backend->load_at = now;
+}
+
+void
+backend_finished (backend_t *backend, bool fault, clock_ms_t now)
+{
+  double before = backend_faults (backend, now);
+
+  backend->faults
+      = before * (1.0 - FAULT_WEIGHT) + (fault ? FAULT_WEIGHT : 0.0);
+  backend->faults_at = now;
+}
+
+double
+backend_faults (const backend_t *backend, clock_ms_t now)
+{
+  double halves = (double)(now - backend->faults_at) / FAULT_HALF_MS;
+
+  return backend->faults / (1.0 + halves);
+}
--- /dev/null
+++ b/lib/balance/backends_private.h
@@ -0,0 +1,21 @@
+#ifndef PERIDOT_BALANCE_BACKENDS_PRIVATE_H
+#define PERIDOT_BALANCE_BACKENDS_PRIVATE_H
+
+#include "backends.h"
+
+/* Instances that may send to one cold endpoint; with one request a second
+   each it is below the smallest bound of a cold endpoint in use.  */
+#define COLD_SENDERS_MAX 12
+
+struct backends
+{
+  GPtrArray *table;    /* backend_t *, never removed; index of a ref */
+  GPtrArray *services; /* service_t * */
+  GHashTable *by_id;   /* id to backend_t * */
+  GHashTable *out;     /* data centres that are taken out */
+  char *data_centre;
+  char *own_name;
+  char **instances;    /* NULL-terminated */
+};
+
+#endif
--- /dev/null
+++ b/lib/balance/choose.c
@@ -0,0 +1,120 @@
+#include "choose.h"
+
+#include <string.h>
+
+/* An endpoint that fails all its requests costs this many times more.  */
+#define FAULT_FACTOR 6.0
+/* Time that an endpoint of another data centre has to be better by: the way
+   there and back, and the price of the bytes.  */
+#define REMOTE_MS 8.0
+#define REMOTE_BULK_MS 120.0
+
+static bool is_excluded (const backends_t *backends, const backend_t *backend,
+                         const choose_wish_t *wish);
+static void shuffle (backend_ref_t *refs, int count, decide_rng_t *rng);
+
+static bool
+is_excluded (const backends_t *backends, const backend_t *backend,
+             const choose_wish_t *wish)
+{
+  backend_ref_t ref = backends_ref (backends, backend);
+
+  for (int i = 0; i < wish->n_excluded; i++)
+    if (wish->excluded[i].index == ref.index
+        && wish->excluded[i].generation == ref.generation)
+      return true;
+  return false;
+}
+
+static void
+shuffle (backend_ref_t *refs, int count, decide_rng_t *rng)
+{
+  for (int i = count - 1; i > 0; i--)
+    {
+      int j = (int)decide_rng_below (rng, (uint32_t)i + 1);
+      backend_ref_t held = refs[i];
+
+      refs[i] = refs[j];
+      refs[j] = held;
+    }
+}
+
+bool
+choose_allows (backends_t *backends, const backend_t *backend, clock_ms_t now)
+{
+  if (backend->entry.draining
+      || backends_is_out (backends, backend->entry.data_centre))
+    return false;
+  return !backend_is_cold (backend, now)
+         || cold_may_send (backends, backend, now);
+}
+
+int
+choose_candidates (backends_t *backends, const choose_wish_t *wish,
+                   decide_rng_t *rng, clock_ms_t now,
+                   backend_ref_t chosen[CHOOSE_MAX])
+{
+  GArray *local = g_array_new (FALSE, FALSE, sizeof (backend_ref_t));
+  GArray *remote = g_array_new (FALSE, FALSE, sizeof (backend_ref_t));
+  GArray *avoided = g_array_new (FALSE, FALSE, sizeof (backend_ref_t));
+  int count = MIN (wish->count, CHOOSE_MAX);
+  uint32_t position = 0;
+  int n_local;
+  int n_remote;
+  int n = 0;
+
+  for (backend_t *b = backends_next (backends, &position); b != NULL;
+       b = backends_next (backends, &position))
+    {
+      backend_ref_t ref;
+
+      if (b->service != wish->service || is_excluded (backends, b, wish)
+          || !choose_allows (backends, b, now))
+        continue;
+      ref = backends_ref (backends, b);
+      if (now < b->avoid_until)
+        g_array_append_val (avoided, ref);
+      else if (backend_is_local (backends, b))
+        g_array_append_val (local, ref);
+      else
+        g_array_append_val (remote, ref);
+    }
+  shuffle ((backend_ref_t *)(void *)local->data, (int)local->len, rng);
+  shuffle ((backend_ref_t *)(void *)remote->data, (int)remote->len, rng);
+  shuffle ((backend_ref_t *)(void *)avoided->data, (int)avoided->len, rng);
+  n_remote = MIN (wish->remote, (int)remote->len);
+  n_local = MIN (count - n_remote, (int)local->len);
+  n_remote = MIN (count - n_local, (int)remote->len);
+  for (int i = 0; i < n_local; i++)
+    chosen[n++] = g_array_index (local, backend_ref_t, i);
+  for (int i = 0; i < n_remote; i++)
+    chosen[n++] = g_array_index (remote, backend_ref_t, i);
+  if (n == 0)
+    for (int i = 0; i < MIN (count, (int)avoided->len); i++)
+      chosen[n++] = g_array_index (avoided, backend_ref_t, i);
+  g_array_free (local, TRUE);
+  g_array_free (remote, TRUE);
+  g_array_free (avoided, TRUE);
+  return n;
+}
+
+double
+choose_cost (backends_t *backends, const backend_t *backend,
+             work_class_t class, bool bulk, clock_ms_t fallback,
+             clock_ms_t now, double *estimate)
+{
+  const service_t *service = backends_service_get (backends, backend->service);
+  const backend_load_t *load = &backend->load;
+  uint32_t busy = load->running + load->waiting;
+  double cost;
+
+  *estimate = estimate_work (service, class, load,
+                             backend_is_cold (backend, now), fallback);
+  /* What is ahead in the endpoint's queue is worked off slot by slot.  */
+  if (load->slots > 0 && busy >= load->slots)
+    *estimate *= 1.0 + (double)(busy - load->slots + 1) / load->slots;
+  cost = *estimate * (1.0 + FAULT_FACTOR * backend_faults (backend, now));
+  if (!backend_is_local (backends, backend))
+    cost += bulk ? REMOTE_BULK_MS : REMOTE_MS;
+  return cost;
+}
--- /dev/null
+++ b/lib/balance/routes.c
@@ -0,0 +1,128 @@
+#include "routes.h"
+
+#include <string.h>
+
+static void route_free (gpointer data);
+static void service_free (gpointer data);
+static gint compare_prefix (gconstpointer a, gconstpointer b);
+
+routes_t *
+routes_new (uint64_t version)
+{
+  routes_t *routes = g_new0 (routes_t, 1);
+
+  routes->version = version;
+  routes->routes = g_ptr_array_new_with_free_func (route_free);
+  routes->services = g_ptr_array_new_with_free_func (service_free);
+  return routes;
+}
+
+void
+routes_free (routes_t *routes)
+{
+  if (routes == NULL)
+    return;
+  g_ptr_array_free (routes->routes, TRUE);
+  g_ptr_array_free (routes->services, TRUE);
+  g_free (routes);
+}
+
+static void
+route_free (gpointer data)
+{
+  route_t *route = data;
+
+  for (int i = 0; i < route->n_parts; i++)
+    g_free (route->parts[i].service);
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  g_free (route);
+}
+
+static void
+service_free (gpointer data)
+{
+  service_rules_t *rules = data;
+
+  g_free (rules->name);
+  g_free (rules->health_path);
+  g_free (rules);
+}
+
+void
+routes_add (routes_t *routes, route_t *route)
+{
+  g_ptr_array_add (routes->routes, route);
+}
+
+void
+routes_add_service (routes_t *routes, service_rules_t *rules)
+{
+  g_ptr_array_add (routes->services, rules);
+}
+
+static gint
+compare_prefix (gconstpointer a, gconstpointer b)
+{
+  const route_t *left = *(route_t *const *)a;
+  const route_t *right = *(route_t *const *)b;
+  size_t left_length = strlen (left->prefix);
+  size_t right_length = strlen (right->prefix);
+
+  return (left_length < right_length) - (left_length > right_length);
+}
+
+void
+routes_finish (routes_t *routes)
+{
+  g_ptr_array_sort (routes->routes, compare_prefix);
+}
+
+const route_t *
+routes_find (const routes_t *routes, const char *host, const char *path)
+{
+  size_t length = strcspn (path, "?");
+
+  for (guint i = 0; i < routes->routes->len; i++)
+    {
+      const route_t *route = g_ptr_array_index (routes->routes, i);
+      size_t prefix = strlen (route->prefix);
+
+      if (prefix <= length && memcmp (path, route->prefix, prefix) == 0
+          && g_ascii_strcasecmp (host, route->host) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+const service_rules_t *
+routes_service (const routes_t *routes, const char *name)
+{
+  for (guint i = 0; i < routes->services->len; i++)
+    {
+      const service_rules_t *rules
+          = g_ptr_array_index (routes->services, i);
+
+      if (strcmp (rules->name, name) == 0)
+        return rules;
+    }
+  return NULL;
+}
+
+int
+route_split_next (route_split_t *split, const route_t *route)
+{
+  int64_t total = 0;
+  int best = 0;
+
+  for (int i = 0; i < route->n_parts; i++)
+    {
+      split->credit[i] += route->parts[i].weight;
+      total += route->parts[i].weight;
+      if (split->credit[i] > split->credit[best])
+        best = i;
+    }
+  split->credit[best] -= total;
+  return best;
+}
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -5,12 +5,12 @@
    callbacks.  It opens no sockets, starts no threads, reads no clock and
    keeps no global state.  */
 
+#include "clock.h"
+
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-/* Milliseconds on a clock that continues while the process is suspended.  */
-typedef int64_t clock_ms_t;
 
 /* XXH64 of a name; the form in which names cross the wire.  */
 typedef uint64_t decide_id_t;
--- /dev/null
+++ b/lib/fleet/fleet.x
@@ -0,0 +1,125 @@
+/* Messages between instances on the platform: what the reader of the store
+   has learnt, and who is live.  Times are durations in ms.  */
+
+const FLEET_NAME_MAX = 128;
+const FLEET_LIST_MAX = 20000;
+const FLEET_PARTS_MAX = 8;
+const FLEET_CHANGES_MAX = 24;
+const FLEET_ZONES_MAX = 64;
+
+struct fleet_wire_backend
+{
+  string id<FLEET_NAME_MAX>;
+  string service<FLEET_NAME_MAX>;
+  string data_centre<FLEET_NAME_MAX>;
+  string software<FLEET_NAME_MAX>;
+  unsigned int ip;
+  unsigned int port;
+  unsigned int slots;
+  bool draining;
+  unsigned int cold;
+  unsigned hyper born;
+  unsigned hyper revision;
+};
+
+struct fleet_wire_change
+{
+  bool removed;
+  fleet_wire_backend backend;
+};
+
+struct fleet_wire_part
+{
+  string service<FLEET_NAME_MAX>;
+  unsigned int weight;
+};
+
+struct fleet_wire_route
+{
+  string name<FLEET_NAME_MAX>;
+  string host<512>;
+  string prefix<4096>;
+  bool idempotent;
+  bool bulk;
+  unsigned int timeout;
+  unsigned int target;
+  int priority;
+  int endpoints_max;
+  fleet_wire_part parts<FLEET_PARTS_MAX>;
+};
+
+struct fleet_wire_service
+{
+  string name<FLEET_NAME_MAX>;
+  string health_path<4096>;
+  int connections_max;
+  double cold_per_s;
+};
+
+struct fleet_wire_config
+{
+  unsigned hyper number; /* version */
+  hyper header_bytes;
+  hyper body_bytes;
+  hyper header_timeout;
+  hyper idle_timeout;
+  fleet_wire_route routes<FLEET_LIST_MAX>;
+  fleet_wire_service services<FLEET_LIST_MAX>;
+};
+
+struct fleet_wire_member
+{
+  string name<FLEET_NAME_MAX>;
+  string data_centre<FLEET_NAME_MAX>;
+  unsigned int ip;
+};
+
+typedef string fleet_wire_name<FLEET_NAME_MAX>;
+
+/* Everything the sender knows, as of a revision of the store.  */
+struct fleet_wire_snapshot
+{
+  unsigned hyper revision;
+  fleet_wire_config config<1>;
+  fleet_wire_backend backends<FLEET_LIST_MAX>;
+  fleet_wire_name out<FLEET_ZONES_MAX>;
+  fleet_wire_member members<FLEET_LIST_MAX>;
+};
+
+/* Sent by the reader to all members a few times a second.  */
+struct fleet_wire_announce
+{
+  unsigned hyper revision;
+  unsigned hyper digest;         /* of the sender's table of endpoints */
+  unsigned hyper config_version; /* 0: none */
+  unsigned hyper members_digest;
+  bool fresh;                    /* the store was read a moment ago */
+  fleet_wire_name out<FLEET_ZONES_MAX>;
+  unsigned int ready<FLEET_LIST_MAX>; /* hashes of ready instances' names */
+  fleet_wire_change changes<FLEET_CHANGES_MAX>;
+};
+
+/* Sent by each member to the reader it hears.  */
+struct fleet_wire_hello
+{
+  bool ready;
+  fleet_wire_member member;
+};
+
+const FLEET_ANNOUNCE = 1;
+const FLEET_HELLO = 2;
+
+union fleet_wire_body switch (unsigned int type)
+{
+case FLEET_ANNOUNCE:
+  fleet_wire_announce announce;
+case FLEET_HELLO:
+  fleet_wire_hello hello;
+};
+
+struct fleet_wire_message
+{
+  unsigned int magic;
+  string sender<FLEET_NAME_MAX>;
+  fleet_wire_body body;
+};
--- /dev/null
+++ b/lib/fleet/members.c
@@ -0,0 +1,182 @@
+#include "members.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Hellos come four times a second; a member that misses this many is taken as
+   gone.  The platform allows six seconds.  */
+#define MEMBER_SILENT_MS 1500
+
+static void member_free (gpointer data);
+static gint compare_names (gconstpointer a, gconstpointer b);
+
+members_t *
+members_new (const char *own_name, const char *own_data_centre,
+             uint32_t own_ip)
+{
+  members_t *members = g_new0 (members_t, 1);
+
+  members->table = g_ptr_array_new_with_free_func (member_free);
+  (void)members_put (members, own_name, own_data_centre, own_ip, 0);
+  members->own = members_find (members, own_name);
+  return members;
+}
+
+void
+members_free (members_t *members)
+{
+  g_ptr_array_free (members->table, TRUE);
+  g_free (members);
+}
+
+static void
+member_free (gpointer data)
+{
+  member_t *member = data;
+
+  g_free (member->name);
+  g_free (member->data_centre);
+  g_free (member);
+}
+
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  const member_t *left = *(member_t *const *)a;
+  const member_t *right = *(member_t *const *)b;
+
+  return strcmp (left->name, right->name);
+}
+
+bool
+members_put (members_t *members, const char *name, const char *data_centre,
+             uint32_t ip, clock_ms_t now)
+{
+  member_t *member = members_find (members, name);
+
+  if (member != NULL)
+    {
+      bool changed = member->ip != ip
+                     || strcmp (member->data_centre, data_centre) != 0;
+
+      member->ip = ip;
+      if (changed)
+        {
+          g_free (member->data_centre);
+          member->data_centre = g_strdup (data_centre);
+        }
+      return changed;
+    }
+  member = g_new0 (member_t, 1);
+  member->name = g_strdup (name);
+  member->data_centre = g_strdup (data_centre);
+  member->ip = ip;
+  member->hash = (uint32_t)XXH64 (name, strlen (name), 0);
+  member->listed_at = now;
+  g_ptr_array_add (members->table, member);
+  g_ptr_array_sort (members->table, compare_names);
+  return true;
+}
+
+member_t *
+members_find (const members_t *members, const char *name)
+{
+  for (guint i = 0; i < members->table->len; i++)
+    {
+      member_t *member = g_ptr_array_index (members->table, i);
+
+      if (strcmp (member->name, name) == 0)
+        return member;
+    }
+  return NULL;
+}
+
+uint64_t
+members_digest (const members_t *members)
+{
+  uint64_t digest = 0;
+
+  for (guint i = 0; i < members->table->len; i++)
+    {
+      const member_t *member = g_ptr_array_index (members->table, i);
+
+      digest ^= XXH64 (member->name, strlen (member->name), member->ip);
+    }
+  return digest;
+}
+
+bool
+members_expire (members_t *members, clock_ms_t now)
+{
+  bool changed = false;
+
+  for (guint i = 0; i < members->table->len; i++)
+    {
+      member_t *member = g_ptr_array_index (members->table, i);
+
+      if (member == members->own || !member->ready
+          || now - member->heard_at < MEMBER_SILENT_MS)
+        continue;
+      g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "PEER", member->name,
+                        "MESSAGE", "instance is silent for %" G_GINT64_FORMAT
+                        " ms, taken as gone", now - member->heard_at);
+      member->ready = false;
+      changed = true;
+    }
+  return changed;
+}
+
+void
+members_set_ready (members_t *members, const uint32_t *hashes,
+                   unsigned int count)
+{
+  for (guint i = 0; i < members->table->len; i++)
+    {
+      member_t *member = g_ptr_array_index (members->table, i);
+      bool ready = false;
+
+      if (member == members->own)
+        continue;
+      for (unsigned int j = 0; j < count && !ready; j++)
+        ready = hashes[j] == member->hash;
+      member->ready = ready;
+    }
+}
+
+int
+members_ready (const members_t *members)
+{
+  int ready = 0;
+
+  for (guint i = 0; i < members->table->len; i++)
+    {
+      const member_t *member = g_ptr_array_index (members->table, i);
+
+      if (member->ready || member == members->own)
+        ready++;
+    }
+  return ready;
+}
+
+int
+members_distance (const members_t *members, const char *from)
+{
+  int distance = 0;
+  guint own = 0;
+
+  (void)g_ptr_array_find (members->table, members->own, &own);
+  /* Counts live members behind @from, up to the own one.  */
+  for (guint i = 1; i <= members->table->len; i++)
+    {
+      guint at = (own + members->table->len - i) % members->table->len;
+      const member_t *member = g_ptr_array_index (members->table, at);
+
+      if (from != NULL && strcmp (member->name, from) == 0)
+        break;
+      if (from == NULL && at > own)
+        break;
+      if (member->ready && member != members->own)
+        distance++;
+    }
+  return distance;
+}
--- /dev/null
+++ b/lib/fleet/members.h
@@ -0,0 +1,59 @@
+#ifndef PERIDOT_FLEET_MEMBERS_H
+#define PERIDOT_FLEET_MEMBERS_H
+
+/* The instances: those listed in the store, and which of them are live and
+   ready.  */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clock.h"
+
+typedef struct member
+{
+  char *name;
+  char *data_centre;
+  uint32_t ip;          /* network byte order */
+  uint32_t hash;        /* of the name; its short form in messages */
+  clock_ms_t heard_at;  /* last hello, on the reader; 0: never */
+  clock_ms_t listed_at; /* when it became known */
+  bool ready;           /* as last stated, by itself or by the reader */
+} member_t;
+
+typedef struct members
+{
+  GPtrArray *table; /* member_t *, sorted by name */
+  member_t *own;
+} members_t;
+
+members_t *members_new (const char *own_name, const char *own_data_centre,
+                        uint32_t own_ip);
+void members_free (members_t *members);
+
+/* Adds a member or changes its address.  Return: whether something changed. */
+bool members_put (members_t *members, const char *name,
+                  const char *data_centre, uint32_t ip, clock_ms_t now);
+member_t *members_find (const members_t *members, const char *name);
+
+/* Digest of names and addresses.  */
+uint64_t members_digest (const members_t *members);
+
+/**
+ * members_expire() - on the reader: a silent member is not ready any more
+ * Return: whether something changed.
+ */
+bool members_expire (members_t *members, clock_ms_t now);
+
+/* On others: takes over the reader's list of ready members.  */
+void members_set_ready (members_t *members, const uint32_t *hashes,
+                        unsigned int count);
+
+/* Number of ready members, own one included.  */
+int members_ready (const members_t *members);
+
+/* Places between two members in the circle of names, for the order in which
+   they take over from @from; NULL: from the beginning.  */
+int members_distance (const members_t *members, const char *from);
+
+#endif
--- /dev/null
+++ b/lib/fleet/relay.c
@@ -0,0 +1,383 @@
+#include "relay_private.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "socket.h"
+#include "telemetry.h"
+
+#define ANNOUNCE_EVERY_MS 250
+/* Changes of the same moment go in one statement.  */
+#define ANNOUNCE_SOON_S 0.002
+/* A change is repeated in statements for this time, as datagrams are lost. */
+#define CHANGE_REPEAT_MS 1200
+/* One datagram; larger ones would be cut into fragments.  */
+#define DATAGRAM_MAX 1400
+#define RECEIVE_MAX 65536
+/* Members that were never heard are told too, but those silent for this time
+   only at every eighth statement.  */
+#define SILENT_MS 5000
+#define SILENT_EVERY 8
+/* A store that was away this long may have let entries lapse.  */
+#define OUTAGE_MS 1500
+
+static void on_datagram (struct ev_loop *loop, ev_io *watcher, int events);
+static void on_soon (struct ev_loop *loop, ev_timer *watcher, int events);
+static void announce (relay_t *relay, clock_ms_t now);
+static u_int add_changes (relay_t *relay, fleet_wire_change *changes,
+                          clock_ms_t now);
+static size_t encode (const relay_t *relay, fleet_wire_message *message,
+                      char *data, size_t size);
+static void send_to (relay_t *relay, uint32_t ip, const char *data,
+                     size_t length);
+static void hello (relay_t *relay, uint32_t ip);
+static void heard_announce (relay_t *relay, const char *sender, uint32_t ip,
+                            const fleet_wire_announce *wire, clock_ms_t now);
+static void heard_hello (relay_t *relay, const fleet_wire_hello *wire,
+                         clock_ms_t now);
+static void apply_changes (relay_t *relay, const fleet_wire_announce *wire,
+                           clock_ms_t now);
+
+relay_t *
+relay_new (struct ev_loop *loop, const struct sockaddr_in *address,
+           view_t *view, members_t *members, reader_t *reader, feed_t *feed,
+           const relay_hooks_t *hooks, int *result)
+{
+  relay_t *relay = g_new0 (relay_t, 1);
+
+  relay->loop = loop;
+  relay->address = *address;
+  relay->view = view;
+  relay->members = members;
+  relay->reader = reader;
+  relay->feed = feed;
+  relay->hooks = *hooks;
+  relay->fetch_fd = -1;
+  relay->tcp = -1;
+  relay->fetched = g_byte_array_new ();
+  relay->udp = socket_bind_udp (address);
+  *result = MIN (relay->udp, 0);
+  if (*result == 0)
+    *result = relay_fetch_listen (relay);
+  if (*result != 0)
+    {
+      relay_free (relay);
+      return NULL;
+    }
+  ev_io_init (&relay->udp_reader, on_datagram, relay->udp, EV_READ);
+  ev_timer_init (&relay->soon, on_soon, ANNOUNCE_SOON_S, 0);
+  relay->udp_reader.data = relay;
+  relay->soon.data = relay;
+  ev_io_start (loop, &relay->udp_reader);
+  return relay;
+}
+
+void
+relay_free (relay_t *relay)
+{
+  if (relay->udp >= 0)
+    {
+      ev_io_stop (relay->loop, &relay->udp_reader);
+      ev_timer_stop (relay->loop, &relay->soon);
+      close (relay->udp);
+    }
+  relay_fetch_close (relay);
+  g_byte_array_free (relay->fetched, TRUE);
+  g_free (relay);
+}
+
+void
+relay_tick (relay_t *relay, clock_ms_t now)
+{
+  if (!relay->reader->reading)
+    return;
+  if (members_expire (relay->members, now))
+    relay->hooks.members_changed (relay->hooks.context);
+  if (now - relay->announced_at >= ANNOUNCE_EVERY_MS)
+    announce (relay, now);
+}
+
+void
+relay_changed (relay_t *relay)
+{
+  if (relay->reader->reading && !ev_is_active (&relay->soon))
+    {
+      ev_timer_set (&relay->soon, ANNOUNCE_SOON_S, 0);
+      ev_timer_start (relay->loop, &relay->soon);
+    }
+}
+
+void
+relay_set_ready (relay_t *relay, bool ready)
+{
+  const member_t *last = NULL;
+
+  if (relay->members->own->ready == ready)
+    return;
+  relay->members->own->ready = ready;
+  relay_changed (relay);
+  if (relay->reader->heard_once)
+    last = members_find (relay->members, relay->reader->last);
+  if (!relay->reader->reading && last != NULL)
+    hello (relay, last->ip);
+  relay->hooks.members_changed (relay->hooks.context);
+}
+
+static void
+on_soon (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  announce (watcher->data, clock_now ());
+}
+
+static u_int
+add_changes (relay_t *relay, fleet_wire_change *changes, clock_ms_t now)
+{
+  u_int n = 0;
+
+  for (GList *link = relay->view->changes.head;
+       link != NULL && n < FLEET_CHANGES_MAX; link = link->next)
+    {
+      const view_change_t *change = link->data;
+
+      if (now - change->at > CHANGE_REPEAT_MS)
+        break;
+      changes[n].removed = change->removed;
+      wire_from_backend (&changes[n].backend, &change->entry,
+                         change->entry.cold);
+      if (change->removed)
+        {
+          const uint64_t *revision = g_hash_table_lookup (
+              relay->view->removed, change->entry.id);
+
+          changes[n].backend.revision = revision != NULL ? *revision : 0;
+        }
+      n++;
+    }
+  return n;
+}
+
+static void
+announce (relay_t *relay, clock_ms_t now)
+{
+  static unsigned int round;
+  fleet_wire_change changes[FLEET_CHANGES_MAX];
+  GArray *ready = g_array_new (FALSE, FALSE, sizeof (u_int));
+  fleet_wire_message message = { .body.type = FLEET_ANNOUNCE };
+  fleet_wire_announce *wire = &message.body.fleet_wire_body_u.announce;
+  char data[RECEIVE_MAX];
+  size_t length;
+
+  relay->announced_at = now;
+  round++;
+  wire->revision = relay->view->revision;
+  wire->digest = view_digest (relay->view);
+  wire->config_version
+      = relay->view->routes != NULL ? relay->view->routes->version : 0;
+  wire->members_digest = members_digest (relay->members);
+  wire->fresh = reader_is_fresh (relay->reader, now);
+  wire->out.out_len = relay->view->out->len;
+  wire->out.out_val = (fleet_wire_name *)(void *)relay->view->out->pdata;
+  for (guint i = 0; i < relay->members->table->len; i++)
+    {
+      const member_t *member = g_ptr_array_index (relay->members->table, i);
+      u_int hash = member->hash;
+
+      if (member->ready)
+        g_array_append_val (ready, hash);
+    }
+  wire->ready.ready_len = ready->len;
+  wire->ready.ready_val = (u_int *)(void *)ready->data;
+  wire->changes.changes_val = changes;
+  wire->changes.changes_len = add_changes (relay, changes, now);
+  do
+    {
+      length = encode (relay, &message, data, sizeof data);
+      /* What does not fit is noticed by the digest and fetched.  */
+    }
+  while (length > DATAGRAM_MAX && wire->changes.changes_len-- > 0);
+  for (guint i = 0; length > 0 && i < relay->members->table->len; i++)
+    {
+      const member_t *member = g_ptr_array_index (relay->members->table, i);
+      bool silent = !member->ready
+                    && now - MAX (member->heard_at, member->listed_at)
+                           > SILENT_MS;
+
+      if (member != relay->members->own
+          && (!silent || round % SILENT_EVERY == 0))
+        send_to (relay, member->ip, data, length);
+    }
+  g_array_free (ready, TRUE);
+}
+
+static size_t
+encode (const relay_t *relay, fleet_wire_message *message, char *data,
+        size_t size)
+{
+  XDR xdr;
+  size_t length = 0;
+
+  message->magic = WIRE_MAGIC;
+  message->sender = relay->members->own->name;
+  xdrmem_create (&xdr, data, (u_int)size, XDR_ENCODE);
+  if (xdr_fleet_wire_message (&xdr, message))
+    length = xdr_getpos (&xdr);
+  else
+    g_warning ("statement to the other instances can't be encoded");
+  xdr_destroy (&xdr);
+  return length;
+}
+
+static void
+send_to (relay_t *relay, uint32_t ip, const char *data, size_t length)
+{
+  struct sockaddr_in to = relay->address;
+
+  to.sin_addr.s_addr = ip;
+  /* A datagram that can't be sent counts as lost; the next one follows.  */
+  if (sendto (relay->udp, data, length, 0, (const struct sockaddr *)&to,
+              sizeof to)
+      < 0)
+    telemetry_count (TELEMETRY_PEER_DROPPED, 0);
+  else
+    telemetry_add (TELEMETRY_PEER_BYTES, 0, length);
+}
+
+static void
+hello (relay_t *relay, uint32_t ip)
+{
+  const member_t *own = relay->members->own;
+  fleet_wire_message message = { .body.type = FLEET_HELLO };
+  fleet_wire_hello *wire = &message.body.fleet_wire_body_u.hello;
+  char data[DATAGRAM_MAX];
+  size_t length;
+
+  wire->ready = own->ready;
+  wire->member = (fleet_wire_member){ .name = own->name,
+                                      .data_centre = own->data_centre,
+                                      .ip = own->ip };
+  length = encode (relay, &message, data, sizeof data);
+  if (length > 0)
+    send_to (relay, ip, data, length);
+}
+
+static void
+on_datagram (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  relay_t *relay = watcher->data;
+
+  (void)loop;
+  (void)events;
+  for (;;)
+    {
+      static char data[RECEIVE_MAX];
+      struct sockaddr_in from;
+      socklen_t size = sizeof from;
+      ssize_t n = recvfrom (relay->udp, data, sizeof data, 0,
+                            (struct sockaddr *)&from, &size);
+      fleet_wire_message message = { 0 };
+      clock_ms_t now = clock_now ();
+      XDR xdr;
+
+      if (n < 0)
+        return;
+      telemetry_add (TELEMETRY_PEER_BYTES, 1, (uint64_t)n);
+      xdrmem_create (&xdr, data, (u_int)n, XDR_DECODE);
+      if (xdr_fleet_wire_message (&xdr, &message)
+          && message.magic == WIRE_MAGIC
+          && strcmp (message.sender, relay->members->own->name) != 0)
+        {
+          if (message.body.type == FLEET_ANNOUNCE)
+            heard_announce (relay, message.sender, from.sin_addr.s_addr,
+                            &message.body.fleet_wire_body_u.announce, now);
+          else
+            heard_hello (relay, &message.body.fleet_wire_body_u.hello, now);
+        }
+      xdr_destroy (&xdr);
+      xdr_free ((xdrproc_t)xdr_fleet_wire_message, (char *)&message);
+    }
+}
+
+static void
+heard_hello (relay_t *relay, const fleet_wire_hello *wire, clock_ms_t now)
+{
+  member_t *member;
+  bool changed
+      = members_put (relay->members, wire->member.name,
+                     wire->member.data_centre, wire->member.ip, now);
+
+  member = members_find (relay->members, wire->member.name);
+  member->heard_at = now;
+  if (member->ready == (wire->ready != 0) && !changed)
+    return;
+  member->ready = wire->ready != 0;
+  relay_changed (relay);
+  relay->hooks.members_changed (relay->hooks.context);
+}
+
+static void
+apply_changes (relay_t *relay, const fleet_wire_announce *wire, clock_ms_t now)
+{
+  for (u_int i = wire->changes.changes_len; i > 0; i--)
+    {
+      const fleet_wire_change *change = &wire->changes.changes_val[i - 1];
+      backend_entry_t entry;
+
+      wire_to_backend (&change->backend, &entry);
+      if (change->removed)
+        view_remove (relay->view, entry.id, entry.revision, now);
+      else
+        view_put (relay->view, &entry, now);
+    }
+}
+
+static void
+heard_announce (relay_t *relay, const char *sender, uint32_t ip,
+                const fleet_wire_announce *wire, clock_ms_t now)
+{
+  reader_t *reader = relay->reader;
+  bool fresh = wire->fresh != 0;
+  clock_ms_t last = MAX (reader->read_ok, reader->heard_fresh);
+  uint64_t version
+      = relay->view->routes != NULL ? relay->view->routes->version : 0;
+  GPtrArray *out;
+
+  /* After a time without a reader entries may have lapsed.  */
+  if (fresh && last != 0 && now - last > OUTAGE_MS)
+    view_outage_ended (relay->view, now);
+  if (reader_heard (reader, relay->members->own->name, sender, fresh, now))
+    {
+      telemetry_count (TELEMETRY_READER_CHANGES, 1);
+      g_message ("leaves reading the store to %s", sender);
+    }
+  hello (relay, ip);
+  if (reader->reading)
+    return;
+  feed_member_known (relay->feed);
+  members_set_ready (relay->members, wire->ready.ready_val,
+                     wire->ready.ready_len);
+  relay->hooks.members_changed (relay->hooks.context);
+  /* A statement as of an older revision than the own one says nothing new of
+     the store.  */
+  if (wire->revision < relay->view->revision)
+    return;
+  apply_changes (relay, wire, now);
+  out = g_ptr_array_new ();
+  for (u_int i = 0; i < wire->out.out_len; i++)
+    g_ptr_array_add (out, wire->out.out_val[i]);
+  view_set_out (relay->view, out);
+  g_ptr_array_free (out, TRUE);
+  if (wire->digest == view_digest (relay->view))
+    {
+      relay->view->revision = wire->revision;
+      relay->view->listed = wire->revision != 0;
+    }
+  if (wire->digest != view_digest (relay->view)
+      || wire->config_version > version
+      || wire->members_digest != members_digest (relay->members))
+    relay_fetch (relay, ip, now);
+}
--- /dev/null
+++ b/lib/fleet/relay_private.h
@@ -0,0 +1,35 @@
+#ifndef PERIDOT_FLEET_RELAY_PRIVATE_H
+#define PERIDOT_FLEET_RELAY_PRIVATE_H
+
+#include "relay.h"
+#include "wire.h"
+
+struct relay
+{
+  struct ev_loop *loop;
+  struct sockaddr_in address;
+  view_t *view;
+  members_t *members;
+  reader_t *reader;
+  feed_t *feed;
+  relay_hooks_t hooks;
+  int udp;
+  int tcp;
+  ev_io udp_reader;
+  ev_io tcp_acceptor;
+  ev_timer soon; /* statement of a change, after others of the same moment */
+  clock_ms_t announced_at;
+  /* Fetch under way.  */
+  int fetch_fd; /* -1: none */
+  ev_io fetch_reader;
+  ev_timer fetch_timer;
+  GByteArray *fetched;
+  clock_ms_t fetch_after; /* no fetch before */
+};
+
+/* Fetches the whole state from the instance at an address.  */
+void relay_fetch (relay_t *relay, uint32_t ip, clock_ms_t now);
+int relay_fetch_listen (relay_t *relay);
+void relay_fetch_close (relay_t *relay);
+
+#endif
--- /dev/null
+++ b/lib/fleet/view.c
@@ -0,0 +1,249 @@
+#include "view.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Live endpoints whose entries lapsed are back within about two seconds of the
+   store's return; the platform states it.  */
+#define LAPSED_KEPT_MS 2200
+/* Removals are remembered so that an older statement of another instance does
+   not bring an endpoint back.  */
+#define REMOVED_MAX 4096
+
+static void change_free (view_change_t *change);
+static void record (view_t *view, const backend_entry_t *entry, bool removed,
+                    clock_ms_t now);
+static bool same (const backend_entry_t *a, const backend_entry_t *b);
+static void remove_missing (view_t *view, const GPtrArray *entries,
+                            uint64_t revision, clock_ms_t now);
+static uint64_t digest_of (const backend_entry_t *entry);
+
+view_t *
+view_new (backends_t *backends, const view_hooks_t *hooks)
+{
+  view_t *view = g_new0 (view_t, 1);
+
+  view->backends = backends;
+  view->hooks = *hooks;
+  view->out = g_ptr_array_new_with_free_func (g_free);
+  view->removed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&view->changes);
+  return view;
+}
+
+void
+view_free (view_t *view)
+{
+  view_change_t *change;
+
+  while ((change = g_queue_pop_head (&view->changes)) != NULL)
+    change_free (change);
+  g_ptr_array_free (view->out, TRUE);
+  g_hash_table_destroy (view->removed);
+  routes_free (view->routes);
+  g_free (view);
+}
+
+static void
+change_free (view_change_t *change)
+{
+  g_free (change->entry.id);
+  g_free (change->entry.service);
+  g_free (change->entry.data_centre);
+  g_free (change->entry.software);
+  g_free (change);
+}
+
+static void
+record (view_t *view, const backend_entry_t *entry, bool removed,
+        clock_ms_t now)
+{
+  view_change_t *change = g_new0 (view_change_t, 1);
+
+  change->removed = removed;
+  change->at = now;
+  change->entry = *entry;
+  change->entry.id = g_strdup (entry->id);
+  change->entry.service = g_strdup (entry->service);
+  change->entry.data_centre = g_strdup (entry->data_centre);
+  change->entry.software = g_strdup (entry->software);
+  g_queue_push_head (&view->changes, change);
+  if (view->changes.length > VIEW_CHANGES_MAX)
+    change_free (g_queue_pop_tail (&view->changes));
+}
+
+/* Heartbeats change an entry's revision and its cold time only.  */
+static bool
+same (const backend_entry_t *a, const backend_entry_t *b)
+{
+  return a->draining == b->draining && a->born == b->born
+         && a->slots == b->slots
+         && a->address.sin_addr.s_addr == b->address.sin_addr.s_addr
+         && a->address.sin_port == b->address.sin_port
+         && strcmp (a->service, b->service) == 0
+         && strcmp (a->data_centre, b->data_centre) == 0;
+}
+
+void
+view_put (view_t *view, const backend_entry_t *entry, clock_ms_t now)
+{
+  const backend_t *known = backends_find (view->backends, entry->id);
+  const uint64_t *removed = g_hash_table_lookup (view->removed, entry->id);
+  bool changed;
+
+  if (removed != NULL && entry->revision <= *removed)
+    return;
+  if (known != NULL && entry->revision < known->entry.revision)
+    return;
+  changed = known == NULL || !same (&known->entry, entry);
+  backends_put (view->backends, entry, now);
+  if (!changed)
+    return;
+  g_hash_table_remove (view->removed, entry->id);
+  record (view, entry, false, now);
+  g_log_structured ("fleet", G_LOG_LEVEL_INFO, "ENDPOINT", entry->id,
+                    "SERVICE", entry->service, "DATA_CENTRE",
+                    entry->data_centre, "MESSAGE",
+                    "endpoint %s, store revision %" G_GUINT64_FORMAT,
+                    entry->draining ? "is leaving" : "is in service",
+                    entry->revision);
+  view->hooks.backends_changed (view->hooks.context);
+}
+
+void
+view_remove (view_t *view, const char *id, uint64_t revision, clock_ms_t now)
+{
+  const backend_t *known = backends_find (view->backends, id);
+  uint64_t *held;
+
+  if (known == NULL || revision < known->entry.revision)
+    return;
+  if (now < view->keep_until && !known->entry.draining)
+    return;
+  held = g_new (uint64_t, 1);
+  *held = revision;
+  if (g_hash_table_size (view->removed) >= REMOVED_MAX)
+    g_hash_table_remove_all (view->removed);
+  g_hash_table_replace (view->removed, g_strdup (id), held);
+  record (view, &known->entry, true, now);
+  g_log_structured ("fleet", G_LOG_LEVEL_INFO, "ENDPOINT", id, "MESSAGE",
+                    "endpoint is gone, store revision %" G_GUINT64_FORMAT,
+                    revision);
+  (void)backends_remove (view->backends, id);
+  view->hooks.backends_changed (view->hooks.context);
+}
+
+static void
+remove_missing (view_t *view, const GPtrArray *entries, uint64_t revision,
+                clock_ms_t now)
+{
+  GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
+  GPtrArray *missing = g_ptr_array_new_with_free_func (g_free);
+  uint32_t position = 0;
+
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const backend_entry_t *entry = g_ptr_array_index (entries, i);
+
+      g_hash_table_add (present, entry->id);
+    }
+  for (const backend_t *b = backends_next (view->backends, &position);
+       b != NULL; b = backends_next (view->backends, &position))
+    if (!g_hash_table_contains (present, b->entry.id))
+      g_ptr_array_add (missing, g_strdup (b->entry.id));
+  for (guint i = 0; i < missing->len; i++)
+    view_remove (view, g_ptr_array_index (missing, i), revision, now);
+  g_ptr_array_free (missing, TRUE);
+  g_hash_table_destroy (present);
+}
+
+void
+view_replace (view_t *view, const GPtrArray *entries, uint64_t revision,
+              clock_ms_t now)
+{
+  if (revision < view->revision)
+    return;
+  for (guint i = 0; i < entries->len; i++)
+    view_put (view, g_ptr_array_index (entries, i), now);
+  remove_missing (view, entries, revision, now);
+  view->revision = revision;
+  view->listed = true;
+}
+
+void
+view_outage_ended (view_t *view, clock_ms_t now)
+{
+  view->keep_until = now + LAPSED_KEPT_MS;
+}
+
+void
+view_set_routes (view_t *view, routes_t *routes)
+{
+  routes_t *old = view->routes;
+
+  if (old != NULL && routes->version <= old->version)
+    {
+      routes_free (routes);
+      return;
+    }
+  view->routes = routes;
+  g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "MESSAGE",
+                    "configuration %" G_GUINT64_FORMAT
+                    " is in force: %u routes, %u services",
+                    routes->version, routes->routes->len,
+                    routes->services->len);
+  view->hooks.routes_changed (view->hooks.context, routes);
+  routes_free (old);
+}
+
+void
+view_set_out (view_t *view, const GPtrArray *names)
+{
+  for (guint i = view->out->len; i > 0; i--)
+    {
+      char *name = g_ptr_array_index (view->out, i - 1);
+
+      if (g_ptr_array_find_with_equal_func ((GPtrArray *)(uintptr_t)names,
+                                            name, g_str_equal, NULL))
+        continue;
+      g_message ("data centre %s is back in service", name);
+      backends_take_out (view->backends, name, false);
+      g_ptr_array_remove_index (view->out, i - 1);
+    }
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+
+      if (backends_is_out (view->backends, name))
+        continue;
+      g_message ("data centre %s is taken out of service", name);
+      backends_take_out (view->backends, name, true);
+      g_ptr_array_add (view->out, g_strdup (name));
+    }
+}
+
+static uint64_t
+digest_of (const backend_entry_t *entry)
+{
+  char text[512];
+  int n = g_snprintf (text, sizeof text,
+                      "%s %s %s %u %u %u %d %" G_GUINT64_FORMAT, entry->id,
+                      entry->service, entry->data_centre,
+                      entry->address.sin_addr.s_addr, entry->address.sin_port,
+                      entry->slots, entry->draining, entry->born);
+
+  return XXH64 (text, (size_t)MIN (n, (int)sizeof text - 1), 0);
+}
+
+uint64_t
+view_digest (const view_t *view)
+{
+  uint64_t digest = 0;
+  uint32_t position = 0;
+
+  for (const backend_t *b = backends_next (view->backends, &position);
+       b != NULL; b = backends_next (view->backends, &position))
+    digest ^= digest_of (&b->entry);
+  return digest;
+}
--- /dev/null
+++ b/lib/fleet/view.h
@@ -0,0 +1,78 @@
+#ifndef PERIDOT_FLEET_VIEW_H
+#define PERIDOT_FLEET_VIEW_H
+
+/* What this instance believes of the store's contents.  It is fed by its own
+   reads and by other instances; newer statements replace older ones, in
+   whatever order they arrive.  */
+
+#include "backends.h"
+#include "routes.h"
+
+#define VIEW_CHANGES_MAX 24
+
+typedef struct view_change
+{
+  bool removed;
+  backend_entry_t entry; /* strings are owned by the change */
+  clock_ms_t at;
+} view_change_t;
+
+typedef struct view_hooks
+{
+  void (*routes_changed) (void *context, const routes_t *routes);
+  void (*backends_changed) (void *context);
+  void *context;
+} view_hooks_t;
+
+typedef struct view
+{
+  backends_t *backends;
+  routes_t *routes;    /* NULL: none yet */
+  GPtrArray *out;      /* names of data centres that are taken out, sorted */
+  uint64_t revision;   /* store revision of the last whole list */
+  bool listed;         /* the endpoints are known completely */
+  clock_ms_t keep_until; /* no endpoint that is only missing is removed before */
+  GQueue changes;      /* view_change_t *, newest first */
+  GHashTable *removed; /* id to the revision of its removal */
+  view_hooks_t hooks;
+} view_t;
+
+view_t *view_new (backends_t *backends, const view_hooks_t *hooks);
+void view_free (view_t *view);
+
+/* An entry of the store that was added or changed.  */
+void view_put (view_t *view, const backend_entry_t *entry, clock_ms_t now);
+
+/**
+ * view_remove() - an entry is gone from the store
+ * @revision: store revision at which it was gone
+ */
+void view_remove (view_t *view, const char *id, uint64_t revision,
+                  clock_ms_t now);
+
+/**
+ * view_replace() - a whole list of the endpoints
+ * @entries: backend_entry_t *
+ * @revision: store revision of the list
+ */
+void view_replace (view_t *view, const GPtrArray *entries, uint64_t revision,
+                   clock_ms_t now);
+
+/**
+ * view_outage_ended() - the store is back after it could not be read
+ *
+ * Entries may have lapsed while it was away; endpoints that are only missing
+ * are kept for the time in which live ones come back.
+ */
+void view_outage_ended (view_t *view, clock_ms_t now);
+
+/* Takes over a configuration; an older version is freed and left out.  */
+void view_set_routes (view_t *view, routes_t *routes);
+
+/* Replaces the set of data centres that are taken out.  */
+void view_set_out (view_t *view, const GPtrArray *names);
+
+/* Digest of the endpoints, equal where two views agree.  */
+uint64_t view_digest (const view_t *view);
+
+#endif
--- /dev/null
+++ b/lib/instance/instance.c
@@ -0,0 +1,350 @@
+#include "instance_private.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <string.h>
+
+#include "telemetry.h"
+
+#define TICK_S 0.05
+/* Callers keep the list of instances so long.  Some keep it three times as
+   long; a planned stop waits for these.  */
+#define ADDRESSES_KEPT_MS 1000
+#define ADDRESSES_MAX 64
+/* With fewer instances in the caller's data centre it is told all.  */
+#define LOCAL_MIN 2
+/* Without a word of any reader for this time only the own address is named. */
+#define ALONE_MS 4000
+#define PROBES 5
+#define LOG_SAMPLE 0.02
+#define LOG_PER_S 100
+
+static int open_servers (instance_t *instance);
+static server_t *open_server (instance_t *instance,
+                              const struct sockaddr_in *address,
+                              void (*request) (void *context,
+                                               exchange_t *exchange),
+                              int *result);
+static void start_signals (instance_t *instance);
+static void on_tick (struct ev_loop *loop, ev_timer *watcher, int events);
+static void on_stop (struct ev_loop *loop, ev_signal *watcher, int events);
+static void on_reload (struct ev_loop *loop, ev_signal *watcher, int events);
+static void routes_changed (void *context, const routes_t *routes);
+static void backends_changed (void *context);
+static void members_changed (void *context);
+static bool is_ready (const instance_t *instance);
+static void answer_ready (void *context, exchange_t *exchange);
+static void answer_addresses (void *context, exchange_t *exchange);
+static void answer_metrics (void *context, exchange_t *exchange);
+static void question_gone (void *context, exchange_t *exchange);
+static int choose_addresses (const instance_t *instance,
+                             const char *data_centre,
+                             struct sockaddr_in *addresses);
+
+int
+instance_run (const instance_settings_t *settings,
+              const instance_calls_t *calls,
+              feed_source_t (*make_source) (void *context,
+                                            struct ev_loop *loop),
+              void (*attach) (void *context, feed_t *feed),
+              void *source_context)
+{
+  instance_t instance = { .settings = *settings, .calls = *calls };
+  view_hooks_t view_hooks = { .routes_changed = routes_changed,
+                              .backends_changed = backends_changed,
+                              .context = &instance };
+  relay_hooks_t relay_hooks
+      = { .members_changed = members_changed, .context = &instance };
+  proxy_settings_t proxy_settings = { .names = settings->names,
+                                      .repeats = settings->repeats,
+                                      .probes = PROBES,
+                                      .log_sample = LOG_SAMPLE,
+                                      .log_per_s = LOG_PER_S };
+  feed_source_t source;
+  int result;
+
+  instance.loop = ev_default_loop (EVFLAG_NOENV);
+  if (instance.loop == NULL)
+    return -ENOMEM;
+  reader_init (&instance.reader, clock_now ());
+  instance.backends = backends_new (settings->data_centre);
+  instance.proxy
+      = proxy_new (instance.loop, &proxy_settings, instance.backends);
+  instance.view = view_new (instance.backends, &view_hooks);
+  instance.members
+      = members_new (settings->name, settings->data_centre,
+                     settings->instances.sin_addr.s_addr);
+  source = make_source (source_context, instance.loop);
+  instance.feed = feed_new (instance.loop, &source, instance.view,
+                            instance.members, &instance.reader);
+  attach (source_context, instance.feed);
+  instance.relay = relay_new (instance.loop, &settings->instances,
+                              instance.view, instance.members,
+                              &instance.reader, instance.feed, &relay_hooks,
+                              &result);
+  if (result == 0)
+    result = open_servers (&instance);
+  if (result == 0)
+    {
+      members_changed (&instance);
+      start_signals (&instance);
+      ev_timer_init (&instance.tick, on_tick, TICK_S, TICK_S);
+      instance.tick.data = &instance;
+      ev_timer_start (instance.loop, &instance.tick);
+      g_message ("started in data centre %s", settings->data_centre);
+      ev_run (instance.loop, 0);
+      feed_stop (instance.feed);
+    }
+  server_free (instance.callers);
+  server_free (instance.ready);
+  server_free (instance.addresses);
+  server_free (instance.metrics);
+  if (instance.relay != NULL)
+    relay_free (instance.relay);
+  feed_free (instance.feed);
+  proxy_free (instance.proxy);
+  view_free (instance.view);
+  members_free (instance.members);
+  backends_free (instance.backends);
+  return result;
+}
+
+static server_t *
+open_server (instance_t *instance, const struct sockaddr_in *address,
+             void (*request) (void *context, exchange_t *exchange),
+             int *result)
+{
+  server_hooks_t hooks = { .request = request,
+                           .gone = question_gone,
+                           .context = instance };
+
+  return server_new (instance->loop, address, &hooks, result);
+}
+
+static int
+open_servers (instance_t *instance)
+{
+  const instance_settings_t *settings = &instance->settings;
+  server_hooks_t hooks = proxy_hooks (instance->proxy);
+  int result = 0;
+
+  instance->callers
+      = server_new (instance->loop, &settings->callers, &hooks, &result);
+  if (result == 0)
+    instance->ready
+        = open_server (instance, &settings->ready, answer_ready, &result);
+  if (result == 0)
+    instance->addresses = open_server (instance, &settings->addresses,
+                                       answer_addresses, &result);
+  if (result == 0 && settings->metrics.sin_port != 0)
+    instance->metrics
+        = open_server (instance, &settings->metrics, answer_metrics, &result);
+  return result;
+}
+
+static void
+start_signals (instance_t *instance)
+{
+  ev_signal_init (&instance->on_term, on_stop, SIGTERM);
+  ev_signal_init (&instance->on_int, on_stop, SIGINT);
+  ev_signal_init (&instance->on_hup, on_reload, SIGHUP);
+  instance->on_term.data = instance;
+  instance->on_int.data = instance;
+  instance->on_hup.data = instance;
+  ev_signal_start (instance->loop, &instance->on_term);
+  ev_signal_start (instance->loop, &instance->on_int);
+  ev_signal_start (instance->loop, &instance->on_hup);
+}
+
+static bool
+is_ready (const instance_t *instance)
+{
+  return instance->view->routes != NULL && instance->view->listed
+         && instance->stop_at == 0;
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  instance_t *instance = watcher->data;
+  clock_ms_t now = clock_now ();
+
+  (void)loop;
+  (void)events;
+  feed_tick (instance->feed, now);
+  relay_set_ready (instance->relay, is_ready (instance));
+  relay_tick (instance->relay, now);
+  stop_tick (instance, now);
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  stop_begin (watcher->data, clock_now ());
+}
+
+/* Addresses can't change while the process runs; bounds can.  */
+static void
+on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  instance_t *instance = watcher->data;
+  instance_settings_t settings = { 0 };
+
+  (void)loop;
+  (void)events;
+  if (instance->calls.reload (instance->calls.context, &settings) != 0)
+    return;
+  instance->settings.repeats = settings.repeats;
+  instance->settings.stop_within = settings.stop_within;
+  instance->settings.addresses_kept_max = settings.addresses_kept_max;
+  proxy_set_repeats (instance->proxy, &settings.repeats);
+  g_message ("settings read again");
+  g_free (settings.name);
+  g_free (settings.data_centre);
+}
+
+static void
+routes_changed (void *context, const routes_t *routes)
+{
+  instance_t *instance = context;
+  server_limits_t limits = { .header_bytes = routes->limits.header_bytes,
+                             .body_bytes = routes->limits.body_bytes,
+                             .header_timeout = routes->limits.header_timeout,
+                             .idle_timeout = routes->limits.idle_timeout };
+
+  proxy_set_routes (instance->proxy, routes);
+  server_set_limits (instance->callers, &limits);
+  if (instance->relay != NULL)
+    relay_changed (instance->relay);
+}
+
+static void
+backends_changed (void *context)
+{
+  instance_t *instance = context;
+
+  proxy_backends_changed (instance->proxy);
+  if (instance->relay != NULL)
+    relay_changed (instance->relay);
+}
+
+static void
+members_changed (void *context)
+{
+  instance_t *instance = context;
+  const members_t *members = instance->members;
+  const char **names = g_new0 (const char *, members->table->len);
+  int count = 0;
+
+  for (guint i = 0; i < members->table->len; i++)
+    {
+      const member_t *member = g_ptr_array_index (members->table, i);
+
+      if (member->ready || member == members->own)
+        names[count++] = member->name;
+    }
+  proxy_set_instances (instance->proxy, count);
+  cold_share_set (instance->backends, members->own->name, names, count);
+  telemetry_gauge_set (TELEMETRY_MEMBERS_HEARD, count);
+  g_free (names);
+}
+
+static void
+question_gone (void *context, exchange_t *exchange)
+{
+  (void)context;
+  exchange_release (exchange);
+}
+
+static void
+answer_ready (void *context, exchange_t *exchange)
+{
+  instance_t *instance = context;
+
+  if (strcmp (exchange->target, instance->calls.ready_path) != 0)
+    exchange_answer (exchange, 404, "Not Found", NULL, NULL, 0);
+  else if (is_ready (instance))
+    exchange_answer (exchange, 200, "OK", NULL, NULL, 0);
+  else
+    exchange_answer (exchange, 503, "Service Unavailable", NULL, NULL, 0);
+}
+
+/* Ready instances of the caller's data centre, or all when it has few.  */
+static int
+choose_addresses (const instance_t *instance, const char *data_centre,
+                  struct sockaddr_in *addresses)
+{
+  const members_t *members = instance->members;
+  const reader_t *reader = &instance->reader;
+  clock_ms_t now = clock_now ();
+  bool alone = !reader->reading && now - reader->heard_any > ALONE_MS;
+  int count = 0;
+
+  for (int pass = 0; pass < 2 && count < LOCAL_MIN; pass++)
+    {
+      count = 0;
+      for (guint i = 0; i < members->table->len && count < ADDRESSES_MAX; i++)
+        {
+          const member_t *member = g_ptr_array_index (members->table, i);
+
+          if (!member->ready || (alone && member != members->own)
+              || (pass == 0
+                  && g_strcmp0 (member->data_centre, data_centre) != 0))
+            continue;
+          addresses[count] = instance->settings.callers;
+          addresses[count].sin_addr.s_addr = member->ip;
+          count++;
+        }
+    }
+  if (count == 0 && instance->stop_at == 0)
+    addresses[count++] = instance->settings.callers;
+  return count;
+}
+
+static void
+answer_addresses (void *context, exchange_t *exchange)
+{
+  instance_t *instance = context;
+  const char *path = instance->calls.addresses_path;
+  size_t length = strlen (path);
+  struct sockaddr_in addresses[ADDRESSES_MAX];
+  g_autofree char *data_centre = NULL;
+  GString *body;
+  int count;
+
+  if (strncmp (exchange->target, path, length) != 0
+      || (exchange->target[length] != '\0' && exchange->target[length] != '?'))
+    {
+      exchange_answer (exchange, 404, "Not Found", NULL, NULL, 0);
+      return;
+    }
+  data_centre = instance->calls.asking_data_centre (instance->calls.context,
+                                                    exchange->target);
+  count = choose_addresses (instance, data_centre, addresses);
+  if (count == 0)
+    {
+      exchange_answer (exchange, 503, "Service Unavailable", NULL, NULL, 0);
+      return;
+    }
+  body = g_string_new (NULL);
+  instance->calls.write_addresses (
+      instance->calls.context, addresses, count,
+      MIN (ADDRESSES_KEPT_MS, instance->settings.addresses_kept_max), body);
+  exchange_answer (exchange, 200, "OK", "Content-Type: application/json\r\n",
+                   body->str, body->len);
+  g_string_free (body, TRUE);
+}
+
+static void
+answer_metrics (void *context, exchange_t *exchange)
+{
+  char *text = telemetry_format_metrics ();
+
+  (void)context;
+  exchange_answer (exchange, 200, "OK",
+                   "Content-Type: text/plain; version=0.0.4\r\n", text,
+                   strlen (text));
+  g_free (text);
+}
--- /dev/null
+++ b/lib/proxy/fields.c
@@ -0,0 +1,96 @@
+/* Header fields on their way between callers and endpoints.  */
+
+#include "proxy_private.h"
+
+#include <errno.h>
+#include <string.h>
+
+static bool is_listed (const char *list, const char *name);
+
+bool
+fields_is_hop (const char *name)
+{
+  static const char *const hop[]
+      = { "connection", "keep-alive",        "proxy-connection",
+          "te",         "trailer",           "transfer-encoding",
+          "upgrade",    "proxy-authenticate", "proxy-authorization",
+          "expect",     "content-length" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (hop); i++)
+    if (g_ascii_strcasecmp (name, hop[i]) == 0)
+      return true;
+  return false;
+}
+
+/* Whether a name is among the comma-separated names of a Connection field.  */
+static bool
+is_listed (const char *list, const char *name)
+{
+  size_t length = strlen (name);
+
+  while (list != NULL && *list != '\0')
+    {
+      size_t item;
+
+      list += strspn (list, " \t,");
+      item = strcspn (list, " \t,");
+      if (item == length && g_ascii_strncasecmp (list, name, length) == 0)
+        return true;
+      list += item;
+    }
+  return false;
+}
+
+void
+fields_for_endpoint (const proxy_names_t *names, const exchange_t *exchange,
+                     GString *fields)
+{
+  const char *connection = exchange_field (exchange, "Connection");
+
+  for (guint i = 0; i + 1 < exchange->fields->len; i += 2)
+    {
+      const char *name = g_ptr_array_index (exchange->fields, i);
+      const char *value = g_ptr_array_index (exchange->fields, i + 1);
+
+      if (fields_is_hop (name) || is_listed (connection, name)
+          || g_ascii_strcasecmp (name, names->time_left) == 0
+          || g_ascii_strcasecmp (name, names->expected_endpoint) == 0)
+        continue;
+      g_string_append_printf (fields, "%s: %s\r\n", name, value);
+    }
+  /* Without it a request with a body would have no framing, and one of a
+     method that usually has a body would be ambiguous.  */
+  if (exchange->body->len > 0 || strcmp (exchange->method, "POST") == 0
+      || strcmp (exchange->method, "PUT") == 0
+      || strcmp (exchange->method, "PATCH") == 0)
+    g_string_append_printf (fields, "Content-Length: %u\r\n",
+                            exchange->body->len);
+}
+
+int
+fields_parse_load (const char *text, backend_load_t *load)
+{
+  uint32_t values[4] = { 0, 0, 0, 100 };
+  int n = 0;
+
+  while (n < 4)
+    {
+      char *end;
+      double value = g_ascii_strtod (text, &end);
+
+      if (end == text || value < 0 || value > 1e6)
+        return -EINVAL;
+      values[n++] = (uint32_t)(value + 0.5);
+      text = end + strspn (end, " \t");
+      if (*text != ',')
+        break;
+      text++;
+    }
+  if (n < 3 || values[2] == 0)
+    return -EINVAL;
+  *load = (backend_load_t){ .running = values[0],
+                            .waiting = values[1],
+                            .slots = values[2],
+                            .pace = values[3] };
+  return 0;
+}
--- /dev/null
+++ b/lib/proxy/probe.c
@@ -0,0 +1,115 @@
+/* Probes of endpoints: the health path, with the load right now.  */
+
+#include "proxy_private.h"
+
+#include <string.h>
+
+/* An endpoint that takes longer counts as silent.  */
+#define PROBE_TIMEOUT_MS 400
+
+static backend_health_t health_of (const uplink_t *uplink);
+
+void
+probe_start (uplink_t *uplink, round_t *round)
+{
+  proxy_t *proxy = uplink->proxy;
+  const backend_t *backend = backends_get (proxy->backends, uplink->backend);
+  const service_t *service
+      = backends_service_get (proxy->backends, backend->service);
+  GString *text = g_string_sized_new (128);
+
+  uplink->round = round;
+  uplink->request = NULL;
+  if (uplink->state != UPLINK_CONNECTING)
+    uplink->state = UPLINK_PROBING;
+  g_string_printf (text, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+                   service->health_path, service->name);
+  g_byte_array_set_size (uplink->out, 0);
+  g_byte_array_append (uplink->out, (const guint8 *)text->str,
+                       (guint)text->len);
+  g_string_free (text, TRUE);
+  uplink->sent_at = clock_now ();
+  ev_timer_stop (proxy->loop, &uplink->timer);
+  ev_timer_set (&uplink->timer, PROBE_TIMEOUT_MS / 1000.0, 0);
+  ev_timer_start (proxy->loop, &uplink->timer);
+  uplink_send (uplink);
+}
+
+static backend_health_t
+health_of (const uplink_t *uplink)
+{
+  if (uplink->has_endpoint_id && !uplink->endpoint_matches)
+    return BACKEND_OTHER;
+  if (uplink->answer.status == 200 && uplink->has_endpoint_id)
+    return BACKEND_WELL;
+  return BACKEND_ILL;
+}
+
+void
+probe_answered (uplink_t *uplink)
+{
+  proxy_t *proxy = uplink->proxy;
+  backend_t *backend = backends_get (proxy->backends, uplink->backend);
+  round_t *round = uplink->round;
+  clock_ms_t now = clock_now ();
+  backend_health_t health = health_of (uplink);
+
+  ev_timer_stop (proxy->loop, &uplink->timer);
+  telemetry_count (TELEMETRY_PROBES, health == BACKEND_WELL ? 0 : 1);
+  telemetry_observe (TELEMETRY_PROBE_US, (now - uplink->sent_at) * 1000);
+  if (backend == NULL)
+    {
+      uplink_close (uplink);
+      if (round != NULL)
+        round_failed (round);
+      return;
+    }
+  backend_probed (backend, health, uplink->has_load ? &uplink->load : NULL,
+                  uplink->cold, now);
+  if (health == BACKEND_WELL)
+    backends_service_get (proxy->backends, backend->service)->reports_load
+        = uplink->has_load;
+  if (round == NULL)
+    {
+      uplink_release (uplink);
+      return;
+    }
+  if (health != BACKEND_WELL || !uplink->keep)
+    {
+      if (health == BACKEND_OTHER)
+        uplink_close (uplink);
+      else
+        uplink_release (uplink);
+      round_failed (round);
+      return;
+    }
+  uplink->state = UPLINK_HELD;
+  round_probed (round, uplink);
+}
+
+void
+probe_failed (uplink_t *uplink, const char *why)
+{
+  proxy_t *proxy = uplink->proxy;
+  backend_t *backend = backends_get (proxy->backends, uplink->backend);
+  round_t *round = uplink->round;
+
+  ev_timer_stop (proxy->loop, &uplink->timer);
+  telemetry_count (TELEMETRY_PROBES, 1);
+  /* A kept connection that the endpoint closed says nothing of its health. */
+  if (backend != NULL && uplink->keep_alive == 0)
+    backend_probed (backend, BACKEND_SILENT, NULL, 0, clock_now ());
+  g_debug ("probe of %s failed: %s",
+           backend != NULL ? backend->entry.id : "removed endpoint", why);
+  if (round == NULL)
+    return;
+  for (int i = 0; i < round->n_held; i++)
+    if (round->held[i] == uplink)
+      {
+        round->held[i] = round->held[--round->n_held];
+        uplink->round = NULL;
+        return;
+      }
+  uplink->round = NULL;
+  round_failed (round);
+}
--- /dev/null
+++ b/lib/proxy/proxy.c
@@ -0,0 +1,161 @@
+/* The proxy as a whole: configuration, hooks and housekeeping.  */
+
+#include "proxy_private.h"
+
+#include <string.h>
+
+#define SWEEP_S 0.25
+#define SWEEPS_PER_S 4
+
+static void on_request (void *context, exchange_t *exchange);
+static void on_gone (void *context, exchange_t *exchange);
+static void on_drained (void *context, exchange_t *exchange);
+static void on_sweep (struct ev_loop *loop, ev_timer *watcher, int events);
+
+proxy_t *
+proxy_new (struct ev_loop *loop, const proxy_settings_t *settings,
+           backends_t *backends)
+{
+  proxy_t *proxy = g_new0 (proxy_t, 1);
+
+  proxy->loop = loop;
+  proxy->settings = *settings;
+  proxy->backends = backends;
+  proxy->pools = g_ptr_array_new ();
+  proxy->uplinks = g_ptr_array_new ();
+  proxy->splits
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  proxy->instances = 1;
+  proxy->log_left = settings->log_per_s;
+  decide_rng_seed (&proxy->rng, (uint64_t)g_get_monotonic_time ()
+                                    ^ (uint64_t)(uintptr_t)proxy);
+  ev_timer_init (&proxy->sweep, on_sweep, SWEEP_S, SWEEP_S);
+  proxy->sweep.data = proxy;
+  ev_timer_start (loop, &proxy->sweep);
+  return proxy;
+}
+
+void
+proxy_free (proxy_t *proxy)
+{
+  ev_timer_stop (proxy->loop, &proxy->sweep);
+  pools_free (proxy);
+  g_ptr_array_free (proxy->uplinks, TRUE);
+  g_hash_table_destroy (proxy->splits);
+  for (int i = 0; i < backends_service_count (proxy->backends); i++)
+    {
+      service_t *service = backends_service_get (proxy->backends, i);
+
+      g_free (service->user);
+      service->user = NULL;
+    }
+  g_free (proxy);
+}
+
+server_hooks_t
+proxy_hooks (proxy_t *proxy)
+{
+  return (server_hooks_t){ .request = on_request,
+                           .gone = on_gone,
+                           .drained = on_drained,
+                           .context = proxy };
+}
+
+static void
+on_request (void *context, exchange_t *exchange)
+{
+  request_new (context, exchange);
+}
+
+static void
+on_gone (void *context, exchange_t *exchange)
+{
+  (void)context;
+  if (exchange->user == NULL)
+    exchange_release (exchange);
+  else
+    request_caller_left (exchange->user);
+}
+
+static void
+on_drained (void *context, exchange_t *exchange)
+{
+  request_t *request = exchange->user;
+
+  (void)context;
+  if (request == NULL || request->state != REQUEST_STREAMING)
+    return;
+  for (int i = 0; i < request->n_uplinks; i++)
+    if (!request->uplinks[i]->reading)
+      uplink_pause (request->uplinks[i], false);
+}
+
+void
+proxy_set_routes (proxy_t *proxy, const routes_t *routes)
+{
+  proxy->routes = routes;
+  for (guint i = 0; i < routes->services->len; i++)
+    {
+      const service_rules_t *rules = g_ptr_array_index (routes->services, i);
+      service_t *service = backends_service_get (
+          proxy->backends, backends_service (proxy->backends, rules->name));
+
+      g_free (service->health_path);
+      service->health_path = g_strdup (rules->health_path);
+      service->connections_max = rules->connections_max;
+      service->cold_per_s = rules->cold_per_s;
+    }
+  /* Weights may have changed.  */
+  g_hash_table_remove_all (proxy->splits);
+}
+
+void
+proxy_set_repeats (proxy_t *proxy, const repeats_rules_t *rules)
+{
+  proxy->settings.repeats = *rules;
+}
+
+void
+proxy_set_instances (proxy_t *proxy, int count)
+{
+  proxy->instances = MAX (count, 1);
+}
+
+int
+proxy_in_flight (const proxy_t *proxy)
+{
+  return proxy->in_flight;
+}
+
+void
+proxy_refuse_new (proxy_t *proxy)
+{
+  proxy->refusing = true;
+}
+
+void
+proxy_backends_changed (proxy_t *proxy)
+{
+  pools_sweep (proxy, clock_now ());
+}
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  proxy_t *proxy = watcher->data;
+
+  (void)loop;
+  (void)events;
+  pools_sweep (proxy, clock_now ());
+  proxy->log_left
+      = MIN (proxy->log_left + proxy->settings.log_per_s / SWEEPS_PER_S + 1,
+             proxy->settings.log_per_s);
+  if (proxy->log_suppressed > 0)
+    {
+      g_log_structured ("proxy", G_LOG_LEVEL_WARNING, "MESSAGE",
+                        "%" G_GUINT64_FORMAT
+                        " decision lines left out, above the rate",
+                        proxy->log_suppressed);
+      proxy->log_suppressed = 0;
+    }
+}
--- /dev/null
+++ b/lib/proxy/proxy_private.h
@@ -0,0 +1,228 @@
+#ifndef PERIDOT_PROXY_PRIVATE_H
+#define PERIDOT_PROXY_PRIVATE_H
+
+#include <http_parser.h>
+
+#include "admission.h"
+#include "choose.h"
+#include "proxy.h"
+#include "telemetry.h"
+
+#define TRIED_MAX 4
+
+typedef struct request request_t;
+typedef struct round round_t;
+typedef struct uplink uplink_t;
+
+struct proxy
+{
+  struct ev_loop *loop;
+  proxy_settings_t settings;
+  backends_t *backends;
+  const routes_t *routes; /* NULL: none yet */
+  GHashTable *splits; /* route name to route_split_t */
+  GPtrArray *pools;   /* pool_t *, by index of the endpoint */
+  GPtrArray *uplinks; /* uplink_t *, all that are open */
+  decide_rng_t rng;
+  ev_timer sweep;
+  int instances;
+  int in_flight;
+  bool refusing;
+  uint32_t log_left; /* lines that may be written in this second */
+  uint64_t log_suppressed;
+};
+
+/* Connections to one endpoint.  */
+typedef struct pool
+{
+  uint32_t generation;
+  GQueue idle; /* uplink_t *, most recently used first */
+  int open;
+} pool_t;
+
+/* State of the proxy for one service.  */
+typedef struct service_state
+{
+  repeats_t repeats;
+  GQueue waiting; /* request_t * that were not sent yet */
+} service_state_t;
+
+/* An endpoint's answer.  */
+typedef struct answer
+{
+  int status;
+  GString *reason;
+  GString *fields; /* to be returned, each ended by CR LF */
+  GByteArray *body;
+} answer_t;
+
+typedef enum uplink_state
+{
+  UPLINK_CONNECTING,
+  UPLINK_IDLE,
+  UPLINK_PROBING,
+  UPLINK_HELD, /* probed, waits for the decision of its round */
+  UPLINK_RUNNING
+} uplink_state_t;
+
+struct uplink
+{
+  proxy_t *proxy;
+  backend_ref_t backend;
+  uplink_state_t state;
+  int fd;
+  ev_io reader;
+  ev_io writer;
+  ev_timer timer;
+  GList link; /* in the pool's idle queue */
+  http_parser parser;
+  GByteArray *out;
+  size_t sent;
+  round_t *round;
+  request_t *request;
+  clock_ms_t sent_at;
+  clock_ms_t idle_until;
+  backend_load_t load_before; /* of the endpoint when the request was sent */
+  /* The answer that is being read.  */
+  answer_t answer;
+  GString *name;
+  GString *value;
+  bool in_value;
+  bool has_id;
+  bool id_matches;
+  bool foreign; /* belongs to another request, is skipped */
+  bool not_run;
+  bool has_signature;
+  bool has_endpoint_id;
+  bool endpoint_matches;
+  bool has_load;
+  backend_load_t load;
+  clock_ms_t cold;
+  int64_t retry_after;
+  clock_ms_t keep_alive; /* ms stated by the endpoint; 0: none */
+  bool complete;
+  bool keep;
+  bool tainted; /* has carried an answer of another request */
+  bool reading; /* false while the caller does not take the answer */
+  bool dead;
+  int depth;
+};
+
+typedef enum request_state
+{
+  REQUEST_WAITING,
+  REQUEST_SENT,
+  REQUEST_STREAMING
+} request_state_t;
+
+struct request
+{
+  proxy_t *proxy;
+  exchange_t *exchange;
+  bool caller_left;
+  request_state_t state;
+  char *id;
+  char *route;
+  GString *fields;
+  bool idempotent;
+  bool bulk;
+  int endpoints_max;
+  service_ref_t service;
+  admission_request_t admission;
+  clock_ms_t caller_until; /* the caller stops waiting */
+  backend_ref_t tried[TRIED_MAX];
+  int n_tried;
+  uplink_t *uplinks[TRIED_MAX]; /* attempts under way */
+  int n_uplinks;
+  round_t *round;
+  int rounds;
+  bool may_have_run;
+  bool has_kept;
+  answer_t kept; /* failure of an endpoint, returned if no other answers */
+  ev_timer give_up;
+  ev_timer again; /* next round, or a second attempt beside the first */
+  GList link;     /* in the service's waiting queue */
+  bool queued;
+};
+
+/* Probes for one request.  */
+struct round
+{
+  proxy_t *proxy;
+  request_t *request; /* NULL once it needs no more probes */
+  service_ref_t service;
+  int outstanding;
+  uplink_t *held[CHOOSE_MAX];
+  int n_held;
+  ev_timer timer;
+  bool beside; /* for a second attempt beside a slow first one */
+};
+
+typedef enum attempt_failure
+{
+  FAILURE_NOT_RUN, /* the endpoint said so, or nothing was sent */
+  FAILURE_UNKNOWN, /* the request may have run */
+  FAILURE_ANSWER   /* the endpoint answered that it failed */
+} attempt_failure_t;
+
+/* ---- fields.c ---- */
+void fields_for_endpoint (const proxy_names_t *names,
+                          const exchange_t *exchange, GString *fields);
+bool fields_is_hop (const char *name);
+int fields_parse_load (const char *text, backend_load_t *load);
+
+/* ---- uplink.c ---- */
+uplink_t *uplink_take (proxy_t *proxy, backend_t *backend, int *error);
+void uplink_send (uplink_t *uplink);
+void uplink_release (uplink_t *uplink);
+void uplink_close (uplink_t *uplink);
+void uplink_enter (uplink_t *uplink);
+void uplink_leave (uplink_t *uplink);
+void uplink_pause (uplink_t *uplink, bool paused);
+pool_t *pool_of (proxy_t *proxy, backend_ref_t ref);
+void pools_sweep (proxy_t *proxy, clock_ms_t now);
+void pools_free (proxy_t *proxy);
+
+/* ---- uplink_answer.c ---- */
+extern const http_parser_settings uplink_parser;
+void uplink_begin_answer (uplink_t *uplink);
+void answer_clear (answer_t *answer);
+
+/* ---- probe.c ---- */
+void probe_start (uplink_t *uplink, round_t *round);
+void probe_answered (uplink_t *uplink);
+void probe_failed (uplink_t *uplink, const char *why);
+
+/* ---- round.c ---- */
+void round_start (request_t *request, bool beside);
+void round_probed (round_t *round, uplink_t *uplink);
+void round_failed (round_t *round);
+void round_leave (request_t *request);
+
+/* ---- request.c ---- */
+void request_new (proxy_t *proxy, exchange_t *exchange);
+void request_send (request_t *request, uplink_t *uplink);
+void request_wait (request_t *request, clock_ms_t pause);
+void request_failed (request_t *request, uplink_t *uplink,
+                     attempt_failure_t failure, const char *why);
+void request_answered (request_t *request, uplink_t *uplink);
+void request_streamed (request_t *request, uplink_t *uplink, const char *data,
+                       size_t length);
+void request_caller_left (request_t *request);
+service_state_t *service_state (proxy_t *proxy, service_ref_t service);
+
+/* ---- request_end.c ---- */
+void request_refuse (request_t *request, telemetry_outcome_t outcome,
+                     const char *detail);
+void request_fail (request_t *request, telemetry_outcome_t outcome,
+                   const char *detail);
+void request_deliver (request_t *request, answer_t *answer);
+void request_free (request_t *request);
+void request_cancel_uplinks (request_t *request, uplink_t *except);
+
+/* ---- decision_log.c ---- */
+void decision_log (request_t *request, GLogLevelFlags level,
+                   const char *outcome, const backend_t *backend,
+                   const char *detail);
+
+#endif
--- /dev/null
+++ b/lib/proxy/request_end.c
@@ -0,0 +1,144 @@
+/* Ends of requests: answers of endpoints, refusals and failures.  */
+
+#include "proxy_private.h"
+
+#include <string.h>
+
+/* Longest time that a refused caller is told to wait.  */
+#define RETRY_AFTER_MAX_MS 1000
+
+static clock_ms_t retry_after (const request_t *request,
+                               telemetry_outcome_t outcome);
+static void answer_short (request_t *request, int status, const char *reason,
+                          const char *fields, const char *body);
+
+void
+request_free (request_t *request)
+{
+  proxy_t *proxy = request->proxy;
+
+  proxy->in_flight--;
+  telemetry_gauge_set (TELEMETRY_IN_FLIGHT, proxy->in_flight);
+  ev_timer_stop (proxy->loop, &request->give_up);
+  ev_timer_stop (proxy->loop, &request->again);
+  round_leave (request);
+  if (request->queued)
+    g_queue_unlink (&service_state (proxy, request->service)->waiting,
+                    &request->link);
+  request_cancel_uplinks (request, NULL);
+  if (request->exchange != NULL)
+    {
+      request->exchange->user = NULL;
+      if (request->caller_left)
+        exchange_release (request->exchange);
+    }
+  answer_clear (&request->kept);
+  g_string_free (request->fields, TRUE);
+  g_free (request->id);
+  g_free (request->route);
+  g_free (request);
+}
+
+/* The exchange is ended last: its end may run into the next request of the
+   connection, or free the exchange.  */
+static void
+answer_short (request_t *request, int status, const char *reason,
+              const char *fields, const char *body)
+{
+  exchange_t *exchange = request->exchange;
+  bool left = request->caller_left;
+
+  if (!left)
+    {
+      exchange->user = NULL;
+      request->exchange = NULL;
+    }
+  request_free (request);
+  if (!left)
+    exchange_answer (exchange, status, reason, fields, body, strlen (body));
+}
+
+void
+request_deliver (request_t *request, answer_t *answer)
+{
+  exchange_t *exchange = request->exchange;
+  clock_ms_t took = clock_now () - request->admission.arrived;
+  bool streaming = request->state == REQUEST_STREAMING;
+  answer_t whole = *answer;
+
+  *answer = (answer_t){ 0 };
+  telemetry_count (TELEMETRY_ROUTED, whole.status < 500
+                                         ? OUTCOME_ANSWERED
+                                         : OUTCOME_ENDPOINT_FAILED);
+  telemetry_observe (TELEMETRY_ANSWERED_US, took * 1000);
+  if (took > request->admission.target)
+    decision_log (request, G_LOG_LEVEL_INFO, "answered late", NULL, NULL);
+  if (request->caller_left)
+    {
+      request_free (request);
+      answer_clear (&whole);
+      return;
+    }
+  exchange->user = NULL;
+  request->exchange = NULL;
+  request_free (request);
+  if (streaming)
+    exchange_end (exchange);
+  else
+    exchange_answer (exchange, whole.status, whole.reason->str,
+                     whole.fields->str, whole.body->data, whole.body->len);
+  answer_clear (&whole);
+}
+
+static clock_ms_t
+retry_after (const request_t *request, telemetry_outcome_t outcome)
+{
+  proxy_t *proxy = request->proxy;
+  clock_ms_t time;
+
+  /* Another instance serves the caller at once.  */
+  if (outcome == OUTCOME_STOPPING)
+    return 0;
+  if (request->service < 0)
+    return RETRY_AFTER_MAX_MS;
+  time = admission_retry_after (
+      backends_service_get (proxy->backends, request->service));
+  /* Spread, so that callers refused together don't return together.  */
+  time = time / 2 + decide_rng_below (&proxy->rng, (uint32_t)time + 1);
+  return MIN (time, RETRY_AFTER_MAX_MS);
+}
+
+void
+request_refuse (request_t *request, telemetry_outcome_t outcome,
+                const char *detail)
+{
+  char fields[64];
+  clock_ms_t time = retry_after (request, outcome);
+
+  telemetry_count (TELEMETRY_ROUTED, outcome);
+  telemetry_observe (TELEMETRY_REFUSED_US,
+                     (clock_now () - request->admission.arrived) * 1000);
+  decision_log (request, G_LOG_LEVEL_MESSAGE, "refused", NULL,
+                detail != NULL ? detail : telemetry_outcome_name (outcome));
+  (void)g_snprintf (fields, sizeof fields, "Retry-After: %d.%03d\r\n",
+                    (int)(time / 1000), (int)(time % 1000));
+  answer_short (request, 503, "Service Unavailable", fields,
+                "has not run; try again\n");
+}
+
+void
+request_fail (request_t *request, telemetry_outcome_t outcome,
+              const char *detail)
+{
+  telemetry_count (TELEMETRY_ROUTED, outcome);
+  decision_log (request, G_LOG_LEVEL_MESSAGE, "failed", NULL,
+                detail != NULL ? detail : telemetry_outcome_name (outcome));
+  if (outcome == OUTCOME_NO_ROUTE)
+    answer_short (request, 404, "Not Found", NULL, "no route\n");
+  else if (outcome == OUTCOME_TIMEOUT)
+    answer_short (request, 504, "Gateway Timeout", NULL,
+                  "no answer in time; may have run\n");
+  else
+    answer_short (request, 502, "Bad Gateway", NULL,
+                  "the endpoint failed; may have run\n");
+}
--- a/lib/telemetry/log.c
+++ b/lib/telemetry/log.c
@@ -42,6 +42,7 @@
   pthread_t thread;
   char instance[64];
   double trace_share;
+  int log_fd;
   bool installed; /* GLib takes a writer function only once */
   atomic_bool running;
   atomic_bool stopping;
@@ -49,7 +50,9 @@
   atomic_int_fast64_t give_up; /* monotonic µs */
   atomic_uint_fast64_t dropped;
   uint64_t reported; /* of dropped; set before the writer thread starts */
-} logger = { .level = G_LOG_LEVEL_INFO, .give_up = INT64_MAX };
+} logger = { .level = G_LOG_LEVEL_INFO,
+             .log_fd = STDERR_FILENO,
+             .give_up = INT64_MAX };
 
 int
 telemetry_start (const telemetry_settings_t *settings)
@@ -67,6 +70,8 @@
     return -ENOMEM;
   (void)g_strlcpy (logger.instance, settings->instance,
                    sizeof logger.instance);
+  logger.log_fd
+      = settings->log_fd != 0 ? settings->log_fd : STDERR_FILENO;
   logger.trace_share = settings->trace_share;
   telemetry_set_log_level (settings->log_level);
   atomic_store (&logger.stopping, false);
@@ -148,7 +153,7 @@
   append_fields (line, fields, count);
   /* GLib aborts after a fatal message, before the writer thread would see
      it.  */
-  log_submit (STDERR_FILENO, line, fatal);
+  log_submit (logger.log_fd, line, fatal);
   return G_LOG_WRITER_HANDLED;
 }
 
@@ -257,7 +262,7 @@
   line_append_field (line, "message", "log ring full, lines dropped");
   line_append_number (line, "dropped", (int64_t)(dropped - logger.reported));
   g_string_append (line, "}\n");
-  write_text (STDERR_FILENO, line->str, line->len);
+  write_text (logger.log_fd, line->str, line->len);
   g_string_free (line, TRUE);
   logger.reported = dropped;
 }
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -52,6 +52,12 @@
 static const char *const probes[] = { "ok", "failed", NULL };
 static const char *const calls[] = { "ok", "conflict", "failed", NULL };
 
+static const char *const outcomes[]
+    = { "answered",    "endpoint_failed", "caller_left", "no_route",
+        "no_configuration", "no_endpoint", "full", "out_of_time", "not_run",
+        "stopping", "timeout", "broken", "cut", NULL };
+static const char *const reader_changes[] = { "took_over", "gave_up", NULL };
+
 static const family_t counters[TELEMETRY_COUNTERS] = {
   [TELEMETRY_REQUESTS]
   = { "peridot_requests_total", "Requests of callers.", NULL, NULL },
@@ -108,6 +114,20 @@
   [TELEMETRY_EVENTS_DROPPED]
   = { "peridot_events_dropped_total",
       "Events that found the ring to the decision thread full.", NULL, NULL },
+  [TELEMETRY_UPLINKS_OPENED]
+  = { "peridot_uplinks_opened_total", "Connections opened to endpoints.",
+      NULL, NULL },
+  [TELEMETRY_FOREIGN_ANSWERS]
+  = { "peridot_foreign_answers_total",
+      "Answers that belonged to another request and were skipped.", NULL,
+      NULL },
+  [TELEMETRY_ROUTED]
+  = { "peridot_routed_total", "Requests on the event loop, by outcome.",
+      "outcome", outcomes },
+  [TELEMETRY_READER_CHANGES]
+  = { "peridot_reader_changes_total",
+      "Times this instance began or ended reading the store for all.",
+      "change", reader_changes },
 };
 
 static const family_t gauges[TELEMETRY_GAUGES] = {
@@ -161,6 +181,11 @@
       NULL },
   [TELEMETRY_STORE_US] = { "peridot_store_seconds",
                            "Time of calls of the object API.", NULL, NULL },
+  [TELEMETRY_PROBE_US]
+  = { "peridot_probe_seconds", "Time of probes of endpoints.", NULL, NULL },
+  [TELEMETRY_WAITED_US]
+  = { "peridot_waited_seconds",
+      "Time from a request to the send of its first attempt.", NULL, NULL },
 };
 
 /* Upper bounds in microseconds.  1,300 is the goal for the time added to a
@@ -242,6 +267,12 @@
                              memory_order_relaxed);
 }
 
+const char *
+telemetry_outcome_name (telemetry_outcome_t outcome)
+{
+  return outcomes[outcome];
+}
+
 char *
 telemetry_format_metrics (void)
 {
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -15,6 +15,7 @@
   GLogLevelFlags log_level; /* least important level that is written */
   double trace_share;       /* 0..1 of traces whose spans are written */
   unsigned int ring;        /* lines waiting; a power of two; 0: 4096 */
+  int log_fd;               /* log lines go there; 0: standard error */
 } telemetry_settings_t;
 
 /**
@@ -71,9 +72,31 @@
   TELEMETRY_PEER_BYTES,       /* 0 sent, 1 received */
   TELEMETRY_CONTROL_BYTES,    /* 0 sent, 1 received: store and peers */
   TELEMETRY_EVENTS_DROPPED,   /* none: ring to the decision thread full */
+  TELEMETRY_UPLINKS_OPENED,   /* none: connections to endpoints */
+  TELEMETRY_FOREIGN_ANSWERS,  /* none: answers of other requests, skipped */
+  TELEMETRY_ROUTED,           /* telemetry_outcome_t */
+  TELEMETRY_READER_CHANGES,   /* 0 took over reading the store, 1 gave up */
   TELEMETRY_COUNTERS
 } telemetry_counter_t;
 
+/* Ends of requests on the event loop.  */
+typedef enum telemetry_outcome
+{
+  OUTCOME_ANSWERED,
+  OUTCOME_ENDPOINT_FAILED,  /* the endpoint's own failure was returned */
+  OUTCOME_CALLER_LEFT,
+  OUTCOME_NO_ROUTE,
+  OUTCOME_NO_CONFIGURATION, /* from here on refused: has not run */
+  OUTCOME_NO_ENDPOINT,
+  OUTCOME_FULL,
+  OUTCOME_OUT_OF_TIME,
+  OUTCOME_NOT_RUN,
+  OUTCOME_STOPPING,
+  OUTCOME_TIMEOUT,          /* from here on failed: may have run */
+  OUTCOME_BROKEN,
+  OUTCOME_CUT
+} telemetry_outcome_t;
+
 typedef enum telemetry_gauge
 {
   TELEMETRY_IN_FLIGHT,
@@ -99,6 +122,8 @@
   TELEMETRY_FIRST_BYTE_US, /* one attempt, sending to the first byte */
   TELEMETRY_DECIDE_US,     /* request to decision */
   TELEMETRY_STORE_US,      /* one store call */
+  TELEMETRY_PROBE_US,      /* one probe of an endpoint */
+  TELEMETRY_WAITED_US,     /* request to the send of its first attempt */
   TELEMETRY_HISTOGRAMS
 } telemetry_histogram_t;
 
@@ -129,6 +154,9 @@
  */
 void telemetry_observe (telemetry_histogram_t histogram, int64_t us);
 
+/* Label of an outcome.  */
+const char *telemetry_outcome_name (telemetry_outcome_t outcome);
+
 /**
  * telemetry_format_metrics() - all metrics in the Prometheus text format
  * Return: text to be freed with g_free().
