--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -9,7 +9,7 @@
    within two seconds; see docs/platform.md for the parts of that time.  */
 #define BACKENDS_EVERY_MS 600
 /* Longest wait of a watch; each waiting watch is one priced call.  */
-#define WATCH_WAIT_MS 10000
+#define WATCH_WAIT_MS 5000
 /* A list that takes longer has failed.  */
 #define LIST_TIMEOUT_MS 700
 /* Pause after a failed call.  */
@@ -259,11 +259,11 @@
 {
   channel_t *channel = &feed->channels[kind];
 
-  if (error != -ETIMEDOUT || channel->listing)
-    channel->known = false;
-  channel->next_at
-      = channel->listing && error != -ESTALE ? now + FAILED_PAUSE_MS : 0;
-  if (error == -ESTALE)
+  /* Changes may have been made while a watch that was cut heard nothing, and
+     their history may be gone: everything is listed anew.  */
+  channel->known = false;
+  channel->next_at = channel->listing ? now + FAILED_PAUSE_MS : now;
+  if (!channel->listing)
     return;
   if (!feed->failed_logged)
     g_warning ("store can't be read: %s", g_strerror (-error));
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -7,6 +7,9 @@
    gone.  The platform allows six seconds.  */
 #define MEMBER_SILENT_MS 1500
 
+/* Places among which instances that know no other are spread.  */
+#define ALONE_PLACES 12
+
 static void member_free (gpointer data);
 static gint compare_names (gconstpointer a, gconstpointer b);
 
@@ -164,6 +167,11 @@
   int distance = 0;
   guint own = 0;
 
+  /* Nothing is known at the first start; the order is then that of the names'
+     hashes.  */
+  if (members->table->len == 1)
+    return (int)(members->own->hash % ALONE_PLACES);
+
   (void)g_ptr_array_find (members->table, members->own, &own);
   /* Counts live members behind @from, up to the own one.  */
   for (guint i = 1; i <= members->table->len; i++)
--- a/lib/net/call.c
+++ b/lib/net/call.c
@@ -19,7 +19,6 @@
   char host[32];
   int fd; /* -1: not connected */
   bool connecting;
-  bool fresh; /* no answer has come on this connection yet */
   ev_io reader;
   ev_io writer;
   ev_timer timer;
@@ -29,7 +28,6 @@
   GByteArray *in;
   bool busy;
   bool keep;
-  bool repeatable; /* a GET */
   int error;       /* reported by the timer when the call could not start */
   call_done_t done;
   void *context;
@@ -94,7 +92,6 @@
   client->done = done;
   client->context = context;
   client->error = 0;
-  client->repeatable = strcmp (method, "GET") == 0;
   g_string_printf (client->out, "%s %s HTTP/1.1\r\nHost: %s\r\n", method,
                    target, client->host);
   if (body != NULL)
@@ -139,7 +136,6 @@
         }
       client->fd = fd;
       client->connecting = true;
-      client->fresh = true;
       ev_io_init (&client->reader, on_readable, fd, EV_READ);
       ev_io_init (&client->writer, on_writable, fd, EV_WRITE);
       client->reader.data = client;
@@ -171,18 +167,12 @@
                 client->in->len);
 }
 
-/* The server may have closed a kept connection just before it was used; a GET
-   is then sent once more on a new one.  */
+/* Nothing is sent again here: what a cut call means differs between calls. */
 static void
 fail (call_client_t *client, int error)
 {
-  bool again = client->busy && client->repeatable && !client->fresh
-               && error != -ETIMEDOUT;
-
   disconnect (client);
-  if (again)
-    start (client);
-  else if (client->busy)
+  if (client->busy)
     finish (client, error);
 }
 
@@ -234,7 +224,6 @@
       fail (client, n < 0 ? -errno : -ECONNRESET);
       return;
     }
-  client->fresh = false;
   client->keep = false;
   parsed = http_parser_execute (&client->parser, &parser_settings, data,
                                 (size_t)n);
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -221,7 +221,7 @@
     return;
   if (request->state == REQUEST_WAITING)
     round_start (request, false);
-  else if (request->state == REQUEST_SENT
+  else if (request->state == REQUEST_SENT && request->idempotent
            && request->n_tried < request->endpoints_max)
     {
       request_wait (request, BESIDE_PAUSE_MS);
@@ -258,6 +258,10 @@
   backend_t *backend = backends_get (proxy->backends, uplink->backend);
   clock_ms_t now = clock_now ();
 
+  /* Two runs of such a request would be two effects.  */
+  g_assert (request->idempotent
+            || (request->n_uplinks == 0 && !request->may_have_run));
+  ev_timer_stop (proxy->loop, &request->again);
   if (request->n_tried == 0)
     telemetry_observe (TELEMETRY_WAITED_US,
                        (now - request->admission.arrived) * 1000);
