Keep the list of instances in one object of the store; fetch only parts of the state

The reader now writes one list, instances turn to the seeds at the first start, small machines read last, and fetches name the parts they want.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -16,9 +16,10 @@
 #define FAILED_PAUSE_MS 500
 /* Without a fresh statement for this time the store was away.  */
 #define OUTAGE_MS 1500
-/* The own entry is stored when no reader has been heard for this time.  */
-#define STORE_MEMBER_AFTER_MS 300
-#define STORE_MEMBER_RETRY_MS 1500
+/* The list of members is stored this long after a change, so that instances
+   that start together cost one call.  */
+#define STORE_MEMBERS_AFTER_MS 1000
+#define STORE_MEMBERS_RETRY_MS 1500
 
 typedef struct channel
 {
@@ -38,9 +39,11 @@
   members_t *members;
   reader_t *reader;
   channel_t channels[FEED_KINDS];
-  bool member_known;
   bool storing;
-  clock_ms_t store_at;
+  clock_ms_t store_at;      /* 0: the list of members need not be stored */
+  uint64_t storing_digest;
+  uint64_t stored_digest;   /* of the members as the store has them */
+  uint64_t members_revision; /* 0: the store has no list */
   bool stopping;
   bool was_reading;
   bool failed_logged;
@@ -58,7 +61,19 @@
                          clock_ms_t now);
 static void note_success (feed_t *feed, clock_ms_t now);
 static void stop_reading (feed_t *feed);
-static void store_member (feed_t *feed, clock_ms_t now);
+static void store_members (feed_t *feed, clock_ms_t now);
+static void apply_members (feed_t *feed, const feed_item_t *item,
+                           clock_ms_t now);
+
+void
+feed_member_free (gpointer data)
+{
+  feed_member_t *member = data;
+
+  g_free (member->name);
+  g_free (member->data_centre);
+  g_free (member);
+}
 
 void
 feed_item_free (gpointer data)
@@ -74,7 +89,8 @@
       g_free (item->backend);
     }
   routes_free (item->routes);
-  g_free (item->data_centre);
+  if (item->members != NULL)
+    g_ptr_array_free (item->members, TRUE);
   g_free (item->name);
   g_free (item);
 }
@@ -90,7 +106,6 @@
   feed->view = view;
   feed->members = members;
   feed->reader = reader;
-  feed->store_at = clock_now () + STORE_MEMBER_AFTER_MS;
   for (int i = 0; i < FEED_KINDS; i++)
     feed->channels[i].items = g_ptr_array_new_with_free_func (feed_item_free);
   return feed;
@@ -104,12 +119,6 @@
   g_free (feed);
 }
 
-void
-feed_member_known (feed_t *feed)
-{
-  feed->member_known = true;
-}
-
 void
 feed_stop (feed_t *feed)
 {
@@ -126,7 +135,6 @@
 
   if (feed->stopping)
     return;
-  store_member (feed, now);
   if (feed->was_reading && !reader->reading)
     stop_reading (feed);
   feed->was_reading = reader->reading;
@@ -134,6 +142,7 @@
     {
       for (int i = 0; i < FEED_KINDS; i++)
         step (feed, (feed_kind_t)i, now);
+      store_members (feed, now);
       return;
     }
   if (reader_should_try (reader, distance, now)
@@ -141,26 +150,39 @@
     start_list (feed, FEED_BACKENDS, NULL);
 }
 
+/* Stores the list of members when it differs from what the store has.  */
 static void
-store_member (feed_t *feed, clock_ms_t now)
+store_members (feed_t *feed, clock_ms_t now)
 {
-  if (feed->member_known || feed->storing || now < feed->store_at)
+  if (!feed->channels[FEED_MEMBERS].known || feed->storing
+      || feed->stored_digest == members_digest (feed->members))
+    return;
+  if (feed->store_at == 0)
+    feed->store_at = now + STORE_MEMBERS_AFTER_MS;
+  if (now < feed->store_at)
     return;
   feed->storing = true;
-  feed->source.store_member (feed->source.context, feed->members->own);
+  feed->store_at = 0;
+  feed->storing_digest = members_digest (feed->members);
+  feed->source.store_members (feed->source.context, feed->members,
+                              feed->members_revision);
 }
 
 void
-feed_stored (feed_t *feed, int error)
+feed_stored (feed_t *feed, int error, uint64_t revision)
 {
   feed->storing = false;
   if (error == 0)
-    feed->member_known = true;
-  else
     {
-      g_warning ("own entry was not stored: %s", g_strerror (-error));
-      feed->store_at = clock_now () + STORE_MEMBER_RETRY_MS;
+      feed->stored_digest = feed->storing_digest;
+      feed->members_revision = revision;
+      return;
     }
+  g_info ("list of instances was not stored: %s", g_strerror (-error));
+  feed->store_at = clock_now () + STORE_MEMBERS_RETRY_MS;
+  /* Whatever another reader wrote, or a call without an answer did, is read
+     before the next try.  */
+  feed->channels[FEED_MEMBERS].known = false;
 }
 
 static void
@@ -186,6 +208,9 @@
 
   if (channel->busy || now < channel->next_at)
     return;
+  /* Only readers write the list of members, each knows its own writes.  */
+  if (kind == FEED_MEMBERS && channel->known)
+    return;
   if (kind == FEED_BACKENDS || !channel->known)
     {
       start_list (feed, kind, NULL);
@@ -376,9 +401,24 @@
       view_set_routes (feed->view, item->routes);
       item->routes = NULL;
     }
-  else if (kind == FEED_MEMBERS && item->data_centre != NULL)
-    (void)members_put (feed->members, item->name, item->data_centre, item->ip,
-                       now);
+  else if (kind == FEED_MEMBERS && item->members != NULL)
+    apply_members (feed, item, now);
   else if (kind == FEED_BACKENDS && item->backend != NULL)
     view_put (feed->view, item->backend, now);
 }
+
+static void
+apply_members (feed_t *feed, const feed_item_t *item, clock_ms_t now)
+{
+  feed->members_revision = item->revision;
+  feed->stored_digest = 0;
+  for (guint i = 0; i < item->members->len; i++)
+    {
+      const feed_member_t *member = g_ptr_array_index (item->members, i);
+
+      (void)members_put (feed->members, member->name, member->data_centre,
+                         member->ip, now);
+      feed->stored_digest
+          ^= members_digest_of (member->name, member->ip);
+    }
+}
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -16,10 +16,17 @@
   FEED_BACKENDS,
   FEED_CONFIG,
   FEED_OUT, /* data centres that are taken out */
-  FEED_MEMBERS,
+  FEED_MEMBERS, /* one object, written by readers */
   FEED_KINDS
 } feed_kind_t;
 
+typedef struct feed_member
+{
+  char *name;
+  char *data_centre;
+  uint32_t ip; /* network byte order */
+} feed_member_t;
+
 /* One object of the store, decoded.  An object that can't be read has no
    content and is left out.  */
 typedef struct feed_item
@@ -29,8 +36,7 @@
   bool removed;
   backend_entry_t *backend; /* FEED_BACKENDS */
   routes_t *routes;         /* FEED_CONFIG */
-  char *data_centre;        /* FEED_MEMBERS */
-  uint32_t ip;              /* FEED_MEMBERS, network byte order */
+  GPtrArray *members;       /* FEED_MEMBERS: feed_member_t * */
 } feed_item_t;
 
 typedef struct feed_answer
@@ -52,7 +58,10 @@
                 clock_ms_t timeout);
   void (*watch) (void *context, feed_kind_t kind, uint64_t revision,
                  clock_ms_t wait);
-  void (*store_member) (void *context, const member_t *member);
+  /* Replaces the list of members if its revision is still the stated one; 0:
+     it does not exist yet.  */
+  void (*store_members) (void *context, const members_t *members,
+                         uint64_t revision);
   void (*cancel) (void *context, feed_kind_t kind);
   void *context;
 } feed_source_t;
@@ -63,15 +72,15 @@
 
 /* Takes over the answer's items.  */
 void feed_answered (feed_t *feed, feed_kind_t kind, feed_answer_t *answer);
-/* The own entry was stored, or not: negative errno.  */
-void feed_stored (feed_t *feed, int error);
+/* The list of members was stored, or not: -EEXIST when another reader has
+   changed it, or another negative errno.  */
+void feed_stored (feed_t *feed, int error, uint64_t revision);
+void feed_member_free (gpointer member);
 
 /* Called a few times a second.  */
 void feed_tick (feed_t *feed, clock_ms_t now);
 
-/* The reader knows this instance, so that its entry need not be stored.  */
-void feed_member_known (feed_t *feed);
-/* The instance stops for good or for a restart; its entry is kept.  */
+/* The instance stops.  */
 void feed_stop (feed_t *feed);
 
 #endif
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -76,9 +76,15 @@
 
 typedef string fleet_wire_name<FLEET_NAME_MAX>;
 
-/* Everything the sender knows, as of a revision of the store.  */
+/* Parts of the state; a fetch begins with one byte that names those wanted. */
+const FLEET_PART_CONFIG = 1;
+const FLEET_PART_BACKENDS = 2;
+const FLEET_PART_MEMBERS = 4;
+
+/* What the sender knows, as of a revision of the store.  */
 struct fleet_wire_snapshot
 {
+  unsigned int included;         /* sum of FLEET_PART_ */
   unsigned hyper revision;
   fleet_wire_config config<1>;
   fleet_wire_backend backends<FLEET_LIST_MAX>;
@@ -94,12 +100,15 @@
   unsigned hyper config_version; /* 0: none */
   unsigned hyper members_digest;
   bool fresh;                    /* the store was read a moment ago */
+  bool weak;                     /* a small machine: others go before it */
+  fleet_wire_member member;      /* the sender */
   fleet_wire_name out<FLEET_ZONES_MAX>;
   unsigned int ready<FLEET_LIST_MAX>; /* hashes of ready instances' names */
   fleet_wire_change changes<FLEET_CHANGES_MAX>;
 };
 
-/* Sent by each member to the reader it hears.  */
+/* Sent by each member to the reader that it hears, or to the seeds while it
+   hears none; these pass it on.  */
 struct fleet_wire_hello
 {
   bool ready;
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -96,8 +96,12 @@
 typedef struct fleet_wire_member fleet_wire_member;
 
 typedef char *fleet_wire_name;
+#define FLEET_PART_CONFIG 1
+#define FLEET_PART_BACKENDS 2
+#define FLEET_PART_MEMBERS 4
 
 struct fleet_wire_snapshot {
+	u_int included;
 	u_quad_t revision;
 	struct {
 		u_int config_len;
@@ -124,6 +128,8 @@
 	u_quad_t config_version;
 	u_quad_t members_digest;
 	bool_t fresh;
+	bool_t weak;
+	fleet_wire_member member;
 	struct {
 		u_int out_len;
 		fleet_wire_name *out_val;
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -299,6 +299,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_int (xdrs, &objp->included))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->config.config_val, (u_int *) &objp->config.config_len, 1,
@@ -331,6 +333,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->fresh))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->weak))
+		 return FALSE;
+	 if (!xdr_fleet_wire_member (xdrs, &objp->member))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_ZONES_MAX,
 		sizeof (fleet_wire_name), (xdrproc_t) xdr_fleet_wire_name))
 		 return FALSE;
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -6,6 +6,8 @@
 /* Hellos come four times a second; a member that misses this many is taken as
    gone.  The platform allows six seconds.  */
 #define MEMBER_SILENT_MS 1500
+/* A machine that was replaced does not come back under its name.  */
+#define MEMBER_FORGET_MS (10 * 60 * 1000)
 
 /* Places among which instances that know no other are spread.  */
 #define ALONE_PLACES 12
@@ -63,6 +65,7 @@
                      || strcmp (member->data_centre, data_centre) != 0;
 
       member->ip = ip;
+      member->kept = true;
       if (changed)
         {
           g_free (member->data_centre);
@@ -76,11 +79,35 @@
   member->ip = ip;
   member->hash = (uint32_t)XXH64 (name, strlen (name), 0);
   member->listed_at = now;
+  member->kept = true;
   g_ptr_array_add (members->table, member);
   g_ptr_array_sort (members->table, compare_names);
   return true;
 }
 
+void
+members_begin_replace (members_t *members)
+{
+  for (guint i = 0; i < members->table->len; i++)
+    {
+      member_t *member = g_ptr_array_index (members->table, i);
+
+      member->kept = member == members->own;
+    }
+}
+
+void
+members_end_replace (members_t *members)
+{
+  for (guint i = members->table->len; i > 0; i--)
+    {
+      const member_t *member = g_ptr_array_index (members->table, i - 1);
+
+      if (!member->kept)
+        g_ptr_array_remove_index (members->table, i - 1);
+    }
+}
+
 member_t *
 members_find (const members_t *members, const char *name)
 {
@@ -94,6 +121,12 @@
   return NULL;
 }
 
+uint64_t
+members_digest_of (const char *name, uint32_t ip)
+{
+  return XXH64 (name, strlen (name), ip);
+}
+
 uint64_t
 members_digest (const members_t *members)
 {
@@ -103,7 +136,7 @@
     {
       const member_t *member = g_ptr_array_index (members->table, i);
 
-      digest ^= XXH64 (member->name, strlen (member->name), member->ip);
+      digest ^= members_digest_of (member->name, member->ip);
     }
   return digest;
 }
@@ -113,12 +146,21 @@
 {
   bool changed = false;
 
-  for (guint i = 0; i < members->table->len; i++)
+  for (guint i = members->table->len; i > 0; i--)
     {
-      member_t *member = g_ptr_array_index (members->table, i);
+      member_t *member = g_ptr_array_index (members->table, i - 1);
+      clock_ms_t silent = now - MAX (member->heard_at, member->listed_at);
 
-      if (member == members->own || !member->ready
-          || now - member->heard_at < MEMBER_SILENT_MS)
+      if (member == members->own)
+        continue;
+      if (!member->ready && silent > MEMBER_FORGET_MS)
+        {
+          g_message ("instance %s is forgotten", member->name);
+          g_ptr_array_remove_index (members->table, i - 1);
+          changed = true;
+          continue;
+        }
+      if (!member->ready || now - member->heard_at < MEMBER_SILENT_MS)
         continue;
       g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "PEER", member->name,
                         "MESSAGE", "instance is silent for %" G_GINT64_FORMAT
--- a/lib/fleet/members.h
+++ b/lib/fleet/members.h
@@ -19,6 +19,7 @@
   clock_ms_t heard_at;  /* last hello, on the reader; 0: never */
   clock_ms_t listed_at; /* when it became known */
   bool ready;           /* as last stated, by itself or by the reader */
+  bool kept;            /* named again during a replacement */
 } member_t;
 
 typedef struct members
@@ -34,13 +35,21 @@
 /* Adds a member or changes its address.  Return: whether something changed. */
 bool members_put (members_t *members, const char *name,
                   const char *data_centre, uint32_t ip, clock_ms_t now);
+/* Members that are not put between the two calls are removed, but for the own
+   one.  */
+void members_begin_replace (members_t *members);
+void members_end_replace (members_t *members);
+
 member_t *members_find (const members_t *members, const char *name);
 
-/* Digest of names and addresses.  */
+/* Digest of names and addresses; that of a list is the exclusive or of those
+   of its members.  */
+uint64_t members_digest_of (const char *name, uint32_t ip);
 uint64_t members_digest (const members_t *members);
 
 /**
- * members_expire() - on the reader: a silent member is not ready any more
+ * members_expire() - on the reader: a silent member is not ready any more,
+ * and is forgotten after a long time
  * Return: whether something changed.
  */
 bool members_expire (members_t *members, clock_ms_t now);
--- a/lib/fleet/reader.c
+++ b/lib/fleet/reader.c
@@ -13,32 +13,36 @@
 #define READER_FRESH_MS 900
 /* While the store is away all instances together try this often.  */
 #define READER_TRY_GAP_MS 250
+/* Small machines take over later by so many steps.  */
+#define WEAK_PLACES 3
 /* An instance that has just started listens before it reads.  */
 #define READER_LISTEN_MS 400
 
 void
-reader_init (reader_t *reader, clock_ms_t now)
+reader_init (reader_t *reader, bool weak, clock_ms_t now)
 {
-  *reader = (reader_t){ .started_at = now };
+  *reader = (reader_t){ .started_at = now, .weak = weak };
 }
 
 bool
-reader_heard (reader_t *reader, const char *own, const char *other, bool fresh,
-              clock_ms_t now)
+reader_heard (reader_t *reader, const char *own,
+              const reader_statement_t *other, clock_ms_t now)
 {
   bool gives_up;
 
   reader->heard_any = now;
   reader->heard_once = true;
-  g_strlcpy (reader->last, other, sizeof reader->last);
-  if (fresh)
+  g_strlcpy (reader->last, other->name, sizeof reader->last);
+  if (other->fresh)
     reader->heard_fresh = now;
   if (!reader->reading)
     return false;
-  if (reader_is_fresh (reader, now) == fresh)
-    gives_up = strcmp (other, own) < 0;
+  if (reader_is_fresh (reader, now) != other->fresh)
+    gives_up = other->fresh;
+  else if (reader->weak != other->weak)
+    gives_up = reader->weak;
   else
-    gives_up = fresh;
+    gives_up = strcmp (other->name, own) < 0;
   if (gives_up)
     reader->reading = false;
   return gives_up;
@@ -53,6 +57,8 @@
 
   if (reader->reading || now < reader->try_after)
     return false;
+  if (reader->weak)
+    distance += WEAK_PLACES;
   return now - quiet_since >= patience + distance * READER_STEP_MS;
 }
 
--- a/lib/fleet/reader.h
+++ b/lib/fleet/reader.h
@@ -20,15 +20,23 @@
   clock_ms_t read_ok;      /* last own successful read; 0: never */
   clock_ms_t try_after;    /* no own try before, after a failed one */
   bool heard_once;
+  bool weak;               /* a small machine: others go before it */
   char last[128];          /* the reader heard last */
 } reader_t;
 
-void reader_init (reader_t *reader, clock_ms_t now);
+void reader_init (reader_t *reader, bool weak, clock_ms_t now);
 
-/* Another instance states that it reads; @fresh: it reached the store a
-   moment ago.  Return: whether this instance was reading and gives up.  */
-bool reader_heard (reader_t *reader, const char *own, const char *other,
-                   bool fresh, clock_ms_t now);
+/* What another instance that reads says of itself.  */
+typedef struct reader_statement
+{
+  const char *name;
+  bool fresh; /* it reached the store a moment ago */
+  bool weak;
+} reader_statement_t;
+
+/* Return: whether this instance was reading and gives up.  */
+bool reader_heard (reader_t *reader, const char *own,
+                   const reader_statement_t *other, clock_ms_t now);
 
 /**
  * reader_should_try() - whether to read the store now, though another one
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -14,6 +14,8 @@
 #define ANNOUNCE_SOON_S 0.002
 /* A change is repeated in statements for this time, as datagrams are lost. */
 #define CHANGE_REPEAT_MS 1200
+/* An instance that hears no reader for this time turns to the seeds.  */
+#define UNHEARD_MS 700
 /* One datagram; larger ones would be cut into fragments.  */
 #define DATAGRAM_MAX 1400
 #define RECEIVE_MAX 65536
@@ -34,17 +36,21 @@
 static void send_to (relay_t *relay, uint32_t ip, const char *data,
                      size_t length);
 static void hello (relay_t *relay, uint32_t ip);
+static fleet_wire_member own_member (const relay_t *relay);
 static void heard_announce (relay_t *relay, const char *sender, uint32_t ip,
                             const fleet_wire_announce *wire, clock_ms_t now);
 static void heard_hello (relay_t *relay, const fleet_wire_hello *wire,
                          clock_ms_t now);
+static void pass_on_hello (relay_t *relay, const char *sender,
+                           const char *data, size_t length, clock_ms_t now);
 static void apply_changes (relay_t *relay, const fleet_wire_announce *wire,
                            clock_ms_t now);
 
 relay_t *
 relay_new (struct ev_loop *loop, const struct sockaddr_in *address,
            view_t *view, members_t *members, reader_t *reader, feed_t *feed,
-           const relay_hooks_t *hooks, int *result)
+           const relay_seeds_t *seeds, const relay_hooks_t *hooks,
+           int *result)
 {
   relay_t *relay = g_new0 (relay_t, 1);
 
@@ -54,6 +60,7 @@
   relay->members = members;
   relay->reader = reader;
   relay->feed = feed;
+  relay->seeds = *seeds;
   relay->hooks = *hooks;
   relay->fetch_fd = -1;
   relay->tcp = -1;
@@ -92,8 +99,19 @@
 void
 relay_tick (relay_t *relay, clock_ms_t now)
 {
+  bool unheard = now - relay->reader->heard_any > UNHEARD_MS;
+
   if (!relay->reader->reading)
-    return;
+    {
+      if (unheard && now - relay->hello_at >= ANNOUNCE_EVERY_MS)
+        {
+          relay->hello_at = now;
+          for (int i = 0; i < relay->seeds.count; i++)
+            if (relay->seeds.ip[i] != relay->members->own->ip)
+              hello (relay, relay->seeds.ip[i]);
+        }
+      return;
+    }
   if (members_expire (relay->members, now))
     relay->hooks.members_changed (relay->hooks.context);
   if (now - relay->announced_at >= ANNOUNCE_EVERY_MS)
@@ -180,6 +198,8 @@
       = relay->view->routes != NULL ? relay->view->routes->version : 0;
   wire->members_digest = members_digest (relay->members);
   wire->fresh = reader_is_fresh (relay->reader, now);
+  wire->weak = relay->reader->weak;
+  wire->member = own_member (relay);
   wire->out.out_len = relay->view->out->len;
   wire->out.out_val = (fleet_wire_name *)(void *)relay->view->out->pdata;
   for (guint i = 0; i < relay->members->table->len; i++)
@@ -247,6 +267,16 @@
     telemetry_add (TELEMETRY_PEER_BYTES, 0, length);
 }
 
+static fleet_wire_member
+own_member (const relay_t *relay)
+{
+  const member_t *own = relay->members->own;
+
+  return (fleet_wire_member){ .name = own->name,
+                              .data_centre = own->data_centre,
+                              .ip = own->ip };
+}
+
 static void
 hello (relay_t *relay, uint32_t ip)
 {
@@ -257,9 +287,7 @@
   size_t length;
 
   wire->ready = own->ready;
-  wire->member = (fleet_wire_member){ .name = own->name,
-                                      .data_centre = own->data_centre,
-                                      .ip = own->ip };
+  wire->member = own_member (relay);
   length = encode (relay, &message, data, sizeof data);
   if (length > 0)
     send_to (relay, ip, data, length);
@@ -295,13 +323,34 @@
             heard_announce (relay, message.sender, from.sin_addr.s_addr,
                             &message.body.fleet_wire_body_u.announce, now);
           else
-            heard_hello (relay, &message.body.fleet_wire_body_u.hello, now);
+            {
+              pass_on_hello (relay, message.sender, data, (size_t)n, now);
+              heard_hello (relay, &message.body.fleet_wire_body_u.hello,
+                           now);
+            }
         }
       xdr_destroy (&xdr);
       xdr_free ((xdrproc_t)xdr_fleet_wire_message, (char *)&message);
     }
 }
 
+/* An instance that knows no reader has turned to this one as a seed.  Only
+   what its sender sent itself is passed on, so that nothing circles.  */
+static void
+pass_on_hello (relay_t *relay, const char *sender, const char *data,
+               size_t length, clock_ms_t now)
+{
+  const reader_t *reader = relay->reader;
+  const member_t *last;
+
+  if (reader->reading || now - reader->heard_any > UNHEARD_MS
+      || strcmp (sender, reader->last) == 0)
+    return;
+  last = members_find (relay->members, reader->last);
+  if (last != NULL)
+    send_to (relay, last->ip, data, length);
+}
+
 static void
 heard_hello (relay_t *relay, const fleet_wire_hello *wire, clock_ms_t now)
 {
@@ -344,12 +393,17 @@
   clock_ms_t last = MAX (reader->read_ok, reader->heard_fresh);
   uint64_t version
       = relay->view->routes != NULL ? relay->view->routes->version : 0;
+  reader_statement_t statement
+      = { .name = sender, .fresh = fresh, .weak = wire->weak != 0 };
+  unsigned int wanted = 0;
   GPtrArray *out;
 
+  (void)members_put (relay->members, wire->member.name,
+                     wire->member.data_centre, wire->member.ip, now);
   /* After a time without a reader entries may have lapsed.  */
   if (fresh && last != 0 && now - last > OUTAGE_MS)
     view_outage_ended (relay->view, now);
-  if (reader_heard (reader, relay->members->own->name, sender, fresh, now))
+  if (reader_heard (reader, relay->members->own->name, &statement, now))
     {
       telemetry_count (TELEMETRY_READER_CHANGES, 1);
       g_message ("leaves reading the store to %s", sender);
@@ -357,7 +411,6 @@
   hello (relay, ip);
   if (reader->reading)
     return;
-  feed_member_known (relay->feed);
   members_set_ready (relay->members, wire->ready.ready_val,
                      wire->ready.ready_len);
   relay->hooks.members_changed (relay->hooks.context);
@@ -371,13 +424,17 @@
     g_ptr_array_add (out, wire->out.out_val[i]);
   view_set_out (relay->view, out);
   g_ptr_array_free (out, TRUE);
-  if (wire->digest == view_digest (relay->view))
+  if (wire->config_version > version)
+    wanted |= FLEET_PART_CONFIG;
+  if (wire->members_digest != members_digest (relay->members))
+    wanted |= FLEET_PART_MEMBERS;
+  if (wire->digest != view_digest (relay->view))
+    wanted |= FLEET_PART_BACKENDS;
+  else
     {
       relay->view->revision = wire->revision;
       relay->view->listed = wire->revision != 0;
     }
-  if (wire->digest != view_digest (relay->view)
-      || wire->config_version > version
-      || wire->members_digest != members_digest (relay->members))
-    relay_fetch (relay, ip, now);
+  if (wanted != 0)
+    relay_fetch (relay, ip, wanted, now);
 }
--- a/lib/fleet/relay.h
+++ b/lib/fleet/relay.h
@@ -18,13 +18,23 @@
   void *context;
 } relay_hooks_t;
 
+#define RELAY_SEEDS_MAX 3
+
+/* Addresses at which other instances probably are, for the first start.  */
+typedef struct relay_seeds
+{
+  uint32_t ip[RELAY_SEEDS_MAX]; /* network byte order */
+  int count;
+} relay_seeds_t;
+
 /**
  * relay_new() - bind the port, which is the same on all instances
  * @result: out: 0 or a negative errno
  */
 relay_t *relay_new (struct ev_loop *loop, const struct sockaddr_in *address,
                     view_t *view, members_t *members, reader_t *reader,
-                    feed_t *feed, const relay_hooks_t *hooks, int *result);
+                    feed_t *feed, const relay_seeds_t *seeds,
+                    const relay_hooks_t *hooks, int *result);
 void relay_free (relay_t *relay);
 
 /* Called a few times a second.  */
--- a/lib/fleet/relay_fetch.c
+++ b/lib/fleet/relay_fetch.c
@@ -8,7 +8,7 @@
 
 #include "socket.h"
 
-#define FETCH_TIMEOUT_S 2.0
+#define FETCH_TIMEOUT_S 0.7
 /* Pause before the next fetch; the statements of that time may already have
    brought what was missing.  */
 #define FETCH_GAP_MS 150
@@ -18,6 +18,8 @@
 /* State that is being sent to another instance.  */
 typedef struct transfer
 {
+  relay_t *relay;
+  ev_io reader;
   ev_io writer;
   ev_timer timer;
   GByteArray *data;
@@ -25,10 +27,12 @@
 } transfer_t;
 
 static void on_accept (struct ev_loop *loop, ev_io *watcher, int events);
+static void on_wanted (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_transfer (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_transfer_timer (struct ev_loop *loop, ev_timer *watcher,
                                int events);
 static void transfer_end (struct ev_loop *loop, transfer_t *transfer);
+static void on_connected (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_fetched (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_fetch_timer (struct ev_loop *loop, ev_timer *watcher,
                             int events);
@@ -67,15 +71,39 @@
   if (fd < 0)
     return;
   transfer = g_new0 (transfer_t, 1);
-  transfer->data = wire_snapshot (relay->view, relay->members, clock_now ());
+  transfer->relay = relay;
+  ev_io_init (&transfer->reader, on_wanted, fd, EV_READ);
   ev_io_init (&transfer->writer, on_transfer, fd, EV_WRITE);
   ev_timer_init (&transfer->timer, on_transfer_timer, FETCH_TIMEOUT_S, 0);
+  transfer->reader.data = transfer;
   transfer->writer.data = transfer;
   transfer->timer.data = transfer;
-  ev_io_start (loop, &transfer->writer);
+  ev_io_start (loop, &transfer->reader);
   ev_timer_start (loop, &transfer->timer);
 }
 
+static void
+on_wanted (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  transfer_t *transfer = watcher->data;
+  relay_t *relay = transfer->relay;
+  uint8_t parts;
+  ssize_t n = recv (watcher->fd, &parts, sizeof parts, 0);
+
+  (void)events;
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (n != 1)
+    {
+      transfer_end (loop, transfer);
+      return;
+    }
+  transfer->data
+      = wire_snapshot (relay->view, relay->members, parts, clock_now ());
+  ev_io_stop (loop, &transfer->reader);
+  ev_io_start (loop, &transfer->writer);
+}
+
 static void
 on_transfer (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -103,15 +131,17 @@
 static void
 transfer_end (struct ev_loop *loop, transfer_t *transfer)
 {
+  ev_io_stop (loop, &transfer->reader);
   ev_io_stop (loop, &transfer->writer);
   ev_timer_stop (loop, &transfer->timer);
   close (transfer->writer.fd);
-  g_byte_array_free (transfer->data, TRUE);
+  if (transfer->data != NULL)
+    g_byte_array_free (transfer->data, TRUE);
   g_free (transfer);
 }
 
 void
-relay_fetch (relay_t *relay, uint32_t ip, clock_ms_t now)
+relay_fetch (relay_t *relay, uint32_t ip, unsigned int parts, clock_ms_t now)
 {
   struct sockaddr_in to = relay->address;
   int fd;
@@ -127,8 +157,12 @@
       return;
     }
   relay->fetch_fd = fd;
+  relay->fetch_parts = (uint8_t)parts;
   g_byte_array_set_size (relay->fetched, 0);
   ev_io_init (&relay->fetch_reader, on_fetched, fd, EV_READ);
+  ev_io_init (&relay->fetch_writer, on_connected, fd, EV_WRITE);
+  relay->fetch_writer.data = relay;
+  ev_io_start (relay->loop, &relay->fetch_writer);
   ev_timer_init (&relay->fetch_timer, on_fetch_timer, FETCH_TIMEOUT_S, 0);
   relay->fetch_reader.data = relay;
   relay->fetch_timer.data = relay;
@@ -136,12 +170,25 @@
   ev_timer_start (relay->loop, &relay->fetch_timer);
 }
 
+static void
+on_connected (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  relay_t *relay = watcher->data;
+
+  (void)events;
+  /* A failure shows when the answer is read.  */
+  (void)send (watcher->fd, &relay->fetch_parts, sizeof relay->fetch_parts,
+              MSG_NOSIGNAL);
+  ev_io_stop (loop, watcher);
+}
+
 static void
 fetch_end (relay_t *relay)
 {
   if (relay->fetch_fd < 0)
     return;
   ev_io_stop (relay->loop, &relay->fetch_reader);
+  ev_io_stop (relay->loop, &relay->fetch_writer);
   ev_timer_stop (relay->loop, &relay->fetch_timer);
   close (relay->fetch_fd);
   relay->fetch_fd = -1;
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -12,6 +12,7 @@
   members_t *members;
   reader_t *reader;
   feed_t *feed;
+  relay_seeds_t seeds;
   relay_hooks_t hooks;
   int udp;
   int tcp;
@@ -19,16 +20,20 @@
   ev_io tcp_acceptor;
   ev_timer soon; /* statement of a change, after others of the same moment */
   clock_ms_t announced_at;
+  clock_ms_t hello_at; /* last one to the seeds */
   /* Fetch under way.  */
   int fetch_fd; /* -1: none */
+  uint8_t fetch_parts;
   ev_io fetch_reader;
+  ev_io fetch_writer;
   ev_timer fetch_timer;
   GByteArray *fetched;
   clock_ms_t fetch_after; /* no fetch before */
 };
 
-/* Fetches the whole state from the instance at an address.  */
-void relay_fetch (relay_t *relay, uint32_t ip, clock_ms_t now);
+/* Fetches parts of the state from the instance at an address.  */
+void relay_fetch (relay_t *relay, uint32_t ip, unsigned int parts,
+                  clock_ms_t now);
 int relay_fetch_listen (relay_t *relay);
 void relay_fetch_close (relay_t *relay);
 
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -166,23 +166,26 @@
 }
 
 GByteArray *
-wire_snapshot (const view_t *view, const members_t *members, clock_ms_t now)
+wire_snapshot (const view_t *view, const members_t *members,
+               unsigned int parts, clock_ms_t now)
 {
-  fleet_wire_snapshot wire = { .revision = view->revision };
+  fleet_wire_snapshot wire
+      = { .revision = view->revision, .included = parts };
   GArray *backends = g_array_new (FALSE, FALSE, sizeof (fleet_wire_backend));
   GByteArray *data;
   uint32_t position = 0;
   u_int size;
   XDR xdr;
 
-  if (view->routes != NULL)
+  if (view->routes != NULL && (parts & FLEET_PART_CONFIG) != 0)
     {
       wire.config.config_len = 1;
       wire.config.config_val = g_new0 (fleet_wire_config, 1);
       from_routes (wire.config.config_val, view->routes);
     }
   for (const backend_t *b = backends_next (view->backends, &position);
-       b != NULL; b = backends_next (view->backends, &position))
+       b != NULL && (parts & FLEET_PART_BACKENDS) != 0;
+       b = backends_next (view->backends, &position))
     {
       fleet_wire_backend entry;
 
@@ -196,9 +199,10 @@
   wire.out.out_val = g_new0 (fleet_wire_name, view->out->len);
   for (guint i = 0; i < view->out->len; i++)
     wire.out.out_val[i] = g_ptr_array_index (view->out, i);
-  wire.members.members_len = members->table->len;
+  if ((parts & FLEET_PART_MEMBERS) != 0)
+    wire.members.members_len = members->table->len;
   wire.members.members_val = g_new0 (fleet_wire_member, members->table->len);
-  for (guint i = 0; i < members->table->len; i++)
+  for (guint i = 0; i < wire.members.members_len; i++)
     {
       const member_t *member = g_ptr_array_index (members->table, i);
 
@@ -239,16 +243,22 @@
       wire_to_backend (&wire->backends.backends_val[i], entry);
       g_ptr_array_add (entries, entry);
     }
-  view_replace (view, entries, wire->revision, now);
+  if ((wire->included & FLEET_PART_BACKENDS) != 0)
+    view_replace (view, entries, wire->revision, now);
   for (u_int i = 0; i < wire->out.out_len; i++)
     g_ptr_array_add (out, wire->out.out_val[i]);
   view_set_out (view, out);
-  for (u_int i = 0; i < wire->members.members_len; i++)
+  if ((wire->included & FLEET_PART_MEMBERS) != 0)
     {
-      const fleet_wire_member *member = &wire->members.members_val[i];
+      members_begin_replace (members);
+      for (u_int i = 0; i < wire->members.members_len; i++)
+        {
+          const fleet_wire_member *member = &wire->members.members_val[i];
 
-      (void)members_put (members, member->name, member->data_centre,
-                         member->ip, now);
+          (void)members_put (members, member->name, member->data_centre,
+                             member->ip, now);
+        }
+      members_end_replace (members);
     }
   g_ptr_array_free (entries, TRUE);
   g_ptr_array_free (out, TRUE);
--- a/lib/fleet/wire.h
+++ b/lib/fleet/wire.h
@@ -14,9 +14,9 @@
 /* Strings of @entry are those of @wire.  */
 void wire_to_backend (const fleet_wire_backend *wire, backend_entry_t *entry);
 
-/* Return: XDR of everything this instance knows.  */
+/* Return: XDR of the parts, a sum of FLEET_PART_.  */
 GByteArray *wire_snapshot (const view_t *view, const members_t *members,
-                           clock_ms_t now);
+                           unsigned int parts, clock_ms_t now);
 
 /**
  * wire_apply_snapshot() - merge another instance's statement
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -66,7 +66,7 @@
   instance.loop = ev_default_loop (EVFLAG_NOENV);
   if (instance.loop == NULL)
     return -ENOMEM;
-  reader_init (&instance.reader, clock_now ());
+  reader_init (&instance.reader, settings->weak, clock_now ());
   instance.backends = backends_new (settings->data_centre);
   instance.proxy
       = proxy_new (instance.loop, &proxy_settings, instance.backends);
@@ -80,8 +80,8 @@
   attach (source_context, instance.feed);
   instance.relay = relay_new (instance.loop, &settings->instances,
                               instance.view, instance.members,
-                              &instance.reader, instance.feed, &relay_hooks,
-                              &result);
+                              &instance.reader, instance.feed, &settings->seeds,
+                              &relay_hooks, &result);
   if (result == 0)
     result = open_servers (&instance);
   if (result == 0)
--- a/lib/instance/instance.h
+++ b/lib/instance/instance.h
@@ -16,6 +16,8 @@
   struct sockaddr_in addresses;   /* question which instances to use */
   struct sockaddr_in metrics;     /* port 0: none */
   struct sockaddr_in instances;   /* messages between instances */
+  relay_seeds_t seeds;
+  bool weak;                      /* a small machine: not the first to read */
   struct sockaddr_in store;
   repeats_rules_t repeats;
   clock_ms_t stop_within;         /* from SIGTERM to SIGKILL */
