Bound probes by a rate shared by all instances; late requests take what others leave

Cause: waiting requests asked five endpoints every 12 ms each; with an allowance of 0 the share for other data centres was still asked (3 at a time). Ruled out: the division among instances (it was wrong too: instances that are cut off counted only themselves; now all known ones count).

--- a/lib/balance/admission.h
+++ b/lib/balance/admission.h
@@ -8,11 +8,11 @@
 
 typedef struct admission_request
 {
-  work_class_t class;
-  bool urgent;            /* no other class of the service goes before it */
+  bool urgent;            /* other routes of the services are less urgent */
   clock_ms_t arrived;
   clock_ms_t target;      /* ms from the arrival */
   clock_ms_t give_up_at;  /* no answer after it reaches the caller */
+  double base;            /* ms of work, from estimate_base() */
 } admission_request_t;
 
 typedef enum admission
@@ -24,19 +24,19 @@
 
 /**
  * admission_decide() - decide on a request
- * @load: load of the best endpoint that was probed; NULL when none answered
+ * @load: load of the best endpoint that answered; NULL when none did
  * @estimate: ms that the request would take there
  */
 admission_t admission_decide (const admission_request_t *request,
                               const backend_load_t *load, double estimate,
                               clock_ms_t now);
 
+/* Whether an answer within the target is still possible.  */
+bool admission_can_be_in_time (const admission_request_t *request,
+                               clock_ms_t now);
+
 /* Whether the first of two waiting requests goes before the second.  */
 bool admission_before (const admission_request_t *a,
-                       const admission_request_t *b, double work_a,
-                       double work_b, clock_ms_t now);
-
-/* Time after which a refused request is worth repeating, in ms.  */
-clock_ms_t admission_retry_after (const service_t *service);
+                       const admission_request_t *b, clock_ms_t now);
 
 #endif
--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -13,11 +13,11 @@
 
 static void entry_copy (backend_entry_t *to, const backend_entry_t *from);
 static void entry_clear (backend_entry_t *entry);
-static backend_t *slot_for (backends_t *backends, const char *id);
+static backend_t *slot_for (backends_t *backends);
 static void release (backends_t *backends, backend_t *backend);
 
 backends_t *
-backends_new (const char *own_data_centre)
+backends_new (const char *own_name, const char *own_data_centre)
 {
   backends_t *backends = g_new0 (backends_t, 1);
 
@@ -27,6 +27,7 @@
   backends->out
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   backends->data_centre = g_strdup (own_data_centre);
+  backends->own_name = g_strdup (own_name);
   return backends;
 }
 
@@ -53,6 +54,8 @@
   g_hash_table_destroy (backends->by_id);
   g_hash_table_destroy (backends->out);
   g_free (backends->data_centre);
+  g_free (backends->own_name);
+  g_strfreev (backends->instances);
   g_free (backends);
 }
 
@@ -72,8 +75,6 @@
   service->health_path = g_strdup ("/");
   service->reports_load = true;
   service->crowded = 1.0;
-  for (size_t i = 0; i < G_N_ELEMENTS (service->work); i++)
-    service->work[i] = 0;
   g_ptr_array_add (backends->services, service);
   return (service_ref_t)backends->services->len - 1;
 }
@@ -131,9 +132,11 @@
     }
   if (backend == NULL)
     {
-      backend = slot_for (backends, entry->id);
+      backend = slot_for (backends);
       entry_copy (&backend->entry, entry);
       backend->service = backends_service (backends, entry->service);
+      backend->affinity
+          = backends_weight (backends->own_name, entry->id);
       g_hash_table_insert (backends->by_id, backend->entry.id, backend);
     }
   else
@@ -148,12 +151,11 @@
 
 /* Takes a free slot of the table, or a new one.  */
 static backend_t *
-slot_for (backends_t *backends, const char *id)
+slot_for (backends_t *backends)
 {
   backend_t *backend = NULL;
   uint32_t generation = 1;
 
-  (void)id;
   for (guint i = 0; i < backends->table->len && backend == NULL; i++)
     {
       backend_t *slot = g_ptr_array_index (backends->table, i);
@@ -197,6 +199,12 @@
   return true;
 }
 
+int
+backends_count (const backends_t *backends)
+{
+  return (int)g_hash_table_size (backends->by_id);
+}
+
 backend_t *
 backends_next (backends_t *backends, uint32_t *position)
 {
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -73,6 +73,7 @@
   double faults;              /* smoothed share of requests that failed */
   clock_ms_t faults_at;       /* of the last request that counted */
   clock_ms_t cold_sent_at;    /* last request of this instance while cold */
+  uint32_t affinity;          /* orders endpoints differently on each instance */
 } backend_t;
 
 typedef struct service
@@ -82,14 +83,13 @@
   int connections_max;
   double cold_per_s;
   bool reports_load;          /* its health answers state the load */
-  double work[4];             /* ms of work by kind, see estimate.h */
   double crowded;             /* slowdown with all slots in use, at least 1 */
   void *user;                 /* of the proxy */
 } service_t;
 
 typedef struct backends backends_t;
 
-backends_t *backends_new (const char *own_data_centre);
+backends_t *backends_new (const char *own_name, const char *own_data_centre);
 void backends_free (backends_t *backends);
 
 /* The service of that name, created when it is new.  */
@@ -112,6 +112,8 @@
  */
 bool backends_remove (backends_t *backends, const char *id);
 
+/* Number of endpoints.  */
+int backends_count (const backends_t *backends);
 /* Entries of the store in their order; NULL ends.  */
 backend_t *backends_next (backends_t *backends, uint32_t *position);
 backend_t *backends_find (backends_t *backends, const char *id);
@@ -144,10 +146,10 @@
 
 /**
  * cold_share_set() - state the instances among which cold endpoints are shared
- * @names: names of the live instances, own one included
+ * @names: names of the known instances, own one included
  */
-void cold_share_set (backends_t *backends, const char *own_name,
-                     const char *const *names, int count);
+void cold_share_set (backends_t *backends, const char *const *names,
+                     int count);
 
 /**
  * cold_may_send() - whether this instance may send a request to a cold endpoint
--- a/lib/balance/backends_private.h
+++ b/lib/balance/backends_private.h
@@ -7,6 +7,9 @@
    each it is below the smallest bound of a cold endpoint in use.  */
 #define COLD_SENDERS_MAX 12
 
+/* Weight of an instance for an endpoint, for rendezvous hashing.  */
+uint32_t backends_weight (const char *instance, const char *endpoint);
+
 struct backends
 {
   GPtrArray *table;    /* backend_t *, never removed; index of a ref */
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -8,9 +8,16 @@
    there and back, and the price of the bytes.  */
 #define REMOTE_MS 8.0
 #define REMOTE_BULK_MS 120.0
+/* Endpoints of a service that an instance usually uses, in its own data centre
+   and in others.  */
+#define USUAL_LOCAL 32
+#define USUAL_REMOTE 12
 
 static bool is_excluded (const backends_t *backends, const backend_t *backend,
                          const choose_wish_t *wish);
+static void keep_usual (backends_t *backends, GArray *refs, guint count);
+static gint compare_affinity (gconstpointer a, gconstpointer b,
+                              gpointer data);
 static void shuffle (backend_ref_t *refs, int count, decide_rng_t *rng);
 
 static bool
@@ -26,6 +33,27 @@
   return false;
 }
 
+static gint
+compare_affinity (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const backend_t *left = backends_get (data, *(const backend_ref_t *)a);
+  const backend_t *right = backends_get (data, *(const backend_ref_t *)b);
+
+  return (left->affinity < right->affinity)
+         - (left->affinity > right->affinity);
+}
+
+/* Leaves the endpoints that this instance usually uses, so that connections to
+   them are used again before they are idle too long.  */
+static void
+keep_usual (backends_t *backends, GArray *refs, guint count)
+{
+  if (refs->len <= count)
+    return;
+  g_array_sort_with_data (refs, compare_affinity, backends);
+  g_array_set_size (refs, count);
+}
+
 static void
 shuffle (backend_ref_t *refs, int count, decide_rng_t *rng)
 {
@@ -79,10 +107,15 @@
       else
         g_array_append_val (remote, ref);
     }
+  if (!wish->wide)
+    {
+      keep_usual (backends, local, USUAL_LOCAL);
+      keep_usual (backends, remote, USUAL_REMOTE);
+    }
   shuffle ((backend_ref_t *)(void *)local->data, (int)local->len, rng);
   shuffle ((backend_ref_t *)(void *)remote->data, (int)remote->len, rng);
   shuffle ((backend_ref_t *)(void *)avoided->data, (int)avoided->len, rng);
-  n_remote = MIN (wish->remote, (int)remote->len);
+  n_remote = MIN (MIN (wish->remote, count), (int)remote->len);
   n_local = MIN (count - n_remote, (int)local->len);
   n_remote = MIN (count - n_local, (int)remote->len);
   for (int i = 0; i < n_local; i++)
@@ -100,19 +133,14 @@
 
 double
 choose_cost (backends_t *backends, const backend_t *backend,
-             work_class_t class, bool bulk, clock_ms_t fallback,
-             clock_ms_t now, double *estimate)
+             double base, bool bulk, clock_ms_t now, double *estimate)
 {
   const service_t *service = backends_service_get (backends, backend->service);
   const backend_load_t *load = &backend->load;
-  uint32_t busy = load->running + load->waiting;
   double cost;
 
-  *estimate = estimate_work (service, class, load,
-                             backend_is_cold (backend, now), fallback);
-  /* What is ahead in the endpoint's queue is worked off slot by slot.  */
-  if (load->slots > 0 && busy >= load->slots)
-    *estimate *= 1.0 + (double)(busy - load->slots + 1) / load->slots;
+  *estimate
+      = estimate_at (service, base, load, backend_is_cold (backend, now));
   cost = *estimate * (1.0 + FAULT_FACTOR * backend_faults (backend, now));
   if (!backend_is_local (backends, backend))
     cost += bulk ? REMOTE_BULK_MS : REMOTE_MS;
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -16,6 +16,7 @@
   int n_excluded;
   int count;                     /* endpoints to probe */
   int remote;                    /* of them at least in other data centres */
+  bool wide;                     /* of all endpoints, not only the usual ones */
 } choose_wish_t;
 
 /**
@@ -38,10 +39,10 @@
 
 /**
  * choose_cost() - what a request would cost at an endpoint, lower is better
+ * @base: ms of work, from estimate_base()
  * @estimate: out: ms that it would take there
  */
 double choose_cost (backends_t *backends, const backend_t *backend,
-                    work_class_t class, bool bulk, clock_ms_t fallback,
-                    clock_ms_t now, double *estimate);
+                    double base, bool bulk, clock_ms_t now, double *estimate);
 
 #endif
--- a/lib/balance/cold.c
+++ b/lib/balance/cold.c
@@ -6,22 +6,17 @@
    rest above a second covers different travel times.  */
 #define COLD_GAP_MS 1100
 
-static uint32_t weight_of (const char *instance, const char *endpoint);
-
 void
-cold_share_set (backends_t *backends, const char *own_name,
-                const char *const *names, int count)
+cold_share_set (backends_t *backends, const char *const *names, int count)
 {
   g_strfreev (backends->instances);
-  g_free (backends->own_name);
-  backends->own_name = g_strdup (own_name);
   backends->instances = g_new0 (char *, (gsize)count + 1);
   for (int i = 0; i < count; i++)
     backends->instances[i] = g_strdup (names[i]);
 }
 
-static uint32_t
-weight_of (const char *instance, const char *endpoint)
+uint32_t
+backends_weight (const char *instance, const char *endpoint)
 {
   char text[160];
 
@@ -43,10 +38,10 @@
     return false;
   if (backends->instances == NULL)
     return false;
-  own = weight_of (backends->own_name, backend->entry.id);
+  own = backends_weight (backends->own_name, backend->entry.id);
   for (int i = 0; backends->instances[i] != NULL; i++)
     if (strcmp (backends->instances[i], backends->own_name) != 0
-        && weight_of (backends->instances[i], backend->entry.id) >= own)
+        && backends_weight (backends->instances[i], backend->entry.id) >= own)
       before++;
   return before < senders;
 }
--- a/lib/balance/estimate.c
+++ b/lib/balance/estimate.c
@@ -4,10 +4,13 @@
 #define WORK_WEIGHT 0.05
 /* A cold endpoint takes about twice as long as a warm one.  */
 #define COLD_FACTOR 2.0
-/* Smoothed slowdown of a full endpoint stays within these.  */
+/* Smoothed slowdown of a full endpoint stays below.  */
 #define CROWDED_MAX 3.0
 /* Share of the slots above which an endpoint counts as nearly full.  */
 #define CROWDED_FROM 0.8
+/* Share of its target that a request of an unknown route is taken to need. */
+#define UNKNOWN_SHARE 0.4
+#define PACE_USUAL 100U
 
 static bool is_crowded (const backend_load_t *load);
 
@@ -20,10 +23,10 @@
 }
 
 void
-estimate_learn (service_t *service, work_class_t class,
-                const backend_load_t *load, clock_ms_t took)
+estimate_learn (service_t *service, work_t *work, const backend_load_t *load,
+                clock_ms_t took)
 {
-  double work = (double)took * 100.0 / MAX (load->pace, 100U);
+  double ms = (double)took * PACE_USUAL / MAX (load->pace, PACE_USUAL);
 
   if (load->waiting > 0 || load->running >= load->slots)
     return;
@@ -31,31 +34,38 @@
     {
       double ratio;
 
-      if (service->work[class] <= 0)
+      if (work->ms <= 0)
         return;
-      ratio = CLAMP (work / service->work[class], 0.5, CROWDED_MAX);
+      ratio = CLAMP (ms / work->ms, 0.5, CROWDED_MAX);
       service->crowded += WORK_WEIGHT * (ratio - service->crowded);
       service->crowded = MAX (service->crowded, 1.0);
       return;
     }
-  if (service->work[class] <= 0)
-    service->work[class] = work;
+  if (work->ms <= 0)
+    work->ms = ms;
   else
-    service->work[class] += WORK_WEIGHT * (work - service->work[class]);
+    work->ms += WORK_WEIGHT * (ms - work->ms);
 }
 
 double
-estimate_work (const service_t *service, work_class_t class,
-               const backend_load_t *load, bool cold, clock_ms_t fallback)
+estimate_base (const work_t *work, clock_ms_t target)
 {
-  double work = service->work[class];
+  return work->ms > 0 ? work->ms : (double)target * UNKNOWN_SHARE;
+}
+
+double
+estimate_at (const service_t *service, double base, const backend_load_t *load,
+             bool cold)
+{
+  uint32_t busy = load->running + load->waiting;
+  double ms = base * MAX (load->pace, PACE_USUAL) / PACE_USUAL;
 
-  if (work <= 0)
-    work = (double)fallback;
-  work *= MAX (load->pace, 100U) / 100.0;
   if (is_crowded (load))
-    work *= service->crowded;
+    ms *= service->crowded;
   if (cold)
-    work *= COLD_FACTOR;
-  return work;
+    ms *= COLD_FACTOR;
+  /* What is ahead in the endpoint's queue is worked off slot by slot.  */
+  if (load->slots > 0 && busy >= load->slots)
+    ms *= 1.0 + (double)(busy - load->slots + 1) / load->slots;
+  return ms;
 }
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -58,6 +58,7 @@
   proxy_settings_t proxy_settings = { .names = settings->names,
                                       .repeats = settings->repeats,
                                       .probes = PROBES,
+                                      .probes_per_s = settings->probes_per_s,
                                       .log_sample = LOG_SAMPLE,
                                       .log_per_s = LOG_PER_S };
   feed_source_t source;
@@ -67,7 +68,7 @@
   if (instance.loop == NULL)
     return -ENOMEM;
   reader_init (&instance.reader, settings->weak, clock_now ());
-  instance.backends = backends_new (settings->data_centre);
+  instance.backends = backends_new (settings->name, settings->data_centre);
   instance.proxy
       = proxy_new (instance.loop, &proxy_settings, instance.backends);
   instance.view = view_new (instance.backends, &view_hooks);
@@ -236,18 +237,20 @@
   instance_t *instance = context;
   const members_t *members = instance->members;
   const char **names = g_new0 (const char *, members->table->len);
-  int count = 0;
+  int count = (int)members->table->len;
 
-  for (guint i = 0; i < members->table->len; i++)
+  /* All that are known, not only those that are heard: instances that are cut
+     off from each other still share one budget.  */
+  for (int i = 0; i < count; i++)
     {
-      const member_t *member = g_ptr_array_index (members->table, i);
+      const member_t *member
+          = g_ptr_array_index (members->table, (guint)i);
 
-      if (member->ready || member == members->own)
-        names[count++] = member->name;
+      names[i] = member->name;
     }
   proxy_set_instances (instance->proxy, count);
-  cold_share_set (instance->backends, members->own->name, names, count);
-  telemetry_gauge_set (TELEMETRY_MEMBERS_HEARD, count);
+  cold_share_set (instance->backends, names, count);
+  telemetry_gauge_set (TELEMETRY_MEMBERS_HEARD, members_ready (members));
   g_free (names);
 }
 
--- a/lib/instance/instance.h
+++ b/lib/instance/instance.h
@@ -20,6 +20,7 @@
   bool weak;                      /* a small machine: not the first to read */
   struct sockaddr_in store;
   repeats_rules_t repeats;
+  double probes_per_s;            /* most probes of one endpoint */
   clock_ms_t stop_within;         /* from SIGTERM to SIGKILL */
   clock_ms_t addresses_kept_max;  /* callers keep an answer at most so long */
   proxy_names_t names;
--- a/lib/proxy/probe.c
+++ b/lib/proxy/probe.c
@@ -7,8 +7,31 @@
 /* An endpoint that takes longer counts as silent.  */
 #define PROBE_TIMEOUT_MS 400
 
+/* Part of the allowed rate that is used; other instances may probe more.  */
+#define RATE_USED 0.7
+/* Seconds of the rate that may be used at once, after a quiet time.  */
+#define RATE_SAVED_S 8.0
+
 static backend_health_t health_of (const uplink_t *uplink);
 
+int
+probe_allowance (proxy_t *proxy, int wanted)
+{
+  clock_ms_t now = clock_now ();
+  double rate = proxy->settings.probes_per_s * RATE_USED
+                * backends_count (proxy->backends) / proxy->instances;
+
+  if (proxy->settings.probes_per_s <= 0)
+    return wanted;
+  proxy->probes_left = MIN (
+      proxy->probes_left + rate * (double)(now - proxy->probes_at) / 1000.0,
+      rate * RATE_SAVED_S);
+  proxy->probes_at = now;
+  wanted = MIN (wanted, (int)proxy->probes_left);
+  proxy->probes_left -= wanted;
+  return wanted;
+}
+
 void
 probe_start (uplink_t *uplink, round_t *round)
 {
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -23,7 +23,7 @@
   proxy->backends = backends;
   proxy->pools = g_ptr_array_new ();
   proxy->uplinks = g_ptr_array_new ();
-  proxy->splits
+  proxy->route_states
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   proxy->instances = 1;
   proxy->log_left = settings->log_per_s;
@@ -41,7 +41,7 @@
   ev_timer_stop (proxy->loop, &proxy->sweep);
   pools_free (proxy);
   g_ptr_array_free (proxy->uplinks, TRUE);
-  g_hash_table_destroy (proxy->splits);
+  g_hash_table_destroy (proxy->route_states);
   for (int i = 0; i < backends_service_count (proxy->backends); i++)
     {
       service_t *service = backends_service_get (proxy->backends, i);
@@ -105,8 +105,18 @@
       service->connections_max = rules->connections_max;
       service->cold_per_s = rules->cold_per_s;
     }
-  /* Weights may have changed.  */
-  g_hash_table_remove_all (proxy->splits);
+  proxy->priority_last = 0;
+  for (guint i = 0; i < routes->routes->len; i++)
+    {
+      const route_t *route = g_ptr_array_index (routes->routes, i);
+      route_state_t *state
+          = g_hash_table_lookup (proxy->route_states, route->name);
+
+      proxy->priority_last = MAX (proxy->priority_last, route->priority);
+      /* Weights may have changed.  */
+      if (state != NULL)
+        state->split_begun = false;
+    }
 }
 
 void
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -32,6 +32,8 @@
   proxy_names_t names;
   repeats_rules_t repeats;
   int probes;              /* endpoints asked for each request */
+  double probes_per_s;     /* most probes of one endpoint, of all instances
+                              together; 0: not bounded */
   double log_sample;       /* share of unremarkable requests that are logged */
   uint32_t log_per_s;      /* most log lines a second */
 } proxy_settings_t;
@@ -48,7 +50,7 @@
 void proxy_set_routes (proxy_t *proxy, const routes_t *routes);
 void proxy_set_repeats (proxy_t *proxy, const repeats_rules_t *rules);
 
-/* Live instances among which budgets are divided, own one included.  */
+/* Known instances, among which budgets are divided, own one included.  */
 void proxy_set_instances (proxy_t *proxy, int count);
 
 /* Requests that are not answered yet.  */
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -20,7 +20,7 @@
   proxy_settings_t settings;
   backends_t *backends;
   const routes_t *routes; /* NULL: none yet */
-  GHashTable *splits; /* route name to route_split_t */
+  GHashTable *route_states; /* route name to route_state_t */
   GPtrArray *pools;   /* pool_t *, by index of the endpoint */
   GPtrArray *uplinks; /* uplink_t *, all that are open */
   decide_rng_t rng;
@@ -28,6 +28,9 @@
   int instances;
   int in_flight;
   bool refusing;
+  double probes_left; /* probes that may be started now */
+  clock_ms_t probes_at;
+  int priority_last;  /* of the least urgent route */
   uint32_t log_left; /* lines that may be written in this second */
   uint64_t log_suppressed;
 };
@@ -40,6 +43,14 @@
   int open;
 } pool_t;
 
+/* State of the proxy for one route, across versions of the configuration.  */
+typedef struct route_state
+{
+  route_split_t split;
+  bool split_begun;
+  work_t work;
+} route_state_t;
+
 /* State of the proxy for one service.  */
 typedef struct service_state
 {
@@ -127,6 +138,7 @@
   bool idempotent;
   bool bulk;
   int endpoints_max;
+  route_state_t *route_state;
   service_ref_t service;
   admission_request_t admission;
   clock_ms_t caller_until; /* the caller stops waiting */
@@ -190,6 +202,9 @@
 
 /* ---- probe.c ---- */
 void probe_start (uplink_t *uplink, round_t *round);
+/* Number of probes, at most @wanted, that the rate allows now; they are
+   counted.  */
+int probe_allowance (proxy_t *proxy, int wanted);
 void probe_answered (uplink_t *uplink);
 void probe_failed (uplink_t *uplink, const char *why);
 
@@ -198,6 +213,9 @@
 void round_probed (round_t *round, uplink_t *uplink);
 void round_failed (round_t *round);
 void round_leave (request_t *request);
+/* A connection is free whose endpoint has just stated its load: it is used for
+   a waiting request.  Return: whether it was.  */
+bool round_offer (uplink_t *uplink);
 
 /* ---- request.c ---- */
 void request_new (proxy_t *proxy, exchange_t *exchange);
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -24,16 +24,17 @@
 static void on_give_up (struct ev_loop *loop, ev_timer *watcher, int events);
 static void on_again (struct ev_loop *loop, ev_timer *watcher, int events);
 static const route_t *find_route (proxy_t *proxy, const exchange_t *exchange);
-static int choose_part (proxy_t *proxy, const route_t *route);
+static route_state_t *state_of (proxy_t *proxy, const route_t *route);
+static int choose_part (proxy_t *proxy, const route_t *route,
+                        route_state_t *state);
 static void set_times (request_t *request, const route_t *route);
 static void build (request_t *request, const uplink_t *uplink,
                    GByteArray *out);
 static void forget_uplink (request_t *request, const uplink_t *uplink);
 static void queue_up (request_t *request);
 static void unqueue (request_t *request);
-static void start_beside_timer (request_t *request, const backend_t *backend);
+static void start_beside_timer (request_t *request, const uplink_t *uplink);
 static bool may_repeat (request_t *request, attempt_failure_t failure);
-static work_class_t class_of (proxy_t *proxy, const route_t *route);
 
 service_state_t *
 service_state (proxy_t *proxy, service_ref_t service)
@@ -62,41 +63,32 @@
   return routes_find (proxy->routes, name, exchange->target);
 }
 
-static int
-choose_part (proxy_t *proxy, const route_t *route)
+static route_state_t *
+state_of (proxy_t *proxy, const route_t *route)
 {
-  route_split_t *split = g_hash_table_lookup (proxy->splits, route->name);
+  route_state_t *state
+      = g_hash_table_lookup (proxy->route_states, route->name);
 
-  if (route->n_parts <= 1)
-    return 0;
-  if (split == NULL)
+  if (state == NULL)
     {
-      split = g_new0 (route_split_t, 1);
-      /* Instances don't begin their divisions at the same place.  */
-      for (int i = 0; i < route->n_parts; i++)
-        split->credit[i] = decide_rng_below (&proxy->rng,
-                                             route->parts[i].weight + 1);
-      g_hash_table_insert (proxy->splits, g_strdup (route->name), split);
+      state = g_new0 (route_state_t, 1);
+      g_hash_table_insert (proxy->route_states, g_strdup (route->name),
+                           state);
     }
-  return route_split_next (split, route);
+  return state;
 }
 
-/* Whether the service has a route that is less urgent.  */
-static work_class_t
-class_of (proxy_t *proxy, const route_t *route)
+static int
+choose_part (proxy_t *proxy, const route_t *route, route_state_t *state)
 {
-  if (route->bulk)
-    return WORK_BULK;
-  if (!route->idempotent)
-    return WORK_ONCE;
-  for (guint i = 0; i < proxy->routes->routes->len; i++)
-    {
-      const route_t *other = g_ptr_array_index (proxy->routes->routes, i);
-
-      if (other->priority > route->priority)
-        return WORK_URGENT;
-    }
-  return WORK_IDEMPOTENT;
+  if (route->n_parts <= 1)
+    return 0;
+  /* Instances don't begin their divisions at the same place.  */
+  for (int i = 0; i < route->n_parts && !state->split_begun; i++)
+    state->split.credit[i]
+        = decide_rng_below (&proxy->rng, route->parts[i].weight + 1);
+  state->split_begun = true;
+  return route_split_next (&state->split, route);
 }
 
 static void
@@ -158,12 +150,14 @@
   request->idempotent = route->idempotent;
   request->bulk = route->bulk;
   request->endpoints_max = CLAMP (route->endpoints_max, 1, TRIED_MAX);
+  request->route_state = state_of (proxy, route);
   request->service = backends_service (
-      proxy->backends, route->parts[choose_part (proxy, route)].service);
-  request->admission.class = class_of (proxy, route);
-  request->admission.urgent
-      = request->admission.class == WORK_URGENT || !route->idempotent;
+      proxy->backends,
+      route->parts[choose_part (proxy, route, request->route_state)].service);
+  request->admission.urgent = route->priority < proxy->priority_last;
   set_times (request, route);
+  request->admission.base = estimate_base (&request->route_state->work,
+                                           request->admission.target);
   if (proxy->refusing)
     {
       request_refuse (request, OUTCOME_STOPPING, NULL);
@@ -281,18 +275,17 @@
     backend->cold_sent_at = now;
   build (request, uplink, uplink->out);
   decision_log (request, G_LOG_LEVEL_DEBUG, "sent", backend, NULL);
-  start_beside_timer (request, backend);
+  start_beside_timer (request, uplink);
   uplink_send (uplink);
 }
 
 static void
-start_beside_timer (request_t *request, const backend_t *backend)
+start_beside_timer (request_t *request, const uplink_t *uplink)
 {
   const service_t *service
       = backends_service_get (request->proxy->backends, request->service);
-  double expected
-      = estimate_work (service, request->admission.class, &backend->load,
-                       false, request->admission.target / 3);
+  double expected = estimate_at (service, request->admission.base,
+                                 &uplink->load_before, false);
 
   if (!request->idempotent || request->n_tried >= request->endpoints_max)
     return;
@@ -437,12 +430,15 @@
       if (well)
         estimate_learn (
             backends_service_get (proxy->backends, backend->service),
-            request->admission.class, &uplink->load_before,
+            &request->route_state->work, &uplink->load_before,
             now - uplink->sent_at);
     }
   telemetry_observe (TELEMETRY_FIRST_BYTE_US, (now - uplink->sent_at) * 1000);
   decision_log (request, G_LOG_LEVEL_DEBUG, "answered", backend, NULL);
   request_deliver (request, answer);
+  if (!uplink->dead && uplink->keep && uplink->has_load
+      && uplink->sent == uplink->out->len && round_offer (uplink))
+    return;
   uplink_release (uplink);
 }
 
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -6,6 +6,7 @@
 
 /* Longest time that a refused caller is told to wait.  */
 #define RETRY_AFTER_MAX_MS 1000
+#define RETRY_AFTER_MIN_MS 20
 
 static clock_ms_t retry_after (const request_t *request,
                                telemetry_outcome_t outcome);
@@ -101,8 +102,7 @@
     return 0;
   if (request->service < 0)
     return RETRY_AFTER_MAX_MS;
-  time = admission_retry_after (
-      backends_service_get (proxy->backends, request->service));
+  time = MAX ((clock_ms_t)request->admission.base, RETRY_AFTER_MIN_MS);
   /* Spread, so that callers refused together don't return together.  */
   time = time / 2 + decide_rng_below (&proxy->rng, (uint32_t)time + 1);
   return MIN (time, RETRY_AFTER_MAX_MS);
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -14,24 +14,19 @@
    centres.  */
 #define REMOTE_FIRST 1
 #define REMOTE_LATER 3
+/* From this round on any endpoint is asked.  */
+#define WIDE_FROM 3
 
 static void on_timer (struct ev_loop *loop, ev_timer *watcher, int events);
 static void decide (round_t *round);
 static void drop (round_t *round);
 static void release_held (round_t *round, uplink_t *except);
-static uplink_t *best_for (round_t *round, request_t *request,
+static uplink_t *best_for (const round_t *round, const request_t *request,
                            double *estimate);
 static bool was_tried (const request_t *request, const uplink_t *uplink);
-static request_t *first_waiting (round_t *round);
-static clock_ms_t fallback_of (const request_t *request);
+static request_t *first_waiting (proxy_t *proxy, service_ref_t service);
 static void decide_beside (round_t *round, request_t *request);
 
-static clock_ms_t
-fallback_of (const request_t *request)
-{
-  return request->admission.target / 3;
-}
-
 void
 round_start (request_t *request, bool beside)
 {
@@ -41,7 +36,9 @@
                          .bulk = request->bulk,
                          .excluded = request->tried,
                          .n_excluded = request->n_tried,
-                         .count = proxy->settings.probes,
+                         .count = probe_allowance (proxy,
+                                                   proxy->settings.probes),
+                         .wide = request->rounds >= WIDE_FROM,
                          .remote = request->bulk ? 0
                                    : request->rounds == 0 ? REMOTE_FIRST
                                                           : REMOTE_LATER };
@@ -156,7 +153,7 @@
 }
 
 static uplink_t *
-best_for (round_t *round, request_t *request, double *estimate)
+best_for (const round_t *round, const request_t *request, double *estimate)
 {
   proxy_t *proxy = round->proxy;
   clock_ms_t now = clock_now ();
@@ -173,8 +170,8 @@
       if (backend == NULL || uplink->dead || was_tried (request, uplink)
           || !choose_allows (proxy->backends, backend, now))
         continue;
-      cost = choose_cost (proxy->backends, backend, request->admission.class,
-                          request->bulk, fallback_of (request), now, &time);
+      cost = choose_cost (proxy->backends, backend, request->admission.base,
+                          request->bulk, now, &time);
       if (best == NULL || cost < best_cost)
         {
           best = uplink;
@@ -187,11 +184,9 @@
 
 /* The waiting request that the service serves next.  */
 static request_t *
-first_waiting (round_t *round)
+first_waiting (proxy_t *proxy, service_ref_t service)
 {
-  service_state_t *state = service_state (round->proxy, round->service);
-  const service_t *service
-      = backends_service_get (round->proxy->backends, round->service);
+  service_state_t *state = service_state (proxy, service);
   clock_ms_t now = clock_now ();
   request_t *first = NULL;
 
@@ -201,8 +196,7 @@
 
       if (first == NULL
           || admission_before (&request->admission, &first->admission,
-                               service->work[request->admission.class],
-                               service->work[first->admission.class], now))
+                               now))
         first = request;
     }
   return first;
@@ -222,7 +216,8 @@
 
   request->round = NULL;
   round->request = NULL;
-  if (backend == NULL
+  /* While others wait for a first attempt there is no room for a second.  */
+  if (backend == NULL || state->waiting.length > 0
       || backend->load.running + backend->load.waiting >= backend->load.slots
       || now + (clock_ms_t)estimate > request->admission.give_up_at
       || !repeats_take (&state->repeats, &proxy->settings.repeats,
@@ -254,7 +249,7 @@
       decide_beside (round, own);
       return;
     }
-  request = first_waiting (round);
+  request = first_waiting (round->proxy, round->service);
   best = request != NULL ? best_for (round, request, &estimate) : NULL;
   if (request != NULL && best == NULL && own != NULL && own != request)
     {
@@ -293,3 +288,27 @@
   if (own != NULL && own->state == REQUEST_WAITING)
     request_wait (own, ROUND_PAUSE_MS);
 }
+
+bool
+round_offer (uplink_t *uplink)
+{
+  proxy_t *proxy = uplink->proxy;
+  backend_t *backend = backends_get (proxy->backends, uplink->backend);
+  request_t *request;
+  clock_ms_t now = clock_now ();
+  double estimate;
+
+  if (backend == NULL || !choose_allows (proxy->backends, backend, now))
+    return false;
+  request = first_waiting (proxy, backend->service);
+  if (request == NULL || was_tried (request, uplink))
+    return false;
+  (void)choose_cost (proxy->backends, backend, request->admission.base,
+                     request->bulk, now, &estimate);
+  if (admission_decide (&request->admission, &backend->load, estimate, now)
+      != ADMISSION_SEND)
+    return false;
+  round_leave (request);
+  request_send (request, uplink);
+  return true;
+}
