Start faster, hold requests for the first configuration, do not copy bodies

Cause: after all machines lose power the worst window was empty: an instance listened 400 ms before it read, and refused requests with 'come back in 1 s' although its configuration came 100 ms later. A body stood three times in memory (answer, exchange, connection).

--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -11,6 +11,7 @@
 
 /* Places among which instances that know no other are spread.  */
 #define ALONE_PLACES 12
+#define SEED_PLACES 3
 
 static void member_free (gpointer data);
 static gint compare_names (gconstpointer a, gconstpointer b);
@@ -24,6 +25,7 @@
   members->table = g_ptr_array_new_with_free_func (member_free);
   (void)members_put (members, own_name, own_data_centre, own_ip, 0);
   members->own = members_find (members, own_name);
+  members->place = SEED_PLACES + (int)(members->own->hash % ALONE_PLACES);
   return members;
 }
 
@@ -141,6 +143,12 @@
   return digest;
 }
 
+void
+members_set_place (members_t *members, int place)
+{
+  members->place = place;
+}
+
 bool
 members_expire (members_t *members, clock_ms_t now)
 {
@@ -212,7 +220,7 @@
   /* Nothing is known at the first start; the order is then that of the names'
      hashes.  */
   if (members->table->len == 1)
-    return (int)(members->own->hash % ALONE_PLACES);
+    return members->place;
 
   (void)g_ptr_array_find (members->table, members->own, &own);
   /* Counts live members behind @from, up to the own one.  */
--- a/lib/fleet/members.h
+++ b/lib/fleet/members.h
@@ -26,6 +26,7 @@
 {
   GPtrArray *table; /* member_t *, sorted by name */
   member_t *own;
+  int place; /* while no other is known */
 } members_t;
 
 members_t *members_new (const char *own_name, const char *own_data_centre,
@@ -61,6 +62,10 @@
 /* Number of ready members, own one included.  */
 int members_ready (const members_t *members);
 
+/* The places among which instances that know no other are spread; seeds come
+   first.  */
+void members_set_place (members_t *members, int place);
+
 /* Places between two members in the circle of names, for the order in which
    they take over from @from; NULL: from the beginning.  */
 int members_distance (const members_t *members, const char *from);
--- a/lib/fleet/reader.c
+++ b/lib/fleet/reader.c
@@ -16,7 +16,7 @@
 /* Small machines take over later by so many steps.  */
 #define WEAK_PLACES 3
 /* An instance that has just started listens before it reads.  */
-#define READER_LISTEN_MS 400
+#define READER_LISTEN_MS 120
 
 void
 reader_init (reader_t *reader, bool weak, clock_ms_t now)
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -16,6 +16,9 @@
 #define CHANGE_REPEAT_MS 1200
 /* An instance that hears no reader for this time turns to the seeds.  */
 #define UNHEARD_MS 700
+#define HELLO_EVERY_MS 100
+/* A member that was silent for this time may have missed statements.  */
+#define MEMBER_NEWS_MS 400
 /* One datagram; larger ones would be cut into fragments.  */
 #define DATAGRAM_MAX 1400
 #define RECEIVE_MAX 65536
@@ -60,11 +63,15 @@
   relay->members = members;
   relay->reader = reader;
   relay->feed = feed;
+  relay->hello_at = -HELLO_EVERY_MS;
   relay->seeds = *seeds;
   relay->hooks = *hooks;
   relay->fetch_fd = -1;
   relay->tcp = -1;
   relay->fetched = g_byte_array_new ();
+  for (int i = 0; i < seeds->count; i++)
+    if (seeds->ip[i] == members->own->ip)
+      members_set_place (members, i);
   relay->udp = socket_bind_udp (address);
   *result = MIN (relay->udp, 0);
   if (*result == 0)
@@ -99,11 +106,12 @@
 void
 relay_tick (relay_t *relay, clock_ms_t now)
 {
-  bool unheard = now - relay->reader->heard_any > UNHEARD_MS;
+  bool unheard = !relay->reader->heard_once
+                 || now - relay->reader->heard_any > UNHEARD_MS;
 
   if (!relay->reader->reading)
     {
-      if (unheard && now - relay->hello_at >= ANNOUNCE_EVERY_MS)
+      if (unheard && now - relay->hello_at >= HELLO_EVERY_MS)
         {
           relay->hello_at = now;
           for (int i = 0; i < relay->seeds.count; i++)
@@ -360,6 +368,9 @@
                      wire->member.data_centre, wire->member.ip, now);
 
   member = members_find (relay->members, wire->member.name);
+  /* One that has just started, or was not heard, is told at once.  */
+  if (now - member->heard_at > MEMBER_NEWS_MS)
+    relay_changed (relay);
   member->heard_at = now;
   if (member->ready == (wire->ready != 0) && !changed)
     return;
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -220,6 +220,8 @@
     return;
   g_byte_array_free (connection->in, TRUE);
   g_byte_array_free (connection->out, TRUE);
+  if (connection->tail != NULL)
+    g_byte_array_free (connection->tail, TRUE);
   g_string_free (connection->name, TRUE);
   g_string_free (connection->value, TRUE);
   g_free (connection);
--- a/lib/net/server.h
+++ b/lib/net/server.h
@@ -91,6 +91,11 @@
 void exchange_answer (exchange_t *exchange, int status, const char *reason,
                       const char *fields, const void *body, size_t length);
 
+/* The same, with a body that is taken over; large ones are not copied.  */
+void exchange_answer_with (exchange_t *exchange, int status,
+                           const char *reason, const char *fields,
+                           GByteArray *body);
+
 /**
  * exchange_begin() - begin an answer that is streamed
  * @length: of the body; negative: unknown, sent in chunks
--- a/lib/net/server_output.c
+++ b/lib/net/server_output.c
@@ -7,14 +7,17 @@
 #include <string.h>
 #include <sys/socket.h>
 
-/* Output of one write; what is kept above it belongs to the exchange.  */
-#define OUTPUT_MAX 65536
+/* A larger buffer is not kept for an idle connection.  */
+#define OUTPUT_MAX 8192
+/* Larger bodies are sent from where they are.  */
+#define COPY_MAX 4096
 
 static void begin (exchange_t *exchange, int status, const char *reason,
                    const char *fields);
 static void append_chunk (GByteArray *out, const void *data, size_t length);
 static void flush_of (exchange_t *exchange);
 static bool take_output (connection_t *connection);
+static bool write_out (connection_t *connection);
 static void start_head (connection_t *connection, exchange_t *exchange);
 static void shut_down (connection_t *connection);
 
@@ -34,13 +37,25 @@
 void
 exchange_answer (exchange_t *exchange, int status, const char *reason,
                  const char *fields, const void *body, size_t length)
+{
+  GByteArray *copy = g_byte_array_new ();
+
+  g_byte_array_append (copy, body, (guint)length);
+  exchange_answer_with (exchange, status, reason, fields, copy);
+}
+
+void
+exchange_answer_with (exchange_t *exchange, int status, const char *reason,
+                      const char *fields, GByteArray *body)
 {
   begin (exchange, status, reason, fields);
   if (status != 204 && status != 304)
-    g_string_append_printf (exchange->head, "Content-Length: %zu\r\n",
-                            length);
-  if (length > 0 && !exchange->no_body)
-    g_byte_array_append (exchange->out, body, (guint)length);
+    g_string_append_printf (exchange->head, "Content-Length: %u\r\n",
+                            body->len);
+  g_byte_array_free (exchange->out, TRUE);
+  exchange->out = body;
+  if (exchange->no_body)
+    g_byte_array_set_size (exchange->out, 0);
   exchange->ended = true;
   flush_of (exchange);
 }
@@ -106,7 +121,13 @@
   size_t pending = exchange->out != NULL ? exchange->out->len : 0;
 
   if (exchange->started && exchange->connection != NULL)
-    pending += exchange->connection->out->len - exchange->connection->out_sent;
+    {
+      const connection_t *connection = exchange->connection;
+
+      pending += connection->out->len - connection->out_sent;
+      if (connection->tail != NULL)
+        pending += connection->tail->len;
+    }
   return pending;
 }
 
@@ -156,11 +177,16 @@
 {
   exchange_t *exchange = g_queue_peek_head (&connection->exchanges);
 
-  if (exchange == NULL || !exchange->begun)
+  if (exchange == NULL || !exchange->begun || connection->tail != NULL)
     return false;
   if (!exchange->started)
     start_head (connection, exchange);
-  if (exchange->out->len > 0)
+  if (exchange->out->len > COPY_MAX)
+    {
+      connection->tail = exchange->out;
+      exchange->out = g_byte_array_new ();
+    }
+  else if (exchange->out->len > 0)
     {
       g_byte_array_append (connection->out, exchange->out->data,
                            exchange->out->len);
@@ -176,17 +202,10 @@
   return !connection->cut;
 }
 
-void
-connection_flush (connection_t *connection)
+/* Return: false when the rest has to wait, or the connection is closed.  */
+static bool
+write_out (connection_t *connection)
 {
-  server_t *server = connection->server;
-  exchange_t *first;
-  bool ended = false;
-
-  if (connection->dead || connection->lingering)
-    return;
-  while (take_output (connection))
-    ended = true;
   while (connection->out_sent < connection->out->len)
     {
       ssize_t n = send (connection->fd,
@@ -198,33 +217,55 @@
         continue;
       if (n < 0 && errno == EAGAIN)
         {
-          ev_io_start (server->loop, &connection->writer);
-          return;
+          ev_io_start (connection->server->loop, &connection->writer);
+          return false;
         }
       if (n < 0)
         {
           connection_close (connection);
-          return;
+          return false;
         }
       connection->out_sent += (size_t)n;
       connection->active_at = clock_now ();
     }
-  ev_io_stop (server->loop, &connection->writer);
-  /* A large buffer is not kept for an idle connection.  */
-  if (connection->out->len > OUTPUT_MAX)
+  connection->out_sent = 0;
+  if (connection->tail != NULL || connection->out->len > OUTPUT_MAX)
     {
       g_byte_array_free (connection->out, TRUE);
-      connection->out = g_byte_array_new ();
+      connection->out = connection->tail != NULL ? connection->tail
+                                                 : g_byte_array_new ();
+      connection->tail = NULL;
+      return write_out (connection);
     }
-  else
-    g_byte_array_set_size (connection->out, 0);
-  connection->out_sent = 0;
+  g_byte_array_set_size (connection->out, 0);
+  return true;
+}
+
+void
+connection_flush (connection_t *connection)
+{
+  server_t *server = connection->server;
+  exchange_t *first;
+  bool ended = false;
+
+  if (connection->dead || connection->lingering)
+    return;
+  do
+    {
+      while (take_output (connection))
+        ended = true;
+      if (!write_out (connection))
+        return;
+      first = g_queue_peek_head (&connection->exchanges);
+    }
+  while (!connection->cut && first != NULL && first->begun
+         && (first->out->len > 0 || first->ended || first->aborted));
+  ev_io_stop (server->loop, &connection->writer);
   if (connection->cut)
     {
       connection_close (connection);
       return;
     }
-  first = g_queue_peek_head (&connection->exchanges);
   if (first != NULL && first->started && server->hooks.drained != NULL)
     server->hooks.drained (server->hooks.context, first);
   if (connection->dead)
--- a/lib/net/server_private.h
+++ b/lib/net/server_private.h
@@ -28,6 +28,7 @@
   http_parser parser;
   GByteArray *in; /* read while too many requests are waiting */
   GByteArray *out;
+  GByteArray *tail; /* a large body, sent behind it; NULL: none */
   size_t out_sent;
   GQueue exchanges; /* in the order of their requests */
   exchange_t *reading;
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -117,6 +117,7 @@
       if (state != NULL)
         state->split_begun = false;
     }
+  requests_route (proxy);
 }
 
 void
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -21,6 +21,7 @@
   backends_t *backends;
   const routes_t *routes; /* NULL: none yet */
   GHashTable *route_states; /* route name to route_state_t */
+  GQueue unrouted;    /* request_t * that wait for the first configuration */
   GPtrArray *pools;   /* pool_t *, by index of the endpoint */
   GPtrArray *uplinks; /* uplink_t *, all that are open */
   decide_rng_t rng;
@@ -121,6 +122,7 @@
 
 typedef enum request_state
 {
+  REQUEST_UNROUTED,
   REQUEST_WAITING,
   REQUEST_SENT,
   REQUEST_STREAMING
@@ -219,6 +221,8 @@
 
 /* ---- request.c ---- */
 void request_new (proxy_t *proxy, exchange_t *exchange);
+/* Routes the requests that waited for the first configuration.  */
+void requests_route (proxy_t *proxy);
 void request_send (request_t *request, uplink_t *uplink);
 void request_wait (request_t *request, clock_ms_t pause);
 void request_failed (request_t *request, uplink_t *uplink,
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -17,6 +17,8 @@
 #define BESIDE_PAUSE_MS 50
 /* Time to the end of a request below which no repeat is begun.  */
 #define REPEAT_MIN_MS 30
+/* Longest wait for the first configuration.  */
+#define UNROUTED_MS 600
 /* Output of a streamed answer that the caller has not taken; reading from the
    endpoint pauses above it.  */
 #define STREAM_PENDING_MAX (256 << 10)
@@ -31,6 +33,7 @@
 static void build (request_t *request, const uplink_t *uplink,
                    GByteArray *out);
 static void forget_uplink (request_t *request, const uplink_t *uplink);
+static void route_request (request_t *request);
 static void queue_up (request_t *request);
 static void unqueue (request_t *request);
 static void start_beside_timer (request_t *request, const uplink_t *uplink);
@@ -117,7 +120,6 @@
 {
   const char *id = exchange_field (exchange, proxy->settings.names.request_id);
   request_t *request = g_new0 (request_t, 1);
-  const route_t *route;
 
   exchange->user = request;
   request->proxy = proxy;
@@ -134,12 +136,41 @@
   proxy->in_flight++;
   telemetry_count (TELEMETRY_REQUESTS, 0);
   telemetry_gauge_set (TELEMETRY_IN_FLIGHT, proxy->in_flight);
+  request->state = REQUEST_UNROUTED;
+  request->admission.arrived = exchange->arrived;
   if (proxy->routes == NULL)
     {
-      request_refuse (request, OUTCOME_NO_CONFIGURATION, NULL);
+      /* An instance that has just started knows it in a moment.  */
+      g_queue_push_tail_link (&proxy->unrouted, &request->link);
+      request->queued = true;
+      ev_timer_set (&request->give_up, UNROUTED_MS / 1000.0, 0);
+      ev_timer_start (proxy->loop, &request->give_up);
       return;
     }
-  route = find_route (proxy, exchange);
+  route_request (request);
+}
+
+void
+requests_route (proxy_t *proxy)
+{
+  while (proxy->unrouted.head != NULL)
+    {
+      request_t *request = proxy->unrouted.head->data;
+
+      g_queue_unlink (&proxy->unrouted, &request->link);
+      request->queued = false;
+      ev_timer_stop (proxy->loop, &request->give_up);
+      route_request (request);
+    }
+}
+
+static void
+route_request (request_t *request)
+{
+  proxy_t *proxy = request->proxy;
+  exchange_t *exchange = request->exchange;
+  const route_t *route = find_route (proxy, exchange);
+
   if (route == NULL)
     {
       request_fail (request, OUTCOME_NO_ROUTE, NULL);
@@ -488,6 +519,11 @@
   clock_ms_t left = request->caller_until - clock_now ();
 
   (void)events;
+  if (request->state == REQUEST_UNROUTED)
+    {
+      request_refuse (request, OUTCOME_NO_CONFIGURATION, NULL);
+      return;
+    }
   if (request->state == REQUEST_STREAMING && left > 0)
     {
       ev_timer_set (watcher, (double)left / 1000.0, 0);
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -23,7 +23,9 @@
   ev_timer_stop (proxy->loop, &request->give_up);
   ev_timer_stop (proxy->loop, &request->again);
   round_leave (request);
-  if (request->queued)
+  if (request->queued && request->state == REQUEST_UNROUTED)
+    g_queue_unlink (&proxy->unrouted, &request->link);
+  else if (request->queued)
     g_queue_unlink (&service_state (proxy, request->service)->waiting,
                     &request->link);
   request_cancel_uplinks (request, NULL);
@@ -86,8 +88,8 @@
   if (streaming)
     exchange_end (exchange);
   else
-    exchange_answer (exchange, whole.status, whole.reason->str,
-                     whole.fields->str, whole.body->data, whole.body->len);
+    exchange_answer_with (exchange, whole.status, whole.reason->str,
+                          whole.fields->str, g_steal_pointer (&whole.body));
   answer_clear (&whole);
 }
 
@@ -115,6 +117,17 @@
   char fields[64];
   clock_ms_t time = retry_after (request, outcome);
 
+  /* "Has not run" must be true.  */
+  if (request->has_kept)
+    {
+      request_deliver (request, &request->kept);
+      return;
+    }
+  if (request->may_have_run)
+    {
+      request_fail (request, OUTCOME_BROKEN, detail);
+      return;
+    }
   telemetry_count (TELEMETRY_ROUTED, outcome);
   telemetry_observe (TELEMETRY_REFUSED_US,
                      (clock_now () - request->admission.arrived) * 1000);
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -2,6 +2,7 @@
 
 #include "proxy_private.h"
 
+#include <limits.h>
 #include <string.h>
 
 /* Larger answers are passed on while they are read; smaller ones are read
@@ -185,6 +186,14 @@
   if (request == NULL)
     return -1;
   uplink->foreign = uplink->has_id && !uplink->id_matches;
+  /* One allocation for a body of known length.  */
+  if (parser->content_length != ULLONG_MAX
+      && parser->content_length <= ANSWER_BUFFER_MAX)
+    {
+      g_byte_array_free (uplink->answer.body, TRUE);
+      uplink->answer.body
+          = g_byte_array_sized_new ((guint)parser->content_length);
+    }
   return request->exchange->no_body ? 1 : 0;
 }
 
