--- a/lib/balance/admission.c
+++ b/lib/balance/admission.c
@@ -5,8 +5,9 @@
 /* Requests that are late already take only what others leave: endpoints whose
    pace is above this, and those without any work.  */
 #define SLOW_PACE 150
-/* After this many targets a late request takes any free slot.  */
-#define LATE_PATIENCE 1.6
+/* Targets for which a request waits for a slot before it is refused.  */
+#define PATIENCE 1.0
+#define PATIENCE_URGENT 1.5
 /* A request is given up when less than this many times its work is left.  */
 #define HOPELESS_FACTOR 1.1
 
@@ -23,6 +24,8 @@
 {
   double waited = (double)(now - request->arrived);
   double left = (double)(request->give_up_at - now);
+  double patience = (double)request->target
+                    * (request->urgent ? PATIENCE_URGENT : PATIENCE);
   bool has_room;
 
   if (left < request->base * HOPELESS_FACTOR)
@@ -35,10 +38,9 @@
   if (admission_can_be_in_time (request, now))
     return ADMISSION_WAIT;
   if (has_room && estimate <= left
-      && (load->pace > SLOW_PACE || load->running == 0
-          || waited >= (double)request->target * LATE_PATIENCE))
+      && (load->pace > SLOW_PACE || load->running == 0 || waited >= patience))
     return ADMISSION_SEND;
-  return ADMISSION_WAIT;
+  return waited < patience ? ADMISSION_WAIT : ADMISSION_REFUSE;
 }
 
 bool
--- a/lib/balance/admission.h
+++ b/lib/balance/admission.h
@@ -8,11 +8,11 @@
 
 typedef struct admission_request
 {
-  bool urgent;            /* other routes of the services are less urgent */
+  bool urgent; /* other routes of the services are less urgent */
   clock_ms_t arrived;
-  clock_ms_t target;      /* ms from the arrival */
-  clock_ms_t give_up_at;  /* no answer after it reaches the caller */
-  double base;            /* ms of work, from estimate_base() */
+  clock_ms_t target;     /* ms from the arrival */
+  clock_ms_t give_up_at; /* no answer after it reaches the caller */
+  double base;           /* ms of work, from estimate_base() */
 } admission_request_t;
 
 typedef enum admission
--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -135,8 +135,7 @@
       backend = slot_for (backends);
       entry_copy (&backend->entry, entry);
       backend->service = backends_service (backends, entry->service);
-      backend->affinity
-          = backends_weight (backends->own_name, entry->id);
+      backend->affinity = backends_weight (backends->own_name, entry->id);
       g_hash_table_insert (backends->by_id, backend->entry.id, backend);
     }
   else
@@ -281,8 +280,7 @@
   backend->health_at = now;
   if (health == BACKEND_SILENT || health == BACKEND_OTHER)
     {
-      clock_ms_t pause
-          = AVOID_MIN_MS << MIN (backend->silent_in_a_row, 5U);
+      clock_ms_t pause = AVOID_MIN_MS << MIN (backend->silent_in_a_row, 5U);
 
       backend->silent_in_a_row++;
       backend->avoid_until = now + MIN (pause, AVOID_MAX_MS);
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -28,13 +28,13 @@
   char *id;
   char *service;
   char *data_centre;
-  char *software;             /* version of its software, NULL: not stated */
+  char *software; /* version of its software, NULL: not stated */
   struct sockaddr_in address;
   uint32_t slots;
   bool draining;
-  clock_ms_t cold;            /* ms that it stays cold, as of the entry */
-  uint64_t born;              /* Unix ms of its start; 0: not stated */
-  uint64_t revision;          /* store revision of the entry */
+  clock_ms_t cold;   /* ms that it stays cold, as of the entry */
+  uint64_t born;     /* Unix ms of its start; 0: not stated */
+  uint64_t revision; /* store revision of the entry */
 } backend_entry_t;
 
 /* Load as an endpoint reports it.  */
@@ -43,16 +43,16 @@
   uint32_t running;
   uint32_t waiting;
   uint32_t slots;
-  uint32_t pace;              /* per cent of the usual time; 100: as usual */
+  uint32_t pace; /* per cent of the usual time; 100: as usual */
 } backend_load_t;
 
 typedef enum backend_health
 {
   BACKEND_UNKNOWN,
   BACKEND_WELL,
-  BACKEND_ILL,                /* says that it is draining or failing */
-  BACKEND_SILENT,             /* refused or did not answer */
-  BACKEND_OTHER               /* another endpoint answers at its address */
+  BACKEND_ILL,    /* says that it is draining or failing */
+  BACKEND_SILENT, /* refused or did not answer */
+  BACKEND_OTHER   /* another endpoint answers at its address */
 } backend_health_t;
 
 typedef struct backend
@@ -60,20 +60,20 @@
   backend_entry_t entry;
   uint32_t generation;
   bool used;
-  bool removed;               /* gone from the store, kept while in use */
+  bool removed; /* gone from the store, kept while in use */
   service_ref_t service;
   clock_ms_t cold_until;
   backend_health_t health;
   clock_ms_t health_at;
-  clock_ms_t avoid_until;     /* not probed before, after a failure */
+  clock_ms_t avoid_until; /* not probed before, after a failure */
   uint32_t silent_in_a_row;
   backend_load_t load;
-  clock_ms_t load_at;         /* 0: never */
-  uint32_t in_flight;         /* requests of this instance */
-  double faults;              /* smoothed share of requests that failed */
-  clock_ms_t faults_at;       /* of the last request that counted */
-  clock_ms_t cold_sent_at;    /* last request of this instance while cold */
-  uint32_t affinity;          /* orders endpoints differently on each instance */
+  clock_ms_t load_at;      /* 0: never */
+  uint32_t in_flight;      /* requests of this instance */
+  double faults;           /* smoothed share of requests that failed */
+  clock_ms_t faults_at;    /* of the last request that counted */
+  clock_ms_t cold_sent_at; /* last request of this instance while cold */
+  uint32_t affinity;       /* orders endpoints differently on each instance */
 } backend_t;
 
 typedef struct service
@@ -82,9 +82,9 @@
   char *health_path;
   int connections_max;
   double cold_per_s;
-  bool reports_load;          /* its health answers state the load */
-  double crowded;             /* slowdown with all slots in use, at least 1 */
-  void *user;                 /* of the proxy */
+  bool reports_load; /* its health answers state the load */
+  double crowded;    /* slowdown with all slots in use, at least 1 */
+  void *user;        /* of the proxy */
 } service_t;
 
 typedef struct backends backends_t;
@@ -152,7 +152,8 @@
                      int count);
 
 /**
- * cold_may_send() - whether this instance may send a request to a cold endpoint
+ * cold_may_send() - whether this instance may send a request to a cold
+ * endpoint
  *
  * Each cold endpoint is dealt to a few instances by rendezvous hashing, and
  * each of them sends at most one request a second, so that the sum stays
--- a/lib/balance/backends_private.h
+++ b/lib/balance/backends_private.h
@@ -18,7 +18,7 @@
   GHashTable *out;     /* data centres that are taken out */
   char *data_centre;
   char *own_name;
-  char **instances;    /* NULL-terminated */
+  char **instances; /* NULL-terminated */
 };
 
 #endif
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -16,8 +16,7 @@
 static bool is_excluded (const backends_t *backends, const backend_t *backend,
                          const choose_wish_t *wish);
 static void keep_usual (backends_t *backends, GArray *refs, guint count);
-static gint compare_affinity (gconstpointer a, gconstpointer b,
-                              gpointer data);
+static gint compare_affinity (gconstpointer a, gconstpointer b, gpointer data);
 static void shuffle (backend_ref_t *refs, int count, decide_rng_t *rng);
 
 static bool
@@ -132,8 +131,8 @@
 }
 
 double
-choose_cost (backends_t *backends, const backend_t *backend,
-             double base, bool bulk, clock_ms_t now, double *estimate)
+choose_cost (backends_t *backends, const backend_t *backend, double base,
+             bool bulk, clock_ms_t now, double *estimate)
 {
   const service_t *service = backends_service_get (backends, backend->service);
   const backend_load_t *load = &backend->load;
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -14,9 +14,9 @@
   bool bulk;                     /* prefer endpoints of the own data centre */
   const backend_ref_t *excluded; /* endpoints that had the request before */
   int n_excluded;
-  int count;                     /* endpoints to probe */
-  int remote;                    /* of them at least in other data centres */
-  bool wide;                     /* of all endpoints, not only the usual ones */
+  int count;  /* endpoints to probe */
+  int remote; /* of them at least in other data centres */
+  bool wide;  /* of all endpoints, not only the usual ones */
 } choose_wish_t;
 
 /**
--- a/lib/balance/repeats.h
+++ b/lib/balance/repeats.h
@@ -14,8 +14,8 @@
 
 typedef struct repeats_rules
 {
-  double ratio;       /* repeats for one first send */
-  double fixed;       /* repeats in a window that all instances share */
+  double ratio; /* repeats for one first send */
+  double fixed; /* repeats in a window that all instances share */
   clock_ms_t window;
 } repeats_rules_t;
 
--- a/lib/balance/routes.c
+++ b/lib/balance/routes.c
@@ -101,8 +101,7 @@
 {
   for (guint i = 0; i < routes->services->len; i++)
     {
-      const service_rules_t *rules
-          = g_ptr_array_index (routes->services, i);
+      const service_rules_t *rules = g_ptr_array_index (routes->services, i);
 
       if (strcmp (rules->name, name) == 0)
         return rules;
--- a/lib/balance/routes.h
+++ b/lib/balance/routes.h
@@ -22,13 +22,13 @@
 {
   char *name;
   char *host;
-  char *prefix;         /* begins and ends with a slash */
-  bool idempotent;      /* may run more than once */
-  bool bulk;            /* answers are large */
-  clock_ms_t timeout;   /* longest wait of a caller, from its request */
-  clock_ms_t target;    /* an answer within it has its full value */
-  int priority;         /* 0: highest */
-  int endpoints_max;    /* endpoints that one request may be sent to */
+  char *prefix;       /* begins and ends with a slash */
+  bool idempotent;    /* may run more than once */
+  bool bulk;          /* answers are large */
+  clock_ms_t timeout; /* longest wait of a caller, from its request */
+  clock_ms_t target;  /* an answer within it has its full value */
+  int priority;       /* 0: highest */
+  int endpoints_max;  /* endpoints that one request may be sent to */
   int n_parts;
   route_part_t parts[ROUTE_PARTS_MAX];
 } route_t;
@@ -37,8 +37,8 @@
 {
   char *name;
   char *health_path;
-  int connections_max;  /* at one endpoint, of all callers together */
-  double cold_per_s;    /* requests a second that a cold endpoint bears */
+  int connections_max; /* at one endpoint, of all callers together */
+  double cold_per_s;   /* requests a second that a cold endpoint bears */
 } service_rules_t;
 
 typedef struct caller_limits
@@ -52,8 +52,8 @@
 typedef struct routes
 {
   uint64_t version;
-  GPtrArray *routes;    /* route_t *, longest prefix first */
-  GPtrArray *services;  /* service_rules_t * */
+  GPtrArray *routes;   /* route_t *, longest prefix first */
+  GPtrArray *services; /* service_rules_t * */
   caller_limits_t limits;
 } routes_t;
 
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -11,7 +11,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-
 /* XXH64 of a name; the form in which names cross the wire.  */
 typedef uint64_t decide_id_t;
 
--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -25,10 +25,10 @@
 {
   bool busy;
   bool listing;
-  bool known;          /* a whole list was read since this instance reads */
+  bool known; /* a whole list was read since this instance reads */
   uint64_t revision;
   clock_ms_t next_at;
-  GPtrArray *items;    /* of the pages so far */
+  GPtrArray *items; /* of the pages so far */
 } channel_t;
 
 struct feed
@@ -40,13 +40,13 @@
   reader_t *reader;
   channel_t channels[FEED_KINDS];
   bool storing;
-  clock_ms_t store_at;      /* 0: the list of members need not be stored */
+  clock_ms_t store_at; /* 0: the list of members need not be stored */
   uint64_t storing_digest;
-  uint64_t stored_digest;   /* of the members as the store has them */
+  uint64_t stored_digest;    /* of the members as the store has them */
   uint64_t members_revision; /* 0: the store has no list */
   bool stopping;
   bool was_reading;
-  bool failed_logged;
+  bool away; /* the last list of the endpoints failed */
 };
 
 static void step (feed_t *feed, feed_kind_t kind, clock_ms_t now);
@@ -130,8 +130,8 @@
 feed_tick (feed_t *feed, clock_ms_t now)
 {
   const reader_t *reader = feed->reader;
-  int distance = members_distance (
-      feed->members, reader->heard_once ? reader->last : NULL);
+  int distance = members_distance (feed->members,
+                                   reader->heard_once ? reader->last : NULL);
 
   if (feed->stopping)
     return;
@@ -208,6 +208,9 @@
 
   if (channel->busy || now < channel->next_at)
     return;
+  /* One call at a time shows whether the store is back.  */
+  if (feed->away && kind != FEED_BACKENDS)
+    return;
   /* Only readers write the list of members, each knows its own writes.  */
   if (kind == FEED_MEMBERS && channel->known)
     return;
@@ -257,8 +260,8 @@
       g_ptr_array_set_free_func (answer->items, NULL);
       if (answer->more && answer->items->len > 0)
         {
-          const feed_item_t *last = g_ptr_array_index (
-              channel->items, channel->items->len - 1);
+          const feed_item_t *last
+              = g_ptr_array_index (channel->items, channel->items->len - 1);
 
           start_list (feed, kind, last->name);
           return;
@@ -288,14 +291,16 @@
      their history may be gone: everything is listed anew.  */
   channel->known = false;
   channel->next_at = channel->listing ? now + FAILED_PAUSE_MS : now;
-  if (!channel->listing)
+  if (kind != FEED_BACKENDS)
     return;
-  if (!feed->failed_logged)
+  if (!feed->away)
     g_warning ("store can't be read: %s", g_strerror (-error));
-  feed->failed_logged = true;
-  if (kind == FEED_BACKENDS)
-    (void)reader_result (feed->reader, false,
-                         members_ready (feed->members), now);
+  feed->away = true;
+  /* Waiting watches may hang on connections that are silent for good.  */
+  stop_reading (feed);
+  channel->next_at = now + FAILED_PAUSE_MS;
+  (void)reader_result (feed->reader, false, members_ready (feed->members),
+                       now);
 }
 
 /* A read went well; the first one after a pause ends an outage.  */
@@ -307,9 +312,9 @@
 
   if (last != 0 && now - last > OUTAGE_MS)
     view_outage_ended (feed->view, now);
-  if (feed->failed_logged)
+  if (feed->away)
     g_message ("store can be read again");
-  feed->failed_logged = false;
+  feed->away = false;
   if (reader_result (reader, true, members_ready (feed->members), now))
     {
       telemetry_count (TELEMETRY_READER_CHANGES, 0);
@@ -418,7 +423,6 @@
 
       (void)members_put (feed->members, member->name, member->data_centre,
                          member->ip, now);
-      feed->stored_digest
-          ^= members_digest_of (member->name, member->ip);
+      feed->stored_digest ^= members_digest_of (member->name, member->ip);
     }
 }
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -15,7 +15,7 @@
 {
   FEED_BACKENDS,
   FEED_CONFIG,
-  FEED_OUT, /* data centres that are taken out */
+  FEED_OUT,     /* data centres that are taken out */
   FEED_MEMBERS, /* one object, written by readers */
   FEED_KINDS
 } feed_kind_t;
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -63,8 +63,8 @@
 
   if (member != NULL)
     {
-      bool changed = member->ip != ip
-                     || strcmp (member->data_centre, data_centre) != 0;
+      bool changed
+          = member->ip != ip || strcmp (member->data_centre, data_centre) != 0;
 
       member->ip = ip;
       member->kept = true;
@@ -170,9 +170,10 @@
         }
       if (!member->ready || now - member->heard_at < MEMBER_SILENT_MS)
         continue;
-      g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "PEER", member->name,
-                        "MESSAGE", "instance is silent for %" G_GINT64_FORMAT
-                        " ms, taken as gone", now - member->heard_at);
+      g_log_structured (
+          "fleet", G_LOG_LEVEL_MESSAGE, "PEER", member->name, "MESSAGE",
+          "instance is silent for %" G_GINT64_FORMAT " ms, taken as gone",
+          now - member->heard_at);
       member->ready = false;
       changed = true;
     }
--- a/lib/fleet/reader.h
+++ b/lib/fleet/reader.h
@@ -13,15 +13,15 @@
 
 typedef struct reader
 {
-  bool reading;            /* this instance reads for all */
+  bool reading; /* this instance reads for all */
   clock_ms_t started_at;
-  clock_ms_t heard_fresh;  /* last time another's fresh statement was heard */
+  clock_ms_t heard_fresh; /* last time another's fresh statement was heard */
   clock_ms_t heard_any;
-  clock_ms_t read_ok;      /* last own successful read; 0: never */
-  clock_ms_t try_after;    /* no own try before, after a failed one */
+  clock_ms_t read_ok;   /* last own successful read; 0: never */
+  clock_ms_t try_after; /* no own try before, after a failed one */
   bool heard_once;
-  bool weak;               /* a small machine: others go before it */
-  char last[128];          /* the reader heard last */
+  bool weak;      /* a small machine: others go before it */
+  char last[128]; /* the reader heard last */
 } reader_t;
 
 void reader_init (reader_t *reader, bool weak, clock_ms_t now);
@@ -48,8 +48,7 @@
 /* A read of the store ended.  @instances: live ones; they share the pace of
    tries while the store is away.  Return: whether this instance begins to
    read for all.  */
-bool reader_result (reader_t *reader, bool ok, int instances,
-                    clock_ms_t now);
+bool reader_result (reader_t *reader, bool ok, int instances, clock_ms_t now);
 
 /* Whether the last own read is recent enough to be told as fresh.  */
 bool reader_is_fresh (const reader_t *reader, clock_ms_t now);
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -52,8 +52,7 @@
 relay_t *
 relay_new (struct ev_loop *loop, const struct sockaddr_in *address,
            view_t *view, members_t *members, reader_t *reader, feed_t *feed,
-           const relay_seeds_t *seeds, const relay_hooks_t *hooks,
-           int *result)
+           const relay_seeds_t *seeds, const relay_hooks_t *hooks, int *result)
 {
   relay_t *relay = g_new0 (relay_t, 1);
 
@@ -177,8 +176,8 @@
                          change->entry.cold);
       if (change->removed)
         {
-          const uint64_t *revision = g_hash_table_lookup (
-              relay->view->removed, change->entry.id);
+          const uint64_t *revision
+              = g_hash_table_lookup (relay->view->removed, change->entry.id);
 
           changes[n].backend.revision = revision != NULL ? *revision : 0;
         }
@@ -231,9 +230,9 @@
   for (guint i = 0; length > 0 && i < relay->members->table->len; i++)
     {
       const member_t *member = g_ptr_array_index (relay->members->table, i);
-      bool silent = !member->ready
-                    && now - MAX (member->heard_at, member->listed_at)
-                           > SILENT_MS;
+      bool silent
+          = !member->ready
+            && now - MAX (member->heard_at, member->listed_at) > SILENT_MS;
 
       if (member != relay->members->own
           && (!silent || round % SILENT_EVERY == 0))
@@ -311,7 +310,7 @@
   for (;;)
     {
       static char data[RECEIVE_MAX];
-      struct sockaddr_in from;
+      struct sockaddr_in from = { 0 };
       socklen_t size = sizeof from;
       ssize_t n = recvfrom (relay->udp, data, sizeof data, 0,
                             (struct sockaddr *)&from, &size);
@@ -333,8 +332,7 @@
           else
             {
               pass_on_hello (relay, message.sender, data, (size_t)n, now);
-              heard_hello (relay, &message.body.fleet_wire_body_u.hello,
-                           now);
+              heard_hello (relay, &message.body.fleet_wire_body_u.hello, now);
             }
         }
       xdr_destroy (&xdr);
@@ -363,9 +361,8 @@
 heard_hello (relay_t *relay, const fleet_wire_hello *wire, clock_ms_t now)
 {
   member_t *member;
-  bool changed
-      = members_put (relay->members, wire->member.name,
-                     wire->member.data_centre, wire->member.ip, now);
+  bool changed = members_put (relay->members, wire->member.name,
+                              wire->member.data_centre, wire->member.ip, now);
 
   member = members_find (relay->members, wire->member.name);
   /* One that has just started, or was not heard, is told at once.  */
--- a/lib/fleet/relay_fetch.c
+++ b/lib/fleet/relay_fetch.c
@@ -108,9 +108,8 @@
 on_transfer (struct ev_loop *loop, ev_io *watcher, int events)
 {
   transfer_t *transfer = watcher->data;
-  ssize_t n
-      = send (watcher->fd, transfer->data->data + transfer->sent,
-              transfer->data->len - transfer->sent, MSG_NOSIGNAL);
+  ssize_t n = send (watcher->fd, transfer->data->data + transfer->sent,
+                    transfer->data->len - transfer->sent, MSG_NOSIGNAL);
 
   (void)events;
   if (n < 0 && (errno == EAGAIN || errno == EINTR))
@@ -214,8 +213,9 @@
   fetch_end (relay);
   relay->fetch_after = now + FETCH_GAP_MS;
   if (n != 0
-      || wire_apply_snapshot (relay->fetched->data, relay->fetched->len,
-                              relay->view, relay->members, now)
+      || wire_apply_snapshot ((char *)relay->fetched->data,
+                              relay->fetched->len, relay->view, relay->members,
+                              now)
              != 0)
     {
       g_warning ("state of another instance was not whole: %u bytes",
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -102,12 +102,11 @@
     return;
   g_hash_table_remove (view->removed, entry->id);
   record (view, entry, false, now);
-  g_log_structured ("fleet", G_LOG_LEVEL_INFO, "ENDPOINT", entry->id,
-                    "SERVICE", entry->service, "DATA_CENTRE",
-                    entry->data_centre, "MESSAGE",
-                    "endpoint %s, store revision %" G_GUINT64_FORMAT,
-                    entry->draining ? "is leaving" : "is in service",
-                    entry->revision);
+  g_log_structured (
+      "fleet", G_LOG_LEVEL_INFO, "ENDPOINT", entry->id, "SERVICE",
+      entry->service, "DATA_CENTRE", entry->data_centre, "MESSAGE",
+      "endpoint %s, store revision %" G_GUINT64_FORMAT,
+      entry->draining ? "is leaving" : "is in service", entry->revision);
   view->hooks.backends_changed (view->hooks.context);
 }
 
@@ -198,14 +197,13 @@
 }
 
 void
-view_set_out (view_t *view, const GPtrArray *names)
+view_set_out (view_t *view, GPtrArray *names)
 {
   for (guint i = view->out->len; i > 0; i--)
     {
       char *name = g_ptr_array_index (view->out, i - 1);
 
-      if (g_ptr_array_find_with_equal_func ((GPtrArray *)(uintptr_t)names,
-                                            name, g_str_equal, NULL))
+      if (g_ptr_array_find_with_equal_func (names, name, g_str_equal, NULL))
         continue;
       g_message ("data centre %s is back in service", name);
       backends_take_out (view->backends, name, false);
@@ -227,11 +225,10 @@
 digest_of (const backend_entry_t *entry)
 {
   char text[512];
-  int n = g_snprintf (text, sizeof text,
-                      "%s %s %s %u %u %u %d %" G_GUINT64_FORMAT, entry->id,
-                      entry->service, entry->data_centre,
-                      entry->address.sin_addr.s_addr, entry->address.sin_port,
-                      entry->slots, entry->draining, entry->born);
+  int n = g_snprintf (
+      text, sizeof text, "%s %s %s %u %u %u %d %" G_GUINT64_FORMAT, entry->id,
+      entry->service, entry->data_centre, entry->address.sin_addr.s_addr,
+      entry->address.sin_port, entry->slots, entry->draining, entry->born);
 
   return XXH64 (text, (size_t)MIN (n, (int)sizeof text - 1), 0);
 }
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -27,11 +27,12 @@
 typedef struct view
 {
   backends_t *backends;
-  routes_t *routes;    /* NULL: none yet */
-  GPtrArray *out;      /* names of data centres that are taken out, sorted */
-  uint64_t revision;   /* store revision of the last whole list */
-  bool listed;         /* the endpoints are known completely */
-  clock_ms_t keep_until; /* no endpoint that is only missing is removed before */
+  routes_t *routes;  /* NULL: none yet */
+  GPtrArray *out;    /* names of data centres that are taken out, sorted */
+  uint64_t revision; /* store revision of the last whole list */
+  bool listed;       /* the endpoints are known completely */
+  clock_ms_t
+      keep_until;      /* no endpoint that is only missing is removed before */
   GQueue changes;      /* view_change_t *, newest first */
   GHashTable *removed; /* id to the revision of its removal */
   view_hooks_t hooks;
@@ -70,7 +71,7 @@
 void view_set_routes (view_t *view, routes_t *routes);
 
 /* Replaces the set of data centres that are taken out.  */
-void view_set_out (view_t *view, const GPtrArray *names);
+void view_set_out (view_t *view, GPtrArray *names);
 
 /* Digest of the endpoints, equal where two views agree.  */
 uint64_t view_digest (const view_t *view);
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -103,11 +103,10 @@
 {
   routes_t *routes = routes_new (wire->number);
 
-  routes->limits
-      = (caller_limits_t){ .header_bytes = wire->header_bytes,
-                           .body_bytes = wire->body_bytes,
-                           .header_timeout = wire->header_timeout,
-                           .idle_timeout = wire->idle_timeout };
+  routes->limits = (caller_limits_t){ .header_bytes = wire->header_bytes,
+                                      .body_bytes = wire->body_bytes,
+                                      .header_timeout = wire->header_timeout,
+                                      .idle_timeout = wire->idle_timeout };
   for (u_int i = 0; i < wire->routes.routes_len; i++)
     {
       const fleet_wire_route *from = &wire->routes.routes_val[i];
@@ -169,8 +168,7 @@
 wire_snapshot (const view_t *view, const members_t *members,
                unsigned int parts, clock_ms_t now)
 {
-  fleet_wire_snapshot wire
-      = { .revision = view->revision, .included = parts };
+  fleet_wire_snapshot wire = { .revision = view->revision, .included = parts };
   GArray *backends = g_array_new (FALSE, FALSE, sizeof (fleet_wire_backend));
   GByteArray *data;
   uint32_t position = 0;
@@ -265,14 +263,14 @@
 }
 
 int
-wire_apply_snapshot (const void *data, size_t length, view_t *view,
+wire_apply_snapshot (char *data, size_t length, view_t *view,
                      members_t *members, clock_ms_t now)
 {
   fleet_wire_snapshot wire = { 0 };
   XDR xdr;
   bool whole;
 
-  xdrmem_create (&xdr, (char *)(uintptr_t)data, (u_int)length, XDR_DECODE);
+  xdrmem_create (&xdr, data, (u_int)length, XDR_DECODE);
   whole = xdr_fleet_wire_snapshot (&xdr, &wire);
   xdr_destroy (&xdr);
   if (whole)
--- a/lib/fleet/wire.h
+++ b/lib/fleet/wire.h
@@ -9,8 +9,8 @@
 
 #define WIRE_MAGIC 0x50524631 /* "PRF1" */
 
-void wire_from_backend (fleet_wire_backend *wire,
-                        const backend_entry_t *entry, clock_ms_t cold);
+void wire_from_backend (fleet_wire_backend *wire, const backend_entry_t *entry,
+                        clock_ms_t cold);
 /* Strings of @entry are those of @wire.  */
 void wire_to_backend (const fleet_wire_backend *wire, backend_entry_t *entry);
 
@@ -22,7 +22,7 @@
  * wire_apply_snapshot() - merge another instance's statement
  * Return: 0 or -EPROTO.
  */
-int wire_apply_snapshot (const void *data, size_t length, view_t *view,
+int wire_apply_snapshot (char *data, size_t length, view_t *view,
                          members_t *members, clock_ms_t now);
 
 #endif
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -20,11 +20,10 @@
 #define LOG_PER_S 100
 
 static int open_servers (instance_t *instance);
-static server_t *open_server (instance_t *instance,
-                              const struct sockaddr_in *address,
-                              void (*request) (void *context,
-                                               exchange_t *exchange),
-                              int *result);
+static server_t *
+open_server (instance_t *instance, const struct sockaddr_in *address,
+             void (*request) (void *context, exchange_t *exchange),
+             int *result);
 static void start_signals (instance_t *instance);
 static void on_tick (struct ev_loop *loop, ev_timer *watcher, int events);
 static void on_stop (struct ev_loop *loop, ev_signal *watcher, int events);
@@ -42,12 +41,10 @@
                              struct sockaddr_in *addresses);
 
 int
-instance_run (const instance_settings_t *settings,
-              const instance_calls_t *calls,
-              feed_source_t (*make_source) (void *context,
-                                            struct ev_loop *loop),
-              void (*attach) (void *context, feed_t *feed),
-              void *source_context)
+instance_run (
+    const instance_settings_t *settings, const instance_calls_t *calls,
+    feed_source_t (*make_source) (void *context, struct ev_loop *loop),
+    void (*attach) (void *context, feed_t *feed), void *source_context)
 {
   instance_t instance = { .settings = *settings, .calls = *calls };
   view_hooks_t view_hooks = { .routes_changed = routes_changed,
@@ -72,17 +69,16 @@
   instance.proxy
       = proxy_new (instance.loop, &proxy_settings, instance.backends);
   instance.view = view_new (instance.backends, &view_hooks);
-  instance.members
-      = members_new (settings->name, settings->data_centre,
-                     settings->instances.sin_addr.s_addr);
+  instance.members = members_new (settings->name, settings->data_centre,
+                                  settings->instances.sin_addr.s_addr);
   source = make_source (source_context, instance.loop);
   instance.feed = feed_new (instance.loop, &source, instance.view,
                             instance.members, &instance.reader);
   attach (source_context, instance.feed);
-  instance.relay = relay_new (instance.loop, &settings->instances,
-                              instance.view, instance.members,
-                              &instance.reader, instance.feed, &settings->seeds,
-                              &relay_hooks, &result);
+  instance.relay
+      = relay_new (instance.loop, &settings->instances, instance.view,
+                   instance.members, &instance.reader, instance.feed,
+                   &settings->seeds, &relay_hooks, &result);
   if (result == 0)
     result = open_servers (&instance);
   if (result == 0)
@@ -115,9 +111,8 @@
              void (*request) (void *context, exchange_t *exchange),
              int *result)
 {
-  server_hooks_t hooks = { .request = request,
-                           .gone = question_gone,
-                           .context = instance };
+  server_hooks_t hooks
+      = { .request = request, .gone = question_gone, .context = instance };
 
   return server_new (instance->loop, address, &hooks, result);
 }
@@ -243,8 +238,7 @@
      off from each other still share one budget.  */
   for (int i = 0; i < count; i++)
     {
-      const member_t *member
-          = g_ptr_array_index (members->table, (guint)i);
+      const member_t *member = g_ptr_array_index (members->table, (guint)i);
 
       names[i] = member->name;
     }
--- a/lib/instance/instance.h
+++ b/lib/instance/instance.h
@@ -11,18 +11,18 @@
 {
   char *name;
   char *data_centre;
-  struct sockaddr_in callers;     /* requests */
-  struct sockaddr_in ready;       /* question whether this instance is ready */
-  struct sockaddr_in addresses;   /* question which instances to use */
-  struct sockaddr_in metrics;     /* port 0: none */
-  struct sockaddr_in instances;   /* messages between instances */
+  struct sockaddr_in callers;   /* requests */
+  struct sockaddr_in ready;     /* question whether this instance is ready */
+  struct sockaddr_in addresses; /* question which instances to use */
+  struct sockaddr_in metrics;   /* port 0: none */
+  struct sockaddr_in instances; /* messages between instances */
   relay_seeds_t seeds;
-  bool weak;                      /* a small machine: not the first to read */
+  bool weak; /* a small machine: not the first to read */
   struct sockaddr_in store;
   repeats_rules_t repeats;
-  double probes_per_s;            /* most probes of one endpoint */
-  clock_ms_t stop_within;         /* from SIGTERM to SIGKILL */
-  clock_ms_t addresses_kept_max;  /* callers keep an answer at most so long */
+  double probes_per_s;           /* most probes of one endpoint */
+  clock_ms_t stop_within;        /* from SIGTERM to SIGKILL */
+  clock_ms_t addresses_kept_max; /* callers keep an answer at most so long */
   proxy_names_t names;
 } instance_settings_t;
 
@@ -49,11 +49,9 @@
  *
  * Return: 0 or a negative errno.
  */
-int instance_run (const instance_settings_t *settings,
-                  const instance_calls_t *calls,
-                  feed_source_t (*make_source) (void *context,
-                                                struct ev_loop *loop),
-                  void (*attach) (void *context, feed_t *feed),
-                  void *source_context);
+int instance_run (
+    const instance_settings_t *settings, const instance_calls_t *calls,
+    feed_source_t (*make_source) (void *context, struct ev_loop *loop),
+    void (*attach) (void *context, feed_t *feed), void *source_context);
 
 #endif
--- a/lib/net/call.c
+++ b/lib/net/call.c
@@ -28,7 +28,7 @@
   GByteArray *in;
   bool busy;
   bool keep;
-  int error;       /* reported by the timer when the call could not start */
+  int error; /* reported by the timer when the call could not start */
   call_done_t done;
   void *context;
 };
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -24,6 +24,8 @@
 static void on_accept_pause (struct ev_loop *loop, ev_timer *watcher,
                              int events);
 static void connection_new (server_t *server, int fd);
+static void free_dead (server_t *server);
+static void on_turn (struct ev_loop *loop, ev_prepare *watcher, int events);
 static void on_readable (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_timer (struct ev_loop *loop, ev_timer *watcher, int events);
@@ -73,6 +75,9 @@
                  ACCEPT_PAUSE_MS / 1000.0, 0);
   server->accept_pause.data = server;
   ev_io_start (loop, &server->acceptor);
+  ev_prepare_init (&server->cleaner, on_turn);
+  server->cleaner.data = server;
+  ev_prepare_start (loop, &server->cleaner);
   return server;
 }
 
@@ -95,6 +100,8 @@
   server_close (server);
   while (server->connections.head != NULL)
     connection_close (server->connections.head->data);
+  ev_prepare_stop (server->loop, &server->cleaner);
+  free_dead (server);
   g_free (server);
 }
 
@@ -127,10 +134,8 @@
       link = link->next;
       if (is_idle (connection) && !connection->lingering)
         {
-          connection_enter (connection);
           connection->closing = true;
           connection_flush (connection);
-          connection_leave (connection);
         }
     }
 }
@@ -149,8 +154,7 @@
   (void)events;
   for (;;)
     {
-      int fd
-          = accept4 (server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int fd = accept4 (server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
       if (fd >= 0)
         {
@@ -206,25 +210,33 @@
   ev_timer_start (server->loop, &connection->timer);
 }
 
-void
-connection_enter (connection_t *connection)
+/* Frees the connections that were closed since the last turn of the loop;
+   functions further up may still have worked on them before.  */
+static void
+free_dead (server_t *server)
 {
-  connection->depth++;
+  GList *link;
+
+  while ((link = g_queue_pop_head_link (&server->dead)) != NULL)
+    {
+      connection_t *connection = link->data;
+
+      g_byte_array_free (connection->in, TRUE);
+      g_byte_array_free (connection->out, TRUE);
+      if (connection->tail != NULL)
+        g_byte_array_free (connection->tail, TRUE);
+      g_string_free (connection->name, TRUE);
+      g_string_free (connection->value, TRUE);
+      g_free (connection);
+    }
 }
 
-/* Frees a closed connection once no function works on it.  */
-void
-connection_leave (connection_t *connection)
+static void
+on_turn (struct ev_loop *loop, ev_prepare *watcher, int events)
 {
-  if (--connection->depth > 0 || !connection->dead)
-    return;
-  g_byte_array_free (connection->in, TRUE);
-  g_byte_array_free (connection->out, TRUE);
-  if (connection->tail != NULL)
-    g_byte_array_free (connection->tail, TRUE);
-  g_string_free (connection->name, TRUE);
-  g_string_free (connection->value, TRUE);
-  g_free (connection);
+  (void)loop;
+  (void)events;
+  free_dead (watcher->data);
 }
 
 void
@@ -235,7 +247,6 @@
 
   if (connection->dead)
     return;
-  connection_enter (connection);
   connection->dead = true;
   ev_io_stop (server->loop, &connection->reader);
   ev_io_stop (server->loop, &connection->writer);
@@ -245,6 +256,7 @@
   if (connection->reading != NULL)
     exchange_free (connection->reading);
   connection->reading = NULL;
+  g_queue_push_tail_link (&server->dead, &connection->link);
   while ((exchange = g_queue_pop_head (&connection->exchanges)) != NULL)
     {
       exchange->connection = NULL;
@@ -253,7 +265,6 @@
       else
         server->hooks.gone (server->hooks.context, exchange);
     }
-  connection_leave (connection);
 }
 
 void
@@ -305,7 +316,6 @@
   if (connection->lingering)
     return;
   connection->active_at = clock_now ();
-  connection_enter (connection);
   if (connection->in->len > 0
       || g_queue_get_length (&connection->exchanges) >= PIPELINE_MAX)
     {
@@ -316,7 +326,6 @@
     }
   else
     parse (connection, data, (size_t)n);
-  connection_leave (connection);
 }
 
 /* Parses input that was kept while too many requests were waiting.  */
@@ -348,8 +357,7 @@
 
       if (g_queue_get_length (&connection->exchanges) >= PIPELINE_MAX)
         {
-          g_byte_array_append (connection->in,
-                               (const guint8 *)data + done,
+          g_byte_array_append (connection->in, (const guint8 *)data + done,
                                (guint)(length - done));
           return;
         }
@@ -420,10 +428,9 @@
   char *before = exchange->target;
 
   connection->header_bytes += length;
-  exchange->target = before == NULL
-                         ? g_strndup (data, length)
-                         : g_strdup_printf ("%s%.*s", before, (int)length,
-                                            data);
+  exchange->target
+      = before == NULL ? g_strndup (data, length)
+                       : g_strdup_printf ("%s%.*s", before, (int)length, data);
   g_free (before);
   return 0;
 }
@@ -553,9 +560,7 @@
 
   (void)loop;
   (void)events;
-  connection_enter (connection);
   connection_flush (connection);
-  connection_leave (connection);
 }
 
 static void
@@ -568,7 +573,6 @@
 
   (void)loop;
   (void)events;
-  connection_enter (connection);
   if (connection->lingering)
     {
       if (quiet >= LINGER_MS)
@@ -585,5 +589,4 @@
       connection->closing = true;
       connection_flush (connection);
     }
-  connection_leave (connection);
 }
--- a/lib/net/server_output.c
+++ b/lib/net/server_output.c
@@ -28,8 +28,7 @@
   exchange->head = g_string_new (NULL);
   exchange->out = g_byte_array_new ();
   exchange->begun = true;
-  exchange->no_body
-      = exchange->no_body || status == 204 || status == 304;
+  exchange->no_body = exchange->no_body || status == 204 || status == 304;
   g_string_printf (exchange->head, "HTTP/1.1 %d %s\r\n%s", status, reason,
                    fields != NULL ? fields : "");
 }
@@ -69,9 +68,8 @@
   if (exchange->chunked)
     g_string_append (exchange->head, "Transfer-Encoding: chunked\r\n");
   else
-    g_string_append_printf (exchange->head,
-                            "Content-Length: %" G_GINT64_FORMAT "\r\n",
-                            length);
+    g_string_append_printf (
+        exchange->head, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
   flush_of (exchange);
 }
 
@@ -143,9 +141,7 @@
         exchange_free (exchange);
       return;
     }
-  connection_enter (connection);
   connection_flush (connection);
-  connection_leave (connection);
 }
 
 static void
@@ -165,8 +161,7 @@
   if (exchange->last)
     g_string_append (exchange->head, "Connection: close\r\n");
   g_string_append (exchange->head, "\r\n");
-  g_byte_array_append (connection->out,
-                       (const guint8 *)exchange->head->str,
+  g_byte_array_append (connection->out, (const guint8 *)exchange->head->str,
                        (guint)exchange->head->len);
 }
 
@@ -208,10 +203,9 @@
 {
   while (connection->out_sent < connection->out->len)
     {
-      ssize_t n = send (connection->fd,
-                        connection->out->data + connection->out_sent,
-                        connection->out->len - connection->out_sent,
-                        MSG_NOSIGNAL);
+      ssize_t n
+          = send (connection->fd, connection->out->data + connection->out_sent,
+                  connection->out->len - connection->out_sent, MSG_NOSIGNAL);
 
       if (n < 0 && errno == EINTR)
         continue;
@@ -232,8 +226,8 @@
   if (connection->tail != NULL || connection->out->len > OUTPUT_MAX)
     {
       g_byte_array_free (connection->out, TRUE);
-      connection->out = connection->tail != NULL ? connection->tail
-                                                 : g_byte_array_new ();
+      connection->out
+          = connection->tail != NULL ? connection->tail : g_byte_array_new ();
       connection->tail = NULL;
       return write_out (connection);
     }
--- a/lib/net/server_private.h
+++ b/lib/net/server_private.h
@@ -13,7 +13,9 @@
   int fd;
   ev_io acceptor;
   ev_timer accept_pause;
+  ev_prepare cleaner;
   GQueue connections;
+  GQueue dead; /* connection_t * that are freed by the cleaner */
   bool draining;
 };
 
@@ -39,8 +41,7 @@
   bool closing;   /* no further request is read */
   bool cut;       /* an answer ended short; nothing may follow it */
   bool lingering; /* answered and shut down; reads until the caller closes */
-  bool dead;
-  int depth; /* calls into the connection; freed at 0 when dead */
+  bool dead;      /* closed; freed at the next turn of the loop */
   clock_ms_t active_at;
   clock_ms_t request_began; /* 0: between requests */
 };
@@ -49,7 +50,5 @@
 void connection_resume (connection_t *connection);
 void connection_close (connection_t *connection);
 void exchange_free (exchange_t *exchange);
-void connection_enter (connection_t *connection);
-void connection_leave (connection_t *connection);
 
 #endif
--- a/lib/proxy/decision_log.c
+++ b/lib/proxy/decision_log.c
@@ -42,7 +42,8 @@
     (void)g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT,
                       proxy->routes->version);
   if (backend != NULL)
-    (void)g_snprintf (load, sizeof load, "%u,%u,%u,%u age_ms=%" G_GINT64_FORMAT,
+    (void)g_snprintf (load, sizeof load,
+                      "%u,%u,%u,%u age_ms=%" G_GINT64_FORMAT,
                       backend->load.running, backend->load.waiting,
                       backend->load.slots, backend->load.pace,
                       backend->load_at == 0 ? -1 : now - backend->load_at);
--- a/lib/proxy/fields.c
+++ b/lib/proxy/fields.c
@@ -10,11 +10,17 @@
 bool
 fields_is_hop (const char *name)
 {
-  static const char *const hop[]
-      = { "connection", "keep-alive",        "proxy-connection",
-          "te",         "trailer",           "transfer-encoding",
-          "upgrade",    "proxy-authenticate", "proxy-authorization",
-          "expect",     "content-length" };
+  static const char *const hop[] = { "connection",
+                                     "keep-alive",
+                                     "proxy-connection",
+                                     "te",
+                                     "trailer",
+                                     "transfer-encoding",
+                                     "upgrade",
+                                     "proxy-authenticate",
+                                     "proxy-authorization",
+                                     "expect",
+                                     "content-length" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (hop); i++)
     if (g_ascii_strcasecmp (name, hop[i]) == 0)
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -11,6 +11,7 @@
 static void on_gone (void *context, exchange_t *exchange);
 static void on_drained (void *context, exchange_t *exchange);
 static void on_sweep (struct ev_loop *loop, ev_timer *watcher, int events);
+static void on_turn (struct ev_loop *loop, ev_prepare *watcher, int events);
 
 proxy_t *
 proxy_new (struct ev_loop *loop, const proxy_settings_t *settings,
@@ -32,6 +33,9 @@
   ev_timer_init (&proxy->sweep, on_sweep, SWEEP_S, SWEEP_S);
   proxy->sweep.data = proxy;
   ev_timer_start (loop, &proxy->sweep);
+  ev_prepare_init (&proxy->cleaner, on_turn);
+  proxy->cleaner.data = proxy;
+  ev_prepare_start (loop, &proxy->cleaner);
   return proxy;
 }
 
@@ -39,7 +43,9 @@
 proxy_free (proxy_t *proxy)
 {
   ev_timer_stop (proxy->loop, &proxy->sweep);
+  ev_prepare_stop (proxy->loop, &proxy->cleaner);
   pools_free (proxy);
+  uplinks_free_dead (proxy);
   g_ptr_array_free (proxy->uplinks, TRUE);
   g_hash_table_destroy (proxy->route_states);
   for (int i = 0; i < backends_service_count (proxy->backends); i++)
@@ -170,3 +176,11 @@
       proxy->log_suppressed = 0;
     }
 }
+
+static void
+on_turn (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  uplinks_free_dead (watcher->data);
+}
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -21,21 +21,21 @@
   const char *time_left;         /* ms that the caller will still wait */
   const char *expected_endpoint; /* only this endpoint may run the request */
   const char *endpoint_id;
-  const char *load;              /* running, waiting, slots, pace */
-  const char *not_run;           /* the endpoint did not run the request */
-  const char *signature;         /* of a whole answer */
-  const char *cold_left;         /* ms that the endpoint stays cold */
+  const char *load;      /* running, waiting, slots, pace */
+  const char *not_run;   /* the endpoint did not run the request */
+  const char *signature; /* of a whole answer */
+  const char *cold_left; /* ms that the endpoint stays cold */
 } proxy_names_t;
 
 typedef struct proxy_settings
 {
   proxy_names_t names;
   repeats_rules_t repeats;
-  int probes;              /* endpoints asked for each request */
-  double probes_per_s;     /* most probes of one endpoint, of all instances
-                              together; 0: not bounded */
-  double log_sample;       /* share of unremarkable requests that are logged */
-  uint32_t log_per_s;      /* most log lines a second */
+  int probes;          /* endpoints asked for each request */
+  double probes_per_s; /* most probes of one endpoint, of all instances
+                          together; 0: not bounded */
+  double log_sample;   /* share of unremarkable requests that are logged */
+  uint32_t log_per_s;  /* most log lines a second */
 } proxy_settings_t;
 
 proxy_t *proxy_new (struct ev_loop *loop, const proxy_settings_t *settings,
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -19,19 +19,21 @@
   struct ev_loop *loop;
   proxy_settings_t settings;
   backends_t *backends;
-  const routes_t *routes; /* NULL: none yet */
+  const routes_t *routes;   /* NULL: none yet */
   GHashTable *route_states; /* route name to route_state_t */
   GQueue unrouted;    /* request_t * that wait for the first configuration */
   GPtrArray *pools;   /* pool_t *, by index of the endpoint */
   GPtrArray *uplinks; /* uplink_t *, all that are open */
   decide_rng_t rng;
   ev_timer sweep;
+  ev_prepare cleaner;
+  GQueue dead; /* uplink_t * that are freed by the cleaner */
   int instances;
   int in_flight;
   bool refusing;
   double probes_left; /* probes that may be started now */
   clock_ms_t probes_at;
-  int priority_last;  /* of the least urgent route */
+  int priority_last; /* of the least urgent route */
   uint32_t log_left; /* lines that may be written in this second */
   uint64_t log_suppressed;
 };
@@ -86,7 +88,7 @@
   ev_io reader;
   ev_io writer;
   ev_timer timer;
-  GList link; /* in the pool's idle queue */
+  GList link; /* in the pool's idle queue, or the proxy's dead ones */
   http_parser parser;
   GByteArray *out;
   size_t sent;
@@ -117,7 +119,6 @@
   bool tainted; /* has carried an answer of another request */
   bool reading; /* false while the caller does not take the answer */
   bool dead;
-  int depth;
 };
 
 typedef enum request_state
@@ -190,8 +191,7 @@
 void uplink_send (uplink_t *uplink);
 void uplink_release (uplink_t *uplink);
 void uplink_close (uplink_t *uplink);
-void uplink_enter (uplink_t *uplink);
-void uplink_leave (uplink_t *uplink);
+void uplinks_free_dead (proxy_t *proxy);
 void uplink_pause (uplink_t *uplink, bool paused);
 pool_t *pool_of (proxy_t *proxy, backend_ref_t ref);
 void pools_sweep (proxy_t *proxy, clock_ms_t now);
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -75,8 +75,7 @@
   if (state == NULL)
     {
       state = g_new0 (route_state_t, 1);
-      g_hash_table_insert (proxy->route_states, g_strdup (route->name),
-                           state);
+      g_hash_table_insert (proxy->route_states, g_strdup (route->name), state);
     }
   return state;
 }
@@ -187,8 +186,8 @@
       route->parts[choose_part (proxy, route, request->route_state)].service);
   request->admission.urgent = route->priority < proxy->priority_last;
   set_times (request, route);
-  request->admission.base = estimate_base (&request->route_state->work,
-                                           request->admission.target);
+  request->admission.base
+      = estimate_base (&request->route_state->work, request->admission.target);
   if (proxy->refusing)
     {
       request_refuse (request, OUTCOME_STOPPING, NULL);
@@ -197,10 +196,10 @@
   fields_for_endpoint (&proxy->settings.names, exchange, request->fields);
   repeats_first (&service_state (proxy, request->service)->repeats,
                  &proxy->settings.repeats, clock_now ());
-  ev_timer_set (
-      &request->give_up,
-      (double)MAX (request->admission.give_up_at - clock_now (), 0) / 1000.0,
-      0);
+  ev_timer_set (&request->give_up,
+                (double)MAX (request->admission.give_up_at - clock_now (), 0)
+                    / 1000.0,
+                0);
   ev_timer_start (proxy->loop, &request->give_up);
   queue_up (request);
   round_start (request, false);
@@ -264,11 +263,11 @@
   clock_ms_t left = request->admission.give_up_at - clock_now ();
   GString *text = g_string_sized_new (request->fields->len + 256);
 
-  g_string_printf (text, "%s %s HTTP/1.1\r\n%s%s: %" G_GINT64_FORMAT
-                         "\r\n%s: %s\r\n\r\n",
-                   exchange->method, exchange->target, request->fields->str,
-                   names->time_left, MAX (left, 1), names->expected_endpoint,
-                   backend->entry.id);
+  g_string_printf (
+      text, "%s %s HTTP/1.1\r\n%s%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n\r\n",
+      exchange->method, exchange->target, request->fields->str,
+      names->time_left, MAX (left, 1), names->expected_endpoint,
+      backend->entry.id);
   g_byte_array_set_size (out, 0);
   g_byte_array_append (out, (const guint8 *)text->str, (guint)text->len);
   g_byte_array_append (out, exchange->body->data, exchange->body->len);
@@ -483,10 +482,10 @@
   if (request->state != REQUEST_STREAMING)
     {
       uint64_t left = uplink->parser.content_length;
-      int64_t whole = left == ULLONG_MAX
-                              || (uplink->parser.flags & F_CHUNKED) != 0
-                          ? -1
-                          : (int64_t)(left + answer->body->len);
+      int64_t whole
+          = left == ULLONG_MAX || (uplink->parser.flags & F_CHUNKED) != 0
+                ? -1
+                : (int64_t)(left + answer->body->len);
 
       request->state = REQUEST_STREAMING;
       ev_timer_stop (request->proxy->loop, &request->again);
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -32,16 +32,16 @@
 {
   proxy_t *proxy = request->proxy;
   backend_ref_t chosen[CHOOSE_MAX];
-  choose_wish_t wish = { .service = request->service,
-                         .bulk = request->bulk,
-                         .excluded = request->tried,
-                         .n_excluded = request->n_tried,
-                         .count = probe_allowance (proxy,
-                                                   proxy->settings.probes),
-                         .wide = request->rounds >= WIDE_FROM,
-                         .remote = request->bulk ? 0
-                                   : request->rounds == 0 ? REMOTE_FIRST
-                                                          : REMOTE_LATER };
+  choose_wish_t wish
+      = { .service = request->service,
+          .bulk = request->bulk,
+          .excluded = request->tried,
+          .n_excluded = request->n_tried,
+          .count = probe_allowance (proxy, proxy->settings.probes),
+          .wide = request->rounds >= WIDE_FROM,
+          .remote = request->bulk          ? 0
+                    : request->rounds == 0 ? REMOTE_FIRST
+                                           : REMOTE_LATER };
   round_t *round;
   int n;
 
@@ -195,8 +195,7 @@
       request_t *request = link->data;
 
       if (first == NULL
-          || admission_before (&request->admission, &first->admission,
-                               now))
+          || admission_before (&request->admission, &first->admission, now))
         first = request;
     }
   return first;
@@ -261,13 +260,11 @@
       drop (round);
       return;
     }
-  backend = best != NULL
-                ? backends_get (round->proxy->backends, best->backend)
-                : NULL;
-  admission
-      = admission_decide (&request->admission,
-                          backend != NULL ? &backend->load : NULL, estimate,
-                          clock_now ());
+  backend = best != NULL ? backends_get (round->proxy->backends, best->backend)
+                         : NULL;
+  admission = admission_decide (&request->admission,
+                                backend != NULL ? &backend->load : NULL,
+                                estimate, clock_now ());
   if (admission == ADMISSION_SEND && best != NULL)
     {
       release_held (round, best);
@@ -277,9 +274,8 @@
   else if (admission == ADMISSION_REFUSE)
     {
       round_leave (request);
-      request_refuse (request,
-                      backend == NULL ? OUTCOME_NO_ENDPOINT : OUTCOME_FULL,
-                      NULL);
+      request_refuse (
+          request, backend == NULL ? OUTCOME_NO_ENDPOINT : OUTCOME_FULL, NULL);
     }
   /* The request of this round goes on waiting when another one took the
      endpoint.  */
--- a/lib/proxy/uplink.c
+++ b/lib/proxy/uplink.c
@@ -185,22 +185,23 @@
   ev_io_start (proxy->loop, &uplink->reader);
 }
 
+/* Frees the connections that were closed since the last turn of the loop;
+   functions further up may still have worked on them before.  */
 void
-uplink_enter (uplink_t *uplink)
+uplinks_free_dead (proxy_t *proxy)
 {
-  uplink->depth++;
-}
+  GList *link;
 
-void
-uplink_leave (uplink_t *uplink)
-{
-  if (--uplink->depth > 0 || !uplink->dead)
-    return;
-  answer_clear (&uplink->answer);
-  g_byte_array_free (uplink->out, TRUE);
-  g_string_free (uplink->name, TRUE);
-  g_string_free (uplink->value, TRUE);
-  g_free (uplink);
+  while ((link = g_queue_pop_head_link (&proxy->dead)) != NULL)
+    {
+      uplink_t *uplink = link->data;
+
+      answer_clear (&uplink->answer);
+      g_byte_array_free (uplink->out, TRUE);
+      g_string_free (uplink->name, TRUE);
+      g_string_free (uplink->value, TRUE);
+      g_free (uplink);
+    }
 }
 
 void
@@ -211,7 +212,6 @@
 
   if (uplink->dead)
     return;
-  uplink_enter (uplink);
   uplink->dead = true;
   ev_io_stop (proxy->loop, &uplink->reader);
   ev_io_stop (proxy->loop, &uplink->writer);
@@ -223,9 +223,9 @@
   if (pool->generation == uplink->backend.generation)
     pool->open--;
   (void)g_ptr_array_remove_fast (proxy->uplinks, uplink);
+  g_queue_push_tail_link (&proxy->dead, &uplink->link);
   uplink->request = NULL;
   uplink->round = NULL;
-  uplink_leave (uplink);
 }
 
 /* Stops reading while the caller does not take the answer.  */
@@ -243,7 +243,6 @@
 static void
 fail (uplink_t *uplink, const char *why)
 {
-  uplink_enter (uplink);
   if (uplink->request != NULL)
     {
       request_t *request = uplink->request;
@@ -257,7 +256,6 @@
            || uplink->state == UPLINK_HELD)
     probe_failed (uplink, why);
   uplink_close (uplink);
-  uplink_leave (uplink);
 }
 
 static void
@@ -315,7 +313,6 @@
       fail (uplink, "bytes that belong to no request");
       return;
     }
-  uplink_enter (uplink);
   while (done < (size_t)n && !uplink->dead)
     {
       enum http_errno error;
@@ -342,7 +339,6 @@
           break;
         }
     }
-  uplink_leave (uplink);
 }
 
 /* The end of the connection may be the end of an answer without length.  A
@@ -350,22 +346,18 @@
 static void
 end_of_input (uplink_t *uplink, int error)
 {
-  uplink_enter (uplink);
-  if (error == 0 && uplink->state == UPLINK_RUNNING
-      && uplink->request != NULL)
+  if (error == 0 && uplink->state == UPLINK_RUNNING && uplink->request != NULL)
     {
       (void)http_parser_execute (&uplink->parser, &uplink_parser, NULL, 0);
       uplink->keep = false;
       if (uplink->complete && !uplink->dead)
         {
           request_answered (uplink->request, uplink);
-          uplink_leave (uplink);
           return;
         }
     }
   if (!uplink->dead)
     fail (uplink, error == 0 ? "closed by the endpoint" : g_strerror (error));
-  uplink_leave (uplink);
 }
 
 static void
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -17,8 +17,7 @@
 static int on_body (http_parser *parser, const char *data, size_t length);
 static int on_complete (http_parser *parser);
 static void end_field (uplink_t *uplink);
-static void read_field (uplink_t *uplink, const char *name,
-                        const char *value);
+static void read_field (uplink_t *uplink, const char *name, const char *value);
 static void read_keep_alive (uplink_t *uplink, const char *value);
 
 const http_parser_settings uplink_parser = {
--- a/lib/telemetry/log.c
+++ b/lib/telemetry/log.c
@@ -70,8 +70,7 @@
     return -ENOMEM;
   (void)g_strlcpy (logger.instance, settings->instance,
                    sizeof logger.instance);
-  logger.log_fd
-      = settings->log_fd != 0 ? settings->log_fd : STDERR_FILENO;
+  logger.log_fd = settings->log_fd != 0 ? settings->log_fd : STDERR_FILENO;
   logger.trace_share = settings->trace_share;
   telemetry_set_log_level (settings->log_level);
   atomic_store (&logger.stopping, false);
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -52,10 +52,20 @@
 static const char *const probes[] = { "ok", "failed", NULL };
 static const char *const calls[] = { "ok", "conflict", "failed", NULL };
 
-static const char *const outcomes[]
-    = { "answered",    "endpoint_failed", "caller_left", "no_route",
-        "no_configuration", "no_endpoint", "full", "out_of_time", "not_run",
-        "stopping", "timeout", "broken", "cut", NULL };
+static const char *const outcomes[] = { "answered",
+                                        "endpoint_failed",
+                                        "caller_left",
+                                        "no_route",
+                                        "no_configuration",
+                                        "no_endpoint",
+                                        "full",
+                                        "out_of_time",
+                                        "not_run",
+                                        "stopping",
+                                        "timeout",
+                                        "broken",
+                                        "cut",
+                                        NULL };
 static const char *const reader_changes[] = { "took_over", "gave_up", NULL };
 
 static const family_t counters[TELEMETRY_COUNTERS] = {
@@ -115,8 +125,8 @@
   = { "peridot_events_dropped_total",
       "Events that found the ring to the decision thread full.", NULL, NULL },
   [TELEMETRY_UPLINKS_OPENED]
-  = { "peridot_uplinks_opened_total", "Connections opened to endpoints.",
-      NULL, NULL },
+  = { "peridot_uplinks_opened_total", "Connections opened to endpoints.", NULL,
+      NULL },
   [TELEMETRY_FOREIGN_ANSWERS]
   = { "peridot_foreign_answers_total",
       "Answers that belonged to another request and were skipped.", NULL,
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -83,7 +83,7 @@
 typedef enum telemetry_outcome
 {
   OUTCOME_ANSWERED,
-  OUTCOME_ENDPOINT_FAILED,  /* the endpoint's own failure was returned */
+  OUTCOME_ENDPOINT_FAILED, /* the endpoint's own failure was returned */
   OUTCOME_CALLER_LEFT,
   OUTCOME_NO_ROUTE,
   OUTCOME_NO_CONFIGURATION, /* from here on refused: has not run */
@@ -92,7 +92,7 @@
   OUTCOME_OUT_OF_TIME,
   OUTCOME_NOT_RUN,
   OUTCOME_STOPPING,
-  OUTCOME_TIMEOUT,          /* from here on failed: may have run */
+  OUTCOME_TIMEOUT, /* from here on failed: may have run */
   OUTCOME_BROKEN,
   OUTCOME_CUT
 } telemetry_outcome_t;
--- /dev/null
+++ b/test/platform/platform_site.py
@@ -0,0 +1,655 @@
+"""A small site of the users' platform on loopback, from its published pages:
+the store, endpoints, callers, and instances as real processes.  Checks of the
+promises are made from what endpoints and callers see."""
+
+import asyncio
+import collections
+import hashlib
+import json
+import os
+import random
+import signal
+import socket
+import time
+import urllib.parse
+
+ID = "X-Request-Attempt-Id"
+LEFT = "X-Request-Deadline-Ms"
+SIGNATURE = "X-Response-Signature"
+EXPECTED = "X-Expected-Instance"
+ENDPOINT_ID = "X-Instance-Id"
+LOAD = "X-Instance-Load"
+NOT_RUN = "X-Not-Executed"
+COLD = "X-Cold-Remaining-Ms"
+
+FRONT, READY, DIRECTORY, INNER, METRICS = 8144, 8140, 8143, 7660, 9600
+DRAIN_S = 2.0
+CONFIG_S = 2.0
+HISTORY = 2000
+
+
+def body_of(request_id, size):
+    """The one right body of a request."""
+    seed = hashlib.sha256(request_id.encode()).digest()
+    return (seed * (size // len(seed) + 1))[:size]
+
+
+def signature_of(request_id, body):
+    return hashlib.sha256(request_id.encode() + body).hexdigest()[:16]
+
+
+class Broken(Exception):
+    """The peer closed, or sent what is no message."""
+
+
+async def read_message(reader):
+    """First line, fields by lower-case name, body (None: until close)."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, OSError,
+            asyncio.LimitOverrunError) as error:
+        raise Broken(str(error)) from error
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            fields[name.strip().lower()] = value.strip()
+    try:
+        if fields.get("transfer-encoding") == "chunked":
+            body = b""
+            while True:
+                size = int((await reader.readline()).strip() or b"x", 16)
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+                if size == 0:
+                    break
+        elif "content-length" in fields:
+            body = await reader.readexactly(int(fields["content-length"]))
+        else:
+            body = b""
+    except (asyncio.IncompleteReadError, ConnectionError, OSError,
+            ValueError) as error:
+        raise Broken(str(error)) from error
+    return lines[0], fields, body
+
+
+def message(first, fields, body=b""):
+    lines = [first] + [f"{k}: {v}" for k, v in fields.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+class Store:
+    """The platform's store; mode: None, busy, silent, reset, slow."""
+
+    def __init__(self):
+        self.objects = collections.defaultdict(dict)
+        self.revision = 1
+        self.events = []
+        self.dropped = 0
+        self.changed = asyncio.Condition()
+        self.mode = None
+        self.writers = set()
+        self.calls = 0
+        self.lose = 0.0
+        self.rng = random.Random(1)
+
+    async def put(self, kind, name, spec):
+        old = self.objects[kind].get(name)
+        if old is not None and old["spec"] == spec:
+            return old
+        self.revision += 1
+        obj = {"metadata": {"name": name, "revision": self.revision,
+                            "created": 1, "finalizers": [],
+                            "deleting": False},
+               "spec": spec, "status": None}
+        self.objects[kind][name] = obj
+        await self.note(kind, obj, False)
+        return obj
+
+    async def remove(self, kind, name):
+        obj = self.objects[kind].pop(name, None)
+        if obj is not None:
+            self.revision += 1
+            await self.note(kind, obj, True)
+
+    async def note(self, kind, obj, removed):
+        self.events.append((self.revision, kind, obj, removed))
+        if len(self.events) > HISTORY:
+            self.dropped = self.events.pop(0)[0]
+        async with self.changed:
+            self.changed.notify_all()
+
+    def compact(self):
+        """Drops the history and cuts the watches."""
+        self.dropped = self.revision
+        self.events.clear()
+        self.cut()
+
+    def cut(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                first, _, body = await read_message(reader)
+                self.calls += 1
+                if self.mode == "reset":
+                    writer.transport.abort()
+                    return
+                if self.mode == "silent":
+                    await asyncio.sleep(3600)
+                if self.mode == "slow":
+                    await asyncio.sleep(0.4)
+                if self.mode == "busy":
+                    writer.write(message("HTTP/1.1 503 Busy", {}))
+                    continue
+                method, target, _ = first.split(" ")
+                status, answer = await self.call(method, target, body)
+                if method != "GET" and self.rng.random() < self.lose:
+                    writer.transport.abort()
+                    return
+                writer.write(message(f"HTTP/1.1 {status} -",
+                                     {"Content-Type": "application/json"},
+                                     json.dumps(answer).encode()))
+                await writer.drain()
+        except (Broken, ConnectionError, OSError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+    async def call(self, method, target, body):
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        parts = url.path.strip("/").split("/")
+        kind = parts[1]
+        if method == "GET" and "watch" in query:
+            return await self.watch(kind, int(query["watch"]),
+                                    int(query.get("wait-ms", 0)))
+        if method == "GET":
+            names = sorted(n for n in self.objects[kind]
+                           if n > query.get("after", ""))
+            page = names[:50]
+            return 200, {"items": [self.objects[kind][n] for n in page],
+                         "more": len(names) > 50,
+                         "store-revision": self.revision}
+        sent = json.loads(body)
+        name = parts[2] if len(parts) > 2 else sent["metadata"]["name"]
+        old = self.objects[kind].get(name)
+        if method == "POST" and old is not None:
+            return 409, old
+        if method == "PUT":
+            if old is None:
+                return 404, {}
+            wanted = sent["metadata"].get("revision")
+            if wanted is not None and wanted != old["metadata"]["revision"]:
+                return 409, old
+        return 200, await self.put(kind, name, sent["spec"])
+
+    async def watch(self, kind, after, wait_ms):
+        until = time.monotonic() + wait_ms / 1000
+        while True:
+            if after < self.dropped:
+                return 410, {}
+            found = [{"object": o, "removed": gone}
+                     for r, k, o, gone in self.events if k == kind
+                     and r > after]
+            left = until - time.monotonic()
+            if found or left <= 0:
+                return 200, {"events": found,
+                             "store-revision": self.revision}
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+
+class Endpoint:
+    """A backend server; faults are set by the test."""
+
+    def __init__(self, site, name, service, zone, address, **options):
+        self.site, self.name, self.service = site, name, service
+        self.zone, self.address = zone, address
+        self.slots = options.get("slots", 3)
+        self.queue = options.get("queue", 6)
+        self.work = options.get("work", 0.02)
+        self.size = options.get("size", 400)
+        self.pace = 100
+        self.cold_until = time.monotonic() + options.get("cold", 0)
+        self.running = self.waiting = 0
+        self.free = asyncio.Semaphore(self.slots)
+        self.state = "ready"
+        self.drained_at = None
+        self.faults = {}
+        self.rng = random.Random(name)
+        self.server = None
+        self.writers = set()
+        self.born = int(time.time() * 1000)
+        self.arrivals = []
+
+    async def start(self):
+        host, port = self.address
+        self.server = await asyncio.start_server(
+            self.serve, host, port, reuse_address=True)
+        await self.beat()
+        self.beating = asyncio.create_task(self.beats())
+
+    async def beats(self):
+        while True:
+            await asyncio.sleep(1.0)
+            await self.beat()
+
+    async def beat(self):
+        cold = max(0.0, self.cold_until - time.monotonic())
+        if self.site.store.mode is None:
+            await self.site.store.put("servers", self.name, {
+                "service": self.service, "zone": self.zone,
+                "address": "%s:%d" % self.address, "version": "v1",
+                "slots": self.slots, "state": self.state, "born": self.born,
+                "cold-remaining-s": round(cold, 3),
+                "sequence": int(time.monotonic() * 10)})
+
+    async def drain(self):
+        self.state = "draining"
+        await self.beat()
+        self.drained_at = time.monotonic()
+
+    async def stop(self, forget=True):
+        self.beating.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        if forget:
+            await self.site.store.remove("servers", self.name)
+
+    def load(self):
+        return f"{self.running},{self.waiting},{self.slots},{self.pace}"
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                first, fields, body = await read_message(reader)
+                if self.faults.get("silent"):
+                    await asyncio.sleep(3600)
+                await self.answer(first, fields, body, reader, writer)
+                await writer.drain()
+        except (Broken, ConnectionError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+    async def answer(self, first, fields, body, reader, writer):
+        method, target, _ = first.split(" ")
+        if target == "/healthz":
+            well = self.state == "ready" and not self.faults.get("ill")
+            cold = max(0, self.cold_until - time.monotonic())
+            writer.write(message(
+                "HTTP/1.1 200 OK" if well else "HTTP/1.1 503 -",
+                {ENDPOINT_ID: self.name, LOAD: self.load(),
+                 COLD: int(cold * 1000), "Keep-Alive": "timeout=10"}))
+            return
+        request_id = fields.get(ID.lower(), "")
+        if fields.get(EXPECTED.lower(), self.name) != self.name:
+            writer.write(message("HTTP/1.1 421 -", {ENDPOINT_ID: self.name}))
+            return
+        if self.running + self.waiting >= self.slots + self.queue:
+            writer.write(message("HTTP/1.1 503 -", {NOT_RUN: "1", ID:
+                                                    request_id}))
+            return
+        self.waiting += 1
+        async with self.free:
+            self.waiting -= 1
+            self.running += 1
+            self.site.note_run(self, request_id, method, target, body)
+            try:
+                await asyncio.sleep(self.work * self.pace / 100)
+            finally:
+                self.running -= 1
+        self.finish(request_id, writer)
+
+    def finish(self, request_id, writer):
+        right = body_of(request_id, self.size)
+        fields = {ID: request_id, SIGNATURE: signature_of(request_id, right),
+                  LOAD: self.load(), "Keep-Alive": "timeout=10"}
+        whole = message("HTTP/1.1 200 OK", fields, right)
+        draw = self.rng.random()
+        for fault, share in self.faults.items():
+            if draw >= share or fault in ("silent", "ill"):
+                continue
+            if fault == "lost":
+                writer.transport.abort()
+            elif fault == "short":
+                writer.write(whole[:-len(right) // 2])
+                writer.close()
+            elif fault == "extra":
+                writer.write(whole + whole)
+            elif fault == "unframed":
+                lines = [f"{k}: {v}" for k, v in fields.items()]
+                writer.write(("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                              + "\r\n".join(lines) + "\r\n\r\n").encode()
+                             + right)
+                writer.close()
+            elif fault == "errors":
+                writer.write(message("HTTP/1.1 500 -", {ID: request_id}))
+            elif fault == "rot":
+                writer.write(b"\x00not http\r\n\r\n")
+            return
+        writer.write(whole)
+
+
+class Instance:
+    """One real peridotrouter process."""
+
+    def __init__(self, site, name, zone, ip, store_port):
+        self.site, self.name, self.zone, self.ip = site, name, zone, ip
+        self.store_port = store_port
+        self.path = os.path.join(site.folder, name + ".json")
+        self.log_path = os.path.join(site.folder, name + ".log")
+        self.process = None
+        self.stopping = False
+
+    def write_settings(self):
+        seeds = [f"{i.ip}:8146" for i in self.site.instances[:3]]
+        listen = {k: f"{self.ip}:{p}" for k, p in (
+            ("front", FRONT), ("ready", READY), ("directory", DIRECTORY))}
+        settings = {
+            "node-name": self.name, "ip": self.ip, "zone": self.zone,
+            "region": "here", "listen": listen, "seeds": seeds,
+            "internal-port-range": [INNER, INNER + 15],
+            "platform": {"address": f"127.0.0.1:{self.store_port}"},
+            "limits": {"cpu-share": 1.0, "link-mbps": 1000.0},
+            "bounds": {"retry-budget-ratio": 0.2, "retry-budget-slack": 56,
+                       "retry-window-s": 10, "grace-s": 6, "ttl_max_s": 5,
+                       "probes-per-s": 60}}
+        with open(self.path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+
+    async def start(self):
+        self.write_settings()
+        self.stopping = False
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.site.program, "--settings", self.path,
+                "--metrics-port", str(METRICS), stdout=log, stderr=log,
+                env={"ASAN_OPTIONS": os.environ.get("ASAN_OPTIONS", ""),
+                     "PATH": os.environ.get("PATH", "")})
+
+    def send(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number=signal.SIGTERM):
+        """Stops or kills the process; returns its status."""
+        self.stopping = True
+        self.send(number)
+        return await self.process.wait()
+
+    async def get(self, port, target):
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(self.ip, port), 1)
+        try:
+            writer.write(f"GET {target} HTTP/1.1\r\nHost: {self.ip}\r\n\r\n"
+                         .encode())
+            first, _, body = await asyncio.wait_for(read_message(reader), 1)
+            return int(first.split(" ")[1]), body
+        finally:
+            writer.transport.abort()
+
+    async def metrics(self):
+        _, body = await self.get(METRICS, "/metrics")
+        found = {}
+        for line in body.decode().splitlines():
+            if line and not line.startswith("#"):
+                name, _, value = line.rpartition(" ")
+                found[name] = float(value)
+        return found
+
+
+class Site:
+    """Everything together, and the checks."""
+
+    def __init__(self, program, folder):
+        self.program, self.folder = program, folder
+        self.store = Store()
+        self.instances = []
+        self.endpoints = {}
+        self.runs = collections.defaultdict(list)
+        self.sent = {}
+        self.refused = set()
+        self.outcomes = collections.Counter()
+        self.late = 0
+        self.faults = []
+        self.next_id = 0
+        self.version = 0
+
+    async def start(self, instances=3, zones=("a", "b"), endpoints=None):
+        self.store_server = await asyncio.start_server(
+            self.store.serve, "127.0.0.1", 0)
+        port = self.store_server.sockets[0].getsockname()[1]
+        for i in range(instances):
+            zone = zones[i % len(zones)]
+            self.instances.append(Instance(self, f"front-{zone}-{i}", zone,
+                                           f"127.0.1.{i + 1}", port))
+        for service, count in (endpoints or {"slots": 4, "files": 2}).items():
+            for i in range(count):
+                await self.add_endpoint(service, zones[i % len(zones)])
+        await self.configure()
+        for instance in self.instances:
+            await instance.start()
+
+    async def add_endpoint(self, service, zone, **options):
+        n = len(self.endpoints) + 1
+        name = f"i-{n:04d}"
+        if service == "files":
+            options.setdefault("size", 60000)
+        address = options.pop("address", (f"127.0.2.{n}", 8500))
+        endpoint = Endpoint(self, name, service, zone, address, **options)
+        self.endpoints[name] = endpoint
+        await endpoint.start()
+        return endpoint
+
+    async def configure(self, **changes):
+        """Stores a configuration; a route is changed by its name."""
+        self.version += 3
+        routes = {
+            "look": {"host": "here.example", "path-prefix": "/look/",
+                     "kind": "safe", "service": "slots", "timeout-s": 1.5,
+                     "target-latency-s": 0.3, "priority": 2,
+                     "max-attempts": 2},
+            "book": {"host": "here.example", "path-prefix": "/book/",
+                     "kind": "unsafe", "service": "slots", "timeout-s": 1.5,
+                     "target-latency-s": 0.4, "priority": 1,
+                     "max-attempts": 2},
+            "file": {"host": "here.example", "path-prefix": "/file/",
+                     "kind": "download", "service": "files",
+                     "timeout-s": 1.5, "target-latency-s": 0.4,
+                     "priority": 2, "max-attempts": 2}}
+        routes.update(changes)
+        service = {"health-check-path": "/healthz", "max-connections": 200,
+                   "protocol": "h1", "tls": False, "cold-start-s": 3.0,
+                   "cold-per-s": 8}
+        await self.store.put("config", "main", {
+            "version": self.version,
+            "routes": {k: v for k, v in routes.items() if v is not None},
+            "services": {"slots": service, "files": service},
+            "limits": {"max-header-bytes": 16384,
+                       "max-body-bytes": 1048576, "header-timeout-s": 3,
+                       "idle-timeout-s": 15}})
+
+    def fault(self, text):
+        self.faults.append(text)
+
+    def note_run(self, endpoint, request_id, method, target, body):
+        now = time.monotonic()
+        sent = self.sent.get(request_id)
+        self.runs[request_id].append((now, endpoint.name))
+        if sent is None or (method, target, body) != sent:
+            self.fault(f"unasked: {request_id} {method} {target}")
+            return
+        if target.startswith("/book/"):
+            if len(self.runs[request_id]) > 1:
+                self.fault(f"twice: {request_id}")
+            if request_id in self.refused:
+                self.fault(f"refused and run: {request_id}")
+        if (endpoint.drained_at is not None
+                and now > endpoint.drained_at + DRAIN_S):
+            self.fault(f"drain: {request_id} at {endpoint.name}")
+        wanted = "files" if target.startswith("/file/") else "slots"
+        if endpoint.service != wanted:
+            self.fault(f"route: {request_id} at {endpoint.service}")
+
+    async def resolve(self, zone):
+        order = sorted((i for i in self.instances),
+                       key=lambda i: (i.zone != zone, random.random()))
+        for instance in order[:3]:
+            try:
+                status, body = await instance.get(
+                    DIRECTORY, f"/resolve?name=here.example&region=here"
+                    f"&zone={zone}")
+                if status == 200:
+                    found = json.loads(body)
+                    return found["addresses"], found["ttl-s"]
+            except (OSError, Broken, asyncio.TimeoutError, ValueError):
+                continue
+        return [], 0.2
+
+    async def request(self, reader, writer, kind):
+        """Sends one request; returns the status, or None when cut."""
+        self.next_id += 1
+        request_id = f"r{self.next_id:08d}"
+        method = "POST" if kind == "book" else "GET"
+        target = f"/{kind}/{self.next_id}"
+        body = b"x" * 300 if kind == "book" else b""
+        self.sent[request_id] = (method, target, body)
+        began = time.monotonic()
+        writer.write(message(f"{method} {target} HTTP/1.1",
+                             {"Host": "here.example", ID: request_id,
+                              LEFT: "2000"}, body))
+        try:
+            first, fields, got = await asyncio.wait_for(
+                read_message(reader), 3.0)
+        except (Broken, ConnectionError, OSError):
+            self.outcomes[kind, "cut"] += 1
+            return None
+        except asyncio.TimeoutError:
+            self.outcomes[kind, "none"] += 1
+            self.fault(f"no answer within 3 s: {request_id}")
+            return None
+        status = int(first.split(" ")[1])
+        if status == 200:
+            size = 60000 if kind == "file" else 400
+            if (got != body_of(request_id, size) or fields.get(
+                    SIGNATURE.lower()) != signature_of(request_id, got)):
+                self.fault(f"mixed: {request_id}")
+        elif status in (408, 421, 429, 503):
+            self.refused.add(request_id)
+            if kind == "book" and self.runs.get(request_id):
+                self.fault(f"run and refused: {request_id}")
+        self.outcomes[kind, status] += 1
+        self.late += time.monotonic() - began > 2.2
+        return status if "close" != fields.get("connection") else None
+
+    async def caller(self, zone, per_s, until, rng):
+        """Asks the directory, keeps connections, sends requests."""
+        addresses, expires = [], 0.0
+        streams, address = None, None
+        while time.monotonic() < until:
+            if time.monotonic() > expires:
+                found, ttl = await self.resolve(zone)
+                addresses = found or addresses
+                expires = time.monotonic() + ttl
+                if address not in addresses and streams is not None:
+                    streams[1].transport.abort()
+                    streams = None
+            if streams is None and addresses:
+                address = rng.choice(addresses)
+                host, _, port = address.partition(":")
+                try:
+                    streams = await asyncio.wait_for(
+                        asyncio.open_connection(host, int(port)), 1)
+                except (OSError, asyncio.TimeoutError):
+                    self.outcomes["connect", "failed"] += 1
+                    addresses = [a for a in addresses if a != address]
+            if streams is not None:
+                kind = rng.choices(("look", "book", "file"), (6, 2, 1))[0]
+                try:
+                    kept = await self.request(*streams, kind)
+                except ConnectionError:
+                    kept = None
+                if kept is None:
+                    streams[1].transport.abort()
+                    streams = None
+            await asyncio.sleep(rng.expovariate(per_s))
+        if streams is not None:
+            streams[1].transport.abort()
+
+    async def ready(self, within=5.0):
+        """Waits until all running instances say that they are ready."""
+        until = time.monotonic() + within
+        for instance in self.instances:
+            while True:
+                try:
+                    status, _ = await instance.get(READY, "/ready")
+                    if status == 200:
+                        break
+                except (OSError, Broken, asyncio.TimeoutError):
+                    pass
+                if time.monotonic() > until:
+                    self.fault(f"not ready: {instance.name}")
+                    break
+                await asyncio.sleep(0.05)
+
+    def share(self, *kinds):
+        """Share of whole answers."""
+        asked = sum(n for (k, _), n in self.outcomes.items() if k in kinds)
+        good = sum(n for (k, s), n in self.outcomes.items()
+                   if k in kinds and s == 200)
+        return good / asked if asked else 0.0
+
+    async def stop(self):
+        for instance in self.instances:
+            if instance.process is None or instance.process.returncode \
+                    is not None:
+                if not instance.stopping:
+                    self.fault(f"{instance.name} ended by itself: "
+                               f"{instance.process.returncode}")
+                continue
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+            instance.stopping = True
+            await instance.process.wait()
+        for endpoint in self.endpoints.values():
+            await endpoint.stop(forget=False)
+        self.store_server.close()
+
+
+def run(program, folder, script, **options):
+    """Runs script(site) on a started site; returns the site."""
+    async def whole():
+        site = Site(program, folder)
+        await site.start(**options)
+        try:
+            await site.ready()
+            await script(site)
+        finally:
+            await site.stop()
+        return site
+    return asyncio.run(whole())
+
+
+def free_ports():
+    """Whether the site's addresses are free on this machine."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.1.1", FRONT))
+            return True
+        except OSError:
+            return False
