Avoid endpoints that are slow and do not say so; unit tests of the new packages

An endpoint whose answers take longer than estimated, or are overdue, now costs more until it has answered in time again or 2.5 s have passed. Ruled out: the share of faults (these answers are successes).

--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -7,6 +7,14 @@
 #define AVOID_MAX_MS 2000
 /* Weight of the newest request in the share of faults.  */
 #define FAULT_WEIGHT 0.3
+/* Weight of the newest request in an endpoint's slowness.  */
+#define SLOW_WEIGHT 0.5
+/* Requests differ in their work by less than this.  */
+#define SLOW_FROM 1.8
+#define SLOW_MAX 12.0
+/* Slowness halves in this time without requests, so that an endpoint that has
+   recovered is tried again.  */
+#define SLOW_HALF_MS 2500.0
 /* The share of faults halves in this time without requests, so that an
    endpoint that has recovered is tried again.  */
 #define FAULT_HALF_MS 2000.0
@@ -311,6 +319,28 @@
   backend->faults_at = now;
 }
 
+void
+backend_took (backend_t *backend, double expected, clock_ms_t took, bool ended,
+              clock_ms_t now)
+{
+  double ratio = CLAMP ((double)took / MAX (expected, 1.0), 1.0, SLOW_MAX);
+  double before = backend_slowness (backend, now);
+
+  if (!ended && ratio <= before)
+    return;
+  backend->slow = before + SLOW_WEIGHT * (ratio - before);
+  backend->slow_at = now;
+}
+
+double
+backend_slowness (const backend_t *backend, clock_ms_t now)
+{
+  double over = (backend->slow - 1.0)
+                / (1.0 + (double)(now - backend->slow_at) / SLOW_HALF_MS);
+
+  return 1.0 + over < SLOW_FROM ? 1.0 : 1.0 + over;
+}
+
 double
 backend_faults (const backend_t *backend, clock_ms_t now)
 {
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -68,10 +68,12 @@
   clock_ms_t avoid_until; /* not probed before, after a failure */
   uint32_t silent_in_a_row;
   backend_load_t load;
-  clock_ms_t load_at;      /* 0: never */
-  uint32_t in_flight;      /* requests of this instance */
-  double faults;           /* smoothed share of requests that failed */
-  clock_ms_t faults_at;    /* of the last request that counted */
+  clock_ms_t load_at;   /* 0: never */
+  uint32_t in_flight;   /* requests of this instance */
+  double faults;        /* smoothed share of requests that failed */
+  clock_ms_t faults_at; /* of the last request that counted */
+  double slow;          /* smoothed times that requests take longer */
+  clock_ms_t slow_at;
   clock_ms_t cold_sent_at; /* last request of this instance while cold */
   uint32_t affinity;       /* orders endpoints differently on each instance */
 } backend_t;
@@ -142,6 +144,18 @@
 /* Smoothed share of failed requests; fades while none is sent.  */
 double backend_faults (const backend_t *backend, clock_ms_t now);
 
+/**
+ * backend_took() - a request took its time at an endpoint, or has taken it
+ * already without an answer
+ * @expected: ms, from estimate_at()
+ * @ended: the request was answered; one under way can only show slowness
+ */
+void backend_took (backend_t *backend, double expected, clock_ms_t took,
+                   bool ended, clock_ms_t now);
+/* How many times longer than expected requests take there, at least 1; fades
+   while none is sent.  What an endpoint says of its load does not show it.  */
+double backend_slowness (const backend_t *backend, clock_ms_t now);
+
 /* ---- Shared bound of cold endpoints ---- */
 
 /**
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -140,6 +140,7 @@
 
   *estimate
       = estimate_at (service, base, load, backend_is_cold (backend, now));
+  *estimate *= backend_slowness (backend, now);
   cost = *estimate * (1.0 + FAULT_FACTOR * backend_faults (backend, now));
   if (!backend_is_local (backends, backend))
     cost += bulk ? REMOTE_BULK_MS : REMOTE_MS;
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -97,6 +97,7 @@
   clock_ms_t sent_at;
   clock_ms_t idle_until;
   backend_load_t load_before; /* of the endpoint when the request was sent */
+  double expected;            /* ms that the request should take */
   /* The answer that is being read.  */
   answer_t answer;
   GString *name;
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -32,6 +32,7 @@
 static void set_times (request_t *request, const route_t *route);
 static void build (request_t *request, const uplink_t *uplink,
                    GByteArray *out);
+static void note_overdue (request_t *request);
 static void forget_uplink (request_t *request, const uplink_t *uplink);
 static void route_request (request_t *request);
 static void queue_up (request_t *request);
@@ -234,6 +235,24 @@
   ev_timer_start (request->proxy->loop, &request->again);
 }
 
+/* An attempt under way has taken longer than its endpoint should need.  */
+static void
+note_overdue (request_t *request)
+{
+  clock_ms_t now = clock_now ();
+
+  for (int i = 0; i < request->n_uplinks; i++)
+    {
+      const uplink_t *uplink = request->uplinks[i];
+      backend_t *backend
+          = backends_get (request->proxy->backends, uplink->backend);
+
+      if (backend != NULL)
+        backend_took (backend, uplink->expected, now - uplink->sent_at, false,
+                      now);
+    }
+}
+
 static void
 on_again (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -248,6 +267,7 @@
   else if (request->state == REQUEST_SENT && request->idempotent
            && request->n_tried < request->endpoints_max)
     {
+      note_overdue (request);
       request_wait (request, BESIDE_PAUSE_MS);
       round_start (request, true);
     }
@@ -298,6 +318,9 @@
   uplink->state = UPLINK_RUNNING;
   uplink->sent_at = now;
   uplink->load_before = backend->load;
+  uplink->expected = estimate_at (
+      backends_service_get (proxy->backends, backend->service),
+      request->admission.base, &backend->load, backend_is_cold (backend, now));
   backend->in_flight++;
   /* Until it reports again, the endpoint is taken to have this one more.  */
   backend->load.running++;
@@ -312,15 +335,10 @@
 static void
 start_beside_timer (request_t *request, const uplink_t *uplink)
 {
-  const service_t *service
-      = backends_service_get (request->proxy->backends, request->service);
-  double expected = estimate_at (service, request->admission.base,
-                                 &uplink->load_before, false);
-
   if (!request->idempotent || request->n_tried >= request->endpoints_max)
     return;
-  request_wait (request,
-                MAX ((clock_ms_t)(expected * BESIDE_FACTOR), BESIDE_MIN_MS));
+  request_wait (request, MAX ((clock_ms_t)(uplink->expected * BESIDE_FACTOR),
+                              BESIDE_MIN_MS));
 }
 
 static void
@@ -457,6 +475,8 @@
   if (backend != NULL)
     {
       backend_finished (backend, !well, now);
+      backend_took (backend, uplink->expected, now - uplink->sent_at, true,
+                    now);
       if (well)
         estimate_learn (
             backends_service_get (proxy->backends, backend->service),
--- /dev/null
+++ b/test/unit/platform.c
@@ -0,0 +1,261 @@
+/* What the adapter makes of the platform's documents.  */
+
+#include <errno.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "settings.h"
+#include "store_decode.h"
+
+static int
+decode (feed_kind_t kind, const char *items, feed_answer_t *answer)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"items\":[%s],\"more\":false,\"store-revision\":9}", items);
+
+  *answer = (feed_answer_t){ 0 };
+  return store_decode (kind, body, strlen (body), answer);
+}
+
+static bool
+names_an_endpoint (const char *spec)
+{
+  g_autofree char *item = g_strdup_printf (
+      "{\"metadata\":{\"name\":\"i-1\",\"revision\":7},\"spec\":%s}", spec);
+  feed_answer_t answer;
+  bool found;
+
+  g_assert_cmpint (decode (FEED_BACKENDS, item, &answer), ==, 0);
+  g_assert_cmpuint (answer.items->len, ==, 1);
+  found
+      = ((feed_item_t *)g_ptr_array_index (answer.items, 0))->backend != NULL;
+  g_ptr_array_free (answer.items, TRUE);
+  return found;
+}
+
+/* Guards against entries of other writers that name an endpoint to use.  */
+static void
+foreign_entries_name_nothing (void)
+{
+  g_assert_true (names_an_endpoint (
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+      "\"slots\":3,\"state\":\"ready\",\"cold-remaining-s\":0.5}"));
+  g_assert_false (names_an_endpoint ("null"));
+  g_assert_false (names_an_endpoint ("[]"));
+  g_assert_false (names_an_endpoint ("\"text\""));
+  g_assert_false (names_an_endpoint (
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+      "\"slots\":\"3\",\"state\":\"ready\"}"));
+  g_assert_false (names_an_endpoint (
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+      "\"slots\":3,\"state\":\"sleeping\"}"));
+  g_assert_false (names_an_endpoint (
+      "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"a\","
+      "\"slots\":3,\"state\":\"ready\"}"));
+  g_assert_false (names_an_endpoint (
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":3,"
+      "\"state\":\"ready\"}"));
+  g_assert_false (names_an_endpoint (
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+      "\"slots\":3,\"state\":\"ready\",\"born\":\"yesterday\"}"));
+}
+
+#define LIMITS                                                                \
+  "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":1000,"           \
+  "\"header-timeout-s\":3,\"idle-timeout-s\":15}"
+#define SERVICES                                                              \
+  "\"services\":{\"s\":{\"health-check-path\":\"/healthz\","                  \
+  "\"max-connections\":220,\"cold-per-s\":7.9},\"t\":{}}"
+
+static routes_t *
+config (const char *route)
+{
+  g_autofree char *item = g_strdup_printf (
+      "{\"metadata\":{\"name\":\"main\",\"revision\":7},\"spec\":{"
+      "\"version\":4,\"routes\":{\"r\":%s}," SERVICES "," LIMITS "}}",
+      route);
+  feed_answer_t answer;
+  feed_item_t *found;
+  routes_t *routes;
+
+  g_assert_cmpint (decode (FEED_CONFIG, item, &answer), ==, 0);
+  found = g_ptr_array_index (answer.items, 0);
+  routes = g_steal_pointer (&found->routes);
+  g_ptr_array_free (answer.items, TRUE);
+  return routes;
+}
+
+/* Guards against times read in the wrong unit and kinds that may repeat though
+   they must not.  */
+static void
+configuration_is_decoded (void)
+{
+  routes_t *routes
+      = config ("{\"host\":\"h\",\"path-prefix\":\"/a/\",\"kind\":\"unsafe\","
+                "\"timeout-s\":0.8,\"target-latency-s\":0.3,\"priority\":1,"
+                "\"traffic-split\":[{\"service\":\"s\",\"weight\":90},"
+                "{\"service\":\"t\",\"weight\":10}],\"max-attempts\":2}");
+  const route_t *route = g_ptr_array_index (routes->routes, 0);
+
+  g_assert_cmpuint (routes->version, ==, 4);
+  g_assert_cmpint (route->timeout, ==, 800);
+  g_assert_cmpint (route->target, ==, 300);
+  g_assert_false (route->idempotent);
+  g_assert_cmpint (route->n_parts, ==, 2);
+  g_assert_cmpint (route->endpoints_max, ==, 2);
+  g_assert_cmpint (routes->limits.idle_timeout, ==, 15000);
+  g_assert_cmpfloat (routes_service (routes, "s")->cold_per_s, ==, 7.9);
+  routes_free (routes);
+  routes = config ("{\"host\":\"h\",\"path-prefix\":\"/a/\","
+                   "\"kind\":\"new-kind\",\"service\":\"s\"}");
+  g_assert_false (
+      ((const route_t *)g_ptr_array_index (routes->routes, 0))->idempotent);
+  routes_free (routes);
+}
+
+/* Guards against a configuration that is taken over in part.  */
+static void
+bad_configuration_is_refused_whole (void)
+{
+  static const char *const bad[] = {
+    "{\"host\":\"h\",\"path-prefix\":\"/a/\",\"kind\":\"safe\"}",
+    "{\"host\":\"h\",\"path-prefix\":\"/a/\",\"kind\":\"safe\","
+    "\"service\":\"unknown\"}",
+    "{\"path-prefix\":\"/a/\",\"kind\":\"safe\",\"service\":\"s\"}",
+    "{\"host\":\"h\",\"path-prefix\":\"/a\",\"kind\":\"safe\","
+    "\"service\":\"s\"}",
+    "{\"host\":\"h\",\"path-prefix\":\"/a/\",\"kind\":\"safe\","
+    "\"service\":\"s\",\"timeout-s\":-1}",
+    "{\"host\":\"h\",\"path-prefix\":\"/a/\",\"kind\":\"safe\","
+    "\"traffic-split\":[]}",
+    "{\"host\":\"h\",\"path-prefix\":\"/a/\",\"kind\":\"safe\","
+    "\"traffic-split\":[{\"service\":\"s\",\"weight\":0}]}",
+    "{\"host\":\"h\",\"path-prefix\":\"/a/\",\"kind\":\"safe\","
+    "\"traffic-split\":[{\"service\":\"s\"}]}",
+    "17",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    g_assert_null (config (bad[i]));
+}
+
+/* Guards against answers of the store that are cut or of another shape.  */
+static void
+broken_answers_are_errors (void)
+{
+  static const char *const bad[] = { "",
+                                     "{",
+                                     "[]",
+                                     "null",
+                                     "{\"items\":[]}",
+                                     "{\"items\":{},\"store-revision\":1}",
+                                     "{\"store-revision\":1}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      feed_answer_t answer = { 0 };
+
+      g_assert_cmpint (
+          store_decode (FEED_BACKENDS, bad[i], strlen (bad[i]), &answer), ==,
+          -EPROTO);
+      g_ptr_array_free (answer.items, TRUE);
+    }
+}
+
+/* Guards against a list of instances that can't be read back.  */
+static void
+members_are_read_back (void)
+{
+  members_t *members = members_new ("front-1", "a", 0x0100000a);
+  g_autofree char *text = NULL;
+  feed_answer_t answer;
+  const feed_item_t *item;
+
+  (void)members_put (members, "front-2", "b", 0x0200000a, 0);
+  text = store_encode_members (members, "all", 0);
+  g_assert_cmpint (decode (FEED_MEMBERS, text, &answer), ==, 0);
+  item = g_ptr_array_index (answer.items, 0);
+  g_assert_cmpuint (item->members->len, ==, 2);
+  g_assert_cmpuint (
+      ((const feed_member_t *)g_ptr_array_index (item->members, 1))->ip, ==,
+      0x0200000a);
+  g_ptr_array_free (answer.items, TRUE);
+  members_free (members);
+}
+
+static char *
+settings_fault (const char *from, const char *to)
+{
+  static const char whole[]
+      = "{\"node-name\":\"front-1\",\"zone\":\"a\",\"ip\":\"10.0.0.1\","
+        "\"listen\":{\"front\":\"10.0.0.1:8144\",\"ready\":\"10.0.0.1:8140\","
+        "\"directory\":\"10.0.0.1:8143\"},\"internal-port-range\":[7660,7675],"
+        "\"platform\":{\"address\":\"10.0.0.9:8142\"},\"bounds\":{"
+        "\"retry-budget-ratio\":0.2,\"retry-budget-slack\":56,"
+        "\"retry-window-s\":10,\"grace-s\":6,\"ttl_max_s\":5},\"new\":1}";
+  g_autofree char *path = NULL;
+  GString *text = g_string_new (whole);
+  instance_settings_t settings;
+  char *error = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+
+  g_assert_cmpint (fd, >=, 0);
+  if (from != NULL)
+    g_string_replace (text, from, to, 1);
+  g_assert_true (
+      g_file_set_contents (path, text->str, (gssize)text->len, NULL));
+  if (settings_read (path, &settings, &error) == 0)
+    {
+      g_assert_cmpint (settings.stop_within, ==, 6000);
+      g_assert_cmpint (ntohs (settings.instances.sin_port), ==, 7660);
+      settings_clear (&settings);
+    }
+  (void)g_remove (path);
+  (void)g_close (fd, NULL);
+  g_string_free (text, TRUE);
+  return error;
+}
+
+/* Guards against a process that starts with settings it misreads; fields it
+   does not know are left out.  */
+static void
+settings_are_checked (void)
+{
+  static const char *const cases[][3] = {
+    { "\"zone\":\"a\"", "\"zone\":1", "zone" },
+    { "10.0.0.1:8144", "10.0.0.1", "listen.front" },
+    { "\"ready\":\"10.0.0.1:8140\",", "", "listen.ready: missing" },
+    { "[7660,7675]", "[0,1]", "internal-port-range" },
+    { "10.0.0.9:8142", "", "platform.address" },
+    { "\"retry-window-s\":10", "\"retry-window-s\":0", "retry-window-s" },
+    { "\"grace-s\":6", "\"grace-s\":-6", "bounds.grace-s" },
+    { "{\"node-name\"", "[", "not a readable JSON object" },
+  };
+
+  g_assert_null (settings_fault (NULL, NULL));
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *error = settings_fault (cases[i][0], cases[i][1]);
+
+      g_assert_nonnull (error);
+      g_assert_nonnull (strstr (error, cases[i][2]));
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_log_set_always_fatal (G_LOG_FATAL_MASK);
+  g_test_add_func ("/platform/foreign_entries_name_nothing",
+                   foreign_entries_name_nothing);
+  g_test_add_func ("/platform/configuration_is_decoded",
+                   configuration_is_decoded);
+  g_test_add_func ("/platform/bad_configuration_is_refused_whole",
+                   bad_configuration_is_refused_whole);
+  g_test_add_func ("/platform/broken_answers_are_errors",
+                   broken_answers_are_errors);
+  g_test_add_func ("/platform/members_are_read_back", members_are_read_back);
+  g_test_add_func ("/platform/settings_are_checked", settings_are_checked);
+  return g_test_run ();
+}
