--- a/lib/proxy/decision_log.c
+++ b/lib/proxy/decision_log.c
@@ -2,7 +2,13 @@
 
 #include "proxy_private.h"
 
+/* Bytes of a request's decisions that are kept.  */
+#define TRAIL_MAX 600
+
 static bool may_log (proxy_t *proxy, GLogLevelFlags level);
+static void add_to_trail (request_t *request, clock_ms_t waited,
+                          const char *outcome, const backend_t *backend,
+                          const char *load, const char *detail);
 
 /* Unremarkable decisions are sampled; others are bounded by a rate, and what
    was left out is counted.  */
@@ -22,31 +28,50 @@
   return true;
 }
 
+/* Adds a decision to what is logged when the request ends badly or late, so
+   that its cause is known though unremarkable decisions are only sampled.  */
+static void
+add_to_trail (request_t *request, clock_ms_t waited, const char *outcome,
+              const backend_t *backend, const char *load, const char *detail)
+{
+  if (request->trail->len > TRAIL_MAX)
+    return;
+  g_string_append_printf (request->trail, "%s%" G_GINT64_FORMAT "ms %s",
+                          request->trail->len > 0 ? "; " : "", waited,
+                          outcome);
+  if (backend != NULL)
+    g_string_append_printf (request->trail, " %s load %s", backend->entry.id,
+                            load);
+  if (detail != NULL)
+    g_string_append_printf (request->trail, " (%s)", detail);
+}
+
 void
 decision_log (request_t *request, GLogLevelFlags level, const char *outcome,
               const backend_t *backend, const char *detail)
 {
   proxy_t *proxy = request->proxy;
   clock_ms_t now = clock_now ();
-  char waited[24];
+  clock_ms_t waited = now - request->admission.arrived;
+  char took[24];
+  char rounds[16];
   char load[64] = "";
   char version[24] = "";
 
-  if (!may_log (proxy, level))
-    return;
-  (void)g_snprintf (waited, sizeof waited, "%" G_GINT64_FORMAT,
-                    request->exchange != NULL
-                        ? now - request->exchange->arrived
-                        : now - request->admission.arrived);
-  if (proxy->routes != NULL)
-    (void)g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT,
-                      proxy->routes->version);
   if (backend != NULL)
     (void)g_snprintf (load, sizeof load,
                       "%u,%u,%u,%u age_ms=%" G_GINT64_FORMAT,
                       backend->load.running, backend->load.waiting,
                       backend->load.slots, backend->load.pace,
                       backend->load_at == 0 ? -1 : now - backend->load_at);
+  add_to_trail (request, waited, outcome, backend, load, detail);
+  if (!may_log (proxy, level))
+    return;
+  (void)g_snprintf (took, sizeof took, "%" G_GINT64_FORMAT, waited);
+  (void)g_snprintf (rounds, sizeof rounds, "%d", request->rounds);
+  if (proxy->routes != NULL)
+    (void)g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT,
+                      proxy->routes->version);
   g_log_structured (
       "proxy", level == G_LOG_LEVEL_DEBUG ? G_LOG_LEVEL_INFO : level,
       "REQUEST", request->id, "ROUTE", request->route, "SERVICE",
@@ -54,6 +79,7 @@
           ? backends_service_get (proxy->backends, request->service)->name
           : "",
       "ENDPOINT", backend != NULL ? backend->entry.id : "", "LOAD", load,
-      "CONFIG_VERSION", version, "MS", waited, "DETAIL",
-      detail != NULL ? detail : "", "MESSAGE", "%s", outcome);
+      "CONFIG_VERSION", version, "MS", took, "ROUNDS", rounds, "DETAIL",
+      detail != NULL ? detail : "", "TRAIL", request->trail->str, "MESSAGE",
+      "%s", outcome);
 }
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -139,6 +139,7 @@
   char *id;
   char *route;
   GString *fields;
+  GString *trail; /* its decisions so far, for the log */
   bool idempotent;
   bool bulk;
   int endpoints_max;
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -127,6 +127,7 @@
   request->id = g_strdup (id != NULL ? id : "");
   request->route = g_strdup ("");
   request->fields = g_string_new (NULL);
+  request->trail = g_string_new (NULL);
   request->link.data = request;
   request->service = -1;
   ev_init (&request->give_up, on_give_up);
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -37,6 +37,7 @@
     }
   answer_clear (&request->kept);
   g_string_free (request->fields, TRUE);
+  g_string_free (request->trail, TRUE);
   g_free (request->id);
   g_free (request->route);
   g_free (request);
--- a/peridotctl/main.c
+++ b/peridotctl/main.c
@@ -1,14 +1,16 @@
 #include "ctl.h"
+#include "logs.h"
 
 #include <curl/curl.h>
 #include <err.h>
 #include <errno.h>
 #include <popt.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define URL_DEFAULT "http://127.0.0.1:8081"
-#define ARGS_MAX 5
+#define ARGS_MAX 64 /* log files among them */
 
 static ctl_exit_t usage (poptContext options);
 static bool parse_number (const char *text, uint64_t *number);
@@ -27,6 +29,7 @@
   char *wait = NULL;
   ctl_t ctl = { .timeout_s = 10 };
   int json = 0;
+  int version = 0;
   int count = 0;
   int status = CTL_OK;
   const struct poptOption table[]
@@ -41,6 +44,8 @@
             "wait until this revision is in force", "REVISION" },
           { "timeout", 't', POPT_ARG_INT, &ctl.timeout_s, 0,
             "longest wait in seconds, default 10", "SECONDS" },
+          { "version", 'V', POPT_ARG_NONE, &version, 0,
+            "print the version and exit", NULL },
           POPT_AUTOHELP POPT_TABLEEND };
   poptContext options
       = poptGetContext ("peridotctl", argc, (const char **)argv, table, 0);
@@ -54,6 +59,11 @@
       status = usage (options);
       goto out;
     }
+  if (version)
+    {
+      puts ("peridotctl " PERIDOT_VERSION);
+      goto out;
+    }
   while (count <= ARGS_MAX && (args[count] = poptGetArg (options)) != NULL)
     count++;
   ctl.urls = urls != NULL ? urls : fallback;
@@ -98,7 +108,9 @@
                "          data-centre NAME out|in\n"
                "          instance NAME out|in|forget\n"
                "          status [--wait-for-version REVISION "
-               "[--timeout SECONDS]]\n",
+               "[--timeout SECONDS]]\n"
+               "          explain REQUEST-ID LOG-FILE...\n"
+               "          summary LOG-FILE...\n",
                stderr);
   return CTL_USAGE;
 }
@@ -147,6 +159,10 @@
       && (strcmp (args[2], "out") == 0 || strcmp (args[2], "in") == 0
           || strcmp (args[2], "forget") == 0))
     return mark (ctl, "instances", args[1], args[2]);
+  if (strcmp (noun, "explain") == 0 && count >= 3)
+    return explain_request (ctl, args[1], &args[2], count - 2);
+  if (strcmp (noun, "summary") == 0 && count >= 2)
+    return summarize_logs (ctl, &args[1], count - 1);
   warnx ("no such command, or a wrong number of arguments");
   return usage (options);
 }
--- a/peridotrouter/main.c
+++ b/peridotrouter/main.c
@@ -31,6 +31,7 @@
   char *path = NULL;
   char *recording = NULL;
   int check = 0;
+  int version = 0;
   struct poptOption table[]
       = { { "config", 'c', POPT_ARG_STRING, &path, 0, "settings file",
             "FILE" },
@@ -38,15 +39,23 @@
             "check the settings and exit", NULL },
           { "record", 'r', POPT_ARG_STRING, &recording, 0,
             "record events and decisions for diagnosis", "FILE" },
+          { "version", 'V', POPT_ARG_NONE, &version, 0,
+            "print the version and exit", NULL },
           POPT_AUTOHELP POPT_TABLEEND };
   poptContext options = poptGetContext ("peridotrouter", argc, argv, table, 0);
   conf_settings_t settings;
   conf_error_t error;
   int status;
 
-  if (poptGetNextOpt (options) < -1 || path == NULL
+  if (poptGetNextOpt (options) < -1 || (path == NULL && !version)
       || poptPeekArg (options) != NULL)
     usage (options);
+  if (version)
+    {
+      puts ("peridotrouter " PERIDOT_VERSION);
+      poptFreeContext (options);
+      return 0;
+    }
   poptFreeContext (options);
   if (conf_read_settings (path, &settings, &error) != 0)
     errx (1, "%s", error.text);
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -9,7 +9,6 @@
 import os
 import random
 import signal
-import socket
 import time
 import urllib.parse
 
@@ -415,8 +414,10 @@
 class Site:
     """Everything together, and the checks."""
 
-    def __init__(self, program, folder):
+    def __init__(self, program, folder, net=0):
         self.program, self.folder = program, folder
+        # Sites that run at the same time differ in it.
+        self.net = f"127.{net}"
         self.store = Store()
         self.instances = []
         self.endpoints = {}
@@ -429,18 +430,21 @@
         self.next_id = 0
         self.version = 0
 
-    async def start(self, instances=3, zones=("a", "b"), endpoints=None):
+    async def start(self, instances=3, zones=("a", "b"), endpoints=None,
+                    prepare=None):
         self.store_server = await asyncio.start_server(
             self.store.serve, "127.0.0.1", 0)
         port = self.store_server.sockets[0].getsockname()[1]
         for i in range(instances):
             zone = zones[i % len(zones)]
             self.instances.append(Instance(self, f"front-{zone}-{i}", zone,
-                                           f"127.0.1.{i + 1}", port))
+                                           f"{self.net}.1.{i + 1}", port))
         for service, count in (endpoints or {"slots": 4, "files": 2}).items():
             for i in range(count):
                 await self.add_endpoint(service, zones[i % len(zones)])
         await self.configure()
+        if prepare is not None:
+            await prepare()
         for instance in self.instances:
             await instance.start()
 
@@ -449,7 +453,7 @@
         name = f"i-{n:04d}"
         if service == "files":
             options.setdefault("size", 60000)
-        address = options.pop("address", (f"127.0.2.{n}", 8500))
+        address = options.pop("address", (f"{self.net}.2.{n}", 8500))
         endpoint = Endpoint(self, name, service, zone, address, **options)
         self.endpoints[name] = endpoint
         await endpoint.start()
@@ -630,10 +634,10 @@
         self.store_server.close()
 
 
-def run(program, folder, script, **options):
+def run(program, folder, script, net=0, **options):
     """Runs script(site) on a started site; returns the site."""
     async def whole():
-        site = Site(program, folder)
+        site = Site(program, folder, net)
         await site.start(**options)
         try:
             await site.ready()
@@ -643,13 +647,3 @@
         return site
     return asyncio.run(whole())
 
-
-def free_ports():
-    """Whether the site's addresses are free on this machine."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(("127.0.1.1", FRONT))
-            return True
-        except OSError:
-            return False
--- /dev/null
+++ b/test/run/platform_answers.py
@@ -0,0 +1,46 @@
+"""Endpoints that lose, spoil or double their answers, shed, or are replaced at
+their address: callers get whole answers or truthful refusals."""
+
+import asyncio
+import random
+import time
+
+import platformrun
+
+
+async def play(site, name, seconds=3):
+    site.outcomes.clear()
+    until = time.monotonic() + seconds
+    await asyncio.gather(*(
+        site.caller("ab"[i % 2], 10, until, random.Random(i))
+        for i in range(8)))
+    for endpoint in site.endpoints.values():
+        endpoint.faults = {}
+    print(f"{name}: repeatable requests",
+          "at least 0.9" if site.share("look") >= 0.9
+          else dict(site.outcomes))
+
+
+async def script(site):
+    for fault in ("lost", "short", "extra", "unframed", "errors", "rot"):
+        for endpoint in list(site.endpoints.values())[:2]:
+            endpoint.faults = {fault: 0.3}
+        await play(site, fault)
+    for endpoint in list(site.endpoints.values())[:2]:
+        endpoint.slots, endpoint.queue = 3, -3
+    await play(site, "shed")
+    for endpoint in site.endpoints.values():
+        endpoint.queue = 6
+    first = site.endpoints["i-0001"]
+    await first.stop(forget=False)
+    other = await site.add_endpoint("files", "a", address=first.address)
+    await play(site, "address used again")
+    await site.store.remove("servers", first.name)
+    site.endpoints["i-0002"].faults = {"silent": 1}
+    await play(site, "silent endpoint")
+    print("the new endpoint runs requests:", any(
+        name == other.name for runs in site.runs.values()
+        for _, name in runs))
+
+
+platformrun.main(script, instances=3)
--- /dev/null
+++ b/test/run/platform_changes.py
@@ -0,0 +1,90 @@
+"""Changes that callers must see within two seconds at every instance, with the
+reader of the store killed in between: a route is dropped, an endpoint leaves,
+a data centre is taken out, the store's history is dropped."""
+
+import asyncio
+import random
+import signal
+import time
+
+import platformrun
+from platformrun import platform_site
+
+
+async def reader_of(site):
+    best, most = None, -1
+    for instance in site.instances:
+        if instance.process.returncode is not None:
+            continue
+        calls = (await instance.metrics())[
+            'peridot_store_calls_total{result="ok"}']
+        if calls > most:
+            best, most = instance, calls
+    return best
+
+
+async def status_everywhere(site, target, wanted, within):
+    """Whether each instance answers so within the time."""
+    until = time.monotonic() + within
+    left = list(site.instances)
+    while left and time.monotonic() < until:
+        for instance in list(left):
+            site.next_id += 1
+            request_id = f"s{site.next_id}"
+            site.sent[request_id] = ("GET", target, b"")
+            reader, writer = await asyncio.open_connection(
+                instance.ip, platform_site.FRONT)
+            writer.write(platform_site.message(
+                f"GET {target} HTTP/1.1",
+                {"Host": "here.example", platform_site.ID: request_id,
+                 platform_site.LEFT: "1000"}))
+            first, _, _ = await platform_site.read_message(reader)
+            writer.transport.abort()
+            if int(first.split(" ")[1]) == wanted:
+                left.remove(instance)
+        await asyncio.sleep(0.05)
+    return not left
+
+
+async def script(site):
+    print("route is there:", await status_everywhere(site, "/look/1", 200, 1))
+    await site.configure(look=None)
+    print("dropped route is gone:",
+          await status_everywhere(site, "/look/1", 404, 2))
+    site.store.compact()
+    await site.configure()
+    print("route is back after the history was dropped:",
+          await status_everywhere(site, "/look/1", 200, 2))
+
+    reader = await reader_of(site)
+    leaving = site.endpoints["i-0001"]
+    until = time.monotonic() + 5
+    callers = [site.caller("ab"[i % 2], 10, until, random.Random(i))
+               for i in range(8)]
+
+    async def change():
+        await asyncio.sleep(0.5)
+        await leaving.drain()
+        await reader.end(signal.SIGKILL)
+        await asyncio.sleep(2.0)
+        print("nothing more for the endpoint that left:",
+              not any(name == leaving.name and at > leaving.drained_at + 2
+                      for runs in site.runs.values() for at, name in runs))
+        await site.store.put("evacuations", "a", {})
+        await asyncio.sleep(2.0)
+        moment = time.monotonic()
+        await asyncio.sleep(0.5)
+        taken_out = {e.name for e in site.endpoints.values()
+                     if e.zone == "a"}
+        print("nothing for the data centre that is out:", not any(
+            name in taken_out and at > moment
+            for runs in site.runs.values() for at, name in runs))
+
+    await asyncio.gather(change(), *callers)
+    await reader.start()
+    await site.ready()
+    print("the killed reader is ready again:",
+          (await reader.get(platform_site.READY, "/ready"))[0] == 200)
+
+
+platformrun.main(script, instances=4)
--- /dev/null
+++ b/test/run/platformrun.py
@@ -0,0 +1,27 @@
+"""Frame of the scripted runs on the platform."""
+
+import os
+import sys
+import tempfile
+import zlib
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "platform"))
+
+import platform_site  # noqa: E402
+
+
+def main(script, **options):
+    """Runs the script on a site and prints the faults that were found."""
+    program = os.path.join(sys.argv[1], "platform", "peridotrouter")
+    with tempfile.TemporaryDirectory() as folder:
+        net = 10 + zlib.crc32(sys.argv[0].encode()) % 90
+        site = platform_site.run(program, folder, script, net, **options)
+        print("faults:", len(site.faults))
+        for fault in site.faults[:20]:
+            print(" ", fault)
+        if site.faults:
+            for instance in site.instances:
+                with open(instance.log_path, encoding="utf-8",
+                          errors="replace") as log:
+                    sys.stderr.write(f"== {instance.name}\n")
+                    sys.stderr.writelines(log.readlines()[-40:])
