--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,16 @@
 capacity: build
 	@sh test/bench/capacity $(BUILD)
 
+journal-report:
+	@python3 test/bench/journal.py journal docs/rounds.svg > docs/rounds.md
+
+# SEEDS="1 2 3": runs of the fault soak by hand.
+SEEDS ?= 1
+soak: build
+	@for seed in $(SEEDS); do \
+	  python3 test/platform/soak.py $(BUILD) $$seed 20 || exit 1; done
+
 clean:
 	@rm -rf build build-asan build-tsan
 
-.PHONY: all packages build format lint check demo bench capacity clean
+.PHONY: all packages build format lint check demo bench capacity journal-report soak clean
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -497,11 +497,11 @@
         if sent is None or (method, target, body) != sent:
             self.fault(f"unasked: {request_id} {method} {target}")
             return
+        if request_id in self.refused:
+            self.fault(f"refused and run: {request_id}")
         if target.startswith("/book/"):
             if len(self.runs[request_id]) > 1:
                 self.fault(f"twice: {request_id}")
-            if request_id in self.refused:
-                self.fault(f"refused and run: {request_id}")
         if (endpoint.drained_at is not None
                 and now > endpoint.drained_at + DRAIN_S):
             self.fault(f"drain: {request_id} at {endpoint.name}")
@@ -554,7 +554,7 @@
                 self.fault(f"mixed: {request_id}")
         elif status in (408, 421, 429, 503):
             self.refused.add(request_id)
-            if kind == "book" and self.runs.get(request_id):
+            if self.runs.get(request_id):
                 self.fault(f"run and refused: {request_id}")
         self.outcomes[kind, status] += 1
         self.late += time.monotonic() - began > 2.2
