Serve endpoints that do not state their load

The sites at hand all state it, others may not. A probe that such an endpoint answers has found a slot.

--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -81,7 +81,6 @@
   service = g_new0 (service_t, 1);
   service->name = g_strdup (name);
   service->health_path = g_strdup ("/");
-  service->reports_load = true;
   service->crowded = 1.0;
   g_ptr_array_add (backends->services, service);
   return (service_ref_t)backends->services->len - 1;
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -84,9 +84,8 @@
   char *health_path;
   int connections_max;
   double cold_per_s;
-  bool reports_load; /* its health answers state the load */
-  double crowded;    /* slowdown with all slots in use, at least 1 */
-  void *user;        /* of the proxy */
+  double crowded; /* slowdown with all slots in use, at least 1 */
+  void *user;     /* of the proxy */
 } service_t;
 
 typedef struct backends backends_t;
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -11,7 +11,6 @@
 typedef struct choose_wish
 {
   service_ref_t service;
-  bool bulk;                     /* prefer endpoints of the own data centre */
   const backend_ref_t *excluded; /* endpoints that had the request before */
   int n_excluded;
   int count;  /* endpoints to probe */
--- a/lib/proxy/probe.c
+++ b/lib/proxy/probe.c
@@ -68,6 +68,18 @@
   return BACKEND_ILL;
 }
 
+/* An endpoint that does not state its load answers a probe when it has a slot
+   for it, so that there is room for one request.  */
+static backend_load_t
+load_without_statement (const backend_t *backend)
+{
+  uint32_t slots = MAX (backend->entry.slots, 1U);
+
+  return (backend_load_t){ .running = MIN (backend->in_flight, slots - 1),
+                           .slots = slots,
+                           .pace = 100 };
+}
+
 void
 probe_answered (uplink_t *uplink)
 {
@@ -87,11 +99,12 @@
         round_failed (round);
       return;
     }
-  backend_probed (backend, health, uplink->has_load ? &uplink->load : NULL,
+  if (!uplink->has_load && health == BACKEND_WELL)
+    uplink->load = load_without_statement (backend);
+  backend_probed (backend, health,
+                  uplink->has_load || health == BACKEND_WELL ? &uplink->load
+                                                             : NULL,
                   uplink->cold, now);
-  if (health == BACKEND_WELL)
-    backends_service_get (proxy->backends, backend->service)->reports_load
-        = uplink->has_load;
   if (round == NULL)
     {
       uplink_release (uplink);
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -34,7 +34,6 @@
   backend_ref_t chosen[CHOOSE_MAX];
   choose_wish_t wish
       = { .service = request->service,
-          .bulk = request->bulk,
           .excluded = request->tried,
           .n_excluded = request->n_tried,
           .count = probe_allowance (proxy, proxy->settings.probes),
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -219,6 +219,7 @@
         self.work = options.get("work", 0.02)
         self.size = options.get("size", 400)
         self.pace = 100
+        self.tells = True
         self.cold_until = time.monotonic() + options.get("cold", 0)
         self.running = self.waiting = 0
         self.free = asyncio.Semaphore(self.slots)
@@ -289,10 +290,15 @@
         if target == "/healthz":
             well = self.state == "ready" and not self.faults.get("ill")
             cold = max(0, self.cold_until - time.monotonic())
+            said = {ENDPOINT_ID: self.name, COLD: int(cold * 1000),
+                    "Keep-Alive": "timeout=10"}
+            if self.tells:
+                said[LOAD] = self.load()
+            else:
+                async with self.free:
+                    pass
             writer.write(message(
-                "HTTP/1.1 200 OK" if well else "HTTP/1.1 503 -",
-                {ENDPOINT_ID: self.name, LOAD: self.load(),
-                 COLD: int(cold * 1000), "Keep-Alive": "timeout=10"}))
+                "HTTP/1.1 200 OK" if well else "HTTP/1.1 503 -", said))
             return
         request_id = fields.get(ID.lower(), "")
         if fields.get(EXPECTED.lower(), self.name) != self.name:
@@ -316,7 +322,9 @@
     def finish(self, request_id, writer):
         right = body_of(request_id, self.size)
         fields = {ID: request_id, SIGNATURE: signature_of(request_id, right),
-                  LOAD: self.load(), "Keep-Alive": "timeout=10"}
+                  "Keep-Alive": "timeout=10"}
+        if self.tells:
+            fields[LOAD] = self.load()
         whole = message("HTTP/1.1 200 OK", fields, right)
         draw = self.rng.random()
         for fault, share in self.faults.items():
--- a/test/run/platform_answers.py
+++ b/test/run/platform_answers.py
@@ -38,6 +38,9 @@
     await site.store.remove("servers", first.name)
     site.endpoints["i-0002"].faults = {"silent": 1}
     await play(site, "silent endpoint")
+    for endpoint in site.endpoints.values():
+        endpoint.tells = False
+    await play(site, "load not stated")
     print("the new endpoint runs requests:", any(
         name == other.name for runs in site.runs.values()
         for _, name in runs))
