Keep the longer idle timeout for open connections; notice changed settings

Test net/shorter_idle_timeout_waits. Cause 2: the platform may change the settings without a signal; the file's time is looked at each second. Test run-platform_settings.

--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -7,6 +7,8 @@
 #include "telemetry.h"
 
 #define TICK_S 0.05
+/* The settings may change without a signal.  */
+#define SETTINGS_CHECK_MS 1000
 /* Callers keep the list of instances so long.  Some keep it three times as
    long; a planned stop waits for these.  */
 #define ADDRESSES_KEPT_MS 1000
@@ -27,6 +29,7 @@
 static void start_signals (instance_t *instance);
 static void on_tick (struct ev_loop *loop, ev_timer *watcher, int events);
 static void on_stop (struct ev_loop *loop, ev_signal *watcher, int events);
+static void read_settings_again (instance_t *instance);
 static void on_reload (struct ev_loop *loop, ev_signal *watcher, int events);
 static void routes_changed (void *context, const routes_t *routes);
 static void backends_changed (void *context);
@@ -171,6 +174,12 @@
   relay_set_ready (instance->relay, is_ready (instance));
   relay_tick (instance->relay, now);
   stop_tick (instance, now);
+  if (now - instance->checked_at >= SETTINGS_CHECK_MS)
+    {
+      instance->checked_at = now;
+      if (instance->calls.settings_changed (instance->calls.context))
+        read_settings_again (instance);
+    }
 }
 
 static void
@@ -181,15 +190,20 @@
   stop_begin (watcher->data, clock_now ());
 }
 
-/* Addresses can't change while the process runs; bounds can.  */
 static void
 on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
 {
-  instance_t *instance = watcher->data;
-  instance_settings_t settings = { 0 };
-
   (void)loop;
   (void)events;
+  read_settings_again (watcher->data);
+}
+
+/* Addresses can't change while the process runs; bounds can.  */
+static void
+read_settings_again (instance_t *instance)
+{
+  instance_settings_t settings = { 0 };
+
   if (instance->calls.reload (instance->calls.context, &settings) != 0)
     return;
   instance->settings.repeats = settings.repeats;
--- a/lib/instance/instance.h
+++ b/lib/instance/instance.h
@@ -40,6 +40,8 @@
   char *(*asking_data_centre) (void *context, const char *target);
   /* Reads the settings again; 0 or a negative errno, which is logged.  */
   int (*reload) (void *context, instance_settings_t *settings);
+  /* Whether the settings were changed since they were read last.  */
+  bool (*settings_changed) (void *context);
   void *context;
 } instance_calls_t;
 
--- a/lib/instance/instance_private.h
+++ b/lib/instance/instance_private.h
@@ -25,6 +25,7 @@
   ev_signal on_hup;
   clock_ms_t stop_at; /* SIGTERM came; 0: not stopping */
   bool closed_idle;
+  clock_ms_t checked_at; /* last look at the settings */
 };
 
 /* ---- stop.c ---- */
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -40,6 +40,8 @@
 static int on_complete (http_parser *parser);
 static void end_field (connection_t *connection);
 static bool is_idle (const connection_t *connection);
+static clock_ms_t idle_timeout (const connection_t *connection,
+                                clock_ms_t now);
 
 static const http_parser_settings parser_settings = {
   .on_message_begin = on_begin,
@@ -108,9 +110,30 @@
 void
 server_set_limits (server_t *server, const server_limits_t *limits)
 {
+  clock_ms_t now = clock_now ();
+
+  /* Callers go by the longer timeout until they have learnt the new one; an
+     idle connection that is closed at once may cross their next request.  */
+  if (limits->idle_timeout < server->limits.idle_timeout)
+    {
+      server->idle_before = server->limits.idle_timeout;
+      server->shortened_at = now;
+    }
   server->limits = *limits;
 }
 
+static clock_ms_t
+idle_timeout (const connection_t *connection, clock_ms_t now)
+{
+  const server_t *server = connection->server;
+  clock_ms_t timeout = server->limits.idle_timeout;
+
+  if (connection->opened_at < server->shortened_at
+      && now < server->shortened_at + server->idle_before)
+    return MAX (timeout, server->idle_before);
+  return timeout;
+}
+
 void
 server_drain (server_t *server)
 {
@@ -194,7 +217,8 @@
   connection->out = g_byte_array_new ();
   connection->name = g_string_new (NULL);
   connection->value = g_string_new (NULL);
-  connection->active_at = clock_now ();
+  connection->opened_at = clock_now ();
+  connection->active_at = connection->opened_at;
   connection->link.data = connection;
   g_queue_push_tail_link (&server->connections, &connection->link);
   http_parser_init (&connection->parser, HTTP_REQUEST);
@@ -584,7 +608,7 @@
           && quiet >= limits->header_timeout)
         refuse (connection, 408, "Request Timeout");
     }
-  else if (is_idle (connection) && quiet >= limits->idle_timeout)
+  else if (is_idle (connection) && quiet >= idle_timeout (connection, now))
     {
       connection->closing = true;
       connection_flush (connection);
--- a/lib/net/server_private.h
+++ b/lib/net/server_private.h
@@ -10,6 +10,8 @@
   struct ev_loop *loop;
   server_hooks_t hooks;
   server_limits_t limits;
+  clock_ms_t idle_before; /* idle timeout before it was shortened */
+  clock_ms_t shortened_at;
   int fd;
   ev_io acceptor;
   ev_timer accept_pause;
@@ -42,6 +44,7 @@
   bool cut;       /* an answer ended short; nothing may follow it */
   bool lingering; /* answered and shut down; reads until the caller closes */
   bool dead;      /* closed; freed at the next turn of the loop */
+  clock_ms_t opened_at;
   clock_ms_t active_at;
   clock_ms_t request_began; /* 0: between requests */
 };
--- /dev/null
+++ b/test/run/platform_settings.py
@@ -0,0 +1,39 @@
+"""Settings that change under a running instance, with a signal and without, and
+a broken file: the instance goes on with what it had and says so."""
+
+import asyncio
+import json
+import signal
+
+import platformrun
+
+
+def log_of(instance):
+    with open(instance.log_path, encoding="utf-8") as log:
+        return log.read()
+
+
+async def script(site):
+    instance = site.instances[0]
+    with open(instance.path, encoding="utf-8") as file:
+        settings = json.load(file)
+    settings["bounds"]["retry-budget-slack"] = 10
+    with open(instance.path, "w", encoding="utf-8") as file:
+        json.dump(settings, file)
+    await asyncio.sleep(1.6)
+    print("changed without a signal, read again:",
+          log_of(instance).count("settings read again"))
+    instance.send(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    print("signal, read again:", log_of(instance).count(
+        "settings read again"))
+    with open(instance.path, "w", encoding="utf-8") as file:
+        file.write("{ broken")
+    instance.send(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    print("broken file is named:", "not a readable JSON object"
+          in log_of(instance))
+    print("still ready:", (await instance.get(8140, "/ready"))[0] == 200)
+
+
+platformrun.main(script, instances=2)
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -303,6 +303,31 @@
   world_end (&world);
 }
 
+/* Guards against a request that crosses the close of its idle connection after
+   the operator has shortened the idle timeout.  */
+static void
+shorter_idle_timeout_waits (void)
+{
+  world_t world;
+  int fd;
+
+  world_start (&world);
+  server_set_limits (world.server, &(server_limits_t){ .header_bytes = 1000,
+                                                       .body_bytes = 2000,
+                                                       .header_timeout = 300,
+                                                       .idle_timeout = 5000 });
+  fd = join (&world, "");
+  server_set_limits (world.server, &(server_limits_t){ .header_bytes = 1000,
+                                                       .body_bytes = 2000,
+                                                       .header_timeout = 300,
+                                                       .idle_timeout = 100 });
+  turn (&world, 1500);
+  expect (fd, "");
+  g_assert_cmpint (server_connections (world.server), ==, 1);
+  close (fd);
+  world_end (&world);
+}
+
 /* Guards against a large body that is cut or doubled while the caller reads
    slowly.  */
 static void
@@ -401,6 +426,8 @@
                    leaving_caller_is_noticed);
   g_test_add_func ("/net/silent_callers_are_closed",
                    silent_callers_are_closed);
+  g_test_add_func ("/net/shorter_idle_timeout_waits",
+                   shorter_idle_timeout_waits);
   g_test_add_func ("/net/large_bodies_arrive_whole",
                    large_bodies_arrive_whole);
   g_test_add_func ("/net/calls_end_once", calls_end_once);
