--- a/test/unit/fleet_reader.c
+++ b/test/unit/fleet_reader.c
@@ -14,7 +14,7 @@
 
 typedef struct instance
 {
-  char name[16];
+  char name[24];
   reader_t reader;
   bool dead;
   bool refused; /* by the store */
