--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -476,10 +476,13 @@
       relay->view->revision = wire->revision;
       relay->view->listed = wire->revision != 0;
     }
+  /* The configuration has the shortest bound: it is fetched alone, at once. */
+  if ((wanted & FLEET_PART_CONFIG) != 0 && relay->view->listed)
+    relay_fetch_config (relay, ip, now);
   /* Endpoints that differ for a moment are brought into line by the changes
      that follow; the whole table is fetched when they still differ.  */
-  if ((wanted & ~FLEET_PART_BACKENDS) != 0 || !relay->view->listed
-      || (wanted & relay->wanted) != 0)
+  else if ((wanted & ~FLEET_PART_BACKENDS) != 0 || !relay->view->listed
+           || (wanted & relay->wanted) != 0)
     relay_fetch (relay, ip, wanted, now);
   relay->wanted = wanted;
 }
--- a/lib/fleet/relay_fetch.c
+++ b/lib/fleet/relay_fetch.c
@@ -171,6 +171,16 @@
   ev_timer_start (relay->loop, &relay->fetch_timer);
 }
 
+void
+relay_fetch_config (relay_t *relay, uint32_t ip, clock_ms_t now)
+{
+  if (relay->fetch_fd >= 0 && relay->fetch_parts == FLEET_PART_CONFIG)
+    return;
+  fetch_end (relay);
+  relay->fetch_after = now;
+  relay_fetch (relay, ip, FLEET_PART_CONFIG, now);
+}
+
 static void
 on_connected (struct ev_loop *loop, ev_io *watcher, int events)
 {
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -36,6 +36,8 @@
 /* Fetches parts of the state from the instance at an address.  */
 void relay_fetch (relay_t *relay, uint32_t ip, unsigned int parts,
                   clock_ms_t now);
+/* Fetches the configuration in place of whatever else is being fetched.  */
+void relay_fetch_config (relay_t *relay, uint32_t ip, clock_ms_t now);
 int relay_fetch_listen (relay_t *relay);
 void relay_fetch_close (relay_t *relay);
 
