Serve a service only once its profile is known

It learns the objects from another instance in the order of their revisions, so the service came before its profile, and requests in between were handled by the default profile (400 key-required). In the same moment a service that had not come yet was refused as unknown (404). Ruled out: an older version overriding a newer one (the catalog keeps the highest revision of each object; no instance but the restarted one ever went back). Change: until everything up to some revision was known once, a service without its profile, or an unknown service, is refused as not run (no-contact, 503).

--- a/lib/decide/catalog.c
+++ b/lib/decide/catalog.c
@@ -19,6 +19,7 @@
 struct catalog
 {
   uint64_t revision;
+  bool whole;                /* everything up to a revision was applied once */
   GHashTable *objects;       /* name -> object_t */
   GHashTable *names;         /* id -> name, to find collisions */
   GHashTable *profiles;      /* id of name -> decide_profile_t */
@@ -45,6 +46,7 @@
   .key_retention_ms = 600000,
 };
 
+static void advance (catalog_t *catalog, uint64_t previous, uint64_t revision);
 static void apply_out (GHashTable *set, const decide_object_t *object);
 static void apply_profile (catalog_t *catalog, const decide_object_t *object);
 static int apply_service (catalog_t *catalog, const decide_object_t *object);
@@ -157,7 +159,7 @@
 
   if (known != NULL && known->revision >= object->revision)
     {
-      catalog_complete (c, previous, object->revision);
+      advance (c, previous, object->revision);
       return -ESTALE;
     }
   switch (object->kind)
@@ -199,17 +201,30 @@
   known->revision = object->revision;
   known->deleted = object->deleted;
   g_hash_table_replace (c->objects, known->name, known);
-  catalog_complete (c, previous, object->revision);
+  advance (c, previous, object->revision);
   return changed;
 }
 
-void
-catalog_complete (catalog_t *c, uint64_t previous, uint64_t revision)
+static void
+advance (catalog_t *c, uint64_t previous, uint64_t revision)
 {
   if (previous <= c->revision && revision > c->revision)
     c->revision = revision;
 }
 
+void
+catalog_complete (catalog_t *c, uint64_t previous, uint64_t revision)
+{
+  c->whole |= previous <= c->revision;
+  advance (c, previous, revision);
+}
+
+bool
+catalog_is_whole (const catalog_t *c)
+{
+  return c->whole;
+}
+
 uint64_t
 catalog_revision (const catalog_t *c)
 {
@@ -512,6 +527,18 @@
   return profile == NULL ? &default_profile : profile;
 }
 
+bool
+catalog_knows_profile (const catalog_t *c, decide_id_t service)
+{
+  const catalog_service_t *found = catalog_find_service (c, service);
+  decide_id_t id;
+
+  if (found == NULL)
+    return false;
+  id = decide_id (found->profile_name);
+  return c->whole || g_hash_table_contains (c->profiles, &id);
+}
+
 groups_t *
 catalog_groups (const catalog_t *c)
 {
--- a/lib/decide/catalog.h
+++ b/lib/decide/catalog.h
@@ -86,6 +86,10 @@
 void catalog_complete (catalog_t *catalog, uint64_t previous,
                        uint64_t revision);
 
+/* Whether everything up to some revision was known at any time.  Before that,
+   what is missing may only not have come yet.  */
+bool catalog_is_whole (const catalog_t *catalog);
+
 /* Revision up to which every change is known.  */
 uint64_t catalog_revision (const catalog_t *catalog);
 
@@ -106,6 +110,10 @@
 const decide_profile_t *catalog_profile (const catalog_t *catalog,
                                          decide_id_t service);
 
+/* Whether the service is known, and either its profile is, or it has none.
+   An instance that starts may get a service before its profile.  */
+bool catalog_knows_profile (const catalog_t *catalog, decide_id_t service);
+
 groups_t *catalog_groups (const catalog_t *catalog);
 
 /**
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -661,6 +661,9 @@
 void decide_get_status (const decide_t *node, clock_ms_t now,
                         decide_status_t *status);
 const decide_record_t *decide_get_record (const decide_t *node);
+
+/* Return: NULL when there is no such service, or its profile has not come yet
+   to an instance that has just started.  */
 const decide_profile_t *decide_get_profile (const decide_t *node,
                                             decide_id_t service);
 
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -154,12 +154,13 @@
   };
 
   node->now = now;
-  if (profile == NULL)
+  if (profile == NULL && catalog_is_whole (node->catalog))
     {
       refuse (node, request->id, DECIDE_REASON_UNKNOWN_SERVICE, 0);
       return;
     }
-  if (!node_has_contact (node))
+  if (!catalog_knows_profile (node->catalog, request->service)
+      || !node_has_contact (node))
     {
       refuse (node, request->id, DECIDE_REASON_NO_CONTACT, REFUSE_RETRY_MS);
       return;
--- a/lib/decide/node_view.c
+++ b/lib/decide/node_view.c
@@ -35,7 +35,9 @@
 const decide_profile_t *
 decide_get_profile (const decide_t *node, decide_id_t service)
 {
-  return catalog_profile (node->catalog, service);
+  return catalog_knows_profile (node->catalog, service)
+             ? catalog_profile (node->catalog, service)
+             : NULL;
 }
 
 void
--- a/test/run/change_in_force.py
+++ b/test/run/change_in_force.py
@@ -123,6 +123,9 @@
         (watch.reached[level] - accepted[level]) // 1000 for level in accepted)
             for watch in watches}
     faults.note(f"in force after at most, in ms: {took}")
+    faults.note("went back from: " + str({
+        watch.instance.name: watch.reverted for watch in watches
+        if watch.reverted}))
     faults.say("all changes are accepted", len(accepted) == CHANGES)
     faults.say(f"each is in force everywhere within {FORCE_S} s",
                max(took.values()) <= FORCE_S * 1000)
--- a/test/unit/node.c
+++ b/test/unit/node.c
@@ -441,6 +441,35 @@
   decide_free (world.node);
 }
 
+/* Guards against requests handled by the defaults, or refused as to an unknown
+   service, while an instance that has just started gets the configuration
+   from another one: the service may come before its profile.  */
+static void
+test_first_configuration (void)
+{
+  decide_id_t booking = decide_id ("booking");
+  decide_request_t request = { .id = 1, .service = booking, .deadline = 500 };
+  decide_msg_t end = { .type = DECIDE_MSG_OBJECT_PUSH };
+  world_t world;
+
+  create (&world, 1);
+  g_assert_null (decide_get_profile (world.node, booking));
+  decide_request (world.node, world.now, &request);
+  g_assert_cmpint (world.refusal.reason, ==, DECIDE_REASON_NO_CONTACT);
+  request.id = 2;
+  request.service = decide_id ("records");
+  decide_request (world.node, world.now, &request);
+  g_assert_cmpint (world.refusal.reason, ==, DECIDE_REASON_NO_CONTACT);
+
+  end.u.object.revision = world.revision;
+  decide_message (world.node, world.now, decide_id ("b"), &end);
+  g_assert_nonnull (decide_get_profile (world.node, booking));
+  request.id = 3;
+  decide_request (world.node, world.now, &request);
+  g_assert_cmpint (world.refusal.reason, ==, DECIDE_REASON_UNKNOWN_SERVICE);
+  decide_free (world.node);
+}
+
 /* Guards against a single instance that stops serving in a store outage.  */
 static void
 test_alone (void)
@@ -482,6 +511,7 @@
   g_test_add_func ("/node/guard", test_guard);
   g_test_add_func ("/node/moved-keys", test_moved_keys);
   g_test_add_func ("/node/no-contact", test_no_contact);
+  g_test_add_func ("/node/first-configuration", test_first_configuration);
   g_test_add_func ("/node/alone", test_alone);
   g_test_add_func ("/node/stop", test_stop);
   return g_test_run ();
