Share rounds of probes among waiting requests; begin no late work on slow endpoints

A request that saw none waited to the end of its time and not for its patience. (2) Late requests were sent to endpoints that neighbours slow down four times; that work held its slot for 700 ms, most of which the endpoint was fast again. (3) Callers that came back after a refusal counted as new ones, and took the slots of those that could still be in time; the time that they state tells them apart.

--- a/lib/balance/admission.c
+++ b/lib/balance/admission.c
@@ -14,7 +14,7 @@
 bool
 admission_can_be_in_time (const admission_request_t *request, clock_ms_t now)
 {
-  return (double)(now - request->arrived) + request->base + TRAVEL_MS
+  return (double)(now - request->asked_at) + request->base + TRAVEL_MS
          <= (double)request->target;
 }
 
@@ -22,7 +22,8 @@
 admission_decide (const admission_request_t *request,
                   const backend_load_t *load, double estimate, clock_ms_t now)
 {
-  double waited = (double)(now - request->arrived);
+  double waited = (double)(now - request->asked_at);
+  double waits = (double)(now - request->waits_since);
   double left = (double)(request->give_up_at - now);
   double patience = (double)request->target
                     * (request->urgent ? PATIENCE_URGENT : PATIENCE);
@@ -31,16 +32,16 @@
   if (left < request->base * HOPELESS_FACTOR)
     return ADMISSION_REFUSE;
   if (load == NULL)
-    return ADMISSION_WAIT;
+    return waits < patience ? ADMISSION_WAIT : ADMISSION_REFUSE;
   has_room = load->running + load->waiting < load->slots;
   if (has_room && waited + estimate + TRAVEL_MS <= (double)request->target)
     return ADMISSION_SEND;
   if (admission_can_be_in_time (request, now))
     return ADMISSION_WAIT;
-  if (has_room && estimate <= left
-      && (load->pace > SLOW_PACE || load->running == 0 || waited >= patience))
+  if (has_room && estimate <= left && load->pace <= SLOW_PACE
+      && (load->running == 0 || waits >= patience))
     return ADMISSION_SEND;
-  return waited < patience ? ADMISSION_WAIT : ADMISSION_REFUSE;
+  return waits < patience ? ADMISSION_WAIT : ADMISSION_REFUSE;
 }
 
 bool
@@ -54,5 +55,5 @@
     return in_time_a;
   if (a->urgent != b->urgent)
     return a->urgent;
-  return a->arrived + a->target < b->arrived + b->target;
+  return a->asked_at + a->target < b->asked_at + b->target;
 }
--- a/lib/balance/admission.h
+++ b/lib/balance/admission.h
@@ -8,11 +8,12 @@
 
 typedef struct admission_request
 {
-  bool urgent; /* other routes of the services are less urgent */
-  clock_ms_t arrived;
-  clock_ms_t target;     /* ms from the arrival */
-  clock_ms_t give_up_at; /* no answer after it reaches the caller */
-  double base;           /* ms of work, from estimate_base() */
+  bool urgent;            /* other routes of the services are less urgent */
+  clock_ms_t asked_at;    /* the caller asked first, here or elsewhere */
+  clock_ms_t waits_since; /* arrival, or the end of the last attempt */
+  clock_ms_t target;      /* ms from the first request */
+  clock_ms_t give_up_at;  /* no answer after it reaches the caller */
+  double base;            /* ms of work, from estimate_base() */
 } admission_request_t;
 
 typedef enum admission
--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -161,6 +161,7 @@
 {
   backend_t *backend = NULL;
   uint32_t generation = 1;
+  uint32_t index;
 
   for (guint i = 0; i < backends->table->len && backend == NULL; i++)
     {
@@ -173,11 +174,16 @@
     {
       backend = g_new0 (backend_t, 1);
       backend->load.pace = 100;
+      index = backends->table->len;
       g_ptr_array_add (backends->table, backend);
     }
   else
-    generation = backend->generation + 1;
+    {
+      index = backend->index;
+      generation = backend->generation + 1;
+    }
   memset (backend, 0, sizeof *backend);
+  backend->index = index;
   backend->generation = generation;
   backend->used = true;
   backend->load.pace = 100;
@@ -245,11 +251,9 @@
 backend_ref_t
 backends_ref (const backends_t *backends, const backend_t *backend)
 {
-  guint index = 0;
-
-  if (!g_ptr_array_find (backends->table, backend, &index))
-    g_assert_not_reached ();
-  return (backend_ref_t){ .index = index, .generation = backend->generation };
+  (void)backends;
+  return (backend_ref_t){ .index = backend->index,
+                          .generation = backend->generation };
 }
 
 void
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -58,6 +58,7 @@
 typedef struct backend
 {
   backend_entry_t entry;
+  uint32_t index; /* in the table */
   uint32_t generation;
   bool used;
   bool removed; /* gone from the store, kept while in use */
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -13,21 +13,18 @@
 #define USUAL_LOCAL 32
 #define USUAL_REMOTE 12
 
-static bool is_excluded (const backends_t *backends, const backend_t *backend,
-                         const choose_wish_t *wish);
 static void keep_usual (backends_t *backends, GArray *refs, guint count);
 static gint compare_affinity (gconstpointer a, gconstpointer b, gpointer data);
 static void shuffle (backend_ref_t *refs, int count, decide_rng_t *rng);
 
-static bool
-is_excluded (const backends_t *backends, const backend_t *backend,
-             const choose_wish_t *wish)
+bool
+choose_is_listed (const backends_t *backends, const backend_t *backend,
+                  const backend_ref_t *list, int count)
 {
   backend_ref_t ref = backends_ref (backends, backend);
 
-  for (int i = 0; i < wish->n_excluded; i++)
-    if (wish->excluded[i].index == ref.index
-        && wish->excluded[i].generation == ref.generation)
+  for (int i = 0; i < count; i++)
+    if (list[i].index == ref.index && list[i].generation == ref.generation)
       return true;
   return false;
 }
@@ -95,7 +92,8 @@
     {
       backend_ref_t ref;
 
-      if (b->service != wish->service || is_excluded (backends, b, wish)
+      if (b->service != wish->service
+          || choose_is_listed (backends, b, wish->excluded, wish->n_excluded)
           || !choose_allows (backends, b, now))
         continue;
       ref = backends_ref (backends, b);
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -32,6 +32,10 @@
                        decide_rng_t *rng, clock_ms_t now,
                        backend_ref_t chosen[CHOOSE_MAX]);
 
+/* Whether an endpoint is one of a list.  */
+bool choose_is_listed (const backends_t *backends, const backend_t *backend,
+                       const backend_ref_t *list, int count);
+
 /* Whether an endpoint may be sent a request at this moment.  */
 bool choose_allows (backends_t *backends, const backend_t *backend,
                     clock_ms_t now);
--- a/lib/proxy/decision_log.c
+++ b/lib/proxy/decision_log.c
@@ -52,7 +52,7 @@
 {
   proxy_t *proxy = request->proxy;
   clock_ms_t now = clock_now ();
-  clock_ms_t waited = now - request->admission.arrived;
+  clock_ms_t waited = now - request->arrived;
   char took[24];
   char rounds[16];
   char load[64] = "";
--- a/lib/proxy/probe.c
+++ b/lib/proxy/probe.c
@@ -9,27 +9,14 @@
 
 /* Part of the allowed rate that is used; other instances may probe more.  */
 #define RATE_USED 0.7
-/* Seconds of the rate that may be used at once, after a quiet time.  */
-#define RATE_SAVED_S 8.0
 
 static backend_health_t health_of (const uplink_t *uplink);
 
-int
-probe_allowance (proxy_t *proxy, int wanted)
+double
+probe_rate (const proxy_t *proxy)
 {
-  clock_ms_t now = clock_now ();
-  double rate = proxy->settings.probes_per_s * RATE_USED
-                * backends_count (proxy->backends) / proxy->instances;
-
-  if (proxy->settings.probes_per_s <= 0)
-    return wanted;
-  proxy->probes_left = MIN (
-      proxy->probes_left + rate * (double)(now - proxy->probes_at) / 1000.0,
-      rate * RATE_SAVED_S);
-  proxy->probes_at = now;
-  wanted = MIN (wanted, (int)proxy->probes_left);
-  proxy->probes_left -= wanted;
-  return wanted;
+  return proxy->settings.probes_per_s * RATE_USED
+         * backends_count (proxy->backends) / proxy->instances;
 }
 
 void
@@ -107,7 +94,9 @@
                   uplink->cold, now);
   if (round == NULL)
     {
-      uplink_release (uplink);
+      /* It came too late for its round, and may serve another request.  */
+      if (health != BACKEND_WELL || !uplink->keep || !round_offer (uplink))
+        uplink_release (uplink);
       return;
     }
   if (health != BACKEND_WELL || !uplink->keep)
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -52,6 +52,8 @@
     {
       service_t *service = backends_service_get (proxy->backends, i);
 
+      if (service->user != NULL)
+        round_stop (service->user);
       g_free (service->user);
       service->user = NULL;
     }
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -3,8 +3,9 @@
 
 #include <http_parser.h>
 
-#include "admission.h"
-#include "choose.h"
+#include "assign.h"
+#include "caller_age.h"
+#include "probing.h"
 #include "proxy.h"
 #include "telemetry.h"
 
@@ -31,8 +32,7 @@
   int instances;
   int in_flight;
   bool refusing;
-  double probes_left; /* probes that may be started now */
-  clock_ms_t probes_at;
+  probing_t probing;
   int priority_last; /* of the least urgent route */
   uint32_t log_left; /* lines that may be written in this second */
   uint64_t log_suppressed;
@@ -52,13 +52,18 @@
   route_split_t split;
   bool split_begun;
   work_t work;
+  caller_age_t caller_age;
 } route_state_t;
 
 /* State of the proxy for one service.  */
 typedef struct service_state
 {
+  proxy_t *proxy;
+  service_ref_t service;
   repeats_t repeats;
   GQueue waiting; /* request_t * that were not sent yet */
+  ev_timer again; /* next round for those that wait */
+  bool in_round;  /* that round is under way */
 } service_state_t;
 
 /* An endpoint's answer.  */
@@ -145,34 +150,38 @@
   int endpoints_max;
   route_state_t *route_state;
   service_ref_t service;
+  clock_ms_t arrived;
   admission_request_t admission;
   clock_ms_t caller_until; /* the caller stops waiting */
   backend_ref_t tried[TRIED_MAX];
   int n_tried;
   uplink_t *uplinks[TRIED_MAX]; /* attempts under way */
   int n_uplinks;
-  round_t *round;
-  int rounds;
+  round_t *beside; /* round for a second attempt */
+  int rounds;      /* decisions while it waited */
+  bool refused;    /* by a decision that is being carried out */
+  telemetry_outcome_t refused_for;
   bool may_have_run;
   bool has_kept;
   answer_t kept; /* failure of an endpoint, returned if no other answers */
   ev_timer give_up;
-  ev_timer again; /* next round, or a second attempt beside the first */
+  ev_timer again; /* second attempt beside the first */
   GList link;     /* in the service's waiting queue */
   bool queued;
 };
 
-/* Probes for one request.  */
+/* Probes for the requests of a service that wait, or for a second attempt of
+   one request.  */
 struct round
 {
   proxy_t *proxy;
-  request_t *request; /* NULL once it needs no more probes */
   service_ref_t service;
+  request_t *beside; /* NULL: for those that wait */
+  bool repeated;     /* not the first round of a request */
   int outstanding;
   uplink_t *held[CHOOSE_MAX];
   int n_held;
   ev_timer timer;
-  bool beside; /* for a second attempt beside a slow first one */
 };
 
 typedef enum attempt_failure
@@ -206,14 +215,17 @@
 
 /* ---- probe.c ---- */
 void probe_start (uplink_t *uplink, round_t *round);
-/* Number of probes, at most @wanted, that the rate allows now; they are
-   counted.  */
-int probe_allowance (proxy_t *proxy, int wanted);
+/* Probes a second that this instance may start; 0: not bounded.  */
+double probe_rate (const proxy_t *proxy);
 void probe_answered (uplink_t *uplink);
 void probe_failed (uplink_t *uplink, const char *why);
 
 /* ---- round.c ---- */
-void round_start (request_t *request, bool beside);
+/* For a request that has begun to wait.  */
+void round_start (request_t *request);
+void round_start_beside (request_t *request);
+void round_init (service_state_t *state);
+void round_stop (service_state_t *state);
 void round_probed (round_t *round, uplink_t *uplink);
 void round_failed (round_t *round);
 void round_leave (request_t *request);
@@ -226,7 +238,6 @@
 /* Routes the requests that waited for the first configuration.  */
 void requests_route (proxy_t *proxy);
 void request_send (request_t *request, uplink_t *uplink);
-void request_wait (request_t *request, clock_ms_t pause);
 void request_failed (request_t *request, uplink_t *uplink,
                      attempt_failure_t failure, const char *why);
 void request_answered (request_t *request, uplink_t *uplink);
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -37,6 +37,7 @@
 static void route_request (request_t *request);
 static void queue_up (request_t *request);
 static void unqueue (request_t *request);
+static void wait_beside (request_t *request, clock_ms_t pause);
 static void start_beside_timer (request_t *request, const uplink_t *uplink);
 static bool may_repeat (request_t *request, attempt_failure_t failure);
 
@@ -50,6 +51,9 @@
       service_state_t *state = g_new0 (service_state_t, 1);
 
       g_queue_init (&state->waiting);
+      state->proxy = proxy;
+      state->service = service;
+      round_init (state);
       entry->user = state;
     }
   return entry->user;
@@ -109,7 +113,11 @@
   if (route->timeout > 0)
     limit = MIN (limit, route->timeout);
   request->caller_until = arrived + waits;
-  request->admission.arrived = arrived;
+  request->arrived = arrived;
+  request->admission.asked_at
+      = arrived
+        - caller_age_note (&request->route_state->caller_age, waits, arrived);
+  request->admission.waits_since = arrived;
   request->admission.target
       = route->target > 0 ? MIN (route->target, limit) : limit;
   request->admission.give_up_at = arrived + limit;
@@ -138,7 +146,7 @@
   telemetry_count (TELEMETRY_REQUESTS, 0);
   telemetry_gauge_set (TELEMETRY_IN_FLIGHT, proxy->in_flight);
   request->state = REQUEST_UNROUTED;
-  request->admission.arrived = exchange->arrived;
+  request->arrived = exchange->arrived;
   if (proxy->routes == NULL)
     {
       /* An instance that has just started knows it in a moment.  */
@@ -204,7 +212,7 @@
                 0);
   ev_timer_start (proxy->loop, &request->give_up);
   queue_up (request);
-  round_start (request, false);
+  round_start (request);
 }
 
 static void
@@ -213,6 +221,7 @@
   service_state_t *state = service_state (request->proxy, request->service);
 
   request->state = REQUEST_WAITING;
+  request->refused = false;
   if (!request->queued)
     g_queue_push_tail_link (&state->waiting, &request->link);
   request->queued = true;
@@ -227,9 +236,9 @@
   request->queued = false;
 }
 
-/* Starts the next round after a pause.  */
-void
-request_wait (request_t *request, clock_ms_t pause)
+/* Looks at a second attempt after a pause.  */
+static void
+wait_beside (request_t *request, clock_ms_t pause)
 {
   ev_timer_stop (request->proxy->loop, &request->again);
   ev_timer_set (&request->again, (double)pause / 1000.0, 0);
@@ -261,17 +270,12 @@
 
   (void)loop;
   (void)events;
-  if (request->round != NULL)
+  if (request->beside != NULL || request->state != REQUEST_SENT
+      || !request->idempotent || request->n_tried >= request->endpoints_max)
     return;
-  if (request->state == REQUEST_WAITING)
-    round_start (request, false);
-  else if (request->state == REQUEST_SENT && request->idempotent
-           && request->n_tried < request->endpoints_max)
-    {
-      note_overdue (request);
-      request_wait (request, BESIDE_PAUSE_MS);
-      round_start (request, true);
-    }
+  note_overdue (request);
+  wait_beside (request, BESIDE_PAUSE_MS);
+  round_start_beside (request);
 }
 
 static void
@@ -307,9 +311,9 @@
   g_assert (request->idempotent
             || (request->n_uplinks == 0 && !request->may_have_run));
   ev_timer_stop (proxy->loop, &request->again);
+  round_leave (request);
   if (request->n_tried == 0)
-    telemetry_observe (TELEMETRY_WAITED_US,
-                       (now - request->admission.arrived) * 1000);
+    telemetry_observe (TELEMETRY_WAITED_US, (now - request->arrived) * 1000);
   request->tried[request->n_tried++] = uplink->backend;
   request->uplinks[request->n_uplinks++] = uplink;
   unqueue (request);
@@ -338,8 +342,8 @@
 {
   if (!request->idempotent || request->n_tried >= request->endpoints_max)
     return;
-  request_wait (request, MAX ((clock_ms_t)(uplink->expected * BESIDE_FACTOR),
-                              BESIDE_MIN_MS));
+  wait_beside (request, MAX ((clock_ms_t)(uplink->expected * BESIDE_FACTOR),
+                             BESIDE_MIN_MS));
 }
 
 static void
@@ -419,8 +423,9 @@
     {
       telemetry_count (TELEMETRY_RETRIES, 0);
       round_leave (request);
+      request->admission.waits_since = clock_now ();
       queue_up (request);
-      round_start (request, false);
+      round_start (request);
     }
   else if (request->has_kept)
     request_deliver (request, &request->kept);
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -66,7 +66,7 @@
 request_deliver (request_t *request, answer_t *answer)
 {
   exchange_t *exchange = request->exchange;
-  clock_ms_t took = clock_now () - request->admission.arrived;
+  clock_ms_t took = clock_now () - request->arrived;
   bool streaming = request->state == REQUEST_STREAMING;
   answer_t whole = *answer;
 
@@ -131,7 +131,7 @@
     }
   telemetry_count (TELEMETRY_ROUTED, outcome);
   telemetry_observe (TELEMETRY_REFUSED_US,
-                     (clock_now () - request->admission.arrived) * 1000);
+                     (clock_now () - request->arrived) * 1000);
   decision_log (request, G_LOG_LEVEL_MESSAGE, "refused", NULL,
                 detail != NULL ? detail : telemetry_outcome_name (outcome));
   (void)g_snprintf (fields, sizeof fields, "Retry-After: %d.%03d\r\n",
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -1,5 +1,5 @@
-/* Rounds of probes: the endpoints asked for a request, and the decision when
-   they have answered.  */
+/* Rounds of probes: the endpoints asked for the requests that wait, and the
+   decision when they have answered.  */
 
 #include "proxy_private.h"
 
@@ -7,9 +7,6 @@
 
 /* A round is decided after it, with the answers that have come.  */
 #define ROUND_WAIT_MS 40
-/* Pause between rounds while nothing suitable is free; endpoints' loads change
-   many times a second.  */
-#define ROUND_PAUSE_MS 12
 /* Each further round of a waiting request asks more endpoints of other data
    centres.  */
 #define REMOTE_FIRST 1
@@ -17,46 +14,101 @@
 /* From this round on any endpoint is asked.  */
 #define WIDE_FROM 3
 
+static void begin (proxy_t *proxy, const choose_wish_t *wish, round_t *round);
 static void on_timer (struct ev_loop *loop, ev_timer *watcher, int events);
+static void on_again (struct ev_loop *loop, ev_timer *watcher, int events);
 static void decide (round_t *round);
 static void drop (round_t *round);
-static void release_held (round_t *round, uplink_t *except);
+static void release_held (round_t *round, const uplink_t *except);
 static uplink_t *best_for (const round_t *round, const request_t *request,
                            double *estimate);
-static bool was_tried (const request_t *request, const uplink_t *uplink);
-static request_t *first_waiting (proxy_t *proxy, service_ref_t service);
 static void decide_beside (round_t *round, request_t *request);
+static GArray *decide_waiting (proxy_t *proxy, service_ref_t service,
+                               uplink_t *const *uplinks, int count);
+static void refuse_marked (service_state_t *state);
+static void pace (service_state_t *state);
 
 void
-round_start (request_t *request, bool beside)
+round_init (service_state_t *state)
+{
+  ev_init (&state->again, on_again);
+  state->again.data = state;
+}
+
+void
+round_stop (service_state_t *state)
+{
+  ev_timer_stop (state->proxy->loop, &state->again);
+}
+
+void
+round_start (request_t *request)
 {
   proxy_t *proxy = request->proxy;
-  backend_ref_t chosen[CHOOSE_MAX];
-  choose_wish_t wish
-      = { .service = request->service,
-          .excluded = request->tried,
-          .n_excluded = request->n_tried,
-          .count = probe_allowance (proxy, proxy->settings.probes),
-          .wide = request->rounds >= WIDE_FROM,
-          .remote = request->bulk          ? 0
-                    : request->rounds == 0 ? REMOTE_FIRST
-                                           : REMOTE_LATER };
+  choose_wish_t wish = { .service = request->service,
+                         .excluded = request->tried,
+                         .n_excluded = request->n_tried,
+                         .count = proxy->settings.probes,
+                         .remote = request->bulk ? 0 : REMOTE_FIRST };
+  round_t *round = g_new0 (round_t, 1);
+
+  begin (proxy, &wish, round);
+}
+
+void
+round_start_beside (request_t *request)
+{
+  proxy_t *proxy = request->proxy;
+  choose_wish_t wish = { .service = request->service,
+                         .excluded = request->tried,
+                         .n_excluded = request->n_tried,
+                         .count = proxy->settings.probes,
+                         .remote = request->bulk ? 0 : REMOTE_LATER };
+  round_t *round = g_new0 (round_t, 1);
+
+  round->beside = request;
+  request->beside = round;
+  begin (proxy, &wish, round);
+}
+
+/* A further round for those that wait.  */
+static void
+on_again (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  service_state_t *state = watcher->data;
+  choose_wish_t wish = { .service = state->service,
+                         .count = state->proxy->settings.probes,
+                         .remote = REMOTE_LATER };
   round_t *round;
+
+  (void)loop;
+  (void)events;
+  if (state->waiting.length == 0 || state->in_round)
+    return;
+  for (GList *link = state->waiting.head; link != NULL; link = link->next)
+    wish.wide |= ((request_t *)link->data)->rounds >= WIDE_FROM;
+  round = g_new0 (round_t, 1);
+  round->repeated = true;
+  state->in_round = true;
+  begin (state->proxy, &wish, round);
+}
+
+static void
+begin (proxy_t *proxy, const choose_wish_t *wish, round_t *round)
+{
+  backend_ref_t chosen[CHOOSE_MAX];
+  choose_wish_t allowed = *wish;
   int n;
 
-  ev_timer_stop (proxy->loop, &request->again);
-  n = choose_candidates (proxy->backends, &wish, &proxy->rng, clock_now (),
+  allowed.count = probing_take (&proxy->probing, probe_rate (proxy),
+                                wish->count, clock_now ());
+  n = choose_candidates (proxy->backends, &allowed, &proxy->rng, clock_now (),
                          chosen);
-  round = g_new0 (round_t, 1);
   round->proxy = proxy;
-  round->request = request;
-  round->service = request->service;
-  round->beside = beside;
+  round->service = wish->service;
   ev_timer_init (&round->timer, on_timer, ROUND_WAIT_MS / 1000.0, 0);
   round->timer.data = round;
   ev_timer_start (proxy->loop, &round->timer);
-  request->round = round;
-  request->rounds++;
   /* Held open so that failures while probes start don't end the round.  */
   round->outstanding = 1;
   for (int i = 0; i < n; i++)
@@ -95,16 +147,14 @@
   round_failed (round);
 }
 
-/* The request needs no more probes; connections go back as they answer.  */
+/* The request needs no second attempt; the round serves those that wait.  */
 void
 round_leave (request_t *request)
 {
-  round_t *round = request->round;
-
-  if (round == NULL)
+  if (request->beside == NULL)
     return;
-  request->round = NULL;
-  round->request = NULL;
+  request->beside->beside = NULL;
+  request->beside = NULL;
 }
 
 static void
@@ -127,13 +177,13 @@
       if (uplink->round == round)
         uplink->round = NULL;
     }
-  if (round->request != NULL)
-    round->request->round = NULL;
+  if (round->beside != NULL)
+    round->beside->beside = NULL;
   g_free (round);
 }
 
 static void
-release_held (round_t *round, uplink_t *except)
+release_held (round_t *round, const uplink_t *except)
 {
   for (int i = 0; i < round->n_held; i++)
     if (round->held[i] != except)
@@ -141,16 +191,6 @@
   round->n_held = 0;
 }
 
-static bool
-was_tried (const request_t *request, const uplink_t *uplink)
-{
-  for (int i = 0; i < request->n_tried; i++)
-    if (request->tried[i].index == uplink->backend.index
-        && request->tried[i].generation == uplink->backend.generation)
-      return true;
-  return false;
-}
-
 static uplink_t *
 best_for (const round_t *round, const request_t *request, double *estimate)
 {
@@ -166,7 +206,9 @@
       double time;
       double cost;
 
-      if (backend == NULL || uplink->dead || was_tried (request, uplink)
+      if (backend == NULL || uplink->dead
+          || choose_is_listed (proxy->backends, backend, request->tried,
+                               request->n_tried)
           || !choose_allows (proxy->backends, backend, now))
         continue;
       cost = choose_cost (proxy->backends, backend, request->admission.base,
@@ -181,25 +223,6 @@
   return best;
 }
 
-/* The waiting request that the service serves next.  */
-static request_t *
-first_waiting (proxy_t *proxy, service_ref_t service)
-{
-  service_state_t *state = service_state (proxy, service);
-  clock_ms_t now = clock_now ();
-  request_t *first = NULL;
-
-  for (GList *link = state->waiting.head; link != NULL; link = link->next)
-    {
-      request_t *request = link->data;
-
-      if (first == NULL
-          || admission_before (&request->admission, &first->admission, now))
-        first = request;
-    }
-  return first;
-}
-
 /* A second attempt is sent only where it is likely to overtake the first.  */
 static void
 decide_beside (round_t *round, request_t *request)
@@ -212,101 +235,152 @@
   service_state_t *state = service_state (proxy, request->service);
   clock_ms_t now = clock_now ();
 
-  request->round = NULL;
-  round->request = NULL;
   /* While others wait for a first attempt there is no room for a second.  */
   if (backend == NULL || state->waiting.length > 0
       || backend->load.running + backend->load.waiting >= backend->load.slots
       || now + (clock_ms_t)estimate > request->admission.give_up_at
       || !repeats_take (&state->repeats, &proxy->settings.repeats,
                         proxy->instances, now))
-    {
-      drop (round);
-      return;
-    }
+    return;
   release_held (round, best);
   telemetry_count (TELEMETRY_HEDGES, 0);
   decision_log (request, G_LOG_LEVEL_INFO, "second attempt beside the first",
                 backend, NULL);
   request_send (request, best);
-  drop (round);
 }
 
-static void
-decide (round_t *round)
+/* Decides on all requests that wait, and sends those that may be sent.
+   Return: the connections that were used; requests that are to be refused are
+   marked.  */
+static GArray *
+decide_waiting (proxy_t *proxy, service_ref_t service,
+                uplink_t *const *uplinks, int count)
 {
-  request_t *own = round->request;
-  request_t *request;
-  uplink_t *best;
-  const backend_t *backend;
-  double estimate = 0;
-  admission_t admission;
+  service_state_t *state = service_state (proxy, service);
+  g_autofree assign_request_t *requests
+      = g_new0 (assign_request_t, state->waiting.length + 1);
+  GArray *used = g_array_new (FALSE, FALSE, sizeof (uplink_t *));
+  backend_t *endpoints[CHOOSE_MAX];
+  uplink_t *usable[CHOOSE_MAX];
+  int n_endpoints = 0;
+  int n = 0;
 
-  if (own != NULL && round->beside)
+  for (int i = 0; i < count; i++)
     {
-      decide_beside (round, own);
-      return;
+      backend_t *backend = backends_get (proxy->backends, uplinks[i]->backend);
+
+      if (backend == NULL || uplinks[i]->dead)
+        continue;
+      usable[n_endpoints] = uplinks[i];
+      endpoints[n_endpoints++] = backend;
     }
-  request = first_waiting (round->proxy, round->service);
-  best = request != NULL ? best_for (round, request, &estimate) : NULL;
-  if (request != NULL && best == NULL && own != NULL && own != request)
+  for (GList *link = state->waiting.head; link != NULL; link = link->next)
     {
-      request = own;
-      best = best_for (round, own, &estimate);
+      request_t *request = link->data;
+
+      requests[n++] = (assign_request_t){ .request = &request->admission,
+                                          .excluded = request->tried,
+                                          .n_excluded = request->n_tried,
+                                          .bulk = request->bulk,
+                                          .user = request };
     }
-  if (request == NULL)
+  assign_decide (proxy->backends, requests, n, endpoints, n_endpoints,
+                 clock_now ());
+  for (int i = 0; i < n; i++)
     {
-      drop (round);
-      return;
+      request_t *request = requests[i].user;
+      int at = requests[i].endpoint;
+
+      request->rounds++;
+      if (requests[i].result == ADMISSION_SEND)
+        {
+          g_array_append_val (used, usable[at]);
+          request_send (request, usable[at]);
+          continue;
+        }
+      if (requests[i].result == ADMISSION_REFUSE && !request->refused
+          && at >= 0)
+        decision_log (request, G_LOG_LEVEL_DEBUG, "best of the round",
+                      endpoints[at], NULL);
+      request->refused = requests[i].result == ADMISSION_REFUSE;
+      request->refused_for = at >= 0 ? OUTCOME_FULL : OUTCOME_NO_ENDPOINT;
     }
-  backend = best != NULL ? backends_get (round->proxy->backends, best->backend)
-                         : NULL;
-  admission = admission_decide (&request->admission,
-                                backend != NULL ? &backend->load : NULL,
-                                estimate, clock_now ());
-  if (admission == ADMISSION_SEND && best != NULL)
+  return used;
+}
+
+/* The end of one request may end others of its connection.  */
+static void
+refuse_marked (service_state_t *state)
+{
+  GList *link = state->waiting.head;
+
+  while (link != NULL)
     {
-      release_held (round, best);
-      round_leave (request);
-      request_send (request, best);
+      request_t *request = link->data;
+
+      link = link->next;
+      if (!request->refused)
+        continue;
+      request_refuse (request, request->refused_for, NULL);
+      link = state->waiting.head;
     }
-  else if (admission == ADMISSION_REFUSE)
+}
+
+/* Starts the timer of the next round while requests wait.  */
+static void
+pace (service_state_t *state)
+{
+  proxy_t *proxy = state->proxy;
+
+  if (state->waiting.length == 0 || state->in_round
+      || ev_is_active (&state->again))
+    return;
+  ev_timer_set (&state->again,
+                (double)probing_pause (&proxy->probing, probe_rate (proxy),
+                                       proxy->settings.probes)
+                    / 1000.0,
+                0);
+  ev_timer_start (proxy->loop, &state->again);
+}
+
+static void
+decide (round_t *round)
+{
+  service_state_t *state = service_state (round->proxy, round->service);
+
+  if (round->beside != NULL)
+    decide_beside (round, round->beside);
+  else
     {
-      round_leave (request);
-      if (backend != NULL)
-        decision_log (request, G_LOG_LEVEL_DEBUG, "best of the round", backend,
-                      NULL);
-      request_refuse (
-          request, backend == NULL ? OUTCOME_NO_ENDPOINT : OUTCOME_FULL, NULL);
+      GArray *used = decide_waiting (round->proxy, round->service, round->held,
+                                     round->n_held);
+
+      for (guint i = 0; i < used->len; i++)
+        for (int j = 0; j < round->n_held; j++)
+          if (round->held[j] == g_array_index (used, uplink_t *, i))
+            round->held[j--] = round->held[--round->n_held];
+      g_array_free (used, TRUE);
     }
-  /* The request of this round goes on waiting when another one took the
-     endpoint.  */
-  own = round->request;
+  if (round->repeated)
+    state->in_round = false;
   drop (round);
-  if (own != NULL && own->state == REQUEST_WAITING)
-    request_wait (own, ROUND_PAUSE_MS);
+  refuse_marked (state);
+  pace (state);
 }
 
 bool
 round_offer (uplink_t *uplink)
 {
   proxy_t *proxy = uplink->proxy;
-  backend_t *backend = backends_get (proxy->backends, uplink->backend);
-  request_t *request;
-  clock_ms_t now = clock_now ();
-  double estimate;
+  const backend_t *backend = backends_get (proxy->backends, uplink->backend);
+  GArray *used;
+  bool result;
 
-  if (backend == NULL || !choose_allows (proxy->backends, backend, now))
-    return false;
-  request = first_waiting (proxy, backend->service);
-  if (request == NULL || was_tried (request, uplink))
-    return false;
-  (void)choose_cost (proxy->backends, backend, request->admission.base,
-                     request->bulk, now, &estimate);
-  if (admission_decide (&request->admission, &backend->load, estimate, now)
-      != ADMISSION_SEND)
+  if (backend == NULL
+      || service_state (proxy, backend->service)->waiting.length == 0)
     return false;
-  round_leave (request);
-  request_send (request, uplink);
-  return true;
+  used = decide_waiting (proxy, backend->service, &uplink, 1);
+  result = used->len > 0;
+  g_array_free (used, TRUE);
+  return result;
 }
