Send a request at once to an idle endpoint of its data centre

Change: a single waiting request goes to the first endpoint that costs at most 1.05 times what an idle one in the own data centre does (choose_is_good_enough()). Test: balance/idle_endpoint_is_good_enough.

--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -8,6 +8,9 @@
    there and back, and the price of the bytes.  */
 #define REMOTE_MS 8.0
 #define REMOTE_BULK_MS 120.0
+/* An endpoint is good enough if it costs at most so many times what an idle
+   one in the own data centre does: the others need not be waited for.  */
+#define GOOD_ENOUGH_FACTOR 1.05
 /* Endpoints of a service that an instance usually uses, in its own data centre
    and in others.  */
 #define USUAL_LOCAL 32
@@ -144,3 +147,15 @@
     cost += bulk ? REMOTE_BULK_MS : REMOTE_MS;
   return cost;
 }
+
+bool
+choose_is_good_enough (backends_t *backends, const backend_t *backend,
+                       double base, bool bulk, clock_ms_t now)
+{
+  double estimate;
+
+  return choose_allows (backends, backend, now)
+         && backend->load.running + backend->load.waiting < backend->load.slots
+         && choose_cost (backends, backend, base, bulk, now, &estimate)
+                <= GOOD_ENOUGH_FACTOR * base;
+}
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -48,4 +48,8 @@
 double choose_cost (backends_t *backends, const backend_t *backend,
                     double base, bool bulk, clock_ms_t now, double *estimate);
 
+/* Whether no other endpoint would serve a request noticeably better.  */
+bool choose_is_good_enough (backends_t *backends, const backend_t *backend,
+                            double base, bool bulk, clock_ms_t now);
+
 #endif
--- a/lib/decide/node_requests.c
+++ b/lib/decide/node_requests.c
@@ -154,9 +154,13 @@
   };
 
   node->now = now;
-  if (profile == NULL && catalog_is_whole (node->catalog))
+  if (profile == NULL)
     {
-      refuse (node, request->id, DECIDE_REASON_UNKNOWN_SERVICE, 0);
+      bool whole = catalog_is_whole (node->catalog);
+
+      refuse (node, request->id,
+              whole ? DECIDE_REASON_UNKNOWN_SERVICE : DECIDE_REASON_NO_CONTACT,
+              whole ? 0 : REFUSE_RETRY_MS);
       return;
     }
   if (!catalog_knows_profile (node->catalog, request->service)
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -17,6 +17,7 @@
 static void begin (proxy_t *proxy, const choose_wish_t *wish, round_t *round);
 static void on_timer (struct ev_loop *loop, ev_timer *watcher, int events);
 static void on_again (struct ev_loop *loop, ev_timer *watcher, int events);
+static bool is_settled (const round_t *round, const uplink_t *uplink);
 static void decide (round_t *round);
 static void drop (round_t *round);
 static void release_held (round_t *round, const uplink_t *except);
@@ -140,11 +141,30 @@
     decide (round);
 }
 
+/* Whether the only request that waits gets no better endpoint.  */
+static bool
+is_settled (const round_t *round, const uplink_t *uplink)
+{
+  proxy_t *proxy = round->proxy;
+  const service_state_t *state = service_state (proxy, round->service);
+  const backend_t *backend = backends_get (proxy->backends, uplink->backend);
+  const request_t *request;
+
+  if (round->beside != NULL || backend == NULL || state->waiting.length != 1)
+    return false;
+  request = state->waiting.head->data;
+  return choose_is_good_enough (proxy->backends, backend,
+                                request->admission.base, request->bulk,
+                                clock_now ());
+}
+
 void
 round_probed (round_t *round, uplink_t *uplink)
 {
   round->held[round->n_held++] = uplink;
-  round_failed (round);
+  round->outstanding--;
+  if (round->outstanding == 0 || is_settled (round, uplink))
+    decide (round);
 }
 
 /* The request needs no second attempt; the round serves those that wait.  */
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -409,6 +409,51 @@
   backends_free (backends);
 }
 
+/* Guards against requests that wait for the answers of slow or silent
+   endpoints although an idle one has answered (seen on scale-2 of sedel-gw:
+   sends 40 ms after the arrival, with loads as old), and against the first
+   that answers being taken whatever its load.  */
+static void
+idle_endpoint_is_good_enough (void)
+{
+  char id[] = "x";
+  char service[] = "s";
+  char here[] = "a";
+  char there[] = "b";
+  backend_entry_t entry = { .id = id,
+                            .service = service,
+                            .data_centre = here,
+                            .slots = 3,
+                            .revision = 1 };
+  static const struct
+  {
+    backend_load_t load;
+    bool remote;
+    bool good;
+  } cases[] = { { { .slots = 3, .pace = 100 }, false, true },
+                { { .running = 1, .slots = 3, .pace = 100 }, false, true },
+                { { .running = 2, .slots = 3, .pace = 100 }, false, false },
+                { { .running = 3, .slots = 3, .pace = 100 }, false, false },
+                { { .slots = 3, .pace = 400 }, false, false },
+                { { .slots = 3, .pace = 100 }, true, false } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      backends_t *backends = backends_new ("front-1", "a");
+      backend_t *backend;
+
+      entry.data_centre = cases[i].remote ? there : here;
+      backends_put (backends, &entry, 0);
+      backends_service_get (backends, 0)->crowded = 1.7;
+      backend = backends_find (backends, "x");
+      backend_probed (backend, BACKEND_WELL, &cases[i].load, 0, 10);
+      g_assert_cmpint (
+          choose_is_good_enough (backends, backend, 120, false, 10), ==,
+          cases[i].good);
+      backends_free (backends);
+    }
+}
+
 /* Guards against requests that are refused as hopeless because slow endpoints
    have spoilt the estimate (seen on trouble-2 of kbl-gateway: four tenths of
    the endpoints twelve times slower).  */
@@ -460,6 +505,8 @@
                    returning_callers_are_known);
   g_test_add_func ("/balance/endpoint_with_room_is_better",
                    endpoint_with_room_is_better);
+  g_test_add_func ("/balance/idle_endpoint_is_good_enough",
+                   idle_endpoint_is_good_enough);
   g_test_add_func ("/balance/slow_endpoints_do_not_spoil_estimates",
                    slow_endpoints_do_not_spoil_estimates);
   return g_test_run ();
