Tell callers that endpoints shed to come back at once

Change: admission_return_after() tells 10 to 30 ms for them; moved from the proxy into lib/balance. Test: balance/shed_callers_return_at_once.

--- a/lib/balance/admission.c
+++ b/lib/balance/admission.c
@@ -11,6 +11,11 @@
 /* A request is given up when less than this many times its work is left.  */
 #define HOPELESS_FACTOR 1.1
 
+/* Longest and shortest mean time that a refused caller is told to wait; below
+   the shortest its way to another instance takes longer.  */
+#define RETURN_MAX_MS 1000
+#define RETURN_MIN_MS 20
+
 bool
 admission_can_be_in_time (const admission_request_t *request, clock_ms_t now)
 {
@@ -57,3 +62,14 @@
     return a->urgent;
   return a->asked_at + a->target < b->asked_at + b->target;
 }
+
+clock_ms_t
+admission_return_after (bool shed, double base, decide_rng_t *rng)
+{
+  clock_ms_t time = RETURN_MIN_MS;
+
+  if (!shed)
+    time = MAX (time, (clock_ms_t)base);
+  time = time / 2 + decide_rng_below (rng, (uint32_t)time + 1);
+  return MIN (time, RETURN_MAX_MS);
+}
--- a/lib/balance/admission.h
+++ b/lib/balance/admission.h
@@ -4,6 +4,7 @@
 /* What happens to a request now: it is sent to an endpoint, waits at the
    instance, or is refused.  */
 
+#include "decide.h"
 #include "estimate.h"
 
 typedef struct admission_request
@@ -40,4 +41,14 @@
 bool admission_before (const admission_request_t *a,
                        const admission_request_t *b, clock_ms_t now);
 
+/**
+ * admission_return_after() - when a caller that is refused is to come back
+ * @shed: endpoints with room turned the request away, and may take it at
+ *   once; otherwise all are busy until some work ends
+ * @base: ms of work, from estimate_base()
+ *
+ * Return: ms, spread so that callers refused together return apart.
+ */
+clock_ms_t admission_return_after (bool shed, double base, decide_rng_t *rng);
+
 #endif
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -4,9 +4,8 @@
 
 #include <string.h>
 
-/* Longest time that a refused caller is told to wait.  */
-#define RETRY_AFTER_MAX_MS 1000
-#define RETRY_AFTER_MIN_MS 20
+/* A caller that came before the first configuration returns after it.  */
+#define RETRY_UNROUTED_MS 1000
 
 static clock_ms_t retry_after (const request_t *request,
                                telemetry_outcome_t outcome);
@@ -98,17 +97,14 @@
 retry_after (const request_t *request, telemetry_outcome_t outcome)
 {
   proxy_t *proxy = request->proxy;
-  clock_ms_t time;
 
   /* Another instance serves the caller at once.  */
   if (outcome == OUTCOME_STOPPING)
     return 0;
   if (request->service < 0)
-    return RETRY_AFTER_MAX_MS;
-  time = MAX ((clock_ms_t)request->admission.base, RETRY_AFTER_MIN_MS);
-  /* Spread, so that callers refused together don't return together.  */
-  time = time / 2 + decide_rng_below (&proxy->rng, (uint32_t)time + 1);
-  return MIN (time, RETRY_AFTER_MAX_MS);
+    return RETRY_UNROUTED_MS;
+  return admission_return_after (outcome == OUTCOME_NOT_RUN,
+                                 request->admission.base, &proxy->rng);
 }
 
 void
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -454,6 +454,33 @@
     }
 }
 
+/* Guards against callers that are late because they were told to wait for the
+   end of work although endpoints shed them with slots free (scale-1 of both
+   small sites: a service's endpoints shed 55 of 100 requests), and against
+   callers refused together that return together.  */
+static void
+shed_callers_return_at_once (void)
+{
+  clock_ms_t earliest = 1000;
+  clock_ms_t latest = 0;
+  decide_rng_t rng;
+
+  decide_rng_seed (&rng, 9);
+  for (int i = 0; i < 1000; i++)
+    {
+      clock_ms_t busy = admission_return_after (false, 120, &rng);
+
+      /* An eighth of the target of 300 ms.  */
+      g_assert_cmpint (admission_return_after (true, 120, &rng), <=, 37);
+      g_assert_cmpint (busy, >=, 60);
+      g_assert_cmpint (busy, <=, 180);
+      earliest = MIN (earliest, busy);
+      latest = MAX (latest, busy);
+    }
+  g_assert_cmpint (latest - earliest, >, 100);
+  g_assert_cmpint (admission_return_after (false, 60000, &rng), <=, 1000);
+}
+
 /* Guards against requests that are refused as hopeless because slow endpoints
    have spoilt the estimate (seen on trouble-2 of kbl-gateway: four tenths of
    the endpoints twelve times slower).  */
@@ -507,6 +534,8 @@
                    endpoint_with_room_is_better);
   g_test_add_func ("/balance/idle_endpoint_is_good_enough",
                    idle_endpoint_is_good_enough);
+  g_test_add_func ("/balance/shed_callers_return_at_once",
+                   shed_callers_return_at_once);
   g_test_add_func ("/balance/slow_endpoints_do_not_spoil_estimates",
                    slow_endpoints_do_not_spoil_estimates);
   return g_test_run ();
