Log the age of a caller; count returning callers and withheld probes

What decides on a request in a burst is now in its lines: caller_age_ms says how long ago the caller asked first, peridot_returned_total how many return, and peridot_probes_withheld_total when an instance could not look at endpoints. A caller that states no time took 30 s for its time, which would have made all others of its route returning ones; it is left out (test in balance/returning_callers_are_known).

--- a/lib/balance/caller_age.c
+++ b/lib/balance/caller_age.c
@@ -13,6 +13,8 @@
 {
   clock_ms_t longest;
 
+  if (stated <= 0)
+    return 0;
   if (now - age->window_at >= WINDOW_MS)
     {
       age->before
--- a/lib/balance/caller_age.h
+++ b/lib/balance/caller_age.h
@@ -17,7 +17,7 @@
 
 /**
  * caller_age_note() - a request arrived
- * @stated: ms for which its caller waits
+ * @stated: ms for which its caller waits; 0: not stated
  *
  * Return: ms for which the caller has waited at least; 0 for a first request.
  */
--- a/lib/proxy/decision_log.c
+++ b/lib/proxy/decision_log.c
@@ -55,6 +55,7 @@
   clock_ms_t waited = now - request->arrived;
   char took[24];
   char rounds[16];
+  char age[24];
   char load[64] = "";
   char version[24] = "";
 
@@ -69,6 +70,8 @@
     return;
   (void)g_snprintf (took, sizeof took, "%" G_GINT64_FORMAT, waited);
   (void)g_snprintf (rounds, sizeof rounds, "%d", request->rounds);
+  (void)g_snprintf (age, sizeof age, "%" G_GINT64_FORMAT,
+                    request->arrived - request->admission.asked_at);
   if (proxy->routes != NULL)
     (void)g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT,
                       proxy->routes->version);
@@ -79,7 +82,7 @@
           ? backends_service_get (proxy->backends, request->service)->name
           : "",
       "ENDPOINT", backend != NULL ? backend->entry.id : "", "LOAD", load,
-      "CONFIG_VERSION", version, "MS", took, "ROUNDS", rounds, "DETAIL",
-      detail != NULL ? detail : "", "TRAIL", request->trail->str, "MESSAGE",
-      "%s", outcome);
+      "CONFIG_VERSION", version, "MS", took, "ROUNDS", rounds, "CALLER_AGE_MS",
+      age, "DETAIL", detail != NULL ? detail : "", "TRAIL",
+      request->trail->str, "MESSAGE", "%s", outcome);
 }
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -105,18 +105,23 @@
   const char *text = exchange_field (request->exchange, names->time_left);
   clock_ms_t arrived = request->exchange->arrived;
   clock_ms_t waits = CALLER_WAITS_MS;
+  clock_ms_t age = 0;
   clock_ms_t limit;
 
   if (text != NULL)
-    waits = (clock_ms_t)g_ascii_strtoull (text, NULL, 10);
+    {
+      waits = (clock_ms_t)g_ascii_strtoull (text, NULL, 10);
+      age = caller_age_note (&request->route_state->caller_age, waits,
+                             arrived);
+    }
+  if (age > 0)
+    telemetry_count (TELEMETRY_RETURNED, 0);
   limit = MAX (waits - TRAVEL_MS, 1);
   if (route->timeout > 0)
     limit = MIN (limit, route->timeout);
   request->caller_until = arrived + waits;
   request->arrived = arrived;
-  request->admission.asked_at
-      = arrived
-        - caller_age_note (&request->route_state->caller_age, waits, arrived);
+  request->admission.asked_at = arrived - age;
   request->admission.waits_since = arrived;
   request->admission.target
       = route->target > 0 ? MIN (route->target, limit) : limit;
@@ -147,6 +152,7 @@
   telemetry_gauge_set (TELEMETRY_IN_FLIGHT, proxy->in_flight);
   request->state = REQUEST_UNROUTED;
   request->arrived = exchange->arrived;
+  request->admission.asked_at = exchange->arrived;
   if (proxy->routes == NULL)
     {
       /* An instance that has just started knows it in a moment.  */
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -103,6 +103,9 @@
 
   allowed.count = probing_take (&proxy->probing, probe_rate (proxy),
                                 wish->count, clock_now ());
+  if (allowed.count < wish->count)
+    telemetry_add (TELEMETRY_PROBES_WITHHELD, 0,
+                   (uint64_t)(wish->count - allowed.count));
   n = choose_candidates (proxy->backends, &allowed, &proxy->rng, clock_now (),
                          chosen);
   round->proxy = proxy;
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -138,6 +138,13 @@
   = { "peridot_reader_changes_total",
       "Times this instance began or ended reading the store for all.",
       "change", reader_changes },
+  [TELEMETRY_RETURNED]
+  = { "peridot_returned_total",
+      "Requests of callers that asked before, by the time that they state.",
+      NULL, NULL },
+  [TELEMETRY_PROBES_WITHHELD]
+  = { "peridot_probes_withheld_total",
+      "Probes left out because the allowed rate was used up.", NULL, NULL },
 };
 
 static const family_t gauges[TELEMETRY_GAUGES] = {
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -76,6 +76,8 @@
   TELEMETRY_FOREIGN_ANSWERS,  /* none: answers of other requests, skipped */
   TELEMETRY_ROUTED,           /* telemetry_outcome_t */
   TELEMETRY_READER_CHANGES,   /* 0 took over reading the store, 1 gave up */
+  TELEMETRY_RETURNED,         /* none: callers that asked before */
+  TELEMETRY_PROBES_WITHHELD,  /* none: probes that the rate did not allow */
   TELEMETRY_COUNTERS
 } telemetry_counter_t;
 
--- a/peridotctl/logs.c
+++ b/peridotctl/logs.c
@@ -115,8 +115,8 @@
 show (const ctl_t *ctl, const entry_t *entry, bool own)
 {
   static const char *const keys[]
-      = { "detail",         "route", "service", "endpoint", "load",
-          "config_version", "ms",    "rounds",  "trail" };
+      = { "detail",         "route", "service", "endpoint",      "load",
+          "config_version", "ms",    "rounds",  "caller_age_ms", "trail" };
 
   if (ctl->json)
     {
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -360,6 +360,8 @@
       g_assert_cmpint (found, <=, waited);
       g_assert_cmpint (found, >, waited - 600);
     }
+  /* No time, or none that can be read.  */
+  g_assert_cmpint (caller_age_note (&age, 0, 60000), ==, 0);
   /* All callers state less from some moment on.  */
   g_assert_cmpint (caller_age_note (&age, 1000, 85000), ==, 0);
 }
