--- a/lib/balance/admission.c
+++ b/lib/balance/admission.c
@@ -23,6 +23,12 @@
          <= (double)request->target;
 }
 
+bool
+admission_is_hopeless (const admission_request_t *request, clock_ms_t now)
+{
+  return (double)(request->give_up_at - now) < request->base * HOPELESS_FACTOR;
+}
+
 admission_t
 admission_decide (const admission_request_t *request,
                   const backend_load_t *load, double estimate, clock_ms_t now)
@@ -34,7 +40,7 @@
                     * (request->urgent ? PATIENCE_URGENT : PATIENCE);
   bool has_room;
 
-  if (left < request->base * HOPELESS_FACTOR)
+  if (admission_is_hopeless (request, now))
     return ADMISSION_REFUSE;
   if (load == NULL)
     return waits < patience ? ADMISSION_WAIT : ADMISSION_REFUSE;
--- a/lib/balance/admission.h
+++ b/lib/balance/admission.h
@@ -33,6 +33,10 @@
                               const backend_load_t *load, double estimate,
                               clock_ms_t now);
 
+/* Whether too little time is left for any endpoint.  */
+bool admission_is_hopeless (const admission_request_t *request,
+                            clock_ms_t now);
+
 /* Whether an answer within the target is still possible.  */
 bool admission_can_be_in_time (const admission_request_t *request,
                                clock_ms_t now);
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -285,6 +285,7 @@
   GArray *used = g_array_new (FALSE, FALSE, sizeof (uplink_t *));
   backend_t *endpoints[CHOOSE_MAX];
   uplink_t *usable[CHOOSE_MAX];
+  clock_ms_t now = clock_now ();
   int n_endpoints = 0;
   int n = 0;
 
@@ -307,8 +308,7 @@
                                           .bulk = request->bulk,
                                           .user = request };
     }
-  assign_decide (proxy->backends, requests, n, endpoints, n_endpoints,
-                 clock_now ());
+  assign_decide (proxy->backends, requests, n, endpoints, n_endpoints, now);
   for (int i = 0; i < n; i++)
     {
       request_t *request = requests[i].user;
@@ -326,7 +326,10 @@
         decision_log (request, G_LOG_LEVEL_DEBUG, "best of the round",
                       endpoints[at], NULL);
       request->refused = requests[i].result == ADMISSION_REFUSE;
-      request->refused_for = at >= 0 ? OUTCOME_FULL : OUTCOME_NO_ENDPOINT;
+      if (admission_is_hopeless (&request->admission, now))
+        request->refused_for = OUTCOME_OUT_OF_TIME;
+      else
+        request->refused_for = at >= 0 ? OUTCOME_FULL : OUTCOME_NO_ENDPOINT;
     }
   return used;
 }
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -155,7 +155,7 @@
                                      {"Content-Type": "application/json"},
                                      json.dumps(answer).encode()))
                 await writer.drain()
-        except (Broken, ConnectionError, OSError):
+        except (Broken, ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -305,6 +305,8 @@
   g_assert_cmpint (admission_decide (&request, &full, 300, 1310), ==,
                    ADMISSION_WAIT);
   /* Not enough time is left for any endpoint.  */
+  g_assert_false (admission_is_hopeless (&request, 1310));
+  g_assert_true (admission_is_hopeless (&request, 2400));
   g_assert_cmpint (admission_decide (&request, &idle, 120, 2400), ==,
                    ADMISSION_REFUSE);
 }
