--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -9,6 +9,7 @@
 import os
 import random
 import signal
+import socket
 import time
 import urllib.parse
 
@@ -25,6 +26,21 @@
 DRAIN_S = 2.0
 CONFIG_S = 2.0
 HISTORY = 2000
+NETS = range(10, 240)
+CLAIM_PORT = 8499
+
+
+def claim_net():
+    """A network 127.N that no other run on this machine uses, and the socket
+    that claims it until it is closed."""
+    for net in NETS:
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{net}.255.254", CLAIM_PORT))
+            return net, claim
+        except OSError:
+            claim.close()
+    raise RuntimeError("all networks of the loopback sites are in use")
 
 
 def body_of(request_id, size):
@@ -422,9 +438,10 @@
 class Site:
     """Everything together, and the checks."""
 
-    def __init__(self, program, folder, net=0):
+    def __init__(self, program, folder):
         self.program, self.folder = program, folder
         # Sites that run at the same time differ in it.
+        net, self.claim = claim_net()
         self.net = f"127.{net}"
         self.store = Store()
         self.instances = []
@@ -640,12 +657,13 @@
         for endpoint in self.endpoints.values():
             await endpoint.stop(forget=False)
         self.store_server.close()
+        self.claim.close()
 
 
-def run(program, folder, script, net=0, **options):
+def run(program, folder, script, **options):
     """Runs script(site) on a started site; returns the site."""
     async def whole():
-        site = Site(program, folder, net)
+        site = Site(program, folder)
         await site.start(**options)
         try:
             await site.ready()
--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -275,7 +275,7 @@
     folder = os.environ.get("SOAK_LOGS") or tempfile.mkdtemp(prefix="soak-")
 
     async def whole():
-        site = platform_site.Site(program, folder, 100 + seed % 100)
+        site = platform_site.Site(program, folder)
         soak = Soak(site, random.Random(seed), seconds)
         await site.start(instances, endpoints={"slots": 6, "files": 3},
                          prepare=soak.place_proxies)
--- a/test/run/platformrun.py
+++ b/test/run/platformrun.py
@@ -3,7 +3,6 @@
 import os
 import sys
 import tempfile
-import zlib
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "platform"))
 
@@ -14,8 +13,7 @@
     """Runs the script on a site and prints the faults that were found."""
     program = os.path.join(sys.argv[1], "platform", "peridotrouter")
     with tempfile.TemporaryDirectory() as folder:
-        net = 10 + zlib.crc32(sys.argv[0].encode()) % 90
-        site = platform_site.run(program, folder, script, net, **options)
+        site = platform_site.run(program, folder, script, **options)
         print("faults:", len(site.faults))
         for fault in site.faults[:20]:
             print(" ", fault)
