Tell instances that start what is known when no reader is there

Only the reader tells others what it knows; when the restarted instance was the reader, or the reader had gone before, nobody read, since the store was away, and nobody told. Which instance reads is a matter of the start, so the run passed as long as it was another one. Change: an instance that knows the endpoints and has heard no reader for 700 ms answers the hello of another one, at most every 100 ms.

--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -22,6 +22,9 @@
 #define HELLO_EVERY_MS 100
 /* The reader's statements are answered at most this often.  */
 #define HELLO_GAP_MS 200
+/* An instance that does not read tells others what it knows at most this
+   often; a fetch that was lost is begun again after it.  */
+#define TELL_GAP_MS 100
 /* A member that was silent for this time may have missed statements.  */
 #define MEMBER_NEWS_MS 400
 /* One datagram; larger ones would be cut into fragments.  */
@@ -52,6 +55,7 @@
                             const fleet_wire_announce *wire, clock_ms_t now);
 static void heard_hello (relay_t *relay, const fleet_wire_hello *wire,
                          clock_ms_t now);
+static bool knows_without_reader (const relay_t *relay, clock_ms_t now);
 static void pass_on_hello (relay_t *relay, const char *sender,
                            const char *data, size_t length, clock_ms_t now);
 static void apply_changes (relay_t *relay, const fleet_wire_announce *wire,
@@ -380,6 +384,13 @@
     send_to (relay, last->ip, data, length);
 }
 
+static bool
+knows_without_reader (const relay_t *relay, clock_ms_t now)
+{
+  return relay->view->listed && now - relay->reader->heard_any > UNHEARD_MS
+         && now - relay->told_at > TELL_GAP_MS;
+}
+
 static void
 heard_hello (relay_t *relay, const fleet_wire_hello *wire, clock_ms_t now)
 {
@@ -388,11 +399,13 @@
                               wire->member.data_centre, wire->member.ip, now);
 
   member = members_find (relay->members, wire->member.name);
-  /* One that has just started, or was not heard, is told at once.  */
-  if (now - member->heard_at > MEMBER_NEWS_MS)
+  /* One that has just started, or was not heard, is told at once.  Without a
+     reader, as while the store is away, any instance tells what it knows.  */
+  if (relay->reader->reading ? now - member->heard_at > MEMBER_NEWS_MS
+                             : knows_without_reader (relay, now))
     {
-      if (relay->reader->reading)
-        announce_to (relay, member->ip, now);
+      relay->told_at = now;
+      announce_to (relay, member->ip, now);
     }
   member->heard_at = now;
   if (member->ready == (wire->ready != 0) && !changed)
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -20,6 +20,7 @@
   ev_io tcp_acceptor;
   ev_timer soon; /* statement of a change, after others of the same moment */
   clock_ms_t announced_at;
+  clock_ms_t told_at;  /* one instance was told without a reader */
   unsigned int round;  /* statements made */
   clock_ms_t hello_at; /* last one to the seeds */
   /* Fetch under way.  */
