Pass the reader's statements on within a data centre

Cause: the reader sent each statement to each member by itself. While a lost data centre's thousand endpoints return (300 machines), that is 40,000 datagrams a second of a fifth of a core, and of a link that two thirds of them leave for other data centres; the others heard nothing for 30 s.

Now members of a data centre are told in groups of about the square root of their number: one that was heard a moment ago, another each time, passes the datagrams on. Up to 32 members are told directly as before.

--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -6,6 +6,7 @@
 const FLEET_PARTS_MAX = 8;
 const FLEET_CHANGES_MAX = 24;
 const FLEET_ZONES_MAX = 64;
+const FLEET_FORWARD_MAX = 128;
 
 struct fleet_wire_backend
 {
@@ -149,6 +150,13 @@
   fleet_wire_hello hello;
 };
 
+/* May follow a message in its datagram: addresses that the receiver passes the
+   message on to, without this list.  */
+struct fleet_wire_forward
+{
+  unsigned int to<FLEET_FORWARD_MAX>;
+};
+
 struct fleet_wire_message
 {
   unsigned int magic;
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -18,6 +18,7 @@
 #define FLEET_PARTS_MAX 8
 #define FLEET_CHANGES_MAX 24
 #define FLEET_ZONES_MAX 64
+#define FLEET_FORWARD_MAX 128
 
 struct fleet_wire_backend {
 	char *id;
@@ -183,6 +184,14 @@
 };
 typedef struct fleet_wire_body fleet_wire_body;
 
+struct fleet_wire_forward {
+	struct {
+		u_int to_len;
+		u_int *to_val;
+	} to;
+};
+typedef struct fleet_wire_forward fleet_wire_forward;
+
 struct fleet_wire_message {
 	u_int magic;
 	char *sender;
@@ -207,6 +216,7 @@
 extern  bool_t xdr_fleet_wire_announce (XDR *, fleet_wire_announce*);
 extern  bool_t xdr_fleet_wire_hello (XDR *, fleet_wire_hello*);
 extern  bool_t xdr_fleet_wire_body (XDR *, fleet_wire_body*);
+extern  bool_t xdr_fleet_wire_forward (XDR *, fleet_wire_forward*);
 extern  bool_t xdr_fleet_wire_message (XDR *, fleet_wire_message*);
 
 #else /* K&R C */
@@ -224,6 +234,7 @@
 extern bool_t xdr_fleet_wire_announce ();
 extern bool_t xdr_fleet_wire_hello ();
 extern bool_t xdr_fleet_wire_body ();
+extern bool_t xdr_fleet_wire_forward ();
 extern bool_t xdr_fleet_wire_message ();
 
 #endif /* K&R C */
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -419,6 +419,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_wire_forward (XDR *xdrs, fleet_wire_forward *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->to.to_val, (u_int *) &objp->to.to_len, FLEET_FORWARD_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_message (XDR *xdrs, fleet_wire_message *objp)
 {
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "socket.h"
+#include "spread.h"
 #include "telemetry.h"
 
 #define ANNOUNCE_EVERY_MS 250
@@ -35,10 +36,6 @@
 /* One datagram; larger ones would be cut into fragments.  */
 #define DATAGRAM_MAX 1400
 #define RECEIVE_MAX 65536
-/* Members that were never heard are told too, but those silent for this time
-   only at every eighth statement.  */
-#define SILENT_MS 5000
-#define SILENT_EVERY 8
 /* A store that was away this long may have let entries lapse.  */
 #define OUTAGE_MS 1500
 
@@ -46,21 +43,23 @@
 static void on_soon (struct ev_loop *loop, ev_timer *watcher, int events);
 static void announce (relay_t *relay, clock_ms_t now);
 static void announce_to (relay_t *relay, uint32_t ip, clock_ms_t now);
-static size_t encode_announce (relay_t *relay, bool with_changes,
-                               clock_ms_t now, char *data, size_t size,
-                               bool *more);
+static size_t encode_announce (relay_t *relay, size_t size, clock_ms_t now,
+                               char *data, bool *more);
 static bool is_due (const view_change_t *change, bool first, clock_ms_t now);
 static bool add_changes (const relay_t *relay, fleet_wire_announce *wire,
                          bool first, size_t *room, clock_ms_t now);
-static void send_to_all (relay_t *relay, const char *data, size_t length,
-                         clock_ms_t now);
+static void send_to_all (relay_t *relay, const GArray *groups, char *data,
+                         size_t length);
+static void pass_on (relay_t *relay, XDR *xdr, const char *data,
+                     size_t length);
+static size_t forward_size (const GArray *groups);
 static size_t encode (const relay_t *relay, fleet_wire_message *message,
                       char *data, size_t size);
 static void send_to (relay_t *relay, uint32_t ip, const char *data,
                      size_t length);
 static void hello (relay_t *relay, uint32_t ip);
 static fleet_wire_member own_member (const relay_t *relay);
-static void heard_announce (relay_t *relay, const char *sender, uint32_t ip,
+static void heard_announce (relay_t *relay, const char *sender,
                             const fleet_wire_announce *wire, clock_ms_t now);
 static void heard_hello (relay_t *relay, const fleet_wire_hello *wire,
                          clock_ms_t now);
@@ -230,12 +229,13 @@
   return false;
 }
 
-/* Encodes the statement, or one datagram of it.  @with_changes: changes that
-   are told now count as told.  @more: out: more have to follow at once.
-   Return: its length; 0: it can't be encoded.  */
+/* Encodes the statement, or one datagram of it, into RECEIVE_MAX bytes.
+   @size: of the datagram with the changes that are told now; 0: no changes.
+   @more: out: more have to follow at once.  Return: its length; 0: it can't be
+   encoded.  */
 static size_t
-encode_announce (relay_t *relay, bool with_changes, clock_ms_t now, char *data,
-                 size_t size, bool *more)
+encode_announce (relay_t *relay, size_t size, clock_ms_t now, char *data,
+                 bool *more)
 {
   fleet_wire_change changes[FLEET_CHANGES_MAX];
   fleet_wire_message message = { .body.type = FLEET_ANNOUNCE };
@@ -258,54 +258,91 @@
   wire->ready.ready_val = (char *)ready->data;
   wire->changes.changes_val = changes;
   *more = false;
-  length = encode (relay, &message, data, size);
-  room = length < DATAGRAM_MAX ? DATAGRAM_MAX - length : 0;
-  if (with_changes)
+  length = encode (relay, &message, data, RECEIVE_MAX);
+  room = length < size ? size - length : 0;
+  if (size > 0)
     {
       *more = add_changes (relay, wire, true, &room, now);
       if (!*more)
         (void)add_changes (relay, wire, false, &room, now);
       wire->more = *more;
       if (wire->changes.changes_len > 0)
-        length = encode (relay, &message, data, size);
+        length = encode (relay, &message, data, RECEIVE_MAX);
     }
   g_byte_array_free (ready, TRUE);
   return length;
 }
 
+/* Sends a message to the heads of all groups, each with the addresses of the
+   others.  */
 static void
-send_to_all (relay_t *relay, const char *data, size_t length, clock_ms_t now)
+send_to_all (relay_t *relay, const GArray *groups, char *data, size_t length)
 {
-  for (guint i = 0; i < relay->members->table->len; i++)
+  for (guint i = 0; i < groups->len; i++)
     {
-      const member_t *member = g_ptr_array_index (relay->members->table, i);
-      bool silent
-          = !member->ready
-            && now - MAX (member->heard_at, member->listed_at) > SILENT_MS;
-
-      if (member != relay->members->own
-          && (!silent || relay->round % SILENT_EVERY == 0))
-        send_to (relay, member->ip, data, length);
+      const spread_group_t *group = &g_array_index (groups, spread_group_t, i);
+      u_int to[SPREAD_OTHERS_MAX];
+      fleet_wire_forward forward
+          = { .to.to_len = (u_int)group->count, .to.to_val = to };
+      size_t whole = length;
+      XDR xdr;
+
+      for (int j = 0; j < group->count; j++)
+        to[j] = ntohl (group->others[j]);
+      xdrmem_create (&xdr, data + length, RECEIVE_MAX - (u_int)length,
+                     XDR_ENCODE);
+      if (group->count > 0 && xdr_fleet_wire_forward (&xdr, &forward))
+        whole += xdr_getpos (&xdr);
+      xdr_destroy (&xdr);
+      send_to (relay, group->head, data, whole);
     }
 }
 
+/* Passes a message on as its sender asks.  */
+static void
+pass_on (relay_t *relay, XDR *xdr, const char *data, size_t length)
+{
+  size_t message = xdr_getpos (xdr);
+  fleet_wire_forward forward = { 0 };
+
+  if (message < length && xdr_fleet_wire_forward (xdr, &forward))
+    for (u_int i = 0; i < forward.to.to_len; i++)
+      send_to (relay, htonl (forward.to.to_val[i]), data, message);
+  xdr_free ((xdrproc_t)xdr_fleet_wire_forward, (char *)&forward);
+}
+
+/* Bytes that the longest list of a plan takes in a datagram.  */
+static size_t
+forward_size (const GArray *groups)
+{
+  int most = 0;
+
+  for (guint i = 0; i < groups->len; i++)
+    most = MAX (most, g_array_index (groups, spread_group_t, i).count);
+  return ((size_t)most + 1) * sizeof (uint32_t);
+}
+
 static void
 announce (relay_t *relay, clock_ms_t now)
 {
   char data[RECEIVE_MAX];
   bool more = true;
+  GArray *groups;
+  size_t room;
 
   relay->announced_at = now;
   relay->round++;
+  groups = spread_plan (relay->members, relay->round, now);
+  room = DATAGRAM_MAX - forward_size (groups);
   for (int i = 0; more && i < BURST_MAX; i++)
     {
-      size_t length
-          = encode_announce (relay, true, now, data, sizeof data, &more);
+      size_t length = encode_announce (relay, room, now, data, &more);
 
       if (length == 0)
-        return;
-      send_to_all (relay, data, length, now);
+        break;
+      send_to_all (relay, groups, data, length);
     }
+  g_array_unref (groups);
   if (more)
     relay_changed (relay);
 }
@@ -316,8 +353,7 @@
 {
   char data[RECEIVE_MAX];
   bool more;
-  size_t length
-      = encode_announce (relay, false, now, data, sizeof data, &more);
+  size_t length = encode_announce (relay, 0, now, data, &more);
 
   if (length > 0)
     send_to (relay, ip, data, length);
@@ -392,10 +428,7 @@
   for (;;)
     {
       static char data[RECEIVE_MAX];
-      struct sockaddr_in from = { 0 };
-      socklen_t size = sizeof from;
-      ssize_t n = recvfrom (relay->udp, data, sizeof data, 0,
-                            (struct sockaddr *)&from, &size);
+      ssize_t n = recv (relay->udp, data, sizeof data, 0);
       fleet_wire_message message = { 0 };
       clock_ms_t now = clock_now ();
       XDR xdr;
@@ -409,8 +442,11 @@
           && strcmp (message.sender, relay->members->own->name) != 0)
         {
           if (message.body.type == FLEET_ANNOUNCE)
-            heard_announce (relay, message.sender, from.sin_addr.s_addr,
-                            &message.body.fleet_wire_body_u.announce, now);
+            {
+              pass_on (relay, &xdr, data, (size_t)n);
+              heard_announce (relay, message.sender,
+                              &message.body.fleet_wire_body_u.announce, now);
+            }
           else
             {
               pass_on_hello (relay, message.sender, data, (size_t)n, now);
@@ -487,7 +523,7 @@
 }
 
 static void
-heard_announce (relay_t *relay, const char *sender, uint32_t ip,
+heard_announce (relay_t *relay, const char *sender,
                 const fleet_wire_announce *wire, clock_ms_t now)
 {
   reader_t *reader = relay->reader;
@@ -498,6 +534,7 @@
   reader_statement_t statement
       = { .name = sender, .fresh = fresh, .weak = wire->weak != 0 };
   unsigned int wanted = 0;
+  uint32_t ip = wire->member.ip; /* of the sender, not of who passed it on */
   GPtrArray *out;
 
   (void)members_put (relay->members, wire->member.name,
