Open the first connection to an endpoint by one attempt at a time

An attempt on a new connection now gives its grant back unused while another one is on the first new connection and none has answered. Test: unit-backend, first-connection, red before.

--- a/lib/backend/attempt.c
+++ b/lib/backend/attempt.c
@@ -289,6 +289,7 @@
 {
   attempt_t attempt = { .pool = pool, .request = request, .result = result };
   int64_t closed_us = -1;
+  bool pooled;
   int err;
 
   *result = (backend_result_t){ .end.result = DECIDE_ATTEMPT_NOT_SENT };
@@ -314,6 +315,15 @@
         pool, request->address,
         request->idempotent ? 0 : attempt.begin_us - PROOF_US);
   attempt.pooled = attempt.conn != NULL;
+  pooled = attempt.pooled;
+  if (!backend_pool_enter (pool, request->address, pooled, request->no_repeat))
+    {
+      result->end.result = DECIDE_ATTEMPT_UNUSED;
+      snprintf (result->error, sizeof result->error,
+                "another attempt is opening the first connection");
+      backend_conn_free (attempt.conn);
+      return 0;
+    }
   if (attempt.conn == NULL)
     attempt.conn = backend_conn_new ();
   err = attempt.conn == NULL ? -ENOMEM : backend_headers_add (&attempt);
@@ -321,6 +331,7 @@
     err = set_options (&attempt);
   if (err == 0)
     end (&attempt, transfer (&attempt));
+  backend_pool_leave (pool, request->address, pooled);
   backend_conn_free (attempt.conn);
   backend_headers_clear (&attempt);
   return err;
--- a/lib/backend/pool.c
+++ b/lib/backend/pool.c
@@ -26,6 +26,8 @@
   uint32_t idle_count;
   int64_t good_us; /* end of the last complete answer */
   int64_t used_us;
+  uint32_t proven;   /* attempts under way on connections that have answered */
+  uint32_t unproven; /* attempts under way on new connections */
 } endpoint_t;
 
 struct backend_pool
@@ -182,7 +184,8 @@
 
       atomic_fetch_add (&pool->counters.expired,
                         cut (pool, endpoint, now_us - pool->idle_us, victims));
-      if (endpoint->idle == NULL && now_us - endpoint->used_us > FORGET_US)
+      if (endpoint->idle == NULL && endpoint->proven == 0
+          && endpoint->unproven == 0 && now_us - endpoint->used_us > FORGET_US)
         {
           *link = endpoint->next;
           tdelete (endpoint, &pool->tree, compare);
@@ -307,6 +310,42 @@
   return conn;
 }
 
+bool
+backend_pool_enter (backend_pool_t *pool, const char *address, bool pooled,
+                    bool alone)
+{
+  endpoint_t *endpoint;
+  bool enters = false;
+
+  pthread_mutex_lock (&pool->lock);
+  endpoint = find_or_add (pool, address);
+  if (endpoint != NULL)
+    {
+      enters = pooled || !alone || endpoint->proven > 0
+               || endpoint->unproven == 0;
+      if (enters && pooled)
+        endpoint->proven++;
+      else if (enters)
+        endpoint->unproven++;
+    }
+  pthread_mutex_unlock (&pool->lock);
+  return enters;
+}
+
+void
+backend_pool_leave (backend_pool_t *pool, const char *address, bool pooled)
+{
+  endpoint_t *endpoint;
+
+  pthread_mutex_lock (&pool->lock);
+  endpoint = find (pool, address);
+  if (pooled)
+    endpoint->proven--;
+  else
+    endpoint->unproven--;
+  pthread_mutex_unlock (&pool->lock);
+}
+
 int64_t
 backend_pool_check_closed (backend_pool_t *pool, const char *address)
 {
--- a/lib/backend/pool.h
+++ b/lib/backend/pool.h
@@ -51,6 +51,23 @@
 conn_t *backend_pool_take (backend_pool_t *pool, const char *address,
                            int64_t since_us);
 
+/**
+ * backend_pool_enter() - an attempt begins
+ *
+ * While an endpoint has answered on no open connection it may have restarted
+ * unseen, and a cold server bears one request: an attempt on a new connection
+ * does not begin beside another one.
+ *
+ * @pooled: on a connection that has answered
+ * @alone: the above applies
+ *
+ * Return: whether it may begin; backend_pool_leave() follows then.
+ */
+bool backend_pool_enter (backend_pool_t *pool, const char *address,
+                         bool pooled, bool alone);
+void backend_pool_leave (backend_pool_t *pool, const char *address,
+                         bool pooled);
+
 /* Keeps a connection after a complete answer; may close it.  */
 void backend_pool_put (backend_pool_t *pool, const char *address,
                        conn_t *conn);
--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -4,6 +4,7 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Guards against headers of the caller's connection that reach the backend
    server, headers that libcurl adds, and framing passed to the caller.  */
@@ -147,6 +148,41 @@
   g_free (address);
 }
 
+static void *
+run_held_once (void *data)
+{
+  g_free (run ("GET", "/held", data));
+  return NULL;
+}
+
+/* Guards against several requests of one instance on new connections to a
+   server that has restarted unseen, and so is cold: the instance had no
+   connection whose end could tell it.  */
+static void
+test_first_connection (void)
+{
+  const uint64_t one = 1;
+  backend_result_t held;
+  backend_result_t result;
+  answer_t answer;
+  backend_request_t request;
+  pthread_t thread;
+
+  pthread_create (&thread, NULL, run_held_once, &held);
+  g_assert_cmpint (httpserver_wait (server, "/held", 1), ==, 1);
+  request = make_request ("GET", "/ok", &answer);
+  request.no_repeat = true;
+  g_assert_cmpint (backend_attempt (pool, &request, &result), ==, 0);
+  g_assert_cmpint (result.end.result, ==, DECIDE_ATTEMPT_UNUSED);
+  g_assert_false (result.sent);
+  g_assert_cmpint (write (release_fd, &one, sizeof one), ==, sizeof one);
+  pthread_join (thread, NULL);
+  g_assert_cmpint (held.end.result, ==, DECIDE_ATTEMPT_ANSWERED);
+  g_assert_cmpint (backend_attempt (pool, &request, &result), ==, 0);
+  g_assert_cmpint (result.end.result, ==, DECIDE_ATTEMPT_ANSWERED);
+  g_string_free (answer.body, TRUE);
+}
+
 /* Guards against a shed answer passed to the caller, or taken as one that may
    have run, and against losing what it says.  */
 static void
@@ -306,6 +342,8 @@
   g_test_add_data_func ("/backend/extra", test_extra, with_server);
   g_test_add_data_func ("/backend/interim", test_interim, with_server);
   g_test_add_data_func ("/backend/load", test_load, with_server);
+  g_test_add_data_func ("/backend/first-connection", test_first_connection,
+                        with_server);
   g_test_add_data_func ("/backend/threads", test_threads, with_server);
   return g_test_run ();
 }
