--- a/lib/balance/assign.c
+++ b/lib/balance/assign.c
@@ -1,7 +1,6 @@
 #include "assign.h"
 
 static gint compare (gconstpointer a, gconstpointer b, gpointer data);
-
 static bool is_better (const assign_request_t *request, admission_t result,
                        double cost, double best_cost);
 
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -48,6 +48,19 @@
   clock_ms_t all_at; /* when @all was encoded */
 };
 
+/* Longest datagram with the list of those that it is passed on to.  */
+#define RECEIVE_MAX 65536
+
+/* The reader's statement to all members.  */
+void relay_announce (relay_t *relay, clock_ms_t now);
+/* To one that has just started, or was cut off.  */
+void relay_announce_to (relay_t *relay, uint32_t ip, clock_ms_t now);
+/* Passes a message on as its sender asks; @xdr: behind the message.  */
+void relay_pass_on (relay_t *relay, XDR *xdr, const char *data, size_t length);
+void relay_send_to (relay_t *relay, uint32_t ip, const char *data,
+                    size_t length);
+void relay_hello (relay_t *relay, uint32_t ip);
+
 /* Fetches parts of the state from the instance at an address.  */
 void relay_fetch (relay_t *relay, uint32_t ip, unsigned int parts,
                   clock_ms_t now);
