End transfers with the relay; log fetches that do not arrive

They are now listed and ended.

Test: unit-fleet_relay, transfers_end_with_the_relay, red before (leak of the transfers).

--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -59,6 +59,7 @@
   relay->fetch_fd = -1;
   relay->tcp = -1;
   relay->fetched = g_byte_array_new ();
+  relay->transfers = g_ptr_array_new ();
   for (int i = 0; i < seeds->count; i++)
     if (seeds->ip[i] == members->own->ip)
       members_set_place (members, i);
@@ -90,6 +91,7 @@
     }
   relay_fetch_close (relay);
   g_byte_array_free (relay->fetched, TRUE);
+  g_ptr_array_free (relay->transfers, TRUE);
   g_free (relay);
 }
 
--- a/lib/fleet/relay_fetch.c
+++ b/lib/fleet/relay_fetch.c
@@ -42,7 +42,7 @@
 {
   relay_t *relay;
   uint32_t asker; /* its address, network byte order */
-  ev_io reader;
+  ev_io reader;   /* the request, and later that the asker has closed */
   ev_io writer;
   ev_timer timer;
   char request[WIRE_REQUEST_SIZE];
@@ -89,6 +89,8 @@
 relay_fetch_close (relay_t *relay)
 {
   fetch_end (relay);
+  while (relay->transfers->len > 0)
+    transfer_end (relay->loop, g_ptr_array_index (relay->transfers, 0));
   g_clear_pointer (&relay->all, g_bytes_unref);
   if (relay->tcp < 0)
     return;
@@ -109,6 +111,7 @@
       transfer_t *transfer = g_new0 (transfer_t, 1);
 
       transfer->relay = relay;
+      g_ptr_array_add (relay->transfers, transfer);
       ev_io_init (&transfer->reader, on_wanted, fd, EV_READ);
       ev_io_init (&transfer->writer, on_transfer, fd, EV_WRITE);
       ev_timer_init (&transfer->timer, on_transfer_timer, FETCH_TIMEOUT_S,
@@ -303,6 +306,7 @@
   close (transfer->writer.fd);
   if (transfer->all)
     transfer->relay->sending_all--;
+  (void)g_ptr_array_remove_fast (transfer->relay->transfers, transfer);
   for (int i = 0; i < 2; i++)
     g_clear_pointer (&transfer->data[i], g_bytes_unref);
   g_free (transfer);
@@ -332,7 +336,6 @@
       return;
     }
   relay->fetch_fd = fd;
-  relay->fetch_ip = ip;
   relay->fetch_request
       = (wire_request_t){ .asker = relay->members->own->ip, .parts = parts };
   if (relay->view->listed && relay->fetch_misses < MISSES_MAX)
@@ -445,7 +448,13 @@
 static void
 on_fetch_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
+  relay_t *relay = watcher->data;
+
   (void)loop;
   (void)events;
-  fetch_end (watcher->data);
+  g_log_structured ("fleet", G_LOG_LEVEL_INFO, "MESSAGE",
+                    "state of another instance did not arrive: %u bytes, then "
+                    "none for %.1f s",
+                    relay->fetched->len, FETCH_TIMEOUT_S);
+  fetch_end (relay);
 }
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -4,7 +4,7 @@
 #include "relay.h"
 #include "wire.h"
 
-/* Instances that were sent all endpoints a short while ago.  */
+/* So many instances that were sent all endpoints last are remembered.  */
 #define RELAY_HOLDERS_MAX 32
 
 struct relay
@@ -29,9 +29,8 @@
   /* Fetch under way.  */
   int fetch_fd; /* -1: none */
   wire_request_t fetch_request;
-  uint32_t fetch_ip; /* network byte order */
-  int fetch_hops;    /* times that this fetch was sent elsewhere */
-  int fetch_misses;  /* fetches of changes in a row that did not suffice */
+  int fetch_hops;   /* times that this fetch was sent elsewhere */
+  int fetch_misses; /* fetches of changes in a row that did not suffice */
   ev_io fetch_reader;
   ev_io fetch_writer;
   ev_timer fetch_timer;
@@ -39,7 +38,8 @@
   clock_ms_t fetch_after; /* no fetch before */
   unsigned int wanted;    /* parts that differed at the last statement */
   /* Transfers to others.  */
-  int sending_all; /* transfers of all endpoints under way */
+  GPtrArray *transfers;                /* those under way */
+  int sending_all;                     /* of these, those of all endpoints */
   uint32_t holders[RELAY_HOLDERS_MAX]; /* network byte order; 0: none */
   unsigned int holders_added;
   unsigned int holders_named;
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -122,7 +122,6 @@
       view_free (instance->view);
       backends_free (instance->backends);
     }
-  /* Transfers that were under way end by their timers.  */
   ev_loop_destroy (world->loop);
 }
 
@@ -315,6 +314,25 @@
   end (&world);
 }
 
+/* Guards against transfers that go on with a relay that is gone; seen by the
+   address sanitizer in CI.  */
+static void
+transfers_end_with_the_relay (void)
+{
+  world_t world;
+  int slow[2];
+
+  start (&world, 2);
+  list (&world, 40000);
+  for (size_t i = 0; i < G_N_ELEMENTS (slow); i++)
+    slow[i] = ask (&world);
+  run_for (&world, 0.2);
+  g_assert_cmpint (world.instances[0].relay->sending_all, >=, 2);
+  end (&world);
+  for (size_t i = 0; i < G_N_ELEMENTS (slow); i++)
+    close (slow[i]);
+}
+
 /* Guards against instances that start together and don't all get the table. */
 static void
 all_that_start_get_the_table (void)
@@ -380,6 +398,8 @@
                    many_changes_cost_no_whole_table);
   g_test_add_func ("/relay/busy_reader_names_another_instance",
                    busy_reader_names_another_instance);
+  g_test_add_func ("/relay/transfers_end_with_the_relay",
+                   transfers_end_with_the_relay);
   g_test_add_func ("/relay/all_that_start_get_the_table",
                    all_that_start_get_the_table);
   g_test_add_func ("/relay/wrong_table_is_replaced", wrong_table_is_replaced);
