--- a/lib/fleet/relay_fetch.c
+++ b/lib/fleet/relay_fetch.c
@@ -89,8 +89,9 @@
 relay_fetch_close (relay_t *relay)
 {
   fetch_end (relay);
-  while (relay->transfers->len > 0)
-    transfer_end (relay->loop, g_ptr_array_index (relay->transfers, 0));
+  /* Each takes itself off the list; from its end none changes place.  */
+  for (guint i = relay->transfers->len; i > 0; i--)
+    transfer_end (relay->loop, g_ptr_array_index (relay->transfers, i - 1));
   g_clear_pointer (&relay->all, g_bytes_unref);
   if (relay->tcp < 0)
     return;
