Count a peer connection before its thread starts; hold retries to their budget

unit-peer_corrupted: start_client() counted the connection after pthread_create(), and the thread could have answered every call of the test by then (connections 0). It is counted first now and taken back if the thread cannot start.

slots_faults allowed ten times the retry budget: a value per mille was divided by 100.

--- a/lib/peer/server.c
+++ b/lib/peer/server.c
@@ -75,17 +75,21 @@
                              .counters = &server->counters };
   pthread_attr_init (&attributes);
   pthread_attr_setstacksize (&attributes, THREAD_STACK_BYTES);
+  /* Counted before the thread starts, which may have answered calls before
+     pthread_create() returns.  */
+  atomic_fetch_add (&server->counters.connections, 1);
+  atomic_fetch_add (&server->counters.open, 1);
   err = pthread_create (&client->thread, &attributes, serve_client, client);
   pthread_attr_destroy (&attributes);
   if (err != 0)
     {
+      atomic_fetch_sub (&server->counters.connections, 1);
+      atomic_fetch_sub (&server->counters.open, 1);
       free (client);
       return -err;
     }
   client->next = server->clients;
   server->clients = client;
-  atomic_fetch_add (&server->counters.connections, 1);
-  atomic_fetch_add (&server->counters.open, 1);
   return 0;
 }
 
--- a/test/unit/slots_sim.c
+++ b/test/unit/slots_sim.c
@@ -405,7 +405,7 @@
   result->goodput = (double)result->answered * mean_service_us
                     / ((double)(options->duration_ms - options->warm_up_ms)
                        * US_PER_MS * ENDPOINTS * SLOTS);
-  retries_max = result->requests * DECIDE_RETRIES_PER_MILLE / 100
+  retries_max = result->requests * DECIDE_RETRIES_PER_MILLE / 1000
                 + (uint64_t)INSTANCES * (options->duration_ms / 1000 + 5);
   if (sim.retries > retries_max)
     result->retries_over = sim.retries - (uint32_t)retries_max;
