Keep what peers told across the end of an outage; remember removals of unknown endpoints

Cause 2: the changes of an announcement are sent oldest first and were applied from the last to the first, and the removal of an endpoint that was not known left no trace, so an older entry that came later put the endpoint into use again until the digests differed. Changes are applied in order, and each removal is remembered.

Red first: feed/removal_of_unknown_endpoint_is_remembered (endpoint known again); feed/start_during_outage_is_followed_by_retention tests the new rule.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -17,10 +17,6 @@
 /* Delay from a failed list to the next list of the same kind.  After a failed
    watch, the objects are listed without delay.  */
 #define RETRY_DELAY_MS 500
-/* If neither this instance nor another reader has read the store for longer
-   than this, the next list that succeeds is treated as the end of an outage of
-   the store.  */
-#define OUTAGE_MIN_MS 1500
 /* Delay from a change of the list of members until it is written to the store,
    so that instances that start at the same time cause only one write.  */
 #define STORE_MEMBERS_DELAY_MS 1000
@@ -335,16 +331,13 @@
 }
 
 /* Records that a list of any kind has succeeded, after which this instance may
-   become the reader.  The first list after more than OUTAGE_MIN_MS without a
-   read ends an outage.  */
+   become the reader.  */
 static void
 record_list_success (feed_t *feed, clock_ms_t now)
 {
   reader_t *reader = feed->reader;
-  clock_ms_t last_store_read_at
-      = MAX (reader->last_read_at, reader->last_fresh_at);
 
-  if (last_store_read_at != 0 && now - last_store_read_at > OUTAGE_MIN_MS)
+  if (reader_is_after_outage (reader, feed->view->has_all_backends, now))
     view_retain_missing (feed->view, now);
   if (feed->store_unreachable)
     g_message ("store can be read again");
--- a/lib/fleet/reader.c
+++ b/lib/fleet/reader.c
@@ -36,6 +36,10 @@
    are waiting.  */
 #define READER_START_RANK_DELAY_MS 20
 
+/* If no instance is known to have read the store for longer than this, the
+   next successful read ends an outage.  */
+#define OUTAGE_MIN_MS 1500
+
 static bool can_preempt (const reader_t *reader, clock_ms_t now);
 
 void
@@ -139,3 +143,16 @@
   return reader->last_read_at != 0
          && now - reader->last_read_at < READER_FRESH_MS;
 }
+
+bool
+reader_is_after_outage (const reader_t *reader, bool has_backends,
+                        clock_ms_t now)
+{
+  clock_ms_t last_store_read_at
+      = MAX (reader->last_read_at, reader->last_fresh_at);
+
+  /* An instance that started during the outage has seen no fresh read.  */
+  if (last_store_read_at == 0)
+    return has_backends;
+  return now - last_store_read_at > OUTAGE_MIN_MS;
+}
--- a/lib/fleet/reader.h
+++ b/lib/fleet/reader.h
@@ -71,6 +71,13 @@
 bool reader_handle_read_result (reader_t *reader, bool ok, int instances,
                                 clock_ms_t now);
 
+/* Whether a read of the store that is fresh now, by this instance or another,
+   ends an outage of the store in which the entries of live endpoints may have
+   expired.  @has_backends: this instance knows the endpoints, also if only
+   other instances have told it during the outage.  */
+bool reader_is_after_outage (const reader_t *reader, bool has_backends,
+                             clock_ms_t now);
+
 /* Whether the last successful read by this instance is recent enough to be
    announced as fresh.  */
 bool reader_is_fresh (const reader_t *reader, clock_ms_t now);
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -34,11 +34,6 @@
    for longer than this may have missed announcements; when its next hello
    arrives, the reader sends it an announcement at once.  */
 #define MEMBER_STALE_MS 400
-/* If this instance has neither read the store nor received an announcement of
-   a recent read for longer than this, the next such announcement is treated as
-   the end of an outage of the store, in which the entries of live endpoints
-   may have expired.  */
-#define OUTAGE_MIN_MS 1500
 
 static void on_datagram (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_announce_timer (struct ev_loop *loop, ev_timer *watcher,
@@ -271,13 +266,14 @@
   relay->hooks.members_changed (relay->hooks.context);
 }
 
-/* Applies the changes of endpoints in an announcement.  */
+/* Applies the changes of endpoints in an announcement, which has the oldest
+   first.  */
 static void
 apply_changes (relay_t *relay, const fleet_wire_announce *wire, clock_ms_t now)
 {
-  for (u_int i = wire->changes.changes_len; i > 0; i--)
+  for (u_int i = 0; i < wire->changes.changes_len; i++)
     {
-      const fleet_wire_change *change = &wire->changes.changes_val[i - 1];
+      const fleet_wire_change *change = &wire->changes.changes_val[i];
       backend_entry_t entry;
 
       wire_to_backend (&change->backend, &entry);
@@ -294,8 +290,6 @@
 {
   reader_t *reader = relay->reader;
   bool fresh = wire->fresh != 0;
-  clock_ms_t last_store_read_at
-      = MAX (reader->last_read_at, reader->last_fresh_at);
   uint64_t own_config_version
       = relay->view->routes != NULL ? relay->view->routes->version : 0;
   reader_announcement_t announcement
@@ -309,8 +303,8 @@
                      wire->member.data_centre, wire->member.ip, now);
   /* Live endpoints may have been unable to renew their entries in the store
      while no instance could read it.  */
-  if (fresh && last_store_read_at != 0
-      && now - last_store_read_at > OUTAGE_MIN_MS)
+  if (fresh
+      && reader_is_after_outage (reader, relay->view->has_all_backends, now))
     view_retain_missing (relay->view, now);
   if (reader_handle_announcement (reader, relay->members->own->name,
                                   &announcement, now))
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -23,6 +23,7 @@
                         const backend_entry_t *entry, uint64_t revision);
 static bool has_same_state (const backend_entry_t *a,
                             const backend_entry_t *b);
+static void remember_removal (view_t *view, const char *id, uint64_t revision);
 static void remove_missing_backends (view_t *view, const GPtrArray *entries,
                                      uint64_t revision, clock_ms_t now);
 static uint64_t entry_digest (const backend_entry_t *entry);
@@ -155,22 +156,42 @@
   view->hooks.backends_changed (view->hooks.context);
 }
 
+/* Records the store revision of a removal, so that older entries of the
+   endpoint are ignored.  */
+static void
+remember_removal (view_t *view, const char *id, uint64_t revision)
+{
+  uint64_t *tombstone = g_hash_table_lookup (view->tombstones, id);
+
+  if (tombstone != NULL)
+    {
+      *tombstone = MAX (*tombstone, revision);
+      return;
+    }
+  tombstone = g_new (uint64_t, 1);
+  *tombstone = revision;
+  if (g_hash_table_size (view->tombstones) >= TOMBSTONES_MAX)
+    g_hash_table_remove_all (view->tombstones);
+  g_hash_table_insert (view->tombstones, g_strdup (id), tombstone);
+}
+
 void
 view_remove_backend (view_t *view, const char *id, uint64_t revision,
                      clock_ms_t now)
 {
   const backend_t *known = backends_find (view->backends, id);
-  uint64_t *tombstone;
 
-  if (known == NULL || revision < known->entry.revision)
+  if (known == NULL)
+    {
+      /* An older message about the endpoint may still arrive.  */
+      remember_removal (view, id, revision);
+      return;
+    }
+  if (revision < known->entry.revision)
     return;
   if (now < view->retain_until && !known->entry.draining)
     return;
-  tombstone = g_new (uint64_t, 1);
-  *tombstone = revision;
-  if (g_hash_table_size (view->tombstones) >= TOMBSTONES_MAX)
-    g_hash_table_remove_all (view->tombstones);
-  g_hash_table_replace (view->tombstones, g_strdup (id), tombstone);
+  remember_removal (view, id, revision);
   record_change (view, &known->entry, revision, true, now);
   log_change (view, id, NULL, revision);
   view->digest ^= entry_digest (&known->entry);
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -291,6 +291,51 @@
   fixture_end (&fixture);
 }
 
+/* Guards against an endpoint that comes back because its removal arrives
+   before an older message about it, while this instance does not know it.  */
+static void
+removal_of_unknown_endpoint_is_remembered (void)
+{
+  fixture_t fixture;
+  feed_item_t *old = backend_item ("i-9", 55, false);
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  view_remove_backend (fixture.view, "i-9", 60, 1000);
+  view_put_backend (fixture.view, old->backend, 1000);
+  g_assert_null (backends_find (fixture.backends, "i-9"));
+  /* An older removal does not weaken the newer one.  */
+  view_remove_backend (fixture.view, "i-9", 50, 1000);
+  view_put_backend (fixture.view, old->backend, 1000);
+  g_assert_null (backends_find (fixture.backends, "i-9"));
+  feed_item_free (old);
+  fixture_end (&fixture);
+}
+
+/* Guards against an instance that starts during an outage of the store and
+   drops what the others have told it when the store returns with expired
+   entries: the end of that outage is not its first contact with the store.  */
+static void
+start_during_outage_is_followed_by_retention (void)
+{
+  reader_t reader;
+  reader_announcement_t stale = { .name = "front-2", .fresh = false };
+  reader_announcement_t fresh = { .name = "front-2", .fresh = true };
+
+  reader_init (&reader, false, 1000);
+  g_assert_false (reader_is_after_outage (&reader, false, 1010));
+  (void)reader_handle_announcement (&reader, "front-1", &stale, 1010);
+  g_assert_true (reader_is_after_outage (&reader, true, 9000));
+  (void)reader_handle_announcement (&reader, "front-1", &fresh, 9000);
+  g_assert_false (reader_is_after_outage (&reader, true, 9250));
+  g_assert_true (reader_is_after_outage (&reader, true, 10600));
+  /* An instance that is told the state by a reader of the store that works
+     has missed no read.  */
+  reader_init (&reader, false, 1000);
+  (void)reader_handle_announcement (&reader, "front-1", &fresh, 1010);
+  g_assert_false (reader_is_after_outage (&reader, true, 1300));
+}
+
 /* Guards against a snapshot (the encoded view and list of instances, which one
    instance sends to another) that is not decoded as it was encoded, and
    against a crash caused by a truncated or corrupted snapshot.  */
@@ -375,6 +420,10 @@
                    expired_endpoints_are_retained_for_a_while);
   g_test_add_func ("/feed/removed_endpoints_stay_removed",
                    removed_endpoints_stay_removed);
+  g_test_add_func ("/feed/removal_of_unknown_endpoint_is_remembered",
+                   removal_of_unknown_endpoint_is_remembered);
+  g_test_add_func ("/feed/start_during_outage_is_followed_by_retention",
+                   start_during_outage_is_followed_by_retention);
   g_test_add_func ("/feed/state_crosses_whole_or_not",
                    snapshot_survives_encoding);
   return g_test_run ();
