--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -232,7 +232,9 @@
   instance->settings.retry_rules = settings.retry_rules;
   instance->settings.stop_timeout = settings.stop_timeout;
   instance->settings.addresses_ttl_max = settings.addresses_ttl_max;
+  instance->settings.probes_per_s = settings.probes_per_s;
   proxy_set_retry_rules (instance->proxy, &settings.retry_rules);
+  proxy_set_probe_limit (instance->proxy, settings.probes_per_s);
   g_message ("settings read again");
   g_free (settings.name);
   g_free (settings.data_centre);
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -142,6 +142,12 @@
   proxy->settings.retry_rules = *rules;
 }
 
+void
+proxy_set_probe_limit (proxy_t *proxy, double probes_per_s)
+{
+  proxy->settings.probes_per_s = probes_per_s;
+}
+
 void
 proxy_set_instance_count (proxy_t *proxy, int count)
 {
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -61,6 +61,9 @@
 void proxy_set_routes (proxy_t *proxy, const routes_t *routes);
 /* Replaces the rules of the retry budget.  */
 void proxy_set_retry_rules (proxy_t *proxy, const retry_budget_rules_t *rules);
+/* Replaces the largest number of probes per second that one endpoint may
+   get.  */
+void proxy_set_probe_limit (proxy_t *proxy, double probes_per_s);
 
 /* Sets the number of known instances, including this one, among which the
    probe rate, the retry budget and the connections are divided.  */
