Bound what is read of a response that does not become usable

Cause: a body that may not be streamed (no signature, a failure, a response to another request) was read without limit until the deadline. Red on (platform_endless): the instance's memory grew by 849 MB within 2 s for a 200 without signature and by 92 MB for a 500; 1.4 GB of another response and 78 MB of interim responses were read. Heads and chunk sizes were bounded by the parser already.

Change: a connection is closed after 1 MiB that is not part of a streamed response; the attempt counts as failed and may have run, the endpoint's failure is recorded, and peridot_endless_responses_total counts it.

--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -107,6 +107,8 @@
   http_parser parser;
   GByteArray *out;       /* probe or request that is being sent */
   size_t sent_bytes;     /* number of bytes of @out that were sent */
+  size_t received_bytes; /* number of bytes received since @out began to be
+                            sent, except for the body of a streamed response */
   probe_round_t *round;  /* round of probes that gets the probe's result, or
                             NULL */
   request_t *request;    /* request that is being run, or NULL */
--- a/lib/proxy/uplink.c
+++ b/lib/proxy/uplink.c
@@ -12,6 +12,10 @@
 
 /* Largest number of bytes that one read from a connection returns.  */
 #define READ_SIZE_BYTES 16384
+/* A connection is closed when this many bytes were received on it and none of
+   them is known to belong to a response that can be forwarded.  Larger than a
+   buffered response and a late response to an earlier request together.  */
+#define UNUSABLE_RESPONSE_MAX_BYTES (1 << 20)
 /* Largest number of idle connections in the pool of one endpoint.  */
 #define IDLE_CONNECTIONS_MAX 3
 /* Idle timeout that is assumed for an endpoint that states none.  */
@@ -27,6 +31,7 @@
 static void on_timeout (struct ev_loop *loop, ev_timer *watcher, int events);
 static void fail_uplink (uplink_t *uplink, const char *why);
 static void handle_connection_end (uplink_t *uplink, int error);
+static bool is_response_endless (uplink_t *uplink, size_t received_bytes);
 
 pool_t *
 pool_get (proxy_t *proxy, backend_handle_t handle)
@@ -146,6 +151,7 @@
 uplink_send (uplink_t *uplink)
 {
   uplink->sent_bytes = 0;
+  uplink->received_bytes = 0;
   uplink->is_reading = true;
   uplink_begin_response (uplink);
   ev_io_start (uplink->proxy->loop, &uplink->read_watcher);
@@ -318,6 +324,12 @@
       fail_uplink (uplink, "unexpected data from the endpoint");
       return;
     }
+  if (is_response_endless (uplink, (size_t)n))
+    {
+      telemetry_counter_increment (TELEMETRY_ENDLESS_RESPONSES, 0);
+      fail_uplink (uplink, "too many bytes that are no usable response");
+      return;
+    }
   while (parsed_bytes < (size_t)n && !uplink->is_closed)
     {
       enum http_errno error;
@@ -348,6 +360,17 @@
     }
 }
 
+/* Counts received bytes.  Return: whether they are more than a response that
+   is not being streamed to a client may have.  */
+static bool
+is_response_endless (uplink_t *uplink, size_t received_bytes)
+{
+  if (uplink->request != NULL && uplink->request->state == REQUEST_STREAMING)
+    return false;
+  uplink->received_bytes += received_bytes;
+  return uplink->received_bytes > UNUSABLE_RESPONSE_MAX_BYTES;
+}
+
 /* Handles the end of a connection: an orderly close (@error is 0) or a failure
    such as a connection reset (@error is an errno).  An orderly close may mark
    the end of a response without a stated length; a failure never does.  */
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -147,6 +147,11 @@
   = { "peridot_foreign_answers_total",
       "Answers that belonged to another request and were skipped.", NULL,
       NULL },
+  [TELEMETRY_ENDLESS_RESPONSES]
+  = { "peridot_endless_responses_total",
+      "Connections to endpoints closed because of too many bytes that are no "
+      "usable response.",
+      NULL, NULL },
   [TELEMETRY_ROUTED]
   = { "peridot_routed_total", "Requests on the event loop, by outcome.",
       "outcome", outcomes },
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -97,7 +97,10 @@
   TELEMETRY_UPLINKS_OPENED, /* none: connections opened to endpoints */
   TELEMETRY_FOREIGN_ANSWERS, /* none: responses that were skipped because they
                                 belonged to another request */
-  TELEMETRY_ROUTED,          /* telemetry_outcome_t: requests that ended */
+  TELEMETRY_ENDLESS_RESPONSES, /* none: connections to endpoints closed because
+                                  of too many bytes that are no usable
+                                  response */
+  TELEMETRY_ROUTED,            /* telemetry_outcome_t: requests that ended */
   /* 0 all endpoints were sent, 1 changed endpoints were sent or none were
      requested, 2 endpoints were requested but not sent: transfers of state to
      other instances */
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -235,12 +235,34 @@
                     pass
 
 
+# Faults of an endpoint that sends without end: the bytes sent first, in which
+# %s stands for the request's ID, and the bytes that are then repeated.
+ENDLESS = {
+    "endless field": ("HTTP/1.1 200 OK\r\nX-Padding: ", b"a" * 16384),
+    "endless fields": ("HTTP/1.1 200 OK\r\n", b"X-Padding: a\r\n" * 1024),
+    "endless interim responses": ("", b"HTTP/1.1 100 Continue\r\n\r\n" * 512),
+    "endless body without signature": (
+        f"HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: %s\r\n\r\n", b"a" * 16384),
+    "endless body of a failure": (
+        f"HTTP/1.1 500 -\r\n{ATTEMPT_ID}: %s\r\n\r\n", b"a" * 16384),
+    "endless body of another response": (
+        f"HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: other\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        b"4000\r\n" + b"a" * 16384 + b"\r\n"),
+    "endless chunk size": (
+        f"HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: %s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n1;a=", b"a" * 16384),
+}
+
+
 class Endpoint:
     """Simulated backend server.  The test sets its faults: probabilities by
     kind of fault.  A response is lost, cut short, sent twice ("extra"), sent
     without its length ("unframed"), or replaced by status 500 or by garbage
-    ("rot").  Whatever the probability, "silent" leaves all requests without a
-    response and "ill" makes health checks fail."""
+    ("rot").  With a fault of ENDLESS, bytes that are no response follow until
+    the caller closes the connection.  Whatever the probability, "silent"
+    leaves all requests without a response and "ill" makes health checks
+    fail."""
 
     def __init__(self, site, name, service, zone, address, **options):
         self.site, self.name, self.service = site, name, service
@@ -257,6 +279,7 @@
         self.state = "ready"
         self.drained_at = None
         self.faults = {}
+        self.endless = None
         self.rng = random.Random(name)
         self.server = None
         self.writers = set()
@@ -315,6 +338,8 @@
                 await self.answer_request(start_line, fields, body, reader,
                                           writer)
                 await writer.drain()
+                if self.endless is not None:
+                    await self.send_endlessly(writer)
         except (MessageError, ConnectionError, OSError,
                 asyncio.CancelledError):
             pass
@@ -322,6 +347,20 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
+    async def send_endlessly(self, writer):
+        # Repeats the bytes of the fault until the caller closes the
+        # connection, and records how long that took and how much was sent.
+        piece, self.endless = self.endless, None
+        started_at, sent = time.monotonic(), 0
+        try:
+            while True:
+                writer.write(piece)
+                sent += len(piece)
+                await writer.drain()
+        finally:
+            self.site.endless_sent.append(
+                (sent, time.monotonic() - started_at))
+
     async def answer_request(self, start_line, fields, body, reader, writer):
         method, target, _ = start_line.split(" ")
         if target == "/healthz":
@@ -388,6 +427,9 @@
             elif fault == "errors":
                 writer.write(message("HTTP/1.1 500 -",
                                      {ATTEMPT_ID: request_id}))
+            elif fault in ENDLESS:
+                head, self.endless = ENDLESS[fault]
+                writer.write(head.replace("%s", request_id).encode())
             elif fault == "rot":
                 writer.write(b"\x00not http\r\n\r\n")
             return
@@ -486,6 +528,8 @@
         self.instances = []
         self.endpoints = {}
         self.runs = collections.defaultdict(list)
+        # (bytes, seconds) of each response of a fault of ENDLESS.
+        self.endless_sent = []
         self.sent = {}
         self.refused = set()
         self.outcomes = collections.Counter()
