--- a/lib/balance/routes.c
+++ b/lib/balance/routes.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-static void route_free (gpointer data);
-static void service_free (gpointer data);
 static gint compare_prefix (gconstpointer a, gconstpointer b);
 
 routes_t *
@@ -13,7 +11,7 @@
 
   routes->version = version;
   routes->routes = g_ptr_array_new_with_free_func (route_free);
-  routes->services = g_ptr_array_new_with_free_func (service_free);
+  routes->services = g_ptr_array_new_with_free_func (service_rules_free);
   return routes;
 }
 
@@ -27,7 +25,7 @@
   g_free (routes);
 }
 
-static void
+void
 route_free (gpointer data)
 {
   route_t *route = data;
@@ -40,8 +38,8 @@
   g_free (route);
 }
 
-static void
-service_free (gpointer data)
+void
+service_rules_free (gpointer data)
 {
   service_rules_t *rules = data;
 
@@ -50,6 +48,31 @@
   g_free (rules);
 }
 
+route_t *
+route_copy (const route_t *route)
+{
+  route_t *copy = g_new (route_t, 1);
+
+  *copy = *route;
+  copy->name = g_strdup (route->name);
+  copy->host = g_strdup (route->host);
+  copy->prefix = g_strdup (route->prefix);
+  for (int i = 0; i < route->n_parts; i++)
+    copy->parts[i].service = g_strdup (route->parts[i].service);
+  return copy;
+}
+
+service_rules_t *
+service_rules_copy (const service_rules_t *rules)
+{
+  service_rules_t *copy = g_new (service_rules_t, 1);
+
+  *copy = *rules;
+  copy->name = g_strdup (rules->name);
+  copy->health_path = g_strdup (rules->health_path);
+  return copy;
+}
+
 void
 routes_add (routes_t *routes, route_t *route)
 {
--- a/lib/balance/routes.h
+++ b/lib/balance/routes.h
@@ -75,6 +75,12 @@
 routes_t *routes_new (uint64_t version);
 void routes_free (routes_t *routes);
 
+/* Copies and frees one row of the configuration.  */
+route_t *route_copy (const route_t *route);
+void route_free (gpointer route);
+service_rules_t *service_rules_copy (const service_rules_t *rules);
+void service_rules_free (gpointer rules);
+
 /* routes_add() and routes_add_service() take ownership of @route and @rules,
    which must be allocated with g_new0(), and their strings with
    g_strdup().  */
--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -150,6 +150,7 @@
   if (feed->was_reader && !reader->is_reader)
     stop_reading (feed);
   feed->was_reader = reader->is_reader;
+  view_log_each_change (feed->view, reader->is_reader);
   if (reader->is_reader)
     {
       for (int i = 0; i < FEED_KIND_COUNT; i++)
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -8,6 +8,8 @@
 const FLEET_ZONES_MAX = 64;
 const FLEET_FORWARD_MAX = 128;
 
+typedef string fleet_wire_name<FLEET_NAME_MAX>;
+
 struct fleet_wire_backend
 {
   string id<FLEET_NAME_MAX>;
@@ -42,8 +44,8 @@
   string prefix<4096>;
   bool idempotent;
   bool bulk;
-  unsigned int timeout;
-  unsigned int target;
+  hyper timeout;
+  hyper target;
   int priority;
   int endpoints_max;
   fleet_wire_part parts<FLEET_PARTS_MAX>;
@@ -57,15 +59,20 @@
   double cold_per_s;
 };
 
+/* A version of the configuration, or what has changed since an older one.  */
 struct fleet_wire_config
 {
   unsigned hyper number; /* version */
+  unsigned hyper base;   /* version that the rows change; 0: they are all */
+  unsigned hyper digest; /* of the resulting version */
   hyper header_bytes;
   hyper body_bytes;
   hyper header_timeout;
   hyper idle_timeout;
   fleet_wire_route routes<FLEET_LIST_MAX>;
   fleet_wire_service services<FLEET_LIST_MAX>;
+  fleet_wire_name removed_routes<FLEET_LIST_MAX>;
+  fleet_wire_name removed_services<FLEET_LIST_MAX>;
 };
 
 struct fleet_wire_member
@@ -75,8 +82,6 @@
   unsigned int ip;
 };
 
-typedef string fleet_wire_name<FLEET_NAME_MAX>;
-
 const FLEET_PART_CONFIG = 1;
 const FLEET_PART_BACKENDS = 2;
 const FLEET_PART_MEMBERS = 4;
@@ -88,6 +93,7 @@
   unsigned int parts;   /* sum of FLEET_PART_ */
   unsigned hyper since; /* the asker's endpoints are those of this revision;
                            0: it wants all of them */
+  unsigned hyper config_version; /* the asker's; 0: it has none */
 };
 
 struct fleet_wire_gone
@@ -99,10 +105,11 @@
 /* What the sender knows, as of a revision of the store.  */
 struct fleet_wire_snapshot
 {
-  unsigned int included;         /* sum of FLEET_PART_; endpoints are left out
-                                    by a sender that is busy with others */
-  unsigned int elsewhere;        /* address of an instance that has the
-                                    endpoints that were left out; 0: none */
+  unsigned int included;         /* sum of FLEET_PART_; endpoints and a large
+                                    configuration are left out by a sender that
+                                    is busy with others */
+  unsigned int elsewhere;        /* address of an instance that has what was
+                                    left out; 0: none */
   unsigned hyper revision;
   unsigned hyper since;          /* endpoints that changed after it; 0: all */
   unsigned hyper digest;         /* of the sender's table of endpoints */
@@ -129,6 +136,7 @@
   opaque ready<FLEET_LIST_MAX>;
   fleet_wire_change changes<FLEET_CHANGES_MAX>;
   bool more;                     /* further changes follow at once */
+  fleet_wire_config config<1>;   /* a small change of the configuration */
 };
 
 /* Sent by each member to the reader that it hears, or to the seeds while it
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -20,6 +20,8 @@
 #define FLEET_ZONES_MAX 64
 #define FLEET_FORWARD_MAX 128
 
+typedef char *fleet_wire_name;
+
 struct fleet_wire_backend {
 	char *id;
 	char *service;
@@ -53,8 +55,8 @@
 	char *prefix;
 	bool_t idempotent;
 	bool_t bulk;
-	u_int timeout;
-	u_int target;
+	quad_t timeout;
+	quad_t target;
 	int priority;
 	int endpoints_max;
 	struct {
@@ -74,6 +76,8 @@
 
 struct fleet_wire_config {
 	u_quad_t number;
+	u_quad_t base;
+	u_quad_t digest;
 	quad_t header_bytes;
 	quad_t body_bytes;
 	quad_t header_timeout;
@@ -86,6 +90,14 @@
 		u_int services_len;
 		fleet_wire_service *services_val;
 	} services;
+	struct {
+		u_int removed_routes_len;
+		fleet_wire_name *removed_routes_val;
+	} removed_routes;
+	struct {
+		u_int removed_services_len;
+		fleet_wire_name *removed_services_val;
+	} removed_services;
 };
 typedef struct fleet_wire_config fleet_wire_config;
 
@@ -95,8 +107,6 @@
 	u_int ip;
 };
 typedef struct fleet_wire_member fleet_wire_member;
-
-typedef char *fleet_wire_name;
 #define FLEET_PART_CONFIG 1
 #define FLEET_PART_BACKENDS 2
 #define FLEET_PART_MEMBERS 4
@@ -105,6 +115,7 @@
 	u_int asker;
 	u_int parts;
 	u_quad_t since;
+	u_quad_t config_version;
 };
 typedef struct fleet_wire_request fleet_wire_request;
 
@@ -164,6 +175,10 @@
 		fleet_wire_change *changes_val;
 	} changes;
 	bool_t more;
+	struct {
+		u_int config_len;
+		fleet_wire_config *config_val;
+	} config;
 };
 typedef struct fleet_wire_announce fleet_wire_announce;
 
@@ -202,6 +217,7 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
+extern  bool_t xdr_fleet_wire_name (XDR *, fleet_wire_name*);
 extern  bool_t xdr_fleet_wire_backend (XDR *, fleet_wire_backend*);
 extern  bool_t xdr_fleet_wire_change (XDR *, fleet_wire_change*);
 extern  bool_t xdr_fleet_wire_part (XDR *, fleet_wire_part*);
@@ -209,7 +225,6 @@
 extern  bool_t xdr_fleet_wire_service (XDR *, fleet_wire_service*);
 extern  bool_t xdr_fleet_wire_config (XDR *, fleet_wire_config*);
 extern  bool_t xdr_fleet_wire_member (XDR *, fleet_wire_member*);
-extern  bool_t xdr_fleet_wire_name (XDR *, fleet_wire_name*);
 extern  bool_t xdr_fleet_wire_request (XDR *, fleet_wire_request*);
 extern  bool_t xdr_fleet_wire_gone (XDR *, fleet_wire_gone*);
 extern  bool_t xdr_fleet_wire_snapshot (XDR *, fleet_wire_snapshot*);
@@ -220,6 +235,7 @@
 extern  bool_t xdr_fleet_wire_message (XDR *, fleet_wire_message*);
 
 #else /* K&R C */
+extern bool_t xdr_fleet_wire_name ();
 extern bool_t xdr_fleet_wire_backend ();
 extern bool_t xdr_fleet_wire_change ();
 extern bool_t xdr_fleet_wire_part ();
@@ -227,7 +243,6 @@
 extern bool_t xdr_fleet_wire_service ();
 extern bool_t xdr_fleet_wire_config ();
 extern bool_t xdr_fleet_wire_member ();
-extern bool_t xdr_fleet_wire_name ();
 extern bool_t xdr_fleet_wire_request ();
 extern bool_t xdr_fleet_wire_gone ();
 extern bool_t xdr_fleet_wire_snapshot ();
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -5,6 +5,16 @@
 
 #include "fleet.h"
 
+bool_t
+xdr_fleet_wire_name (XDR *xdrs, fleet_wire_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, FLEET_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_backend (XDR *xdrs, fleet_wire_backend *objp)
 {
@@ -135,77 +145,6 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->host, 512))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->prefix, 4096))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_bool (xdrs, &objp->idempotent))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->bulk))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->timeout))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->target))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->priority))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->endpoints_max))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_BOOL(buf, objp->idempotent);
-		IXDR_PUT_BOOL(buf, objp->bulk);
-		IXDR_PUT_U_LONG(buf, objp->timeout);
-		IXDR_PUT_U_LONG(buf, objp->target);
-		IXDR_PUT_LONG(buf, objp->priority);
-		IXDR_PUT_LONG(buf, objp->endpoints_max);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_PARTS_MAX,
-			sizeof (fleet_wire_part), (xdrproc_t) xdr_fleet_wire_part))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->host, 512))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->prefix, 4096))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_bool (xdrs, &objp->idempotent))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->bulk))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->timeout))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->target))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->priority))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->endpoints_max))
-				 return FALSE;
-
-		} else {
-		objp->idempotent = IXDR_GET_BOOL(buf);
-		objp->bulk = IXDR_GET_BOOL(buf);
-		objp->timeout = IXDR_GET_U_LONG(buf);
-		objp->target = IXDR_GET_U_LONG(buf);
-		objp->priority = IXDR_GET_LONG(buf);
-		objp->endpoints_max = IXDR_GET_LONG(buf);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_PARTS_MAX,
-			sizeof (fleet_wire_part), (xdrproc_t) xdr_fleet_wire_part))
-			 return FALSE;
-	 return TRUE;
-	}
-
 	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->host, 512))
@@ -216,9 +155,9 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->bulk))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->timeout))
+	 if (!xdr_quad_t (xdrs, &objp->timeout))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->target))
+	 if (!xdr_quad_t (xdrs, &objp->target))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->priority))
 		 return FALSE;
@@ -253,6 +192,10 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->header_bytes))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->body_bytes))
@@ -267,6 +210,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_service), (xdrproc_t) xdr_fleet_wire_service))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->removed_routes.removed_routes_val, (u_int *) &objp->removed_routes.removed_routes_len, FLEET_LIST_MAX,
+		sizeof (fleet_wire_name), (xdrproc_t) xdr_fleet_wire_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->removed_services.removed_services_val, (u_int *) &objp->removed_services.removed_services_len, FLEET_LIST_MAX,
+		sizeof (fleet_wire_name), (xdrproc_t) xdr_fleet_wire_name))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -284,16 +233,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_fleet_wire_name (XDR *xdrs, fleet_wire_name *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_string (xdrs, objp, FLEET_NAME_MAX))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_fleet_wire_request (XDR *xdrs, fleet_wire_request *objp)
 {
@@ -305,6 +244,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->since))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -382,6 +323,9 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->more))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->config.config_val, (u_int *) &objp->config.config_len, 1,
+		sizeof (fleet_wire_config), (xdrproc_t) xdr_fleet_wire_config))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -75,7 +75,7 @@
   relay->udp_fd = socket_bind_udp (address);
   *result = MIN (relay->udp_fd, 0);
   if (*result == 0)
-    *result = relay_fetch_listen (relay);
+    *result = relay_serve_listen (relay);
   if (*result != 0)
     {
       relay_free (relay);
@@ -99,6 +99,7 @@
       close (relay->udp_fd);
     }
   relay_fetch_close (relay);
+  relay_serve_close (relay);
   g_byte_array_free (relay->fetch_buffer, TRUE);
   g_ptr_array_free (relay->transfers, TRUE);
   g_free (relay);
@@ -111,7 +112,8 @@
       = !relay->reader->has_heard_reader
         || now - relay->reader->last_announcement_at > READER_LOST_MS;
 
-  relay_expire_full_snapshot (relay, now);
+  relay_serve_tick (relay, now);
+  relay_fetch_tick (relay, now);
   if (!relay->reader->is_reader)
     {
       if (reader_lost && now - relay->hello_sent_at >= SEED_HELLO_INTERVAL_MS)
@@ -290,8 +292,6 @@
 {
   reader_t *reader = relay->reader;
   bool fresh = wire->fresh != 0;
-  uint64_t own_config_version
-      = relay->view->routes != NULL ? relay->view->routes->version : 0;
   reader_announcement_t announcement
       = { .name = sender, .fresh = fresh, .weak = wire->weak != 0 };
   unsigned int missing_parts = 0;
@@ -321,6 +321,11 @@
     }
   if (reader->is_reader)
     return;
+  relay->announced_by = ip;
+  relay->announced_config_version = wire->config_version;
+  if (wire->config.config_len > 0
+      && wire_apply_config (wire->config.config_val, relay->view) == -EBADMSG)
+    relay->needs_whole_config = true;
   if (wire->members_digest == members_digest (relay->members)
       && members_set_ready (relay->members,
                             (const uint8_t *)wire->ready.ready_val,
@@ -337,7 +342,8 @@
     g_ptr_array_add (out, wire->out.out_val[i]);
   view_set_out_of_service (relay->view, out);
   g_ptr_array_free (out, TRUE);
-  if (wire->config_version > own_config_version)
+  if (wire->config_version
+      > (relay->view->routes != NULL ? relay->view->routes->version : 0))
     missing_parts |= FLEET_PART_CONFIG;
   if (wire->members_digest != members_digest (relay->members))
     missing_parts |= FLEET_PART_MEMBERS;
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -2,8 +2,8 @@
 #define PERIDOT_FLEET_RELAY_PRIVATE_H
 
 /* Shared by the parts of the relay: relay.c receives messages and decides what
-   to send, relay_send.c sends datagrams, and relay_fetch.c transfers state
-   over TCP.  */
+   to send, relay_send.c sends datagrams, and relay_fetch.c and relay_serve.c
+   transfer state over TCP.  */
 
 #include "relay.h"
 #include "wire.h"
@@ -11,6 +11,22 @@
 /* Number of instances that are remembered as targets of redirects.  They are
    those to which this instance has most recently sent all endpoints.  */
 #define RELAY_REDIRECT_TARGETS_MAX 32
+/* Number of kinds of data that are sent to a limited number of requesters:
+   all endpoints, and large changes of the configuration.  */
+#define RELAY_BULK_KINDS 2
+
+/* Instances that were sent bulk data of one kind, to which further requests
+   for it can be redirected.  */
+typedef struct relay_holders
+{
+  uint64_t version; /* version of the configuration that they have; 0 for
+                       endpoints */
+  uint32_t ip[RELAY_REDIRECT_TARGETS_MAX]; /* ring buffer of their addresses;
+                                              network byte order */
+  unsigned int added;    /* number of addresses added to @ip so far */
+  unsigned int position; /* counts the uses of @ip; modulo the number of
+                            addresses in it, the index of the next one */
+} relay_holders_t;
 
 struct relay
 {
@@ -33,16 +49,31 @@
   clock_ms_t readerless_reply_at; /* ms; when this instance last replied to a
                                      hello with an announcement; limits such
                                      replies while there is no reader */
-  unsigned int sequence_number;   /* number of announcements that were sent to
-                                     all members so far, which also is the
-                                     sequence number of the last one */
+  uint64_t config_announced_version; /* version of the configuration whose
+                                        change was last announced */
+  int config_announce_count;    /* number of announcements that have included
+                                   or could have included that change */
+  unsigned int sequence_number; /* number of announcements that were sent to
+                                   all members so far, which also is the
+                                   sequence number of the last one */
   clock_ms_t hello_sent_at; /* ms; when this instance last sent a hello to the
                                seeds or in reply to an announcement */
   /* The current fetch: a request of this instance for another one's state.  */
   int fetch_fd; /* connected socket; -1: no fetch is in progress */
   wire_request_t fetch_request; /* request that the current fetch sends */
-  int fetch_redirects;          /* number of times that the current fetch was
-                                   redirected to another instance */
+  uint32_t fetch_ip;            /* address that it is sent to; network byte
+                                   order */
+  bool needs_whole_config; /* the last fetched changes of the configuration did
+                              not fit this instance's version */
+  unsigned int refused_parts; /* parts of the state that an instance has not
+                                 sent, to be fetched from @refused_by at
+                                 @next_fetch_at; 0: none */
+  uint32_t refused_by;
+  /* What the last announcement said.  */
+  uint64_t announced_config_version;
+  uint32_t announced_by; /* address of its sender; network byte order */
+  int fetch_redirects;   /* number of times that the current fetch was
+                            redirected to another instance */
   int fetch_mismatches; /* number of consecutive fetches of changes after which
                            the endpoints still differed from those of the
                            instance that had sent the changes */
@@ -57,20 +88,18 @@
   unsigned int last_missing_parts;
   /* Transfers of this instance's state to others.  */
   GPtrArray *transfers; /* transfer_t *; the transfers in progress */
-  int full_transfers;   /* number of @transfers that send all endpoints */
-  /* Ring buffer of the addresses of instances that were sent all endpoints, to
-     which further requests for them can be redirected; network byte order; 0:
-     unused.  */
-  uint32_t redirect_targets[RELAY_REDIRECT_TARGETS_MAX];
-  unsigned int redirect_targets_added; /* number of addresses added to
-                                          @redirect_targets so far */
-  unsigned int redirect_position;      /* counts the uses of @redirect_targets;
-                                          modulo the number of addresses in it,
-                                          the index of the next one to use */
+  int bulk_transfers[RELAY_BULK_KINDS];      /* number of @transfers that send
+                                                bulk data, by kind */
+  relay_holders_t holders[RELAY_BULK_KINDS]; /* by kind */
   GBytes *full_snapshot; /* cached encoding of all endpoints; NULL: none */
   uint64_t full_snapshot_digest; /* view_digest() of the endpoints in
                                     @full_snapshot */
   clock_ms_t full_snapshot_at;   /* ms; when @full_snapshot was encoded */
+  GBytes *config_snapshot; /* cached encoding of changes of the configuration;
+                              NULL: none */
+  uint64_t config_snapshot_since;     /* version after which they are */
+  uint64_t config_snapshot_version;   /* version that they lead to */
+  clock_ms_t config_snapshot_used_at; /* ms; when it was last sent */
 };
 
 /* Size of a buffer for one datagram: a message and the list of addresses that
@@ -104,12 +133,17 @@
    unless such a fetch is in progress.  Any other fetch in progress is
    aborted.  */
 void relay_fetch_config (relay_t *relay, uint32_t ip, clock_ms_t now);
-/* Frees @relay->full_snapshot if it is too old to be sent.  */
-void relay_expire_full_snapshot (relay_t *relay, clock_ms_t now);
+/* Fetches again what was refused, when its delay has passed.  */
+void relay_fetch_tick (relay_t *relay, clock_ms_t now);
+/* Ends the current fetch.  */
+void relay_fetch_close (relay_t *relay);
+
 /* Starts to listen for requests of other instances for the state.  Return: 0
    or a negative errno.  */
-int relay_fetch_listen (relay_t *relay);
-/* Ends all transfers and the current fetch, and stops listening.  */
-void relay_fetch_close (relay_t *relay);
+int relay_serve_listen (relay_t *relay);
+/* Frees cached encodings that are too old to be sent or are not used.  */
+void relay_serve_tick (relay_t *relay, clock_ms_t now);
+/* Ends all transfers and stops listening.  */
+void relay_serve_close (relay_t *relay);
 
 #endif
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -19,6 +19,12 @@
 /* Limit of the number of datagrams into which the changes of one announcement
    are divided.  */
 #define ANNOUNCE_DATAGRAMS_MAX 8
+/* Limit of the number of announcements that include a change of the
+   configuration.  */
+#define CONFIG_ANNOUNCEMENTS_MAX 3
+/* Greatest length of an encoded change of the configuration in an
+   announcement; a longer one is fetched.  */
+#define CONFIG_CHANGE_MAX_BYTES 640
 /* Greatest length of a datagram with changes; a longer one would be
    fragmented.  */
 #define DATAGRAM_MAX_BYTES 1400
@@ -28,8 +34,11 @@
 static bool add_changes (const relay_t *relay, fleet_wire_announce *wire,
                          bool never_announced, size_t *bytes_left,
                          clock_ms_t now);
-static size_t encode_announcement (relay_t *relay, size_t message_length_max,
-                                   clock_ms_t now, char *data, bool *more);
+static config_change_t *make_config_change (relay_t *relay);
+static size_t encode_announcement (relay_t *relay,
+                                   const config_change_t *config,
+                                   size_t message_length_max, clock_ms_t now,
+                                   char *data, bool *more);
 static void send_to_groups (relay_t *relay, const GArray *groups, char *data,
                             size_t length);
 static size_t forward_list_bytes (const GArray *groups);
@@ -94,14 +103,48 @@
   return false;
 }
 
-/* Encodes one message of an announcement.  @message_length_max: greatest
+/* Returns the last change of the configuration if it is small and was not
+   announced often enough yet; NULL otherwise.  */
+static config_change_t *
+make_config_change (relay_t *relay)
+{
+  const view_t *view = relay->view;
+  config_change_t *change;
+  fleet_wire_config *wire;
+  size_t size;
+
+  if (view->routes == NULL)
+    return NULL;
+  if (relay->config_announced_version != view->routes->version)
+    {
+      relay->config_announced_version = view->routes->version;
+      relay->config_announce_count = 0;
+    }
+  if (relay->config_announce_count >= CONFIG_ANNOUNCEMENTS_MAX)
+    return NULL;
+  relay->config_announce_count++;
+  change = config_change_since (
+      &view->config_history, view->routes, view->config_digest,
+      config_history_previous_version (&view->config_history));
+  wire = wire_config_new (change);
+  size = xdr_sizeof ((xdrproc_t)xdr_fleet_wire_config, wire);
+  wire_config_free (wire);
+  if (change->base != 0 && size <= CONFIG_CHANGE_MAX_BYTES)
+    return change;
+  config_change_free (change);
+  return NULL;
+}
+
+/* Encodes one message of an announcement.  @config: change of the
+   configuration to include; NULL: none.  @message_length_max: greatest
    length in bytes up to which changes are added; 0: none are added.  @data:
    buffer of RELAY_BUFFER_BYTES bytes.  @more: out: whether changes that were
    never announced did not fit and have to follow in another message.  Return:
    length of the message in bytes, or 0 if it cannot be encoded.  */
 static size_t
-encode_announcement (relay_t *relay, size_t message_length_max, clock_ms_t now,
-                     char *data, bool *more)
+encode_announcement (relay_t *relay, const config_change_t *config,
+                     size_t message_length_max, clock_ms_t now, char *data,
+                     bool *more)
 {
   fleet_wire_change changes[FLEET_CHANGES_MAX];
   fleet_wire_message message = { .body.type = FLEET_ANNOUNCE };
@@ -123,6 +166,11 @@
   wire->ready.ready_len = ready->len;
   wire->ready.ready_val = (char *)ready->data;
   wire->changes.changes_val = changes;
+  if (config != NULL)
+    {
+      wire->config.config_len = 1;
+      wire->config.config_val = wire_config_new (config);
+    }
   *more = false;
   length = encode_message (relay, &message, data, RELAY_BUFFER_BYTES);
   bytes_left = length < message_length_max ? message_length_max - length : 0;
@@ -136,6 +184,8 @@
         length = encode_message (relay, &message, data, RELAY_BUFFER_BYTES);
     }
   g_byte_array_free (ready, TRUE);
+  if (wire->config.config_len > 0)
+    wire_config_free (wire->config.config_val);
   return length;
 }
 
@@ -196,6 +246,7 @@
 {
   char data[RELAY_BUFFER_BYTES];
   bool more = true;
+  config_change_t *config = make_config_change (relay);
   GArray *groups;
   size_t message_length_max;
 
@@ -205,14 +256,16 @@
   message_length_max = DATAGRAM_MAX_BYTES - forward_list_bytes (groups);
   for (int i = 0; more && i < ANNOUNCE_DATAGRAMS_MAX; i++)
     {
-      size_t length
-          = encode_announcement (relay, message_length_max, now, data, &more);
+      size_t length = encode_announcement (
+          relay, i == 0 ? config : NULL, message_length_max, now, data, &more);
 
       if (length == 0)
         break;
       send_to_groups (relay, groups, data, length);
     }
   g_array_unref (groups);
+  if (config != NULL)
+    config_change_free (config);
   if (more)
     relay_schedule_announcement (relay);
 }
@@ -222,7 +275,7 @@
 {
   char data[RELAY_BUFFER_BYTES];
   bool more;
-  size_t length = encode_announcement (relay, 0, now, data, &more);
+  size_t length = encode_announcement (relay, NULL, 0, now, data, &more);
 
   if (length > 0)
     relay_send_to (relay, ip, data, length);
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -12,9 +12,11 @@
    of another instance from restoring a removed endpoint.  When the limit is
    reached, all tombstones are dropped.  */
 #define TOMBSTONES_MAX 4096
-/* Limit of the number of log lines for the changes of one batch.  More lines
-   could fill the ring buffer of the log.  */
-#define BATCH_LOG_LINES_MAX 64
+/* Limit of the number of single endpoints that the reader logs between two
+   summaries.  More lines could fill the ring buffer of the log.  */
+#define LOGGED_CHANGES_MAX 32
+/* Shortest time between two summaries of changed endpoints in the log.  */
+#define CHANGES_LOG_INTERVAL_MS 200
 
 static void change_free (view_change_t *change);
 static void record_change (view_t *view, const backend_entry_t *entry,
@@ -39,6 +41,7 @@
   view->tombstones
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&view->changes);
+  config_history_init (&view->config_history);
   return view;
 }
 
@@ -51,6 +54,7 @@
     change_free (change);
   g_ptr_array_free (view->out, TRUE);
   g_hash_table_destroy (view->tombstones);
+  config_history_clear (&view->config_history);
   routes_free (view->routes);
   g_free (view);
 }
@@ -95,15 +99,22 @@
     }
 }
 
-/* Logs a change of an endpoint.  The endpoints that make up the first complete
-   set are not logged one by one; view_set_synced() logs their number.
-   @entry: NULL if the endpoint was removed.  */
+/* Counts a change of an endpoint for view_tick() and, at the reader, logs it.
+   The endpoints that make up the first complete set are not logged one by one;
+   view_set_synced() logs their number.  @entry: NULL if the endpoint was
+   removed.  */
 static void
 log_change (view_t *view, const char *id, const backend_entry_t *entry,
             uint64_t revision)
 {
-  if (!view->has_all_backends
-      || (view->in_batch && ++view->batch_changes > BATCH_LOG_LINES_MAX))
+  if (!view->has_all_backends)
+    return;
+  if (entry == NULL)
+    view->unlogged_removals++;
+  else
+    view->unlogged_updates++;
+  if (!view->log_each_change
+      || view->unlogged_updates + view->unlogged_removals > LOGGED_CHANGES_MAX)
     return;
   if (entry == NULL)
     g_log_structured ("fleet", G_LOG_LEVEL_INFO, "ENDPOINT", id, "MESSAGE",
@@ -230,29 +241,32 @@
 {
   if (revision < view->revision)
     return;
-  view_begin_batch (view);
   for (guint i = 0; i < entries->len; i++)
     view_put_backend (view, g_ptr_array_index (entries, i), now);
   remove_missing_backends (view, entries, revision, now);
-  view_end_batch (view);
   view_set_synced (view, revision);
 }
 
 void
-view_begin_batch (view_t *view)
+view_log_each_change (view_t *view, bool each)
 {
-  view->in_batch = true;
-  view->batch_changes = 0;
+  view->log_each_change = each;
 }
 
 void
-view_end_batch (view_t *view)
+view_tick (view_t *view, clock_ms_t now)
 {
-  view->in_batch = false;
-  if (view->batch_changes > BATCH_LOG_LINES_MAX)
-    g_log_structured ("fleet", G_LOG_LEVEL_INFO, "MESSAGE",
-                      "%u further endpoints have changed",
-                      view->batch_changes - BATCH_LOG_LINES_MAX);
+  if (view->unlogged_updates + view->unlogged_removals == 0
+      || now - view->changes_logged_at < CHANGES_LOG_INTERVAL_MS)
+    return;
+  g_log_structured ("fleet", G_LOG_LEVEL_INFO, "MESSAGE",
+                    "endpoints have changed: %u added or changed, %u gone, "
+                    "%d known, store revision %" G_GUINT64_FORMAT,
+                    view->unlogged_updates, view->unlogged_removals,
+                    backends_count (view->backends), view->revision);
+  view->unlogged_updates = 0;
+  view->unlogged_removals = 0;
+  view->changes_logged_at = now;
 }
 
 void
@@ -291,7 +305,11 @@
       routes_free (routes);
       return;
     }
+  if (old != NULL)
+    config_history_record (&view->config_history, old, routes);
   view->routes = routes;
+  view->config_digest = config_digest (routes);
+  view->routes_changed_at = clock_now ();
   g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "MESSAGE",
                     "configuration %" G_GUINT64_FORMAT
                     " is in force: %u routes, %u services",
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -7,7 +7,7 @@
    revision replaces an older one, in whatever order they arrive.  */
 
 #include "backends.h"
-#include "routes.h"
+#include "config_change.h"
 
 /* Limit of the number of endpoint changes in the log of changes, which is kept
    for instances that have missed some; a change takes about 300 bytes.  */
@@ -39,8 +39,12 @@
 
 typedef struct view
 {
-  backends_t *backends;  /* the endpoints */
-  routes_t *routes;      /* configuration; NULL: none yet */
+  backends_t *backends;            /* the endpoints */
+  routes_t *routes;                /* configuration; NULL: none yet */
+  config_history_t config_history; /* differences between the versions before
+                                      @routes */
+  uint64_t config_digest;          /* config_digest() of @routes */
+  clock_ms_t routes_changed_at;    /* ms; when @routes took effect */
   GPtrArray *out;        /* char *; names of the data centres that are out of
                             service */
   uint64_t revision;     /* newest store revision up to which @backends has all
@@ -59,8 +63,11 @@
   uint64_t digest; /* digest of the endpoints' entries without the software
                       version, and without the revision and the warm-up time,
                       which change with each heartbeat of an endpoint */
-  bool in_batch; /* view_begin_batch() was called, but not view_end_batch() */
-  unsigned int batch_changes; /* number of changes in the batch so far */
+  bool log_each_change; /* see view_log_each_change() */
+  /* Changes since the last line that view_tick() has logged.  */
+  unsigned int unlogged_updates;  /* endpoints added or changed */
+  unsigned int unlogged_removals; /* endpoints removed */
+  clock_ms_t changes_logged_at;   /* ms; when that line was logged */
   view_hooks_t hooks;
 } view_t;
 
@@ -96,11 +103,14 @@
 void view_replace_backends (view_t *view, const GPtrArray *entries,
                             uint64_t revision, clock_ms_t now);
 
-/* Begin and end a batch of changes.  Only a limited number of the changes in a
-   batch are logged one by one; view_end_batch() logs the number of the
-   others.  */
-void view_begin_batch (view_t *view);
-void view_end_batch (view_t *view);
+/* Sets whether changes of single endpoints are logged, which only the reader
+   does: the number of lines of all instances would otherwise grow with the
+   number of instances times that of endpoints.  */
+void view_log_each_change (view_t *view, bool each);
+
+/* Logs how many endpoints have changed since the last such line, if any and if
+   that line is old enough.  Must be called a few times a second.  */
+void view_tick (view_t *view, clock_ms_t now);
 
 /* Records that the view has all changes of the endpoints up to a store
    revision.  */
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -4,17 +4,14 @@
 #include <errno.h>
 #include <string.h>
 
-static void config_from_routes (fleet_wire_config *wire,
-                                const routes_t *routes);
-static routes_t *routes_from_config (const fleet_wire_config *wire);
 static void add_all_backends (fleet_wire_snapshot *wire, const view_t *view,
                               clock_ms_t now);
 static void add_backend_changes (fleet_wire_snapshot *wire, const view_t *view,
                                  uint64_t since, clock_ms_t now);
 static void apply_backends (const fleet_wire_snapshot *wire, view_t *view,
                             clock_ms_t now);
-static void apply_snapshot (const fleet_wire_snapshot *wire, view_t *view,
-                            members_t *members, clock_ms_t now);
+static int apply_snapshot (const fleet_wire_snapshot *wire, view_t *view,
+                           members_t *members, clock_ms_t now);
 static void free_snapshot_arrays (fleet_wire_snapshot *wire);
 
 void
@@ -55,118 +52,13 @@
   entry->address.sin_port = htons ((uint16_t)wire->port);
 }
 
-static void
-config_from_routes (fleet_wire_config *wire, const routes_t *routes)
-{
-  *wire = (fleet_wire_config){
-    .number = routes->version,
-    .header_bytes = routes->limits.header_bytes,
-    .body_bytes = routes->limits.body_bytes,
-    .header_timeout = routes->limits.header_timeout,
-    .idle_timeout = routes->limits.idle_timeout,
-  };
-  wire->routes.routes_len = routes->routes->len;
-  wire->routes.routes_val = g_new0 (fleet_wire_route, routes->routes->len);
-  for (guint i = 0; i < routes->routes->len; i++)
-    {
-      const route_t *route = g_ptr_array_index (routes->routes, i);
-      fleet_wire_route *to = &wire->routes.routes_val[i];
-
-      *to = (fleet_wire_route){
-        .name = route->name,
-        .host = route->host,
-        .prefix = route->prefix,
-        .idempotent = route->idempotent,
-        .bulk = route->bulk,
-        .timeout = (u_int)route->timeout,
-        .target = (u_int)route->target,
-        .priority = route->priority,
-        .endpoints_max = route->endpoints_max,
-      };
-      to->parts.parts_len = (u_int)route->n_parts;
-      to->parts.parts_val = g_new0 (fleet_wire_part, (gsize)route->n_parts);
-      for (int j = 0; j < route->n_parts; j++)
-        to->parts.parts_val[j]
-            = (fleet_wire_part){ .service = route->parts[j].service,
-                                 .weight = route->parts[j].weight };
-    }
-  wire->services.services_len = routes->services->len;
-  wire->services.services_val
-      = g_new0 (fleet_wire_service, routes->services->len);
-  for (guint i = 0; i < routes->services->len; i++)
-    {
-      const service_rules_t *rules = g_ptr_array_index (routes->services, i);
-
-      wire->services.services_val[i]
-          = (fleet_wire_service){ .name = rules->name,
-                                  .health_path = rules->health_path,
-                                  .connections_max = rules->connections_max,
-                                  .cold_per_s = rules->cold_per_s };
-    }
-}
-
-static routes_t *
-routes_from_config (const fleet_wire_config *wire)
-{
-  routes_t *routes = routes_new (wire->number);
-
-  routes->limits = (client_limits_t){ .header_bytes = wire->header_bytes,
-                                      .body_bytes = wire->body_bytes,
-                                      .header_timeout = wire->header_timeout,
-                                      .idle_timeout = wire->idle_timeout };
-  for (u_int i = 0; i < wire->routes.routes_len; i++)
-    {
-      const fleet_wire_route *from = &wire->routes.routes_val[i];
-      route_t *route = g_new0 (route_t, 1);
-
-      route->name = g_strdup (from->name);
-      route->host = g_strdup (from->host);
-      route->prefix = g_strdup (from->prefix);
-      route->idempotent = from->idempotent != 0;
-      route->bulk = from->bulk != 0;
-      route->timeout = from->timeout;
-      route->target = from->target;
-      route->priority = from->priority;
-      route->endpoints_max = from->endpoints_max;
-      route->n_parts = MIN ((int)from->parts.parts_len, ROUTE_PARTS_MAX);
-      for (int j = 0; j < route->n_parts; j++)
-        {
-          route->parts[j].service
-              = g_strdup (from->parts.parts_val[j].service);
-          route->parts[j].weight = from->parts.parts_val[j].weight;
-        }
-      routes_add (routes, route);
-    }
-  for (u_int i = 0; i < wire->services.services_len; i++)
-    {
-      const fleet_wire_service *from = &wire->services.services_val[i];
-      service_rules_t *rules = g_new0 (service_rules_t, 1);
-
-      rules->name = g_strdup (from->name);
-      rules->health_path = g_strdup (from->health_path);
-      rules->connections_max = from->connections_max;
-      rules->cold_per_s = from->cold_per_s;
-      routes_add_service (routes, rules);
-    }
-  routes_sort (routes);
-  return routes;
-}
-
 /* Frees the arrays of a snapshot that was encoded, but not its strings, which
    belong to the view and the members.  */
 static void
 free_snapshot_arrays (fleet_wire_snapshot *wire)
 {
   if (wire->config.config_len > 0)
-    {
-      fleet_wire_config *config = wire->config.config_val;
-
-      for (u_int i = 0; i < config->routes.routes_len; i++)
-        g_free (config->routes.routes_val[i].parts.parts_val);
-      g_free (config->routes.routes_val);
-      g_free (config->services.services_val);
-      g_free (config);
-    }
+    wire_config_free (wire->config.config_val);
   g_free (wire->backends.backends_val);
   g_free (wire->gone.gone_val);
   g_free (wire->out.out_val);
@@ -179,7 +71,8 @@
 {
   fleet_wire_request wire = { .asker = ntohl (request->asker),
                               .parts = request->parts,
-                              .since = request->since };
+                              .since = request->since,
+                              .config_version = request->config_version };
   XDR xdr;
 
   xdrmem_create (&xdr, data, WIRE_REQUEST_BYTES, XDR_ENCODE);
@@ -199,7 +92,8 @@
   xdr_destroy (&xdr);
   *request = (wire_request_t){ .asker = htonl (wire.asker),
                                .parts = wire.parts,
-                               .since = wire.since };
+                               .since = wire.since,
+                               .config_version = wire.config_version };
 }
 
 /* Adds all endpoints to a snapshot.  */
@@ -262,15 +156,18 @@
                                .included = request->parts,
                                .elsewhere = ntohl (redirect_ip),
                                .digest = view_digest (view) };
+  config_change_t *change = NULL;
   GByteArray *data;
   u_int size;
   XDR xdr;
 
   if (view->routes != NULL && (request->parts & FLEET_PART_CONFIG) != 0)
     {
+      change
+          = config_change_since (&view->config_history, view->routes,
+                                 view->config_digest, request->config_version);
       wire.config.config_len = 1;
-      wire.config.config_val = g_new0 (fleet_wire_config, 1);
-      config_from_routes (wire.config.config_val, view->routes);
+      wire.config.config_val = wire_config_new (change);
     }
   if ((request->parts & FLEET_PART_BACKENDS) != 0)
     {
@@ -306,6 +203,8 @@
     }
   xdr_destroy (&xdr);
   free_snapshot_arrays (&wire);
+  if (change != NULL)
+    config_change_free (change);
   return data;
 }
 
@@ -328,13 +227,11 @@
     view_replace_backends (view, entries, wire->revision, now);
   else
     {
-      view_begin_batch (view);
       for (guint i = 0; i < entries->len; i++)
         view_put_backend (view, g_ptr_array_index (entries, i), now);
       for (u_int i = 0; i < wire->gone.gone_len; i++)
         view_remove_backend (view, wire->gone.gone_val[i].id,
                              wire->gone.gone_val[i].revision, now);
-      view_end_batch (view);
       if (wire->revision >= view->revision
           && wire->digest == view_digest (view))
         view_set_synced (view, wire->revision);
@@ -342,16 +239,17 @@
   g_ptr_array_free (entries, TRUE);
 }
 
-static void
+/* Return: 0, or the error of wire_apply_config(); the other parts are applied
+   in any case.  */
+static int
 apply_snapshot (const fleet_wire_snapshot *wire, view_t *view,
                 members_t *members, clock_ms_t now)
 {
   GPtrArray *out = g_ptr_array_new ();
+  int config_error = 0;
 
-  if (wire->config.config_len > 0
-      && (view->routes == NULL
-          || wire->config.config_val->number > view->routes->version))
-    view_set_routes (view, routes_from_config (wire->config.config_val));
+  if (wire->config.config_len > 0)
+    config_error = wire_apply_config (wire->config.config_val, view);
   if ((wire->included & FLEET_PART_BACKENDS) != 0)
     apply_backends (wire, view, now);
   for (u_int i = 0; i < wire->out.out_len; i++)
@@ -373,6 +271,7 @@
       members_end_replace (members);
     }
   g_ptr_array_free (out, TRUE);
+  return config_error;
 }
 
 int
@@ -392,9 +291,13 @@
       valid = xdr_fleet_wire_snapshot (&xdr, &wire);
       if (valid)
         {
-          apply_snapshot (&wire, view, members, now);
+          int config_error = apply_snapshot (&wire, view, members, now);
+
+          if (config_error != 0)
+            received->config_error = config_error;
           received->included |= wire.included;
-          received->elsewhere = htonl (wire.elsewhere);
+          if (wire.elsewhere != 0)
+            received->elsewhere = htonl (wire.elsewhere);
           received->digest_matches = wire.digest == view_digest (view);
         }
       xdr_free ((xdrproc_t)xdr_fleet_wire_snapshot, (char *)&wire);
--- a/lib/fleet/wire.h
+++ b/lib/fleet/wire.h
@@ -4,6 +4,7 @@
 /* Internal to the fleet library: conversion between its types and the messages
    between instances, which are declared in fleet.x and encoded as XDR.  */
 
+#include "config_change.h"
 #include "gen/fleet.h"
 #include "members.h"
 #include "view.h"
@@ -12,7 +13,7 @@
    another value is ignored.  */
 #define WIRE_MAGIC 0x50524632
 /* Length of an encoded fleet_wire_request in bytes.  */
-#define WIRE_REQUEST_BYTES 16
+#define WIRE_REQUEST_BYTES 24
 
 /* Sets @wire to the form that an endpoint has in messages.  The strings are
    not copied, so that @entry must outlive @wire.  @cold: remaining warm-up
@@ -33,8 +34,25 @@
   uint64_t since; /* store revision of the requester's endpoints; only later
                      changes are requested; 0: all endpoints are
                      requested */
+  uint64_t config_version; /* version of the requester's configuration; only
+                              later changes are requested; 0: the whole
+                              configuration is requested */
 } wire_request_t;
 
+/* Returns the form that a change of the configuration has in messages; free
+   with wire_config_free().  The strings are not copied, so that @change must
+   outlive it.  */
+fleet_wire_config *wire_config_new (const config_change_t *change);
+void wire_config_free (fleet_wire_config *wire);
+/* Returns a received change of the configuration.  */
+config_change_t *wire_config_read (const fleet_wire_config *wire);
+/**
+ * wire_apply_config() - apply a received change of the configuration
+ * Return: 0, also if the view has this version or a newer one; or the error of
+ *   config_change_apply().
+ */
+int wire_apply_config (const fleet_wire_config *wire, view_t *view);
+
 /* Encodes a request.  */
 void wire_encode_request (const wire_request_t *request,
                           char data[WIRE_REQUEST_BYTES]);
@@ -45,9 +63,10 @@
 /**
  * wire_encode_snapshot() - encode the requested parts of the state
  * @request: the parts to encode.  Of the endpoints, only the changes after
- *   @request->since are encoded if the view has all of these changes.
- * @redirect_ip: address of another instance that has the endpoints, for a
- *   snapshot without them; network byte order; 0: none
+ *   @request->since are encoded if the view has all of these changes, and of
+ *   the configuration only those after @request->config_version likewise.
+ * @redirect_ip: address of another instance that has what is left out of the
+ *   snapshot; network byte order; 0: none
  *
  * Return: the encoded snapshot, which is empty if encoding failed; free with
  * g_byte_array_free().
@@ -62,9 +81,11 @@
   unsigned int included; /* parts of the state that were received: bit mask of
                             FLEET_PART_CONFIG, FLEET_PART_BACKENDS and
                             FLEET_PART_MEMBERS */
-  uint32_t elsewhere;    /* if the endpoints were left out, address of another
-                            instance that has them; network byte order; 0:
+  uint32_t elsewhere;    /* if a part was left out, address of another
+                            instance that has it; network byte order; 0:
                             none */
+  int config_error;      /* why a received configuration was not applied: an
+                            error of wire_apply_config(); 0: none */
   bool digest_matches;   /* after applying the last snapshot, the endpoints are
                             equal to those of the sender */
 } wire_received_t;
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -195,6 +195,7 @@
   feed_tick (instance->feed, now);
   relay_set_ready (instance->relay, is_ready (instance));
   relay_tick (instance->relay, now);
+  view_tick (instance->view, now);
   stop_tick (instance, now);
   if (now - instance->settings_checked_at >= SETTINGS_CHECK_INTERVAL_MS)
     {
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -81,6 +81,8 @@
 
 static const char *const transfer_kinds[]
     = { "all", "part", "turned_away", NULL };
+static const char *const config_transfer_kinds[]
+    = { "large", "small", "turned_away", NULL };
 
 static const metric_family_t counters[TELEMETRY_COUNTER_COUNT] = {
   [TELEMETRY_REQUESTS]
@@ -160,6 +162,11 @@
       "State sent to instances that asked: with all endpoints, with what "
       "changed, or without endpoints because others are being served.",
       "kind", transfer_kinds },
+  [TELEMETRY_CONFIG_TRANSFERS]
+  = { "peridot_config_transfers_total",
+      "Changes of the configuration sent to instances that asked: large "
+      "ones, small ones, or none because others are being served.",
+      "kind", config_transfer_kinds },
   [TELEMETRY_READER_CHANGES]
   = { "peridot_reader_changes_total",
       "Times this instance began or ended reading the store for all.",
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -105,6 +105,10 @@
      requested, 2 endpoints were requested but not sent: transfers of state to
      other instances */
   TELEMETRY_STATE_TRANSFERS,
+  /* 0 a large change of the configuration was sent, 1 a small one, 2 none,
+     because a large one is being sent to others: transfers to other
+     instances */
+  TELEMETRY_CONFIG_TRANSFERS,
   TELEMETRY_READER_CHANGES, /* 0 began, 1 ended: times that this instance began
                                or ended reading the store on behalf of all */
   TELEMETRY_RETURNED, /* none: requests that repeat an earlier attempt of the
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -336,6 +336,65 @@
   g_assert_false (reader_is_after_outage (&reader, true, 1300));
 }
 
+/* Number of log lines about endpoints since the last reset.  */
+static int endpoint_lines;
+
+/* Counts the log lines about endpoints and writes none.  */
+static GLogWriterOutput
+count_endpoint_lines (GLogLevelFlags level, const GLogField *fields,
+                      gsize n_fields, gpointer context)
+{
+  (void)level;
+  (void)context;
+  for (gsize i = 0; i < n_fields; i++)
+    if (strcmp (fields[i].key, "MESSAGE") == 0
+        && g_str_has_prefix (fields[i].value, "endpoint"))
+      endpoint_lines++;
+  return G_LOG_WRITER_HANDLED;
+}
+
+/* Changes each of 900 endpoints within a second.  Return: the number of log
+   lines about endpoints.  */
+static int
+count_lines_of_a_release (view_t *view)
+{
+  endpoint_lines = 0;
+  for (int i = 0; i < 900; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%d", i);
+      feed_item_t *item = backend_item (id, 100 + (uint64_t)i, true);
+
+      view_put_backend (view, item->backend, 1000 + i);
+      if (i % 45 == 0)
+        view_tick (view, 1000 + i);
+      feed_item_free (item);
+    }
+  return endpoint_lines;
+}
+
+/* Guards against a log whose volume grows with the number of instances times
+   that of endpoints: 466,000 lines in 28 s were seen with 473 instances and
+   900 endpoints.  */
+static void
+log_volume_does_not_grow_with_endpoints (void)
+{
+  fixture_t fixture;
+
+  g_log_set_writer_func (count_endpoint_lines, NULL, NULL);
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  view_log_each_change (fixture.view, false);
+  g_assert_cmpint (count_lines_of_a_release (fixture.view), <=, 20);
+  fixture_end (&fixture);
+  /* The reader logs single endpoints, of a bounded number.  */
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  view_log_each_change (fixture.view, true);
+  g_assert_cmpint (count_lines_of_a_release (fixture.view), >, 20);
+  g_assert_cmpint (endpoint_lines, <=, 5 * 33 + 5);
+  fixture_end (&fixture);
+}
+
 /* Guards against a snapshot (the encoded view and list of instances, which one
    instance sends to another) that is not decoded as it was encoded, and
    against a crash caused by a truncated or corrupted snapshot.  */
@@ -426,5 +485,8 @@
                    start_during_outage_is_followed_by_retention);
   g_test_add_func ("/feed/state_crosses_whole_or_not",
                    snapshot_survives_encoding);
+  /* The last test, as it replaces the log writer.  */
+  g_test_add_func ("/feed/log_volume_does_not_grow_with_endpoints",
+                   log_volume_does_not_grow_with_endpoints);
   return g_test_run ();
 }
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -289,9 +289,9 @@
 {
   const relay_t *relay = fixture->instances[0].relay;
 
-  for (int i = 0; i < 500 && relay->full_transfers != count; i++)
+  for (int i = 0; i < 500 && relay->bulk_transfers[0] != count; i++)
     run_for (fixture, 0.02);
-  return relay->full_transfers;
+  return relay->bulk_transfers[0];
 }
 
 /* Runs until data arrives on a socket, or for 10 s.  Return: the length of the
@@ -445,6 +445,114 @@
   fixture_end (&fixture);
 }
 
+/* Returns a configuration with many routes, of which the first has the given
+   timeout.  */
+static routes_t *
+make_configuration (uint64_t version, int routes_count, clock_ms_t timeout)
+{
+  routes_t *routes = routes_new (version);
+
+  for (int i = 0; i < routes_count; i++)
+    {
+      route_t *route = g_new0 (route_t, 1);
+
+      route->name = g_strdup_printf ("route-%04d", i);
+      route->host = g_strdup_printf ("host-%04d.example", i);
+      route->prefix = g_strdup_printf ("/prefix-%04d/", i);
+      route->timeout = i == 0 ? timeout : 800;
+      route->n_parts = 1;
+      route->parts[0]
+          = (route_part_t){ .service = g_strdup ("slots"), .weight = 1 };
+      routes_add (routes, route);
+    }
+  routes_sort (routes);
+  return routes;
+}
+
+static void
+change_configuration (fixture_t *fixture, uint64_t version, int routes_count,
+                      clock_ms_t timeout)
+{
+  view_set_routes (fixture->instances[0].view,
+                   make_configuration (version, routes_count, timeout));
+  relay_schedule_announcement (fixture->instances[0].relay);
+}
+
+/* Returns the number of instances that have the reader's configuration.  */
+static int
+count_configured (const fixture_t *fixture)
+{
+  uint64_t digest = fixture->instances[0].view->config_digest;
+  int n = 0;
+
+  for (int i = 0; i < fixture->count; i++)
+    n += fixture->instances[i].view->routes != NULL
+         && fixture->instances[i].view->config_digest == digest;
+  return n;
+}
+
+/* Guards against a change of one route that makes every instance fetch the
+   whole configuration from the reader.  */
+static void
+small_change_of_the_configuration_is_not_fetched (void)
+{
+  fixture_t fixture;
+  uint64_t transfers_before;
+  uint64_t bytes_before;
+
+  fixture_start (&fixture, 24);
+  set_up_reader (&fixture, 100);
+  change_configuration (&fixture, 5, 1000, 800);
+  g_assert_true (run_until_synced (&fixture, 10));
+  run_for (&fixture, 2.0);
+  g_assert_cmpint (count_configured (&fixture), ==, fixture.count);
+  transfers_before = count_transfers (&fixture, 1);
+  bytes_before = telemetry_counter_read (TELEMETRY_PEER_BYTES, 0);
+  change_configuration (&fixture, 6, 1000, 900);
+  run_for (&fixture, 1.0);
+  g_assert_cmpint (count_configured (&fixture), ==, fixture.count);
+  g_assert_cmpuint (count_transfers (&fixture, 1), ==, transfers_before);
+  /* Announcements and hellos of a second at rest take about 60 KB.  */
+  g_assert_cmpuint (telemetry_counter_read (TELEMETRY_PEER_BYTES, 0)
+                        - bytes_before,
+                    <, 150000);
+  fixture_end (&fixture);
+}
+
+/* Guards against a configuration that grows by many routes and is sent to all
+   instances by the reader alone and at the same time, so that none gets it in
+   time, and against the versions that follow it being delayed.  */
+static void
+large_change_of_the_configuration_is_passed_on (void)
+{
+  fixture_t fixture;
+  int concurrent_max = 0;
+
+  fixture_start (&fixture, INSTANCES_MAX);
+  set_up_reader (&fixture, 100);
+  change_configuration (&fixture, 5, 20, 800);
+  g_assert_true (run_until_synced (&fixture, 10));
+  run_for (&fixture, 1.0);
+  g_assert_cmpint (count_configured (&fixture), ==, fixture.count);
+  change_configuration (&fixture, 6, 1400, 800);
+  for (int i = 0; i < 150; i++)
+    {
+      run_for (&fixture, 0.01);
+      if (i == 50)
+        change_configuration (&fixture, 7, 1400, 900);
+      if (i == 100)
+        change_configuration (&fixture, 9, 1401, 900);
+      for (int j = 0; j < fixture.count; j++)
+        concurrent_max = MAX (concurrent_max,
+                              fixture.instances[j].relay->bulk_transfers[1]);
+    }
+  /* The last version is in force everywhere 500 ms after it was read.  */
+  g_assert_cmpint (count_configured (&fixture), ==, fixture.count);
+  g_assert_cmpint (concurrent_max, >, 0);
+  g_assert_cmpint (concurrent_max, <=, 8);
+  fixture_end (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -462,5 +570,9 @@
                    wrong_endpoints_are_replaced);
   g_test_add_func ("/relay/configuration_arrives_while_tables_are_sent",
                    configuration_arrives_during_transfers);
+  g_test_add_func ("/relay/small_change_of_the_configuration_is_not_fetched",
+                   small_change_of_the_configuration_is_not_fetched);
+  g_test_add_func ("/relay/large_change_of_the_configuration_is_passed_on",
+                   large_change_of_the_configuration_is_passed_on);
   return g_test_run ();
 }
