--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -131,6 +131,30 @@
     relay_announce (relay, now);
 }
 
+void
+relay_start_anew (relay_t *relay, clock_ms_t now)
+{
+  const member_t *last_reader = NULL;
+  char byte;
+
+  /* A datagram is dropped also if only its first byte is read.  */
+  while (recv (relay->udp_fd, &byte, sizeof byte, 0) >= 0)
+    ;
+  if (relay->reader->has_heard_reader)
+    last_reader = members_find (relay->members, relay->reader->last_reader);
+  if (last_reader != NULL && last_reader != relay->members->own)
+    relay_send_hello (relay, last_reader->ip);
+  /* relay_tick() sends hellos to the seeds until an announcement arrives.  */
+  relay->hello_sent_at = now - SEED_HELLO_INTERVAL_MS;
+}
+
+bool
+relay_has_announced_config (const relay_t *relay)
+{
+  return relay->view->routes != NULL
+         && relay->view->routes->version >= relay->announced_config_version;
+}
+
 void
 relay_schedule_announcement (relay_t *relay)
 {
--- a/lib/fleet/relay.h
+++ b/lib/fleet/relay.h
@@ -59,6 +59,14 @@
    after a short delay, so that changes in that time share an announcement.  */
 void relay_schedule_announcement (relay_t *relay);
 
+/* Called after a pause of the process.  Drops the messages that arrived during
+   the pause, which may be as old as it is, and asks for an announcement.  */
+void relay_start_anew (relay_t *relay, clock_ms_t now);
+
+/* Whether this instance has the configuration that was last announced, or a
+   newer one.  */
+bool relay_has_announced_config (const relay_t *relay);
+
 /* Sets whether this instance is ready and, if that is a change, tells the
    other instances at once: in an announcement if it is the reader, and
    otherwise in a hello to the reader.  */
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -273,6 +273,7 @@
 view_set_synced (view_t *view, uint64_t revision)
 {
   view->revision = revision;
+  view->synced_at = clock_now ();
   if (view->has_all_backends || revision == 0)
     return;
   view->has_all_backends = true;
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -47,6 +47,7 @@
   clock_ms_t routes_changed_at;    /* ms; when @routes took effect */
   GPtrArray *out;        /* char *; names of the data centres that are out of
                             service */
+  clock_ms_t synced_at;  /* ms; when @revision was last confirmed */
   uint64_t revision;     /* newest store revision up to which @backends has all
                             changes */
   bool has_all_backends; /* a complete set of the endpoints was received */
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -109,6 +109,7 @@
                      TICK_INTERVAL_S);
       instance.tick_timer.data = &instance;
       ev_timer_start (instance.loop, &instance.tick_timer);
+      pause_start_watching (&instance);
       g_message ("started in data centre %s", settings->data_centre);
       ev_run (instance.loop, 0);
       feed_stop (instance.feed);
@@ -196,6 +197,7 @@
   relay_set_ready (instance->relay, is_ready (instance));
   relay_tick (instance->relay, now);
   view_tick (instance->view, now);
+  pause_tick (instance, now);
   stop_tick (instance, now);
   if (now - instance->settings_checked_at >= SETTINGS_CHECK_INTERVAL_MS)
     {
--- a/lib/instance/instance_private.h
+++ b/lib/instance/instance_private.h
@@ -27,6 +27,11 @@
                                instance is not shutting down */
   bool idle_connections_closed; /* the shutdown has closed idle connections and
                                    refuses new requests */
+  ev_check iteration_watcher;   /* detects pauses of the process */
+  clock_ms_t last_iteration_at; /* ms; when the event loop last began to call
+                                   callbacks */
+  clock_ms_t held_since; /* ms; when requests began to be held after a pause;
+                            0: they are not held */
   clock_ms_t settings_checked_at; /* ms; when have_settings_changed() was last
                                      called */
 };
@@ -39,4 +44,12 @@
    shutdown is complete.  The function has to be called on every tick.  */
 void stop_tick (instance_t *instance, clock_ms_t now);
 
+/* ---- pause.c ---- */
+
+/* Starts to detect pauses of the process, after which requests are held.  */
+void pause_start_watching (instance_t *instance);
+/* Releases held requests when this instance knows what has changed.  The
+   function has to be called on every tick, and when the view changes.  */
+void pause_tick (instance_t *instance, clock_ms_t now);
+
 #endif
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -133,7 +133,8 @@
       if (state != NULL)
         state->is_split_seeded = false;
     }
-  request_route_all_unrouted (proxy);
+  if (!proxy->is_holding)
+    request_route_all_unrouted (proxy);
 }
 
 void
@@ -142,6 +143,14 @@
   proxy->settings.retry_rules = *rules;
 }
 
+void
+proxy_hold (proxy_t *proxy, bool hold)
+{
+  proxy->is_holding = hold;
+  if (!hold && proxy->routes != NULL)
+    request_route_all_unrouted (proxy);
+}
+
 void
 proxy_set_probe_limit (proxy_t *proxy, double probes_per_s)
 {
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -61,6 +61,10 @@
 void proxy_set_routes (proxy_t *proxy, const routes_t *routes);
 /* Replaces the rules of the retry budget.  */
 void proxy_set_retry_rules (proxy_t *proxy, const retry_budget_rules_t *rules);
+/* Holds requests, or ends that.  While requests are held, no attempt starts;
+   those that wait for long are refused.  */
+void proxy_hold (proxy_t *proxy, bool hold);
+
 /* Replaces the largest number of probes per second that one endpoint may
    get.  */
 void proxy_set_probe_limit (proxy_t *proxy, double probes_per_s);
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -23,7 +23,8 @@
   backends_t *backends;
   const routes_t *routes;   /* NULL: no configuration received yet */
   GHashTable *route_states; /* route name to route_state_t * */
-  GQueue unrouted;    /* request_t * that wait for the first configuration */
+  GQueue unrouted;    /* request_t * that wait for the first configuration or
+                         for the end of proxy_hold() */
   GPtrArray *pools;   /* pool_t *, by index of the endpoint in the table */
   GPtrArray *uplinks; /* uplink_t *, all that are open */
   decide_rng_t rng;
@@ -32,7 +33,8 @@
                                  in each iteration of the event loop */
   GQueue closed_uplinks; /* uplink_t * that are closed but not freed yet */
   int instance_count;    /* number of known instances, at least 1 */
-  int in_flight; /* number of clients' requests that are not answered yet */
+  int in_flight;   /* number of clients' requests that are not answered yet */
+  bool is_holding; /* no attempt starts; see proxy_hold() */
   bool is_refusing_new;      /* all new requests are refused */
   probing_t probing;         /* limits the rate of probes */
   int least_urgent_priority; /* largest priority value of all routes; 0 is the
@@ -149,7 +151,7 @@
 
 typedef enum request_state
 {
-  REQUEST_UNROUTED, /* waits for the first configuration */
+  REQUEST_UNROUTED, /* waits for the first configuration, or is held */
   REQUEST_WAITING,  /* waits for an endpoint */
   REQUEST_SENT,     /* an attempt is in flight */
   REQUEST_STREAMING /* the client has been sent part of the response */
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -170,10 +170,10 @@
   request->state = REQUEST_UNROUTED;
   request->arrived_at = exchange->arrived_at;
   request->admission.first_requested_at = exchange->arrived_at;
-  if (proxy->routes == NULL)
+  if (proxy->routes == NULL || proxy->is_holding)
     {
-      /* The instance has just started and gets its configuration soon, so the
-         request waits for it.  */
+      /* The instance has just started and gets its configuration soon, or was
+         paused and hears soon what has changed, so the request waits.  */
       g_queue_push_tail_link (&proxy->unrouted, &request->link);
       request->is_queued = true;
       ev_timer_set (&request->deadline_timer, UNROUTED_WAIT_MAX_MS / 1000.0,
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -296,7 +296,7 @@
   clock_ms_t now = clock_now ();
 
   /* Requests that wait for an endpoint take precedence.  */
-  if (backend == NULL || state->waiting.length > 0
+  if (backend == NULL || proxy->is_holding || state->waiting.length > 0
       || backend->load.running + backend->load.waiting >= backend->load.slots
       || now + (clock_ms_t)expected_response_ms
              > request->admission.response_deadline
@@ -329,6 +329,8 @@
   int n_endpoints = 0;
   int n_waiting = 0;
 
+  if (proxy->is_holding)
+    return used;
   for (int i = 0; i < count; i++)
     {
       backend_t *backend = backends_get (proxy->backends, uplinks[i]->backend);
