Bound the memory of request bodies; send them without a copy

Cause: each upload took its body twice (the caller's and the copy for the endpoint) and a buffer that doubles, and nothing bounded their number: 150 uploads of 540 KB at one instance took 80 MB more; machines have 160 MB. A process above its limit is killed with all its requests.

Change: bodies above 16 KB together take a quarter of limits.memory-mb at most (32 MB if it is not stated). A connection whose body has no memory yet is not read; after 800 ms its request is refused as not run, with Retry-After. A body that has its memory never waits again, so that none blocks another for good. The body is sent to the endpoint from the caller's request.

--- a/lib/fleet/relay_serve.c
+++ b/lib/fleet/relay_serve.c
@@ -324,11 +324,12 @@
   for (int kind = 0; kind < RELAY_BULK_KINDS; kind++)
     {
       relay_holders_t *holders = &relay->holders[kind];
-      uint64_t version
-          = kind == BULK_CONFIG ? relay->view->routes->version : 0;
+      uint64_t version = 0;
 
       if (!transfer->is_bulk[kind])
         continue;
+      if (kind == BULK_CONFIG)
+        version = relay->view->routes->version;
       /* Instances with an older configuration are of no use.  */
       if (holders->version != version)
         *holders = (relay_holders_t){ .version = version };
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -34,6 +34,12 @@
 #define LOG_SAMPLE_SHARE 0.02
 /* Largest number of log lines per second about decisions on requests.  */
 #define LOG_LINES_PER_S 100
+/* Share of the process's memory that the bodies of requests may take together.
+   The socket buffers of as many uploads take about as much again.  */
+#define BODY_MEMORY_SHARE 0.25
+/* Memory for the bodies of requests if the memory of the process is not
+   known.  */
+#define BODY_MEMORY_DEFAULT_BYTES (32 << 20)
 
 static int open_servers (instance_t *instance);
 static server_t *
@@ -149,6 +155,12 @@
 
   instance->client_server = server_new (
       instance->loop, &settings->client_listen_address, &hooks, &result);
+  if (result == 0)
+    server_set_body_memory (
+        instance->client_server,
+        settings->memory_bytes > 0
+            ? (size_t)((double)settings->memory_bytes * BODY_MEMORY_SHARE)
+            : BODY_MEMORY_DEFAULT_BYTES);
   if (result == 0)
     instance->ready_server
         = open_server (instance, &settings->ready_listen_address,
--- a/lib/instance/instance.h
+++ b/lib/instance/instance.h
@@ -26,7 +26,8 @@
   relay_seeds_t seeds;
   bool weak; /* this instance has low capacity, and reads the store for all
                 instances only if no instance that is not weak does */
-  struct sockaddr_in store;         /* address of the store */
+  size_t memory_bytes;      /* memory that the process may use; 0: not known */
+  struct sockaddr_in store; /* address of the store */
   retry_budget_rules_t retry_rules; /* limits of retries and hedged requests */
   double probes_per_s; /* largest number of probes per second to one endpoint,
                           from all instances together; 0: unlimited */
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -1,7 +1,6 @@
 #include "server_private.h"
 
 #include <errno.h>
-#include <limits.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -40,6 +39,7 @@
                          size_t length);
 static void reject_request (connection_t *connection, int status,
                             const char *reason);
+static void refuse_waiting_body (connection_t *connection);
 static int on_message_begin (http_parser *parser);
 static int on_url (http_parser *parser, const char *data, size_t length);
 static int on_header_field (http_parser *parser, const char *data,
@@ -115,9 +115,16 @@
     connection_close (server->connections.head->data);
   ev_prepare_stop (server->loop, &server->cleanup_watcher);
   free_closed_connections (server);
+  body_forget_all (server);
   g_free (server);
 }
 
+void
+server_set_body_memory (server_t *server, size_t bytes)
+{
+  server->body_bytes_max = bytes;
+}
+
 void
 server_set_limits (server_t *server, const server_limits_t *limits)
 {
@@ -283,6 +290,7 @@
   (void)loop;
   (void)events;
   free_closed_connections (watcher->data);
+  body_resume_waiting (watcher->data);
 }
 
 void
@@ -298,6 +306,7 @@
   ev_io_stop (server->loop, &connection->write_watcher);
   ev_timer_stop (server->loop, &connection->timeout_timer);
   close (connection->fd);
+  body_stop_waiting (connection);
   g_queue_unlink (&server->connections, &connection->link);
   if (connection->incoming != NULL)
     exchange_free (connection->incoming);
@@ -316,6 +325,7 @@
 void
 exchange_free (exchange_t *exchange)
 {
+  body_release (exchange);
   g_free (exchange->method);
   g_free (exchange->target);
   g_ptr_array_free (exchange->fields, TRUE);
@@ -381,12 +391,13 @@
   GByteArray *input = connection->pending_input;
 
   if (input->len == 0 || connection->closed || connection->closing
+      || connection->waits_for_body
       || g_queue_get_length (&connection->exchanges) >= PIPELINED_REQUESTS_MAX)
     return;
   connection->pending_input = g_byte_array_new ();
   parse_input (connection, (const char *)input->data, input->len);
   g_byte_array_free (input, TRUE);
-  if (!connection->closed)
+  if (!connection->closed && !connection->waits_for_body)
     ev_io_start (connection->server->loop, &connection->read_watcher);
 }
 
@@ -416,7 +427,13 @@
       if (error == HPE_PAUSED)
         {
           http_parser_pause (parser, 0);
-          continue;
+          if (!connection->waits_for_body)
+            continue;
+          g_byte_array_append (connection->pending_input,
+                               (const guint8 *)data + parsed,
+                               (guint)(length - parsed));
+          ev_io_stop (connection->server->loop, &connection->read_watcher);
+          return;
         }
       if (error == HPE_HEADER_OVERFLOW)
         reject_request (connection, 431, "Request Header Fields Too Large");
@@ -451,6 +468,28 @@
   exchange_respond (exchange, status, reason, NULL, NULL, 0);
 }
 
+/* Refuses a request whose body was not read, as there was no memory for it.
+   The request was not passed on, so that the client may repeat it.  */
+static void
+refuse_waiting_body (connection_t *connection)
+{
+  exchange_t *exchange = connection->incoming;
+
+  g_message ("a request is refused: no memory for its body within %d ms",
+             (int)(clock_now () - connection->body_wait_started_at));
+  body_stop_waiting (connection);
+  connection->closing = true;
+  connection->incoming = NULL;
+  connection->request_started_at = 0;
+  exchange->close_after = true;
+  /* The rest of the body is read and dropped until the client closes.  */
+  g_byte_array_set_size (connection->pending_input, 0);
+  ev_io_start (connection->server->loop, &connection->read_watcher);
+  g_queue_push_tail (&connection->exchanges, exchange);
+  exchange_respond (exchange, 503, "Service Unavailable", "Retry-After: 1\r\n",
+                    NULL, 0);
+}
+
 static int
 on_message_begin (http_parser *parser)
 {
@@ -551,16 +590,9 @@
       reject_request (connection, 413, "Content Too Large");
       return -1;
     }
-  if (exchange_header_value (exchange, "Expect") != NULL
-      && connection->exchanges.head == NULL)
-    {
-      static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
-
-      g_byte_array_append (connection->output,
-                           (const guint8 *)continue_response,
-                           sizeof continue_response - 1);
-      connection_flush (connection);
-    }
+  /* The parser goes on after the pause when there is memory for the body.  */
+  if (!body_begin (connection))
+    http_parser_pause (parser, 1);
   return connection->closed ? -1 : 0;
 }
 
@@ -577,6 +609,7 @@
       return -1;
     }
   g_byte_array_append (exchange->body, (const guint8 *)data, (guint)length);
+  body_grow (exchange, exchange->body->len);
   return 0;
 }
 
@@ -631,6 +664,10 @@
       if (idle_for >= LINGER_TIMEOUT_MS)
         connection_close (connection);
     }
+  else if (body_has_waited_too_long (connection, now))
+    refuse_waiting_body (connection);
+  else if (connection->waits_for_body)
+    return;
   else if (connection->request_started_at != 0)
     {
       if (now - connection->request_started_at >= limits->header_timeout
--- a/lib/net/server.h
+++ b/lib/net/server.h
@@ -28,11 +28,15 @@
   void *user; /* data of the request handler, not used by the server */
 
   /* Private to the server.  */
-  GString *head;      /* response head: status line and header fields */
-  GByteArray *output; /* encoded part of the response body that was not moved
-                         to the connection's output yet */
-  size_t sent;        /* unused */
-  bool chunked;       /* the response uses chunked transfer coding */
+  server_t *body_owner; /* server whose memory for bodies @body uses; NULL:
+                           none */
+  size_t body_bytes;    /* bytes of that memory */
+  GList body_link;      /* in the server's @bodies */
+  GString *head;        /* response head: status line and header fields */
+  GByteArray *output;   /* encoded part of the response body that was not moved
+                           to the connection's output yet */
+  size_t sent;          /* unused */
+  bool chunked;         /* the response uses chunked transfer coding */
   bool response_started; /* @head is set and may be sent */
   bool response_ended;   /* the handler has written the whole response */
   bool response_aborted; /* the handler has aborted the response; the
@@ -91,6 +95,11 @@
    length has passed since the change.  */
 void server_set_limits (server_t *server, const server_limits_t *limits);
 
+/* Limits the memory that request bodies take together, apart from small ones;
+   0: no limit.  A body for which there is no memory is not read until other
+   requests have ended; after a short time its request is refused.  */
+void server_set_body_memory (server_t *server, size_t bytes);
+
 /* Starts a graceful shutdown: from now on each connection is closed after the
    response to its last pending request.  Idle connections stay open until
    server_close_idle().  */
--- a/lib/net/server_private.h
+++ b/lib/net/server_private.h
@@ -2,9 +2,11 @@
 #define PERIDOT_NET_SERVER_PRIVATE_H
 
 /* Shared by the parts of the server: server.c accepts connections and reads
-   requests, and server_output.c sends responses.  */
+   requests, server_body.c bounds the memory of their bodies, and
+   server_output.c sends responses.  */
 
 #include <http_parser.h>
+#include <limits.h>
 
 #include "server.h"
 
@@ -26,6 +28,11 @@
   GQueue closed; /* connection_t *; closed, and freed in the next iteration of
                     the event loop */
   bool draining; /* server_drain() was called */
+  /* Memory for request bodies.  */
+  size_t body_bytes_max; /* limit of @body_bytes; 0: none */
+  size_t body_bytes;     /* bytes that the bodies in @bodies may take */
+  GQueue bodies;         /* exchange_t * with memory for their bodies */
+  GQueue waiting_bodies; /* connection_t * that wait for such memory */
 };
 
 struct connection
@@ -53,8 +60,12 @@
   bool in_value;        /* @field_value is being parsed, not @field_name */
   size_t header_bytes;  /* bytes received of the target and header fields of
                            @incoming */
-  bool closing;         /* no further request is read; the connection closes
-                           after the last response */
+  bool waits_for_body;  /* the body of @incoming waits for memory, and the
+                           connection is not read */
+  clock_ms_t body_wait_started_at; /* ms; when that began */
+  GList body_link;                 /* in the server's @waiting_bodies */
+  bool closing;   /* no further request is read; the connection closes
+                     after the last response */
   bool truncated; /* a response was aborted; no further response may be sent */
   bool lingering; /* all output was sent; input is discarded until the client
                      closes the connection */
@@ -76,6 +87,28 @@
 /* Closes the socket at once; the memory is freed later.  Calls the
    disconnected hook for each request whose response is incomplete.  */
 void connection_close (connection_t *connection);
+/* ---- server_body.c ---- */
+
+/* Prepares to read the body of the request whose head was read.  Return: false
+   if the body has to wait for memory.  */
+bool body_begin (connection_t *connection);
+/* Accounts for a body that has grown to @bytes.  */
+void body_grow (exchange_t *exchange, size_t bytes);
+/* Gives back the memory of an exchange's body, if it has any.  */
+void body_release (exchange_t *exchange);
+/* Removes a connection from those that wait for memory, if it does.  */
+void body_stop_waiting (connection_t *connection);
+/* Whether the request of a connection has waited for memory for too long.  */
+bool body_has_waited_too_long (const connection_t *connection, clock_ms_t now);
+/* Resumes the connections for which there is memory now.  Must not be called
+   by functions that use a connection.  */
+void body_resume_waiting (server_t *server);
+/* Detaches all exchanges from the server's memory for bodies, before the
+   server is freed.  */
+void body_forget_all (server_t *server);
+
+/* ---- server.c ---- */
+
 /* Frees an exchange, which must not be in a connection's queue any more.  */
 void exchange_free (exchange_t *exchange);
 
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -107,8 +107,12 @@
   ev_timer timer;      /* timeout of a probe */
   GList link; /* element of the pool's @idle or the proxy's @closed_uplinks */
   http_parser parser;
-  GByteArray *out;       /* probe or request that is being sent */
-  size_t sent_bytes;     /* number of bytes of @out that were sent */
+  GByteArray *out;       /* probe, or head of the request, that is being
+                            sent */
+  size_t body_bytes;     /* length of the body of @request, which is sent after
+                            @out */
+  size_t sent_bytes;     /* number of bytes of @out and the body that were
+                            sent */
   size_t received_bytes; /* number of bytes received since @out began to be
                             sent, except for the body of a streamed response */
   probe_round_t *round;  /* round of probes that gets the probe's result, or
@@ -262,8 +266,11 @@
  * Return: an idle connection or a new one that is being set up, or NULL.
  */
 uplink_t *uplink_acquire (proxy_t *proxy, backend_t *backend, int *error);
-/* Starts to send the contents of @out and to read the response.  */
+/* Starts to send the contents of @out, followed by the body of the uplink's
+   request if it has one, and to read the response.  */
 void uplink_send (uplink_t *uplink);
+/* Whether all was sent.  */
+bool uplink_has_sent_all (const uplink_t *uplink);
 /* Returns a connection to its pool, or closes it if it cannot be reused or the
    pool is full.  */
 void uplink_release (uplink_t *uplink);
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -312,7 +312,7 @@
   probe_round_start_hedge (request);
 }
 
-/* Writes the HTTP request for the endpoint, header and body, to @out.  */
+/* Writes the head of the HTTP request for the endpoint to @out.  */
 static void
 build_http_request (request_t *request, const uplink_t *uplink,
                     GByteArray *out)
@@ -331,7 +331,6 @@
       backend->entry.id);
   g_byte_array_set_size (out, 0);
   g_byte_array_append (out, (const guint8 *)text->str, (guint)text->len);
-  g_byte_array_append (out, exchange->body->data, exchange->body->len);
   g_string_free (text, TRUE);
 }
 
@@ -543,8 +542,7 @@
   decision_log_write (request, G_LOG_LEVEL_DEBUG, "answered", backend, NULL);
   request_deliver (request, response);
   if (!uplink->is_closed && uplink->is_reusable && uplink->has_load
-      && uplink->sent_bytes == uplink->out->len
-      && probe_round_try_assign (uplink))
+      && uplink_has_sent_all (uplink) && probe_round_try_assign (uplink))
     return;
   uplink_release (uplink);
 }
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -329,8 +329,6 @@
   int n_endpoints = 0;
   int n_waiting = 0;
 
-  if (proxy->is_holding)
-    return used;
   for (int i = 0; i < count; i++)
     {
       backend_t *backend = backends_get (proxy->backends, uplinks[i]->backend);
@@ -431,7 +429,7 @@
 
   if (round->hedged_request != NULL)
     try_send_hedge (round, round->hedged_request);
-  else
+  else if (!round->proxy->is_holding)
     {
       GArray *used = assign_waiting (round->proxy, round->service, round->held,
                                      round->n_held);
@@ -457,7 +455,7 @@
   GArray *used;
   bool result;
 
-  if (backend == NULL
+  if (backend == NULL || proxy->is_holding
       || service_state_get (proxy, backend->service)->waiting.length == 0)
     return false;
   used = assign_waiting (proxy, backend->service, &uplink, 1);
--- a/lib/proxy/uplink.c
+++ b/lib/proxy/uplink.c
@@ -30,6 +30,7 @@
 static void on_writable (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_timeout (struct ev_loop *loop, ev_timer *watcher, int events);
 static void fail_uplink (uplink_t *uplink, const char *why);
+static ssize_t send_rest (const uplink_t *uplink);
 static void handle_connection_end (uplink_t *uplink, int error);
 static bool is_response_endless (uplink_t *uplink, size_t received_bytes);
 
@@ -151,6 +152,8 @@
 uplink_send (uplink_t *uplink)
 {
   uplink->sent_bytes = 0;
+  uplink->body_bytes
+      = uplink->request != NULL ? uplink->request->exchange->body->len : 0;
   uplink->received_bytes = 0;
   uplink->is_reading = true;
   uplink_begin_response (uplink);
@@ -159,6 +162,12 @@
     ev_io_start (uplink->proxy->loop, &uplink->write_watcher);
 }
 
+bool
+uplink_has_sent_all (const uplink_t *uplink)
+{
+  return uplink->sent_bytes == uplink->out->len + uplink->body_bytes;
+}
+
 void
 uplink_release (uplink_t *uplink)
 {
@@ -173,8 +182,7 @@
   ev_timer_stop (proxy->loop, &uplink->timer);
   if (uplink->is_closed)
     return;
-  if (backend == NULL || !uplink->is_reusable
-      || uplink->sent_bytes < uplink->out->len)
+  if (backend == NULL || !uplink->is_reusable || !uplink_has_sent_all (uplink))
     {
       uplink_close (uplink);
       return;
@@ -269,6 +277,28 @@
   uplink_close (uplink);
 }
 
+/* Sends as much as the socket takes of what was not sent yet.  The body is
+   sent from the client's request, without a copy.  Return: as for send().  */
+static ssize_t
+send_rest (const uplink_t *uplink)
+{
+  size_t head_sent = MIN (uplink->sent_bytes, uplink->out->len);
+  size_t body_sent = uplink->sent_bytes - head_sent;
+  struct iovec parts[2] = { { .iov_base = uplink->out->data + head_sent,
+                              .iov_len = uplink->out->len - head_sent } };
+  struct msghdr message = { .msg_iov = parts, .msg_iovlen = 1 };
+
+  if (uplink->body_bytes > 0 && uplink->request != NULL)
+    {
+      parts[1]
+          = (struct iovec){ .iov_base = uplink->request->exchange->body->data
+                                        + body_sent,
+                            .iov_len = uplink->body_bytes - body_sent };
+      message.msg_iovlen = 2;
+    }
+  return sendmsg (uplink->fd, &message, MSG_NOSIGNAL);
+}
+
 static void
 on_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -288,8 +318,7 @@
       uplink->state
           = uplink->request != NULL ? UPLINK_RUNNING : UPLINK_PROBING;
     }
-  n = send (uplink->fd, uplink->out->data + uplink->sent_bytes,
-            uplink->out->len - uplink->sent_bytes, MSG_NOSIGNAL);
+  n = send_rest (uplink);
   if (n < 0 && errno != EAGAIN && errno != EINTR)
     {
       fail_uplink (uplink, g_strerror (errno));
@@ -297,7 +326,7 @@
     }
   if (n > 0)
     uplink->sent_bytes += (size_t)n;
-  if (uplink->sent_bytes == uplink->out->len)
+  if (uplink_has_sent_all (uplink))
     ev_io_stop (loop, &uplink->write_watcher);
 }
 
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -429,6 +429,102 @@
   fixture_tear_down (&fixture);
 }
 
+/* Creates a request with a body of 50,000 bytes, or only the beginning of
+   one.  */
+static char *
+make_upload (const char *target, gsize length)
+{
+  GString *text = g_string_new (NULL);
+
+  g_string_printf (text,
+                   "POST %s HTTP/1.1\r\nHost: a\r\n"
+                   "Content-Length: 50000\r\n\r\n",
+                   target);
+  for (gsize i = 0; i < length; i++)
+    g_string_append_c (text, (char)('a' + i % 26));
+  return g_string_free (text, FALSE);
+}
+
+/* Lets the server keep one body of 50,000 bytes in memory.  */
+static void
+set_up_for_uploads (fixture_t *fixture)
+{
+  fixture_set_up (fixture);
+  server_set_limits (fixture->server,
+                     &(server_limits_t){ .header_bytes = 1000,
+                                         .body_bytes = 60000,
+                                         .header_timeout = 3000,
+                                         .idle_timeout = 7000 });
+  server_set_body_memory (fixture->server, 80000);
+}
+
+/* Guards against bodies that together take more memory than the process has,
+   and against a body that is changed because its connection was not read for a
+   while.  */
+static void
+test_body_waits_for_memory (void)
+{
+  fixture_t fixture;
+  g_autofree char *beginning = make_upload ("/1", 1000);
+  g_autofree char *whole = make_upload ("/2", 50000);
+  const char *body = strstr (whole, "\r\n\r\n") + 4;
+  int first;
+  int second;
+  int small;
+
+  set_up_for_uploads (&fixture);
+  first = connect_and_send (&fixture, beginning);
+  second = connect_and_send (&fixture, whole);
+  g_assert_cmpint (fixture.request_count, ==, 0);
+  /* Requests without a body do not wait.  */
+  small = connect_and_send (&fixture, "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+  g_assert_cmpint (fixture.request_count, ==, 1);
+  close (first);
+  run_loop (&fixture, 100);
+  g_assert_cmpint (fixture.request_count, ==, 2);
+  g_assert_cmpstr (fixture.exchanges[1]->target, ==, "/2");
+  g_assert_cmpuint (fixture.exchanges[1]->body->len, ==, 50000);
+  g_assert_cmpint (memcmp (fixture.exchanges[1]->body->data, body, 50000), ==,
+                   0);
+  close (second);
+  close (small);
+  run_loop (&fixture, 20);
+  fixture_tear_down (&fixture);
+}
+
+/* Guards against a request that waits for memory until its client gives up,
+   and against memory that is not given back.  */
+static void
+test_body_that_waits_is_refused (void)
+{
+  fixture_t fixture;
+  g_autofree char *beginning = make_upload ("/1", 1000);
+  g_autofree char *whole = make_upload ("/2", 50000);
+  int first;
+  int second;
+
+  set_up_for_uploads (&fixture);
+  first = connect_and_send (&fixture, beginning);
+  second = connect_and_send (&fixture, whole);
+  run_loop (&fixture, 1500);
+  assert_received (second, "HTTP/1.1 503 Service Unavailable\r\n"
+                           "Retry-After: 1\r\nContent-Length: 0\r\n"
+                           "Connection: close\r\n\r\n(end)");
+  close (second);
+  close (first);
+  for (int i = 0; i < 3; i++)
+    {
+      int fd = connect_and_send (&fixture, whole);
+
+      run_loop (&fixture, 50);
+      g_assert_cmpint (fixture.request_count, ==, i + 1);
+      exchange_respond (fixture.exchanges[i], 200, "OK", NULL, NULL, 0);
+      run_loop (&fixture, 20);
+      close (fd);
+    }
+  fixture_tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -444,5 +540,8 @@
                    test_shortened_idle_timeout);
   g_test_add_func ("/net/large_bodies_arrive_whole", test_large_body);
   g_test_add_func ("/net/calls_end_once", test_call_client);
+  g_test_add_func ("/net/body_waits_for_memory", test_body_waits_for_memory);
+  g_test_add_func ("/net/body_that_waits_is_refused",
+                   test_body_that_waits_is_refused);
   return g_test_run ();
 }
