--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -258,6 +258,7 @@
 class Endpoint:
     """Simulated backend server.  The test sets its faults: probabilities by
     kind of fault.  A response is lost, cut short, sent twice ("extra"), sent
+    again while the connection may carry the next request ("late"), sent
     without its length ("unframed"), or replaced by status 500 or by garbage
     ("rot").  With a fault of ENDLESS, bytes that are no response follow until
     the caller closes the connection.  Whatever the probability, "silent"
@@ -418,6 +419,11 @@
                 writer.close()
             elif fault == "extra":
                 writer.write(response + response)
+            elif fault == "late":
+                writer.write(response)
+                asyncio.get_running_loop().call_later(
+                    self.rng.uniform(0.001, 0.1), self.write_if_open, writer,
+                    response)
             elif fault == "unframed":
                 lines = [f"{k}: {v}" for k, v in fields.items()]
                 writer.write(("HTTP/1.1 200 OK\r\nConnection: close\r\n"
@@ -436,6 +442,12 @@
         writer.write(response)
 
 
+    @staticmethod
+    def write_if_open(writer, data):
+        if not writer.transport.is_closing():
+            writer.write(data)
+
+
 class Instance:
     """One real peridotrouter process."""
 
--- a/test/run/platform_answers.py
+++ b/test/run/platform_answers.py
@@ -28,7 +28,7 @@
 
 
 async def script(site):
-    for fault in ("lost", "short", "extra", "unframed", "errors", "rot"):
+    for fault in ("lost", "short", "extra", "late", "unframed", "errors", "rot"):
         for endpoint in list(site.endpoints.values())[:2]:
             endpoint.faults = {fault: 0.3}
         await run_load(site, fault)
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -553,6 +553,59 @@
   fixture_end (&fixture);
 }
 
+/* Guards against a malformed message of another program or a damaged one that
+   ends the process, as an exception on one message has done elsewhere.  Valid
+   announcements and hellos are changed at random and sent again.  */
+static void
+malformed_messages_do_no_harm (void)
+{
+  fixture_t fixture;
+  const int fd = socket (AF_INET, SOCK_DGRAM, 0);
+  struct sockaddr_in own = { .sin_family = AF_INET,
+                             .sin_port = htons (PORT),
+                             .sin_addr.s_addr = address_of (40) };
+  GRand *rand = g_rand_new_with_seed (20262);
+  char valid[2048];
+  ssize_t length = -1;
+
+  fixture_start (&fixture, 2);
+  set_up_reader (&fixture, 20);
+  g_assert_cmpint (bind (fd, (const struct sockaddr *)&own, sizeof own), ==,
+                   0);
+  (void)members_put (fixture.instances[0].members, "observer", "a",
+                     own.sin_addr.s_addr, clock_now ());
+  g_assert_true (run_until_synced (&fixture, 10));
+  change_configuration (&fixture, 5, 3, 800);
+  run_for (&fixture, 0.5);
+  for (int i = 0; i < 4000; i++)
+    {
+      struct sockaddr_in to = own;
+      char changed[sizeof valid];
+      ssize_t n = recv (fd, valid, sizeof valid, MSG_DONTWAIT);
+
+      if (n > 0)
+        length = n;
+      g_assert_cmpint (length, >, 0);
+      memcpy (changed, valid, (size_t)length);
+      for (int j = g_rand_int_range (rand, 1, 6); j > 0; j--)
+        changed[g_rand_int_range (rand, 0, (gint32)length)]
+            = (char)g_rand_int (rand);
+      to.sin_addr.s_addr = address_of (g_rand_int_range (rand, 0, 2));
+      (void)sendto (fd, changed,
+                    (size_t)g_rand_int_range (rand, 1, (gint32)length + 1), 0,
+                    (const struct sockaddr *)&to, sizeof to);
+      if (i % 40 == 0)
+        {
+          change_configuration (&fixture, 6 + (uint64_t)i, 3, 800 + i);
+          run_for (&fixture, 0.02);
+        }
+    }
+  run_for (&fixture, 0.5);
+  g_rand_free (rand);
+  close (fd);
+  fixture_end (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -574,5 +627,7 @@
                    small_change_of_the_configuration_is_not_fetched);
   g_test_add_func ("/relay/large_change_of_the_configuration_is_passed_on",
                    large_change_of_the_configuration_is_passed_on);
+  g_test_add_func ("/relay/malformed_messages_do_no_harm",
+                   malformed_messages_do_no_harm);
   return g_test_run ();
 }
