--- a/lib/decide/pool.c
+++ b/lib/decide/pool.c
@@ -302,6 +302,10 @@
 
       if (!limit_export (&member->limit, &limits[count]))
         continue;
+      /* When the data centre returns, its endpoints are cold.  The new owner
+         may already know of the return and have made them cold.  */
+      if (pool->settings.out && !limits[count].draining)
+        continue;
       limits[count].pool = pool->settings.id;
       limits[count++].endpoint = member->settings.id;
     }
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -495,6 +495,12 @@
         self.signal_process(number)
         return await self.process.wait()
 
+    def peak_memory_kb(self):
+        with open(f"/proc/{self.process.pid}/status",
+                  encoding="ascii") as status:
+            return next(int(line.split()[1]) for line in status
+                        if line.startswith("VmHWM"))
+
     async def get(self, port, target):
         # Returns the status and body of a GET request to a port of the
         # instance.
--- a/test/run/platform_endless.py
+++ b/test/run/platform_endless.py
@@ -20,19 +20,13 @@
 MEMORY_GROWTH_MAX_KB = 8 << 10
 
 
-def peak_memory_kb(instance):
-    with open(f"/proc/{instance.process.pid}/status", encoding="ascii") as file:
-        return next(int(line.split()[1]) for line in file
-                    if line.startswith("VmHWM"))
-
-
 async def run_fault(site, name):
     # Half of the endpoints of each service send without end now and then.
     for endpoint in list(site.endpoints.values())[::2]:
         endpoint.faults = {name: 0.3}
     site.outcomes.clear()
     site.endless_sent.clear()
-    before = [peak_memory_kb(i) for i in site.instances]
+    before = [i.peak_memory_kb() for i in site.instances]
     until = time.monotonic() + 2
     await asyncio.gather(*(
         site.simulate_caller("ab"[i % 2], 10, until, random.Random(i))
@@ -40,7 +34,7 @@
     for endpoint in site.endpoints.values():
         endpoint.faults = {}
     await asyncio.sleep(0.2)
-    growth = max(peak_memory_kb(i) - b for i, b in zip(site.instances, before))
+    growth = max(i.peak_memory_kb() - b for i, b in zip(site.instances, before))
     sent = max(site.endless_sent, default=(0, 0))[0]
     open_s = max((s for _, s in site.endless_sent), default=0)
     print(f"{name}:", "sent" if site.endless_sent else "never sent")
--- a/test/run/platform_uploads.py
+++ b/test/run/platform_uploads.py
@@ -20,12 +20,6 @@
 MEMORY_GROWTH_MAX_KB = 64 << 10
 
 
-def peak_memory_kb(instance):
-    with open(f"/proc/{instance.process.pid}/status", encoding="ascii") as file:
-        return next(int(line.split()[1]) for line in file
-                    if line.startswith("VmHWM"))
-
-
 def encode_body(body, chunked):
     """Returns the framing field and the encoded body."""
     if not chunked:
@@ -91,10 +85,10 @@
         "priority": 1, "max-attempts": 2})
     await asyncio.sleep(1.0)
     instance = site.instances[0]
-    before = peak_memory_kb(instance)
+    before = instance.peak_memory_kb()
     statuses = await asyncio.gather(*(upload(site, instance, i)
                                       for i in range(UPLOADS)))
-    growth = peak_memory_kb(instance) - before
+    growth = instance.peak_memory_kb() - before
     print("uploads:", "all served" if set(statuses) == {200}
           else {s: statuses.count(s) for s in set(statuses)})
     print("memory:", "bounded" if growth <= MEMORY_GROWTH_MAX_KB
--- a/test/unit/slots_owner.c
+++ b/test/unit/slots_owner.c
@@ -383,6 +383,37 @@
   pool_free (new_owner);
 }
 
+/* Guards against cold endpoints that a new owner takes as warm: the old owner
+   has not yet heard that the data centre is back in service and hands over the
+   limits from before it was out.  */
+static void
+test_limit_handover_while_out (void)
+{
+  pool_t *pool = new_pool (2, 3);
+  pool_t *new_owner = new_pool (2, 3);
+  pool_settings_t out = make_settings (2, 3);
+  decide_handover_limit_t exported[4];
+  pool_endpoint_view_t view;
+
+  for (int i = 0; i < 2; i++)
+    pool_import_limit (pool, 0,
+                       &(decide_handover_limit_t){ .endpoint = i + 1U,
+                                                   .limit = 3,
+                                                   .identity = 5,
+                                                   .draining = i == 1 });
+  out.out = true;
+  g_assert_cmpint (pool_configure (pool, 1, &out), ==, 0);
+  /* That an endpoint is draining is still handed over.  */
+  g_assert_cmpuint (pool_export_limits (pool, exported, 4), ==, 1);
+  pool_import_limit (new_owner, 2, &exported[0]);
+  g_assert_cmpint (pool_get_endpoint (new_owner, 0, &view), ==, 0);
+  g_assert_true (view.cold);
+  g_assert_cmpint (pool_get_endpoint (new_owner, 1, &view), ==, 0);
+  g_assert_true (view.draining);
+  pool_free (pool);
+  pool_free (new_owner);
+}
+
 /* Guards against grants that are lost when the settings change or the pool
    gets a new owner.  */
 static void
@@ -535,6 +566,8 @@
   g_test_add_func ("/pool/settling", test_lingering);
   g_test_add_func ("/pool/configure", test_configure);
   g_test_add_func ("/pool/limits-move", test_limit_handover);
+  g_test_add_func ("/pool/limits-move_while_out",
+                   test_limit_handover_while_out);
   g_test_add_func ("/pool/return", test_data_centre_return);
   g_test_add_func ("/pool/slow", test_slow);
   g_test_add_func ("/pool/probes", test_probes);
