Send bulk data once to each data centre; others there get it from there

Change: an asker of another data centre is sent on to a ready holder in its own, if there is one, before it is served. holders.c keeps who has what; it needs no network (unit-fleet_holders).

--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -5,29 +5,14 @@
    to send, relay_send.c sends datagrams, and relay_fetch.c and relay_serve.c
    transfer state over TCP.  */
 
+#include "holders.h"
 #include "relay.h"
 #include "wire.h"
 
-/* Number of instances that are remembered as targets of redirects.  They are
-   those to which this instance has most recently sent all endpoints.  */
-#define RELAY_REDIRECT_TARGETS_MAX 32
 /* Number of kinds of data that are sent to a limited number of requesters:
    all endpoints, and large changes of the configuration.  */
 #define RELAY_BULK_KINDS 2
 
-/* Instances that were sent bulk data of one kind, to which further requests
-   for it can be redirected.  */
-typedef struct relay_holders
-{
-  uint64_t version; /* version of the configuration that they have; 0 for
-                       endpoints */
-  uint32_t ip[RELAY_REDIRECT_TARGETS_MAX]; /* ring buffer of their addresses;
-                                              network byte order */
-  unsigned int added;    /* number of addresses added to @ip so far */
-  unsigned int position; /* counts the uses of @ip; modulo the number of
-                            addresses in it, the index of the next one */
-} relay_holders_t;
-
 struct relay
 {
   struct ev_loop *loop;
@@ -88,9 +73,9 @@
   unsigned int last_missing_parts;
   /* Transfers of this instance's state to others.  */
   GPtrArray *transfers; /* transfer_t *; the transfers in progress */
-  int bulk_transfers[RELAY_BULK_KINDS];      /* number of @transfers that send
-                                                bulk data, by kind */
-  relay_holders_t holders[RELAY_BULK_KINDS]; /* by kind */
+  int bulk_transfers[RELAY_BULK_KINDS]; /* number of @transfers that send
+                                           bulk data, by kind */
+  holders_t holders[RELAY_BULK_KINDS];  /* by kind */
   GBytes *full_snapshot; /* cached encoding of all endpoints; NULL: none */
   uint64_t full_snapshot_digest; /* view_digest() of the endpoints in
                                     @full_snapshot */
--- a/lib/fleet/relay_serve.c
+++ b/lib/fleet/relay_serve.c
@@ -57,6 +57,8 @@
   int position; /* index in @data of the snapshot that is being sent */
   size_t sent;  /* number of bytes sent of the snapshot at @position */
   bool is_bulk[RELAY_BULK_KINDS]; /* by kind: the response has data of it */
+  uint32_t redirect_ip; /* address of another instance that has what is left
+                           out of the response; network byte order; 0: none */
 } transfer_t;
 
 static void on_accept (struct ev_loop *loop, ev_io *watcher, int events);
@@ -71,8 +73,6 @@
 static GBytes *encode_config_snapshot (relay_t *relay, uint64_t since,
                                        clock_ms_t now);
 static void record_completion (const transfer_t *transfer);
-static uint32_t next_redirect_target (relay_holders_t *holders,
-                                      uint32_t asker);
 static void on_transfer_writable (struct ev_loop *loop, ev_io *watcher,
                                   int events);
 static void on_connection_closed (struct ev_loop *loop, ev_io *watcher,
@@ -160,20 +160,30 @@
   ev_io_start (loop, &transfer->write_watcher);
 }
 
-/* Takes one of the places for transfers of bulk data.  Return: whether one was
-   free.  */
+/* Takes one of the places for transfers of bulk data.  Return: false if none
+   is free, or if another instance in the requester's data centre has the data.
+ */
 static bool
 start_bulk (transfer_t *transfer, bulk_kind_t kind)
 {
   relay_t *relay = transfer->relay;
   int limit
       = relay->reader->weak ? WEAK_BULK_TRANSFERS_MAX : BULK_TRANSFERS_MAX;
+  uint32_t redirect_ip = holders_choose_local (
+      &relay->holders[kind], relay->members, transfer->asker);
 
-  if (relay->bulk_transfers[kind] >= limit)
-    return false;
-  relay->bulk_transfers[kind]++;
-  transfer->is_bulk[kind] = true;
-  return true;
+  if (redirect_ip == 0 && relay->bulk_transfers[kind] < limit)
+    {
+      relay->bulk_transfers[kind]++;
+      transfer->is_bulk[kind] = true;
+      return true;
+    }
+  if (redirect_ip == 0)
+    redirect_ip = holders_choose (&relay->holders[kind], transfer->asker);
+  /* If both kinds are refused, the configuration is fetched first.  */
+  if (transfer->redirect_ip == 0)
+    transfer->redirect_ip = redirect_ip;
+  return false;
 }
 
 /* Adds a snapshot to a response, which takes ownership of it.  */
@@ -199,6 +209,9 @@
       return 0;
     }
   request->parts &= ~(unsigned int)FLEET_PART_BACKENDS;
+  if (!relay->view->has_all_backends && transfer->redirect_ip == 0)
+    transfer->redirect_ip
+        = holders_choose (&relay->holders[BULK_BACKENDS], transfer->asker);
   if (!relay->view->has_all_backends || !start_bulk (transfer, BULK_BACKENDS))
     {
       telemetry_counter_increment (TELEMETRY_STATE_TRANSFERS, 2);
@@ -241,7 +254,6 @@
   relay_t *relay = transfer->relay;
   wire_request_t request;
   unsigned int refused;
-  uint32_t redirect_ip = 0;
 
   wire_decode_request (transfer->request, &request);
   transfer->asker = request.asker;
@@ -249,17 +261,11 @@
      take effect sooner.  */
   refused = add_config (transfer, &request);
   refused |= add_backends (transfer, &request);
-  if ((refused & FLEET_PART_CONFIG) != 0)
-    redirect_ip
-        = next_redirect_target (&relay->holders[BULK_CONFIG], transfer->asker);
-  else if (refused != 0)
-    redirect_ip = next_redirect_target (&relay->holders[BULK_BACKENDS],
-                                        transfer->asker);
   /* The refusal is stated in a snapshot without the refused part.  */
   if (transfer->data_count == 0 || request.parts != 0 || refused != 0)
     add_data (transfer, g_byte_array_free_to_bytes (wire_encode_snapshot (
-                            relay->view, relay->members, &request, redirect_ip,
-                            clock_now ())));
+                            relay->view, relay->members, &request,
+                            transfer->redirect_ip, clock_now ())));
 }
 
 /* Returns a reference to an encoding of all endpoints: the cached one, unless
@@ -323,40 +329,14 @@
 
   for (int kind = 0; kind < RELAY_BULK_KINDS; kind++)
     {
-      relay_holders_t *holders = &relay->holders[kind];
-      uint64_t version = 0;
-
       if (!transfer->is_bulk[kind])
         continue;
-      if (kind == BULK_CONFIG)
-        version = relay->view->routes->version;
-      /* Instances with an older configuration are of no use.  */
-      if (holders->version != version)
-        *holders = (relay_holders_t){ .version = version };
-      holders->ip[holders->added++ % RELAY_REDIRECT_TARGETS_MAX]
-          = transfer->asker;
+      holders_add (&relay->holders[kind],
+                   kind == BULK_CONFIG ? relay->view->routes->version : 0,
+                   transfer->asker);
     }
 }
 
-/* Chooses the instance to which a requester is redirected, round-robin.
-   @asker: address of the requester, which is not chosen; network byte order.
-   Return: the address of the chosen instance in network byte order; 0: there
-   is none.  */
-static uint32_t
-next_redirect_target (relay_holders_t *holders, uint32_t asker)
-{
-  unsigned int count = MIN (holders->added, RELAY_REDIRECT_TARGETS_MAX);
-
-  for (unsigned int i = 0; i < count; i++)
-    {
-      uint32_t ip = holders->ip[holders->position++ % count];
-
-      if (ip != asker)
-        return ip;
-    }
-  return 0;
-}
-
 static void
 on_transfer_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
