Count the wait for an endpoint from the end of a hold

Log of the instance: requests held for 301 ms were refused 3 ms later as no_endpoint after one round without an answer, since the hold counted as time that they had waited for endpoints, and one target, 300 ms, is all that they may wait. The refusals were true, but needless.

Change: the wait begins when the request is routed.

--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -137,7 +137,9 @@
   request->client_deadline = arrived_at + client_timeout;
   request->arrived_at = arrived_at;
   request->admission.first_requested_at = arrived_at - age;
-  request->admission.waiting_since = arrived_at;
+  /* A wait for the configuration, or after a pause, says nothing about the
+     endpoints.  */
+  request->admission.waiting_since = clock_now ();
   request->admission.target = route->target > 0
                                   ? MIN (route->target, response_timeout)
                                   : response_timeout;
