--- a/lib/balance/routes.c
+++ b/lib/balance/routes.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 static gint compare_prefix (gconstpointer a, gconstpointer b);
+static void reset_counts (route_split_t *split, const route_t *route);
 
 routes_t *
 routes_new (uint64_t version)
@@ -133,12 +134,34 @@
   return NULL;
 }
 
+bool
+route_split_has_changed (const route_split_t *split, const route_t *route)
+{
+  for (int i = 0; i < ROUTE_PARTS_MAX; i++)
+    if (split->weights[i] != (i < route->n_parts ? route->parts[i].weight : 0))
+      return true;
+  return false;
+}
+
+/* Begins to count the requests for the present weights.  */
+static void
+reset_counts (route_split_t *split, const route_t *route)
+{
+  memset (split->weights, 0, sizeof split->weights);
+  memset (split->requests, 0, sizeof split->requests);
+  for (int i = 0; i < route->n_parts; i++)
+    split->weights[i] = route->parts[i].weight;
+  split->starts = 0;
+}
+
 int
 route_split_next (route_split_t *split, const route_t *route)
 {
   int64_t total = 0;
   int best = 0;
 
+  if (route_split_has_changed (split, route))
+    reset_counts (split, route);
   for (int i = 0; i < route->n_parts; i++)
     {
       split->current_weight[i] += route->parts[i].weight;
@@ -147,5 +170,6 @@
         best = i;
     }
   split->current_weight[best] -= total;
+  split->requests[best]++;
   return best;
 }
--- a/lib/balance/routes.h
+++ b/lib/balance/routes.h
@@ -115,6 +115,11 @@
   int64_t current_weight[ROUTE_PARTS_MAX]; /* current weight of each part; the
                                               part with the highest one gets
                                               the next request */
+  /* Since the weights of the parts last changed: the weights, how many
+     requests each part got, and how often @current_weight was set anew.  */
+  uint32_t weights[ROUTE_PARTS_MAX];
+  uint64_t requests[ROUTE_PARTS_MAX];
+  uint64_t starts;
 } route_split_t;
 
 /**
@@ -123,4 +128,9 @@
  */
 int route_split_next (route_split_t *split, const route_t *route);
 
+/* Whether the weights of the route's parts differ from those for which @split
+   counts requests.  */
+bool route_split_has_changed (const route_split_t *split,
+                              const route_t *route);
+
 #endif
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -396,11 +396,13 @@
 static void
 handle_metrics_request (void *context, exchange_t *exchange)
 {
-  char *text = telemetry_format_metrics ();
+  const instance_t *instance = context;
+  g_autofree char *metrics = telemetry_format_metrics ();
+  GString *text = g_string_new (metrics);
 
-  (void)context;
+  proxy_append_split_metrics (instance->proxy, text);
   exchange_respond (exchange, 200, "OK",
-                    "Content-Type: text/plain; version=0.0.4\r\n", text,
-                    strlen (text));
-  g_free (text);
+                    "Content-Type: text/plain; version=0.0.4\r\n", text->str,
+                    text->len);
+  g_string_free (text, TRUE);
 }
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -76,6 +76,11 @@
 /* Returns the number of clients' requests that are not answered yet.  */
 int proxy_count_in_flight (const proxy_t *proxy);
 
+/* Appends the metrics of the routes whose requests are divided among several
+   services, in the Prometheus text format.  Routes without a request since
+   their weights changed are left out.  */
+void proxy_append_split_metrics (const proxy_t *proxy, GString *text);
+
 /* Makes the proxy refuse all requests that arrive from now on.  */
 void proxy_refuse_new (proxy_t *proxy);
 
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -99,6 +99,9 @@
 static int
 choose_part (proxy_t *proxy, const route_t *route, route_state_t *state)
 {
+  bool starts_anew;
+  int part;
+
   if (route->n_parts <= 1)
     return 0;
   /* Random initial values keep the instances from all sending their first
@@ -106,8 +109,11 @@
   for (int i = 0; i < route->n_parts && !state->is_split_seeded; i++)
     state->split.current_weight[i]
         = decide_rng_below (&proxy->rng, route->parts[i].weight + 1);
+  starts_anew = !state->is_split_seeded;
   state->is_split_seeded = true;
-  return route_split_next (&state->split, route);
+  part = route_split_next (&state->split, route);
+  state->split.starts += starts_anew ? 1 : 0;
+  return part;
 }
 
 /* Sets the time until which the client waits, the target and the response
