Keep the weights of a split route from the first request on

Cause: choose_part() gave the weighted round-robin of a route new initial values, one at random up to its weight for each service, at each start and whenever any version of the configuration arrived. These values are not a random position of the round-robin's cycle: the first request afterwards goes to the heavier service nearly always. With 104 instances and one request of a route at each between two versions, nearly all requests are first ones.

Change: the state carries the weights to which it belongs. A version that leaves them as they are leaves the state; other weights start the round-robin at a random position of its cycle, so that each request has the probability that its weight says.

--- a/lib/balance/routes.c
+++ b/lib/balance/routes.c
@@ -2,8 +2,16 @@
 
 #include <string.h>
 
+/* Largest number of positions among which the start of a round-robin is
+   selected.  In so many requests, the share of a part is off its weight by
+   less than 1 / SPLIT_POSITIONS_MAX, so that a longer cycle needs no more.  */
+#define SPLIT_POSITIONS_MAX 4096
+
 static gint compare_prefix (gconstpointer a, gconstpointer b);
-static void reset_counts (route_split_t *split, const route_t *route);
+static int advance (route_split_t *split);
+static uint64_t greatest_common_divisor (uint64_t a, uint64_t b);
+static void start (route_split_t *split, const route_t *route,
+                   decide_rng_t *rng);
 
 routes_t *
 routes_new (uint64_t version)
@@ -143,33 +151,69 @@
   return false;
 }
 
-/* Begins to count the requests for the present weights.  */
-static void
-reset_counts (route_split_t *split, const route_t *route)
-{
-  memset (split->weights, 0, sizeof split->weights);
-  memset (split->requests, 0, sizeof split->requests);
-  for (int i = 0; i < route->n_parts; i++)
-    split->weights[i] = route->parts[i].weight;
-  split->starts = 0;
-}
-
-int
-route_split_next (route_split_t *split, const route_t *route)
+/* Returns the index of the part that gets the next request.  */
+static int
+advance (route_split_t *split)
 {
   int64_t total = 0;
   int best = 0;
 
-  if (route_split_has_changed (split, route))
-    reset_counts (split, route);
-  for (int i = 0; i < route->n_parts; i++)
+  for (int i = 0; i < ROUTE_PARTS_MAX; i++)
     {
-      split->current_weight[i] += route->parts[i].weight;
-      total += route->parts[i].weight;
+      split->current_weight[i] += split->weights[i];
+      total += split->weights[i];
       if (split->current_weight[i] > split->current_weight[best])
         best = i;
     }
   split->current_weight[best] -= total;
-  split->requests[best]++;
   return best;
 }
+
+static uint64_t
+greatest_common_divisor (uint64_t a, uint64_t b)
+{
+  while (b != 0)
+    {
+      uint64_t rest = a % b;
+
+      a = b;
+      b = rest;
+    }
+  return a;
+}
+
+/* Starts at a random position of the cycle for the present weights.  */
+static void
+start (route_split_t *split, const route_t *route, decide_rng_t *rng)
+{
+  uint64_t total = 0;
+  uint64_t divisor = 0;
+  uint32_t position;
+
+  *split = (route_split_t){ .starts = 1 };
+  for (int i = 0; i < route->n_parts; i++)
+    {
+      split->weights[i] = route->parts[i].weight;
+      total += split->weights[i];
+      divisor = greatest_common_divisor (divisor, split->weights[i]);
+    }
+  if (total == 0)
+    return;
+  position = decide_rng_below (
+      rng, (uint32_t)MIN (total / divisor, SPLIT_POSITIONS_MAX));
+  while (position-- > 0)
+    (void)advance (split);
+}
+
+int
+route_split_next (route_split_t *split, const route_t *route,
+                  decide_rng_t *rng)
+{
+  int part;
+
+  if (route_split_has_changed (split, route))
+    start (split, route, rng);
+  part = advance (split);
+  split->requests[part]++;
+  return part;
+}
--- a/lib/balance/routes.h
+++ b/lib/balance/routes.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "decide.h"
 
 /* Largest number of services among which a route's requests are divided.  */
 #define ROUTE_PARTS_MAX 8
@@ -107,29 +108,38 @@
 
 /* ---- Distribution of a route's requests among its services ---- */
 
-/* State of smooth weighted round-robin.  After any number of requests, the
-   number that each service got differs from its exact share by less than one
-   request.  */
+/* State of smooth weighted round-robin.  The number of requests that each
+   service got since any time differs from its exact share by less than three
+   requests.  The state must be all zero at first.  */
 typedef struct route_split
 {
+  uint32_t weights[ROUTE_PARTS_MAX];       /* weights of the parts to which the
+                                              state belongs */
   int64_t current_weight[ROUTE_PARTS_MAX]; /* current weight of each part; the
                                               part with the highest one gets
                                               the next request */
-  /* Since the weights of the parts last changed: the weights, how many
-     requests each part got, and how often @current_weight was set anew.  */
-  uint32_t weights[ROUTE_PARTS_MAX];
+  /* Since the weights of the parts last changed: number of requests that each
+     part got, and number of times that the round-robin was started.  */
   uint64_t requests[ROUTE_PARTS_MAX];
   uint64_t starts;
 } route_split_t;
 
 /**
  * route_split_next() - select the service for the next request of a route
+ *
+ * When the weights of the route's parts have changed, the round-robin starts
+ * at a random position of its cycle.  Each request therefore goes to a service
+ * with the probability that its weight says, also the first one of an
+ * instance: many instances that each get few requests keep the weights
+ * together.
+ *
  * Return: index into @route's parts.
  */
-int route_split_next (route_split_t *split, const route_t *route);
+int route_split_next (route_split_t *split, const route_t *route,
+                      decide_rng_t *rng);
 
-/* Whether the weights of the route's parts differ from those for which @split
-   counts requests.  */
+/* Whether the weights of the route's parts differ from those to which the
+   state belongs.  */
 bool route_split_has_changed (const route_split_t *split,
                               const route_t *route);
 
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -124,14 +124,9 @@
   for (guint i = 0; i < routes->routes->len; i++)
     {
       const route_t *route = g_ptr_array_index (routes->routes, i);
-      route_state_t *state
-          = g_hash_table_lookup (proxy->route_states, route->name);
 
       proxy->least_urgent_priority
           = MAX (proxy->least_urgent_priority, route->priority);
-      /* The weights of the route's services may have changed.  */
-      if (state != NULL)
-        state->is_split_seeded = false;
     }
   if (!proxy->is_holding)
     request_route_all_unrouted (proxy);
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -58,7 +58,6 @@
 typedef struct route_state
 {
   route_split_t split;
-  bool is_split_seeded; /* @split has been given its random initial values */
   service_time_t service_time; /* service time of the route's requests */
   caller_age_t caller_age; /* recognises clients' retries by their timeouts */
 } route_state_t;
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -36,8 +36,6 @@
                             int events);
 static const route_t *find_route (proxy_t *proxy, const exchange_t *exchange);
 static route_state_t *get_route_state (proxy_t *proxy, const route_t *route);
-static int choose_part (proxy_t *proxy, const route_t *route,
-                        route_state_t *state);
 static void set_deadlines (request_t *request, const route_t *route);
 static void build_http_request (request_t *request, const uplink_t *uplink,
                                 GByteArray *out);
@@ -94,28 +92,6 @@
   return state;
 }
 
-/* Selects the service for the route's next request by the weights of the
-   route's services.  Return: index into @parts of the route.  */
-static int
-choose_part (proxy_t *proxy, const route_t *route, route_state_t *state)
-{
-  bool starts_anew;
-  int part;
-
-  if (route->n_parts <= 1)
-    return 0;
-  /* Random initial values keep the instances from all sending their first
-     requests to the same service.  */
-  for (int i = 0; i < route->n_parts && !state->is_split_seeded; i++)
-    state->split.current_weight[i]
-        = decide_rng_below (&proxy->rng, route->parts[i].weight + 1);
-  starts_anew = !state->is_split_seeded;
-  state->is_split_seeded = true;
-  part = route_split_next (&state->split, route);
-  state->split.starts += starts_anew ? 1 : 0;
-  return part;
-}
-
 /* Sets the time until which the client waits, the target and the response
    deadline of a request.  */
 static void
@@ -212,6 +188,7 @@
   proxy_t *proxy = request->proxy;
   exchange_t *exchange = request->exchange;
   const route_t *route = find_route (proxy, exchange);
+  int part = 0;
 
   if (route == NULL)
     {
@@ -224,9 +201,10 @@
   request->bulk = route->bulk;
   request->endpoints_max = CLAMP (route->endpoints_max, 1, ATTEMPTS_MAX);
   request->route_state = get_route_state (proxy, route);
-  request->service = backends_ensure_service (
-      proxy->backends,
-      route->parts[choose_part (proxy, route, request->route_state)].service);
+  if (route->n_parts > 1)
+    part = route_split_next (&request->route_state->split, route, &proxy->rng);
+  request->service
+      = backends_ensure_service (proxy->backends, route->parts[part].service);
   request->admission.urgent = route->priority < proxy->least_urgent_priority;
   set_deadlines (request, route);
   request->admission.service_time_ms = estimate_service_time (
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -535,6 +535,8 @@
     outcomes: number of requests by kind and status; "cut" instead of a status
       stands for a broken connection, "none" for no response in time.
     faults: one line for each failed check.
+    services: services that may execute a request, by the first part of its
+      path; those of other paths belong to "slots".
     """
 
     def __init__(self, program, folder):
@@ -555,6 +557,7 @@
         self.faults = []
         self.next_id = 0
         self.version = 0
+        self.services = {"file": ("files",)}
 
     async def start(self, instances=3, zones=("a", "b"), endpoints=None,
                     prepare=None):
@@ -635,8 +638,8 @@
                 and now > endpoint.drained_at + DRAIN_S):
             self.report_fault(f"executed after the drain period: {request_id} "
                               f"at {endpoint.name}")
-        expected_service = "files" if target.startswith("/file/") else "slots"
-        if endpoint.service != expected_service:
+        expected_services = self.services.get(target.split("/")[1], ("slots",))
+        if endpoint.service not in expected_services:
             self.report_fault(f"sent to the wrong service: {request_id} "
                               f"at {endpoint.service}")
 
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -45,35 +45,120 @@
   routes_free (routes);
 }
 
+/* Returns a route with these weights, to be freed with route_free().  */
+static route_t *
+new_split_route (const uint32_t *weights, int count)
+{
+  route_t *route = new_route ("split", "/");
+
+  g_free (route->parts[0].service);
+  route->n_parts = count;
+  for (int i = 0; i < count; i++)
+    {
+      route->parts[i].service = g_strdup_printf ("s%d", i);
+      route->parts[i].weight = weights[i];
+    }
+  return route;
+}
+
 /* Guards against a service that, for a long time, gets less than its share of
    a route's requests.  */
 static void
 split_keeps_weights (void)
 {
-  route_t *route = new_route ("split", "/");
+  const uint32_t weights[3] = { 70, 25, 5 };
+  const int64_t cycle_start[ROUTE_PARTS_MAX] = { 0 };
+  route_t *route = new_split_route (weights, 3);
   route_split_t split = { 0 };
   int counts[3] = { 0 };
-  const uint32_t weights[3] = { 70, 25, 5 };
+  decide_rng_t rng;
 
-  route->n_parts = 3;
-  for (int i = 0; i < 3; i++)
-    {
-      g_free (route->parts[i].service);
-      route->parts[i].service = g_strdup_printf ("s%d", i);
-      route->parts[i].weight = weights[i];
-    }
+  decide_rng_seed (&rng, 1);
+  do
+    (void)route_split_next (&split, route, &rng);
+  while (memcmp (split.current_weight, cycle_start, sizeof cycle_start) != 0);
   for (int n = 1; n <= 1000; n++)
     {
-      counts[route_split_next (&split, route)]++;
+      counts[route_split_next (&split, route, &rng)]++;
       for (int i = 0; i < 3; i++)
         g_assert_cmpint (ABS (counts[i] * 100 - n * (int)weights[i]), <=, 100);
     }
-  for (int i = 0; i < 3; i++)
-    g_free (route->parts[i].service);
-  g_free (route->name);
-  g_free (route->host);
-  g_free (route->prefix);
-  g_free (route);
+  route_free (route);
+}
+
+/* Guards against shares that are off the weights although each instance keeps
+   them in the long run, because every instance sends its first requests to the
+   heavier service: after a start, and after a change of the weights.  */
+static void
+split_keeps_weights_from_first_request (void)
+{
+  enum
+  {
+    INSTANCES = 4000,
+    REQUESTS = 5
+  };
+  static const uint32_t cases[][3] = {
+    { 90, 10, 0 }, { 75, 25, 0 }, { 60, 40, 0 },    { 70, 25, 5 },
+    { 1, 1, 1 },   { 1, 0, 0 },   { 997, 1999, 0 }, { 2147483647, 3, 7 }
+  };
+  decide_rng_t rng;
+
+  decide_rng_seed (&rng, 2);
+  for (gsize c = 0; c < G_N_ELEMENTS (cases); c++)
+    {
+      const uint32_t reversed[3] = { cases[c][2], cases[c][1], cases[c][0] };
+      route_t *before = new_split_route (reversed, 3);
+      route_t *route = new_split_route (cases[c], 3);
+      double total = (double)cases[c][0] + cases[c][1] + cases[c][2];
+      int counts[2][REQUESTS][3] = { 0 };
+
+      for (int i = 0; i < INSTANCES; i++)
+        {
+          route_split_t split = { 0 };
+          bool had_other_weights = i % 2 == 1;
+
+          for (int n = 0; had_other_weights && n < 3; n++)
+            (void)route_split_next (&split, before, &rng);
+          for (int n = 0; n < REQUESTS; n++)
+            counts[had_other_weights][n]
+                  [route_split_next (&split, route, &rng)]++;
+        }
+      for (int k = 0; k < 2; k++)
+        for (int n = 0; n < REQUESTS; n++)
+          for (int i = 0; i < 3; i++)
+            /* Four standard deviations of the share among 2,000 draws with
+               the probability 0.5 are 0.045.  */
+            g_assert_cmpfloat_with_epsilon (counts[k][n][i] * 2.0 / INSTANCES,
+                                            cases[c][i] / total, 0.045);
+      route_free (before);
+      route_free (route);
+    }
+}
+
+/* Guards against a version that leaves the weights of a route as they are and
+   starts the division of its requests anew.  */
+static void
+split_continues_across_versions (void)
+{
+  const uint32_t weights[2] = { 75, 25 };
+  route_split_t split = { 0 };
+  int counts[2] = { 0 };
+  decide_rng_t rng;
+
+  decide_rng_seed (&rng, 3);
+  for (int version = 1; version <= 400; version++)
+    {
+      route_t *route = new_split_route (weights, 2);
+
+      route->timeout = version;
+      counts[route_split_next (&split, route, &rng)]++;
+      for (int i = 0; i < 2; i++)
+        g_assert_cmpint (ABS (counts[i] * 100 - version * (int)weights[i]), <,
+                         200);
+      route_free (route);
+    }
+  g_assert_cmpuint (split.starts, ==, 1);
+  g_assert_cmpuint (split.requests[0], ==, (guint64)counts[0]);
 }
 
 /* Guards against a retry storm: in any window, the retries of all instances
@@ -555,6 +640,10 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/balance/longest_prefix_wins", longest_prefix_wins);
   g_test_add_func ("/balance/split_keeps_weights", split_keeps_weights);
+  g_test_add_func ("/balance/split_keeps_weights_from_first_request",
+                   split_keeps_weights_from_first_request);
+  g_test_add_func ("/balance/split_continues_across_versions",
+                   split_continues_across_versions);
   g_test_add_func ("/balance/repeats_stay_within_budget",
                    retries_stay_within_budget);
   g_test_add_data_func ("/balance/cold_endpoint_is_spared/1",
