Read the limits that endpoints state

Server-Limit was read nowhere, and neither logs nor metrics showed which endpoints state a limit or how many requests they get. Both do now: a log line when a limit begins, changes, is malformed or ends, a gauge of the endpoints with one, and a counter of the requests sent to them. Nothing keeps the limit yet; the part of rate_limit.c that issues permits is not called.

--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -13,6 +13,7 @@
 
 #include "clock.h"
 #include "decide.h"
+#include "rate_limit.h"
 
 /* Handle of an endpoint in the table.  The generation changes when the table
    entry is reused, so that a stale handle does not resolve to another
@@ -97,6 +98,7 @@
   int cold_rank; /* number of instances that precede this one in the order that
                     decides which instances may send it requests while it is
                     cold */
+  rate_limit_t rate_limit;    /* limit that the endpoint has stated */
   uint32_t rendezvous_weight; /* weight of the endpoint for this instance in
                                  rendezvous hashing */
 } backend_t;
@@ -217,6 +219,13 @@
 void backends_set_instances (backends_t *backends, const char *const *names,
                              int count);
 
+/* Returns the number of instances that was set last, at least 1.  */
+int backends_instance_count (const backends_t *backends);
+
+/* Returns the weight of an instance for an endpoint in rendezvous hashing.  */
+uint32_t backends_rendezvous_weight (const char *instance,
+                                     const char *endpoint);
+
 /**
  * backends_can_send_to_cold() - whether this instance may send a request to a
  * cold endpoint
--- a/lib/balance/backends_private.h
+++ b/lib/balance/backends_private.h
@@ -8,10 +8,6 @@
    smallest configured limit of a cold endpoint.  */
 #define COLD_SENDERS_MAX 12
 
-/* Weight of an instance for an endpoint in rendezvous hashing.  */
-uint32_t backends_rendezvous_weight (const char *instance,
-                                     const char *endpoint);
-
 struct backends
 {
   GPtrArray *table;    /* backend_t *, indexed by the index in a handle; unused
@@ -24,6 +20,7 @@
   char *own_name;               /* name of this instance */
   char **instances; /* names of the known instances, NULL-terminated; NULL: not
                        set */
+  int instance_count;         /* number of @instances */
   uint32_t instances_version; /* number of times that @instances was set; 0:
                                  not set yet */
 };
--- a/lib/balance/cold.c
+++ b/lib/balance/cold.c
@@ -33,10 +33,17 @@
   backends->instances_version++;
   g_strfreev (backends->instances);
   backends->instances = g_new0 (char *, (gsize)count + 1);
+  backends->instance_count = count;
   for (int i = 0; i < count; i++)
     backends->instances[i] = g_strdup (names[i]);
 }
 
+int
+backends_instance_count (const backends_t *backends)
+{
+  return MAX (backends->instance_count, 1);
+}
+
 uint32_t
 backends_rendezvous_weight (const char *instance, const char *endpoint)
 {
--- a/lib/proxy/decision_log.c
+++ b/lib/proxy/decision_log.c
@@ -94,3 +94,19 @@
       "CALLER_AGE_MS", caller_age_text, "DETAIL", detail != NULL ? detail : "",
       "TRAIL", request->trail->str, "MESSAGE", "%s", outcome);
 }
+
+void
+limit_log_write (proxy_t *proxy, const backend_t *backend,
+                 rate_limit_source_t source, const char *event)
+{
+  char per_s[G_ASCII_DTOSTR_BUF_SIZE];
+
+  if (!reserve_log_line (proxy, G_LOG_LEVEL_INFO))
+    return;
+  g_log_structured ("proxy", G_LOG_LEVEL_INFO, "ENDPOINT", backend->entry.id,
+                    "SERVICE", backend->entry.service, "LIMIT_PER_S",
+                    g_ascii_formatd (per_s, sizeof per_s, "%g",
+                                     backend->rate_limit.statement.per_s),
+                    "SOURCE", source == RATE_LIMIT_PROBE ? "probe" : "request",
+                    "MESSAGE", "%s", event);
+}
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -16,6 +16,7 @@
 static void on_output_drained (void *context, exchange_t *exchange);
 static void on_housekeeping (struct ev_loop *loop, ev_timer *watcher,
                              int events);
+static void count_limited_endpoints (const proxy_t *proxy);
 static void on_prepare (struct ev_loop *loop, ev_prepare *watcher, int events);
 
 proxy_t *
@@ -176,6 +177,18 @@
   pools_close_expired (proxy, clock_now ());
 }
 
+static void
+count_limited_endpoints (const proxy_t *proxy)
+{
+  uint32_t position = 0;
+  int64_t count = 0;
+
+  for (const backend_t *backend = backends_next (proxy->backends, &position);
+       backend != NULL; backend = backends_next (proxy->backends, &position))
+    count += backend->rate_limit.statement.is_limited ? 1 : 0;
+  telemetry_gauge_set (TELEMETRY_LIMITED_ENDPOINTS, count);
+}
+
 static void
 on_housekeeping (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -184,6 +197,7 @@
   (void)loop;
   (void)events;
   pools_close_expired (proxy, clock_now ());
+  count_limited_endpoints (proxy);
   proxy->log_lines_left
       = MIN (proxy->log_lines_left
                  + proxy->settings.log_lines_per_s / HOUSEKEEPING_PER_S + 1,
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -138,7 +138,10 @@
   bool endpoint_matches; /* that endpoint ID is the ID of @backend */
   bool has_load;         /* the response stated @load */
   backend_load_t load;   /* load of the endpoint, as the response states it */
-  clock_ms_t cold_left_ms;  /* remaining warm-up time of the endpoint, in ms */
+  clock_ms_t cold_left_ms; /* remaining warm-up time of the endpoint, in ms */
+  rate_limit_statement_t rate_limit; /* limit that the response states */
+  bool is_limit_malformed;  /* the value of the field with the limit could not
+                               be parsed */
   int64_t retry_after;      /* set to -1 when a response begins; never read */
   clock_ms_t keep_alive_ms; /* idle timeout that the endpoint states for the
                                connection, in ms; 0: not stated */
@@ -408,5 +411,8 @@
 void decision_log_write (request_t *request, GLogLevelFlags level,
                          const char *outcome, const backend_t *backend,
                          const char *detail);
+/* Logs what an endpoint states about its limit.  */
+void limit_log_write (proxy_t *proxy, const backend_t *backend,
+                      rate_limit_source_t source, const char *event);
 
 #endif
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -350,6 +350,8 @@
       request->admission.service_time_ms, &backend->load,
       backend_is_cold (backend, now));
   backend->in_flight++;
+  if (backend->rate_limit.statement.is_limited)
+    telemetry_counter_increment (TELEMETRY_LIMITED_SENT, 0);
   decision_log_write (request, G_LOG_LEVEL_DEBUG, "sent", backend, NULL);
   /* The request counts as load until the endpoint reports its load again.  */
   backend->load.running++;
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -22,6 +22,7 @@
 static void finish_field (uplink_t *uplink);
 static void parse_field (uplink_t *uplink, const char *name,
                          const char *value);
+static void record_rate_limit (uplink_t *uplink, rate_limit_source_t source);
 static void parse_keep_alive (uplink_t *uplink, const char *value);
 
 const http_parser_settings uplink_parser_settings = {
@@ -76,6 +77,8 @@
   uplink->has_endpoint_id = false;
   uplink->endpoint_matches = false;
   uplink->has_load = false;
+  uplink->rate_limit = (rate_limit_statement_t){ 0 };
+  uplink->is_limit_malformed = false;
   uplink->retry_after = -1;
   return 0;
 }
@@ -157,6 +160,9 @@
     uplink->has_load = fields_parse_load (value, &uplink->load) == 0;
   else if (g_ascii_strcasecmp (name, names->cold_left) == 0)
     uplink->cold_left_ms = (clock_ms_t)g_ascii_strtod (value, NULL);
+  else if (g_ascii_strcasecmp (name, names->rate_limit) == 0)
+    uplink->is_limit_malformed
+        = rate_limit_parse (value, &uplink->rate_limit) != 0;
   else if (g_ascii_strcasecmp (name, "Keep-Alive") == 0)
     parse_keep_alive (uplink, value);
 }
@@ -173,6 +179,31 @@
   uplink->keep_alive_ms = (clock_ms_t)MIN (seconds, 3600U) * 1000;
 }
 
+/* Records the limit that the endpoint states in the head of a response.  An
+   interim or failed response without a limit says nothing: what answers in a
+   failure may not know of the limit.  */
+static void
+record_rate_limit (uplink_t *uplink, rate_limit_source_t source)
+{
+  proxy_t *proxy = uplink->proxy;
+  backend_t *backend = backends_get (proxy->backends, uplink->backend);
+  int status = uplink->response.status;
+
+  if (backend == NULL || status == 421
+      || (!uplink->rate_limit.is_limited && !uplink->is_limit_malformed
+          && (status < 200 || status >= 300)))
+    return;
+  if (uplink->is_limit_malformed)
+    limit_log_write (proxy, backend, source,
+                     "endpoint states a malformed limit");
+  else if (rate_limit_state (&backend->rate_limit, source, &uplink->rate_limit,
+                             clock_now ()))
+    limit_log_write (proxy, backend, source,
+                     uplink->rate_limit.is_limited
+                         ? "endpoint states a limit"
+                         : "endpoint states no limit any more");
+}
+
 static int
 on_response_headers (http_parser *parser)
 {
@@ -190,11 +221,15 @@
          late response to an earlier request.  */
       if (uplink->has_request_id)
         return -1;
+      if (uplink->endpoint_matches)
+        record_rate_limit (uplink, RATE_LIMIT_PROBE);
       return 0;
     }
   if (request == NULL)
     return -1;
   uplink->is_foreign = uplink->has_request_id && !uplink->request_id_matches;
+  if (uplink->request_id_matches)
+    record_rate_limit (uplink, RATE_LIMIT_REQUEST);
   /* If the length of the body is known, its buffer is allocated at once.  */
   if (parser->content_length != ULLONG_MAX
       && parser->content_length <= RESPONSE_BUFFER_MAX_BYTES)
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -178,6 +178,9 @@
   [TELEMETRY_PROBES_WITHHELD]
   = { "peridot_probes_withheld_total",
       "Probes left out because the allowed rate was used up.", NULL, NULL },
+  [TELEMETRY_LIMITED_SENT]
+  = { "peridot_limited_sent_total",
+      "Requests sent to endpoints that have stated a limit.", NULL, NULL },
 };
 
 static const metric_family_t gauges[TELEMETRY_GAUGE_COUNT] = {
@@ -212,6 +215,9 @@
   [TELEMETRY_RESIDENT_BYTES]
   = { "peridot_resident_bytes", "Resident memory of the process.", NULL,
       NULL },
+  [TELEMETRY_LIMITED_ENDPOINTS]
+  = { "peridot_limited_endpoints", "Endpoints that have stated a limit.", NULL,
+      NULL },
 };
 
 static const metric_family_t histograms[TELEMETRY_HISTOGRAM_COUNT] = {
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -116,7 +116,9 @@
                          request (see caller_age_update()) */
   TELEMETRY_PROBES_WITHHELD, /* none: probes not sent because of the rate
                                 limit */
-  TELEMETRY_COUNTER_COUNT    /* number of families */
+  TELEMETRY_LIMITED_SENT, /* none: requests sent to endpoints that have stated
+                             a limit */
+  TELEMETRY_COUNTER_COUNT /* number of families */
 } telemetry_counter_t;
 
 /* How a request to the load balancer ended.  */
@@ -167,7 +169,8 @@
   TELEMETRY_CONTROL_CPU_US, /* CPU time in microseconds that the control
                                threads have used */
   TELEMETRY_RESIDENT_BYTES, /* resident memory of the process in bytes */
-  TELEMETRY_GAUGE_COUNT     /* number of gauges */
+  TELEMETRY_LIMITED_ENDPOINTS, /* endpoints that have stated a limit */
+  TELEMETRY_GAUGE_COUNT        /* number of gauges */
 } telemetry_gauge_t;
 
 /* Histograms of durations in microseconds.  */
