--- a/lib/balance/admission.c
+++ b/lib/balance/admission.c
@@ -26,6 +26,8 @@
    that to reach another instance.  */
 #define RETRY_AFTER_MIN_MS 20
 
+static double wait_max_ms (const admission_request_t *request);
+
 bool
 admission_can_meet_target (const admission_request_t *request, clock_ms_t now)
 {
@@ -41,6 +43,25 @@
          < request->service_time_ms * TIME_LEFT_MIN_FACTOR;
 }
 
+/* Returns the longest time in ms that the request may wait for an endpoint,
+   from the time at which it began to wait.  */
+static double
+wait_max_ms (const admission_request_t *request)
+{
+  return (double)request->target
+         * (request->urgent ? WAIT_MAX_FACTOR_URGENT : WAIT_MAX_FACTOR);
+}
+
+clock_ms_t
+admission_patience_ms (const admission_request_t *request, clock_ms_t now)
+{
+  double left = wait_max_ms (request) - (double)(now - request->waiting_since);
+  double feasible = (double)(request->response_deadline - now)
+                    - request->service_time_ms * TIME_LEFT_MIN_FACTOR;
+
+  return (clock_ms_t)MAX (MIN (left, feasible), 0);
+}
+
 admission_decision_t
 admission_decide (const admission_request_t *request,
                   const backend_load_t *load, double expected_response_ms,
@@ -49,9 +70,7 @@
   double elapsed = (double)(now - request->first_requested_at);
   double waiting_time = (double)(now - request->waiting_since);
   double time_left = (double)(request->response_deadline - now);
-  double waiting_time_max
-      = (double)request->target
-        * (request->urgent ? WAIT_MAX_FACTOR_URGENT : WAIT_MAX_FACTOR);
+  double waiting_time_max = wait_max_ms (request);
   bool has_free_slot;
 
   if (admission_is_infeasible (request, now))
--- a/lib/balance/admission.h
+++ b/lib/balance/admission.h
@@ -49,6 +49,11 @@
 bool admission_is_infeasible (const admission_request_t *request,
                               clock_ms_t now);
 
+/* Returns the longest time in ms from now that the request may wait for an
+   endpoint, as far as admission_decide() lets it; at least 0.  */
+clock_ms_t admission_patience_ms (const admission_request_t *request,
+                                  clock_ms_t now);
+
 /* Whether the client could have the response within the target response time
    if an idle endpoint got the request now.  */
 bool admission_can_meet_target (const admission_request_t *request,
--- a/lib/balance/assign.h
+++ b/lib/balance/assign.h
@@ -21,6 +21,8 @@
                          endpoint for the request among those that were not
                          assigned to requests of higher precedence; -1:
                          none */
+  bool is_limited;    /* always false; set later if the limits of the endpoints
+                         refuse the request */
 } assign_request_t;
 
 /**
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -22,6 +22,21 @@
    instance uses for one service.  */
 #define REMOTE_SUBSET_MAX 12
 
+/* Largest number of endpoints for which this instance has a permit among those
+   that are probed together.  */
+#define PERMITTED_MAX 2
+/* Age of what is known of an endpoint's limit from which endpoints are probed
+   to learn whether they still state it.  */
+#define LIMIT_CHECK_AFTER_MS 1000
+/* An endpoint is probed for that in one of so many rounds, times the number of
+   instances, so that the checks are a small part of all probes.  */
+#define LIMIT_CHECK_ODDS 3U
+
+static bool is_usable (backends_t *backends, backend_t *backend,
+                       clock_ms_t now);
+static bool is_limit_due (const backends_t *backends, const backend_t *backend,
+                          decide_rng_t *rng, clock_ms_t now);
+static void add_permit (choose_limits_t *limits, clock_ms_t from);
 static void keep_subset (backends_t *backends, GArray *handles, guint count);
 static gint compare_rendezvous_weight (gconstpointer a, gconstpointer b,
                                        gpointer data);
@@ -76,8 +91,10 @@
     }
 }
 
-bool
-choose_is_eligible (backends_t *backends, backend_t *backend, clock_ms_t now)
+/* Whether a request may be sent to an endpoint now if the limit that it has
+   stated allows one.  */
+static bool
+is_usable (backends_t *backends, backend_t *backend, clock_ms_t now)
 {
   if (backend->entry.draining
       || backends_is_data_centre_out (backends, backend->entry.data_centre))
@@ -86,6 +103,112 @@
          || backends_can_send_to_cold (backends, backend, now);
 }
 
+/* Whether to probe an endpoint only to learn whether it still states its
+   limit.  All instances together do that a few times a second for each
+   endpoint whose limit they have not heard of lately.  */
+static bool
+is_limit_due (const backends_t *backends, const backend_t *backend,
+              decide_rng_t *rng, clock_ms_t now)
+{
+  const rate_limit_t *limit = &backend->rate_limit;
+
+  return limit->statement.is_limited
+         && (limit->sources & RATE_LIMIT_PROBE) != 0
+         && now - limit->stated_at >= LIMIT_CHECK_AFTER_MS
+         && decide_rng_below (rng, (uint32_t)backends_instance_count (backends)
+                                       * LIMIT_CHECK_ODDS)
+                == 0;
+}
+
+bool
+choose_is_eligible (backends_t *backends, backend_t *backend, clock_ms_t now)
+{
+  return rate_limit_allows (&backend->rate_limit,
+                            backends_instance_count (backends), now)
+         && is_usable (backends, backend, now);
+}
+
+int
+choose_permits (backends_t *backends, const choose_criteria_t *criteria,
+                decide_rng_t *rng, clock_ms_t now,
+                backend_handle_t chosen[CHOOSE_ENDPOINTS_MAX])
+{
+  GArray *handles = g_array_new (FALSE, FALSE, sizeof (backend_handle_t));
+  int instances = backends_instance_count (backends);
+  uint32_t position = 0;
+  int n_chosen;
+
+  for (backend_t *backend = backends_next (backends, &position);
+       backend != NULL; backend = backends_next (backends, &position))
+    {
+      backend_handle_t handle = backends_get_handle (backends, backend);
+
+      if (backend->service == criteria->service
+          && now >= backend->backoff_until
+          && rate_limit_should_ask (&backend->rate_limit, instances, now)
+          && is_usable (backends, backend, now))
+        g_array_append_val (handles, handle);
+    }
+  if (!criteria->skip_subsetting)
+    keep_subset (backends, handles, LOCAL_SUBSET_MAX + REMOTE_SUBSET_MAX);
+  shuffle ((backend_handle_t *)(void *)handles->data, (int)handles->len, rng);
+  n_chosen
+      = MIN (MIN (criteria->count, CHOOSE_ENDPOINTS_MAX), (int)handles->len);
+  for (int i = 0; i < n_chosen; i++)
+    chosen[i] = g_array_index (handles, backend_handle_t, i);
+  g_array_free (handles, TRUE);
+  return n_chosen;
+}
+
+/* Adds a permit to those that choose_get_limits() returns.  If there are too
+   many, the latest is left out.  */
+static void
+add_permit (choose_limits_t *limits, clock_ms_t from)
+{
+  int i = MIN (limits->n_permits, CHOOSE_ENDPOINTS_MAX - 1);
+
+  if (limits->n_permits == CHOOSE_ENDPOINTS_MAX
+      && from >= limits->permit_from[i])
+    return;
+  for (; i > 0 && limits->permit_from[i - 1] > from; i--)
+    limits->permit_from[i] = limits->permit_from[i - 1];
+  limits->permit_from[i] = from;
+  limits->n_permits = MIN (limits->n_permits + 1, CHOOSE_ENDPOINTS_MAX);
+}
+
+choose_limits_t
+choose_get_limits (backends_t *backends, service_index_t service,
+                   clock_ms_t now)
+{
+  choose_limits_t limits = { .next_at = INT64_MAX };
+  int instances = backends_instance_count (backends);
+  uint32_t position = 0;
+
+  for (backend_t *backend = backends_next (backends, &position);
+       backend != NULL; backend = backends_next (backends, &position))
+    {
+      const rate_limit_t *limit = &backend->rate_limit;
+
+      if (backend->service != service || !is_usable (backends, backend, now))
+        continue;
+      if (!rate_limit_needs_permit (limit, instances))
+        {
+          limits.n_unlimited++;
+          continue;
+        }
+      limits.n_limited++;
+      if (now < limit->permit_until)
+        add_permit (&limits, limit->permit_from);
+      else if (rate_limit_should_ask (limit, instances, now))
+        limits.n_unknown++;
+      else if (limit->asked_at != 0)
+        limits.n_asked++;
+      else
+        limits.next_at = MIN (limits.next_at, limit->ask_again_at);
+    }
+  return limits;
+}
+
 int
 choose_candidates (backends_t *backends, const choose_criteria_t *criteria,
                    decide_rng_t *rng, clock_ms_t now,
@@ -94,10 +217,13 @@
   GArray *local = g_array_new (FALSE, FALSE, sizeof (backend_handle_t));
   GArray *remote = g_array_new (FALSE, FALSE, sizeof (backend_handle_t));
   GArray *backed_off = g_array_new (FALSE, FALSE, sizeof (backend_handle_t));
+  GArray *permitted = g_array_new (FALSE, FALSE, sizeof (backend_handle_t));
+  int instances = backends_instance_count (backends);
   int count = MIN (criteria->count, CHOOSE_ENDPOINTS_MAX);
   uint32_t position = 0;
   int n_local;
   int n_remote;
+  int n_permitted;
   int n_chosen = 0;
 
   for (backend_t *backend = backends_next (backends, &position);
@@ -108,11 +234,16 @@
       if (backend->service != criteria->service
           || choose_is_listed (backends, backend, criteria->excluded,
                                criteria->n_excluded)
-          || !choose_is_eligible (backends, backend, now))
+          || (!choose_is_eligible (backends, backend, now)
+              && !(is_limit_due (backends, backend, rng, now)
+                   && is_usable (backends, backend, now))))
         continue;
       handle = backends_get_handle (backends, backend);
       if (now < backend->backoff_until)
         g_array_append_val (backed_off, handle);
+      else if (rate_limit_needs_permit (&backend->rate_limit, instances)
+               && rate_limit_allows (&backend->rate_limit, instances, now))
+        g_array_append_val (permitted, handle);
       else if (backend_is_local (backends, backend))
         g_array_append_val (local, handle);
       else
@@ -127,6 +258,13 @@
   shuffle ((backend_handle_t *)(void *)remote->data, (int)remote->len, rng);
   shuffle ((backend_handle_t *)(void *)backed_off->data, (int)backed_off->len,
            rng);
+  shuffle ((backend_handle_t *)(void *)permitted->data, (int)permitted->len,
+           rng);
+  /* A permit that is not used soon is lost, to all instances.  */
+  n_permitted = MIN (MIN (count, PERMITTED_MAX), (int)permitted->len);
+  for (int i = 0; i < n_permitted; i++)
+    chosen[n_chosen++] = g_array_index (permitted, backend_handle_t, i);
+  count -= n_permitted;
   n_remote = MIN (MIN (criteria->remote, count), (int)remote->len);
   n_local = MIN (count - n_remote, (int)local->len);
   n_remote = MIN (count - n_local, (int)remote->len);
@@ -140,6 +278,7 @@
   g_array_free (local, TRUE);
   g_array_free (remote, TRUE);
   g_array_free (backed_off, TRUE);
+  g_array_free (permitted, TRUE);
   return n_chosen;
 }
 
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -25,11 +25,13 @@
 
 /**
  * choose_candidates() - choose endpoints to probe
- * @chosen: out: endpoints in this instance's data centre, followed by those in
- *   other data centres, each group in random order
+ * @chosen: out: endpoints for which this instance has a permit, then those in
+ *   this instance's data centre, then those in other data centres, each group
+ *   in random order
  *
- * Only endpoints for which choose_is_eligible() is true are chosen.  Those in
- * backoff after a failed probe are chosen only if there are no others.
+ * Only endpoints for which choose_is_eligible() is true are chosen, and now
+ * and then one that has stated a limit, to learn whether it still does.  Those
+ * in backoff after a failed probe are chosen only if there are no others.
  *
  * Return: number of endpoints in @chosen.
  */
@@ -37,13 +39,42 @@
                        decide_rng_t *rng, clock_ms_t now,
                        backend_handle_t chosen[CHOOSE_ENDPOINTS_MAX]);
 
+/**
+ * choose_permits() - choose endpoints for which to ask for a permit
+ * @chosen: out: at most @criteria->count endpoints in random order, which
+ * could get a request if this instance had a permit
+ *
+ * Return: number of endpoints in @chosen.
+ */
+int choose_permits (backends_t *backends, const choose_criteria_t *criteria,
+                    decide_rng_t *rng, clock_ms_t now,
+                    backend_handle_t chosen[CHOOSE_ENDPOINTS_MAX]);
+
+/* What this instance knows of the limits that the endpoints of a service
+   state.  Endpoints that could not get a request in any case are left out.  */
+typedef struct choose_limits
+{
+  int n_unlimited; /* endpoints that need no permit */
+  int n_limited;   /* endpoints that need one */
+  int n_permits;   /* permits of this instance */
+  int n_asked;     /* requests for permits without a reply */
+  int n_unknown;   /* endpoints for which it may ask now */
+  /* Times from which the permits can be used, earliest first.  */
+  clock_ms_t permit_from[CHOOSE_ENDPOINTS_MAX];
+  clock_ms_t next_at; /* earliest time at which one of the others may have a
+                         permit; INT64_MAX: there is none */
+} choose_limits_t;
+
+choose_limits_t choose_get_limits (backends_t *backends,
+                                   service_index_t service, clock_ms_t now);
+
 /* Whether an endpoint is in a list.  */
 bool choose_is_listed (const backends_t *backends, const backend_t *backend,
                        const backend_handle_t *list, int count);
 
 /* Whether a request may be sent to an endpoint now: it is not draining, its
-   data centre is in service and, if it is cold, its rate limit allows a
-   request.  */
+   data centre is in service, and the limit that it has stated and, if it is
+   cold, its rate limit allow a request.  */
 bool choose_is_eligible (backends_t *backends, backend_t *backend,
                          clock_ms_t now);
 
--- a/lib/balance/rate_limit.c
+++ b/lib/balance/rate_limit.c
@@ -9,11 +9,16 @@
    requests, so that the end of the limit is noticed also if responses to
    probes do not state it.  */
 #define RATE_MIN_PER_S 0.1
+/* Number of permits that are saved up while no instance asks.  Without any,
+   the time between a permit that is due and the next request would be lost. */
+#define PERMITS_SAVED_MAX 1
 /* Length of a value that is longer than any number that makes sense.  */
 #define VALUE_MAX_BYTES 32
 
 static double rate (const rate_limit_t *limit);
 static clock_ms_t interval_ms (double per_s);
+static bool differs (const rate_limit_t *limit,
+                     const rate_limit_statement_t *statement);
 static void set_statement (rate_limit_t *limit,
                            const rate_limit_statement_t *statement,
                            bool is_own, clock_ms_t now);
@@ -31,6 +36,13 @@
   return (clock_ms_t)ceil (1000.0 / per_s);
 }
 
+static bool
+differs (const rate_limit_t *limit, const rate_limit_statement_t *statement)
+{
+  return statement->is_limited != limit->statement.is_limited
+         || statement->per_s != limit->statement.per_s;
+}
+
 /* Replaces the statement.  After a limit was not in force, its first permit is
    due after one interval: other instances have just sent requests freely.  */
 static void
@@ -44,7 +56,7 @@
   limit->is_own = is_own;
   if (!statement->is_limited)
     {
-      memset (limit->states, 0, sizeof limit->states);
+      limit->sources = 0;
       limit->permit_until = 0;
       limit->asked_at = 0;
       limit->ask_again_at = 0;
@@ -62,39 +74,36 @@
 rate_limit_state (rate_limit_t *limit, rate_limit_source_t source,
                   const rate_limit_statement_t *statement, clock_ms_t now)
 {
-  if (statement == NULL)
-    return false;
-  if (!statement->is_limited && limit->statement.is_limited
-      && !limit->states[source])
+  bool has_changed;
+
+  if (statement == NULL
+      || (!statement->is_limited && limit->statement.is_limited
+          && (limit->sources & source) == 0))
     return false;
+  has_changed = differs (limit, statement);
   limit->stated_at = now;
-  if (statement->is_limited != limit->statement.is_limited
-      || statement->per_s != limit->statement.per_s)
-    {
-      set_statement (limit, statement, true, now);
-      limit->states[source] = statement->is_limited;
-      return true;
-    }
-  limit->states[source] = statement->is_limited;
-  return false;
+  if (has_changed)
+    set_statement (limit, statement, true, now);
+  if (statement->is_limited)
+    limit->sources |= source;
+  return has_changed;
 }
 
 bool
 rate_limit_learn (rate_limit_t *limit, const rate_limit_statement_t *statement,
-                  clock_ms_t stated_at, clock_ms_t now)
+                  unsigned int sources, clock_ms_t stated_at, clock_ms_t now)
 {
+  bool has_changed;
+
   if (stated_at <= limit->stated_at)
     return false;
+  has_changed = differs (limit, statement);
   limit->stated_at = stated_at;
-  if (statement->is_limited == limit->statement.is_limited
-      && statement->per_s == limit->statement.per_s)
-    return false;
-  set_statement (limit, statement, false, now);
-  /* Which kind of response has stated it is not told, so either may end
-     it.  */
-  for (int i = 0; i < RATE_LIMIT_SOURCES; i++)
-    limit->states[i] = statement->is_limited;
-  return true;
+  if (has_changed)
+    set_statement (limit, statement, false, now);
+  if (statement->is_limited)
+    limit->sources |= sources;
+  return has_changed;
 }
 
 bool
@@ -174,11 +183,15 @@
 rate_limit_reply_t
 rate_limit_issue (rate_limit_t *limit, clock_ms_t wait_max, clock_ms_t now)
 {
-  clock_ms_t wait = MAX (limit->next_permit_at - now, 0);
+  clock_ms_t interval = interval_ms (rate (limit));
+  clock_ms_t wait;
 
+  limit->next_permit_at
+      = MAX (limit->next_permit_at, now - PERMITS_SAVED_MAX * interval);
+  wait = MAX (limit->next_permit_at - now, 0);
   if (wait > wait_max)
     return (rate_limit_reply_t){ .wait = wait - wait_max };
-  limit->next_permit_at = now + wait + interval_ms (rate (limit));
+  limit->next_permit_at += interval;
   return (rate_limit_reply_t){ .is_issued = true, .wait = wait };
 }
 
--- a/lib/balance/rate_limit.h
+++ b/lib/balance/rate_limit.h
@@ -22,16 +22,15 @@
 #define RATE_LIMIT_SHARE_MIN_PER_S 10.0
 /* Time for which a permit can be used, from the time for which it was issued.
    It covers the probe of the endpoint.  */
-#define RATE_LIMIT_PERMIT_MS 300
+#define RATE_LIMIT_PERMIT_MS 500
 /* An instance that got no reply from the keeper asks again after this time. */
 #define RATE_LIMIT_ASK_TIMEOUT_MS 100
 
-/* Kinds of response that can state a limit.  */
+/* Kinds of response that can state a limit; bits of a mask.  */
 typedef enum rate_limit_source
 {
-  RATE_LIMIT_PROBE,   /* response to a probe */
-  RATE_LIMIT_REQUEST, /* response to a request */
-  RATE_LIMIT_SOURCES  /* number of kinds */
+  RATE_LIMIT_PROBE = 1,  /* response to a probe */
+  RATE_LIMIT_REQUEST = 2 /* response to a request */
 } rate_limit_source_t;
 
 /* What an endpoint has stated about its limit.  */
@@ -50,9 +49,9 @@
   clock_ms_t changed_at; /* time at which @statement last changed here */
   bool is_own; /* @statement was in a response to this instance, and not told
                   by another one */
-  /* Whether responses of each kind have stated the present limit.  A response
-     without a limit ends the limit only if its kind has.  */
-  bool states[RATE_LIMIT_SOURCES];
+  unsigned int sources; /* mask of the kinds of response that have stated the
+                           limit: one without a limit ends it only if its kind
+                           has */
   clock_ms_t next_share_at; /* time from which this instance may send the next
                                request of its share, if the limit is divided */
   /* The permit of this instance, or its request for one.  */
@@ -78,14 +77,16 @@
 
 /**
  * rate_limit_learn() - record what another instance tells about the endpoint
- * @stated_at: time of the response that said so
+ * @sources: mask of the kinds of response that have said so
+ * @stated_at: time of the newest of these responses
  *
  * A statement that is not newer than the known one is ignored.
  * Return: whether the limit has changed.
  */
 bool rate_limit_learn (rate_limit_t *limit,
                        const rate_limit_statement_t *statement,
-                       clock_ms_t stated_at, clock_ms_t now);
+                       unsigned int sources, clock_ms_t stated_at,
+                       clock_ms_t now);
 
 /* Whether a request to the endpoint needs a permit.  @instances: number of
    instances, at least 1.  */
@@ -124,7 +125,8 @@
  * rate_limit_issue() - decide, as the keeper, on a request for a permit
  * @wait_max: longest time that the request can wait for the permit, ms
  *
- * Permits are spaced evenly at the endpoint's rate, and none is saved up.
+ * In any time t, at most t times the endpoint's rate and two more permits can
+ * be used.
  */
 rate_limit_reply_t rate_limit_issue (rate_limit_t *limit, clock_ms_t wait_max,
                                      clock_ms_t now);
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -7,6 +7,7 @@
 const FLEET_CHANGES_MAX = 24;
 const FLEET_ZONES_MAX = 64;
 const FLEET_FORWARD_MAX = 128;
+const FLEET_LIMITS_MAX = 24;
 
 typedef string fleet_wire_name<FLEET_NAME_MAX>;
 
@@ -82,6 +83,17 @@
   unsigned int ip;
 };
 
+/* What an endpoint has stated about the rate of requests that it takes from
+   all instances together.  */
+struct fleet_wire_limit
+{
+  string id<FLEET_NAME_MAX>; /* of the endpoint */
+  bool is_limited;
+  double per_s;
+  unsigned int sources;      /* kinds of response that state it */
+  unsigned int age;          /* of the response that stated it */
+};
+
 const FLEET_PART_CONFIG = 1;
 const FLEET_PART_BACKENDS = 2;
 const FLEET_PART_MEMBERS = 4;
@@ -118,6 +130,7 @@
   fleet_wire_gone gone<FLEET_LIST_MAX>;
   fleet_wire_name out<FLEET_ZONES_MAX>;
   fleet_wire_member members<FLEET_LIST_MAX>;
+  fleet_wire_limit limits<FLEET_LIST_MAX>; /* sent with the endpoints */
 };
 
 /* Sent by the reader to all members a few times a second.  */
@@ -137,6 +150,7 @@
   fleet_wire_change changes<FLEET_CHANGES_MAX>;
   bool more;                     /* further changes follow at once */
   fleet_wire_config config<1>;   /* a small change of the configuration */
+  fleet_wire_limit limits<FLEET_LIMITS_MAX>;
 };
 
 /* Sent by each member to the reader that it hears, or to the seeds while it
@@ -145,10 +159,31 @@
 {
   bool ready;
   fleet_wire_member member;
+  fleet_wire_limit limits<FLEET_LIMITS_MAX>; /* that the sender has learnt */
+};
+
+/* Asks the keeper of an endpoint's limit for a permit to send one request.  */
+struct fleet_wire_permit_ask
+{
+  fleet_wire_limit limit;  /* as the sender knows it */
+  hyper asked_at;          /* on the sender's clock; returned in the reply */
+  unsigned int wait_max;   /* how long the request can wait for its turn */
+  unsigned int asker;      /* address of the sender */
+};
+
+struct fleet_wire_permit_reply
+{
+  string id<FLEET_NAME_MAX>; /* of the endpoint */
+  hyper asked_at;
+  bool is_issued;
+  unsigned int wait; /* until the permit can be used, or until it is worth to
+                        ask again */
 };
 
 const FLEET_ANNOUNCE = 1;
 const FLEET_HELLO = 2;
+const FLEET_PERMIT_ASK = 3;
+const FLEET_PERMIT_REPLY = 4;
 
 union fleet_wire_body switch (unsigned int type)
 {
@@ -156,6 +191,10 @@
   fleet_wire_announce announce;
 case FLEET_HELLO:
   fleet_wire_hello hello;
+case FLEET_PERMIT_ASK:
+  fleet_wire_permit_ask permit_ask;
+case FLEET_PERMIT_REPLY:
+  fleet_wire_permit_reply permit_reply;
 };
 
 /* May follow a message in its datagram: addresses that the receiver passes the
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -19,6 +19,7 @@
 #define FLEET_CHANGES_MAX 24
 #define FLEET_ZONES_MAX 64
 #define FLEET_FORWARD_MAX 128
+#define FLEET_LIMITS_MAX 24
 
 typedef char *fleet_wire_name;
 
@@ -107,6 +108,15 @@
 	u_int ip;
 };
 typedef struct fleet_wire_member fleet_wire_member;
+
+struct fleet_wire_limit {
+	char *id;
+	bool_t is_limited;
+	double per_s;
+	u_int sources;
+	u_int age;
+};
+typedef struct fleet_wire_limit fleet_wire_limit;
 #define FLEET_PART_CONFIG 1
 #define FLEET_PART_BACKENDS 2
 #define FLEET_PART_MEMBERS 4
@@ -151,6 +161,10 @@
 		u_int members_len;
 		fleet_wire_member *members_val;
 	} members;
+	struct {
+		u_int limits_len;
+		fleet_wire_limit *limits_val;
+	} limits;
 };
 typedef struct fleet_wire_snapshot fleet_wire_snapshot;
 
@@ -179,22 +193,50 @@
 		u_int config_len;
 		fleet_wire_config *config_val;
 	} config;
+	struct {
+		u_int limits_len;
+		fleet_wire_limit *limits_val;
+	} limits;
 };
 typedef struct fleet_wire_announce fleet_wire_announce;
 
 struct fleet_wire_hello {
 	bool_t ready;
 	fleet_wire_member member;
+	struct {
+		u_int limits_len;
+		fleet_wire_limit *limits_val;
+	} limits;
 };
 typedef struct fleet_wire_hello fleet_wire_hello;
+
+struct fleet_wire_permit_ask {
+	fleet_wire_limit limit;
+	quad_t asked_at;
+	u_int wait_max;
+	u_int asker;
+};
+typedef struct fleet_wire_permit_ask fleet_wire_permit_ask;
+
+struct fleet_wire_permit_reply {
+	char *id;
+	quad_t asked_at;
+	bool_t is_issued;
+	u_int wait;
+};
+typedef struct fleet_wire_permit_reply fleet_wire_permit_reply;
 #define FLEET_ANNOUNCE 1
 #define FLEET_HELLO 2
+#define FLEET_PERMIT_ASK 3
+#define FLEET_PERMIT_REPLY 4
 
 struct fleet_wire_body {
 	u_int type;
 	union {
 		fleet_wire_announce announce;
 		fleet_wire_hello hello;
+		fleet_wire_permit_ask permit_ask;
+		fleet_wire_permit_reply permit_reply;
 	} fleet_wire_body_u;
 };
 typedef struct fleet_wire_body fleet_wire_body;
@@ -225,11 +267,14 @@
 extern  bool_t xdr_fleet_wire_service (XDR *, fleet_wire_service*);
 extern  bool_t xdr_fleet_wire_config (XDR *, fleet_wire_config*);
 extern  bool_t xdr_fleet_wire_member (XDR *, fleet_wire_member*);
+extern  bool_t xdr_fleet_wire_limit (XDR *, fleet_wire_limit*);
 extern  bool_t xdr_fleet_wire_request (XDR *, fleet_wire_request*);
 extern  bool_t xdr_fleet_wire_gone (XDR *, fleet_wire_gone*);
 extern  bool_t xdr_fleet_wire_snapshot (XDR *, fleet_wire_snapshot*);
 extern  bool_t xdr_fleet_wire_announce (XDR *, fleet_wire_announce*);
 extern  bool_t xdr_fleet_wire_hello (XDR *, fleet_wire_hello*);
+extern  bool_t xdr_fleet_wire_permit_ask (XDR *, fleet_wire_permit_ask*);
+extern  bool_t xdr_fleet_wire_permit_reply (XDR *, fleet_wire_permit_reply*);
 extern  bool_t xdr_fleet_wire_body (XDR *, fleet_wire_body*);
 extern  bool_t xdr_fleet_wire_forward (XDR *, fleet_wire_forward*);
 extern  bool_t xdr_fleet_wire_message (XDR *, fleet_wire_message*);
@@ -243,11 +288,14 @@
 extern bool_t xdr_fleet_wire_service ();
 extern bool_t xdr_fleet_wire_config ();
 extern bool_t xdr_fleet_wire_member ();
+extern bool_t xdr_fleet_wire_limit ();
 extern bool_t xdr_fleet_wire_request ();
 extern bool_t xdr_fleet_wire_gone ();
 extern bool_t xdr_fleet_wire_snapshot ();
 extern bool_t xdr_fleet_wire_announce ();
 extern bool_t xdr_fleet_wire_hello ();
+extern bool_t xdr_fleet_wire_permit_ask ();
+extern bool_t xdr_fleet_wire_permit_reply ();
 extern bool_t xdr_fleet_wire_body ();
 extern bool_t xdr_fleet_wire_forward ();
 extern bool_t xdr_fleet_wire_message ();
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -233,6 +233,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_wire_limit (XDR *xdrs, fleet_wire_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_limited))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->per_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sources))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_request (XDR *xdrs, fleet_wire_request *objp)
 {
@@ -291,6 +309,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_member), (xdrproc_t) xdr_fleet_wire_member))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIST_MAX,
+		sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -326,6 +347,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->config.config_val, (u_int *) &objp->config.config_len, 1,
 		sizeof (fleet_wire_config), (xdrproc_t) xdr_fleet_wire_config))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIMITS_MAX,
+		sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -338,6 +362,41 @@
 		 return FALSE;
 	 if (!xdr_fleet_wire_member (xdrs, &objp->member))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIMITS_MAX,
+		sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_wire_permit_ask (XDR *xdrs, fleet_wire_permit_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_wire_limit (xdrs, &objp->limit))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->asked_at))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_max))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->asker))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_wire_permit_reply (XDR *xdrs, fleet_wire_permit_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->asked_at))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_issued))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -357,6 +416,14 @@
 		 if (!xdr_fleet_wire_hello (xdrs, &objp->fleet_wire_body_u.hello))
 			 return FALSE;
 		break;
+	case FLEET_PERMIT_ASK:
+		 if (!xdr_fleet_wire_permit_ask (xdrs, &objp->fleet_wire_body_u.permit_ask))
+			 return FALSE;
+		break;
+	case FLEET_PERMIT_REPLY:
+		 if (!xdr_fleet_wire_permit_reply (xdrs, &objp->fleet_wire_body_u.permit_reply))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -22,9 +22,6 @@
 #define READER_LOST_MS 700
 /* Time between the hellos that an instance sends to the seeds.  */
 #define SEED_HELLO_INTERVAL_MS 100
-/* Shortest time between hellos that an instance sends to the reader when it
-   receives announcements.  */
-#define HELLO_MIN_INTERVAL_MS 200
 /* While there is no reader, any instance may reply to a hello with an
    announcement.  This is the shortest time between two such replies of one
    instance.  If a reply is lost, or the fetch that its receiver starts fails,
@@ -41,6 +38,8 @@
 static void handle_announcement (relay_t *relay, const char *sender,
                                  const fleet_wire_announce *wire,
                                  clock_ms_t now);
+static void handle_message (relay_t *relay, const fleet_wire_message *message,
+                            clock_ms_t now);
 static void handle_hello (relay_t *relay, const fleet_wire_hello *wire,
                           clock_ms_t now);
 static bool can_reply_without_reader (const relay_t *relay, clock_ms_t now);
@@ -195,6 +194,24 @@
   relay_announce (watcher->data, clock_now ());
 }
 
+static void
+handle_message (relay_t *relay, const fleet_wire_message *message,
+                clock_ms_t now)
+{
+  const fleet_wire_body *body = &message->body;
+
+  if (body->type == FLEET_ANNOUNCE)
+    handle_announcement (relay, message->sender,
+                         &body->fleet_wire_body_u.announce, now);
+  else if (body->type == FLEET_HELLO)
+    handle_hello (relay, &body->fleet_wire_body_u.hello, now);
+  else if (body->type == FLEET_PERMIT_ASK)
+    relay_handle_permit_ask (relay, &body->fleet_wire_body_u.permit_ask, now);
+  else if (body->type == FLEET_PERMIT_REPLY)
+    relay_handle_permit_reply (relay, &body->fleet_wire_body_u.permit_reply,
+                               now);
+}
+
 static void
 on_datagram (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -219,17 +236,10 @@
           && strcmp (message.sender, relay->members->own->name) != 0)
         {
           if (message.body.type == FLEET_ANNOUNCE)
-            {
-              relay_forward (relay, &xdr, data, (size_t)n);
-              handle_announcement (relay, message.sender,
-                                   &message.body.fleet_wire_body_u.announce,
-                                   now);
-            }
-          else
-            {
-              forward_hello (relay, message.sender, data, (size_t)n, now);
-              handle_hello (relay, &message.body.fleet_wire_body_u.hello, now);
-            }
+            relay_forward (relay, &xdr, data, (size_t)n);
+          else if (message.body.type == FLEET_HELLO)
+            forward_hello (relay, message.sender, data, (size_t)n, now);
+          handle_message (relay, &message, now);
         }
       xdr_destroy (&xdr);
       xdr_free ((xdrproc_t)xdr_fleet_wire_message, (char *)&message);
@@ -273,6 +283,8 @@
   bool changed = members_put (relay->members, wire->member.name,
                               wire->member.data_centre, wire->member.ip, now);
 
+  relay_handle_limits (relay, wire->limits.limits_val, wire->limits.limits_len,
+                       now);
   member = members_find (relay->members, wire->member.name);
   /* The reader sends an announcement at once to a member that has just started
      or has sent no hello for MEMBER_STALE_MS.  If there is no reader, as
@@ -325,6 +337,8 @@
 
   (void)members_put (relay->members, wire->member.name,
                      wire->member.data_centre, wire->member.ip, now);
+  relay_handle_limits (relay, wire->limits.limits_val, wire->limits.limits_len,
+                       now);
   /* Live endpoints may have been unable to renew their entries in the store
      while no instance could read it.  */
   if (fresh
@@ -338,7 +352,8 @@
                  "now",
                  sender);
     }
-  if (reader->is_reader || now - relay->hello_sent_at >= HELLO_MIN_INTERVAL_MS)
+  if (reader->is_reader
+      || now - relay->hello_sent_at >= RELAY_HELLO_MIN_INTERVAL_MS)
     {
       relay->hello_sent_at = now;
       relay_send_hello (relay, ip);
--- a/lib/fleet/relay.h
+++ b/lib/fleet/relay.h
@@ -59,6 +59,14 @@
    after a short delay, so that changes in that time share an announcement.  */
 void relay_schedule_announcement (relay_t *relay);
 
+/* Asks the keeper of an endpoint, the instance that issues the permits for it
+   (see rate_limit.h), for one that can be used within @wait_max ms.
+   rate_limit_ask() must have been called.  */
+void relay_ask_permit (relay_t *relay, backend_t *backend,
+                       clock_ms_t wait_max);
+/* Tells other instances of a limit that an endpoint has stated.  */
+void relay_tell_limits (relay_t *relay);
+
 /* Called after a pause of the process.  Drops the messages that arrived during
    the pause, which may be as old as it is, and asks for an announcement.  */
 void relay_start_anew (relay_t *relay, clock_ms_t now);
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -36,8 +36,10 @@
                                      replies while there is no reader */
   uint64_t config_announced_version; /* version of the configuration whose
                                         change was last announced */
-  int config_announce_count;    /* number of announcements that have included
-                                   or could have included that change */
+  int config_announce_count; /* number of announcements that have included
+                                or could have included that change */
+  uint32_t limits_position;  /* position in the table of endpoints from which
+                                the next announcement includes limits */
   unsigned int sequence_number; /* number of announcements that were sent to
                                    all members so far, which also is the
                                    sequence number of the last one */
@@ -91,6 +93,11 @@
    its receiver forwards it to.  */
 #define RELAY_BUFFER_BYTES 65536
 
+/* Greatest length of a datagram; a longer one would be fragmented.  */
+#define RELAY_DATAGRAM_MAX_BYTES 1400
+/* Shortest time between hellos that an instance sends to the reader.  */
+#define RELAY_HELLO_MIN_INTERVAL_MS 200
+
 /* Sends announcements to all members: the digests of this instance's state and
    the changes that are to be announced.  */
 void relay_announce (relay_t *relay, clock_ms_t now);
@@ -109,6 +116,28 @@
    at the address @ip.  */
 void relay_send_hello (relay_t *relay, uint32_t ip);
 
+/* Encodes a message of this instance.  Return: its length in bytes, or 0.  */
+size_t relay_encode_message (const relay_t *relay, fleet_wire_message *message,
+                             char *data, size_t size);
+
+/* Returns the limits to be told to other instances, as fleet_wire_limit with
+   strings of the endpoints: those that have changed lately and, unless
+   @only_own is set, others in turn.  @only_own: only those that responses to
+   this instance have stated.  @bytes_max: greatest length of them all.  */
+GArray *relay_collect_limits (relay_t *relay, bool only_own, size_t bytes_max,
+                              clock_ms_t now);
+/* Records limits that another instance has told.  The reader announces those
+   that are new.  */
+void relay_handle_limits (relay_t *relay, const fleet_wire_limit *limits,
+                          u_int count, clock_ms_t now);
+/* Issues or refuses a permit as the keeper of an endpoint.  */
+void relay_handle_permit_ask (relay_t *relay,
+                              const fleet_wire_permit_ask *wire,
+                              clock_ms_t now);
+void relay_handle_permit_reply (relay_t *relay,
+                                const fleet_wire_permit_reply *wire,
+                                clock_ms_t now);
+
 /* Starts to fetch parts of the state from the instance at an address, unless a
    fetch is in progress or @now is before @relay->next_fetch_at.  @parts: bit
    mask of FLEET_PART_CONFIG, FLEET_PART_BACKENDS and FLEET_PART_MEMBERS.  */
@@ -126,6 +155,8 @@
 /* Starts to listen for requests of other instances for the state.  Return: 0
    or a negative errno.  */
 int relay_serve_listen (relay_t *relay);
+/* Frees the cached encoding of all endpoints, because it is outdated.  */
+void relay_serve_drop_cached (relay_t *relay);
 /* Frees cached encodings that are too old to be sent or are not used.  */
 void relay_serve_tick (relay_t *relay, clock_ms_t now);
 /* Ends all transfers and stops listening.  */
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -25,9 +25,11 @@
 /* Greatest length of an encoded change of the configuration in an
    announcement; a longer one is fetched.  */
 #define CONFIG_CHANGE_MAX_BYTES 640
-/* Greatest length of a datagram with changes; a longer one would be
-   fragmented.  */
-#define DATAGRAM_MAX_BYTES 1400
+/* Greatest length of the limits of endpoints in an announcement, which leaves
+   room for changes.  */
+#define LIMITS_MAX_BYTES 600
+/* Greatest length of the limits of endpoints in a hello.  */
+#define HELLO_LIMITS_MAX_BYTES 900
 
 static bool is_change_due (const view_change_t *change, bool never_announced,
                            clock_ms_t now);
@@ -37,14 +39,12 @@
 static config_change_t *make_config_change (relay_t *relay);
 static size_t encode_announcement (relay_t *relay,
                                    const config_change_t *config,
+                                   const GArray *limits,
                                    size_t message_length_max, clock_ms_t now,
                                    char *data, bool *more);
 static void send_to_groups (relay_t *relay, const GArray *groups, char *data,
                             size_t length);
 static size_t forward_list_bytes (const GArray *groups);
-static size_t encode_message (const relay_t *relay,
-                              fleet_wire_message *message, char *data,
-                              size_t size);
 static fleet_wire_member make_own_wire_member (const relay_t *relay);
 
 /* Whether to include a change in the current announcement: if @never_announced
@@ -136,15 +136,16 @@
 }
 
 /* Encodes one message of an announcement.  @config: change of the
-   configuration to include; NULL: none.  @message_length_max: greatest
+   configuration to include; NULL: none.  @limits: limits of endpoints to
+   include; NULL: none.  @message_length_max: greatest
    length in bytes up to which changes are added; 0: none are added.  @data:
    buffer of RELAY_BUFFER_BYTES bytes.  @more: out: whether changes that were
    never announced did not fit and have to follow in another message.  Return:
    length of the message in bytes, or 0 if it cannot be encoded.  */
 static size_t
 encode_announcement (relay_t *relay, const config_change_t *config,
-                     size_t message_length_max, clock_ms_t now, char *data,
-                     bool *more)
+                     const GArray *limits, size_t message_length_max,
+                     clock_ms_t now, char *data, bool *more)
 {
   fleet_wire_change changes[FLEET_CHANGES_MAX];
   fleet_wire_message message = { .body.type = FLEET_ANNOUNCE };
@@ -166,13 +167,18 @@
   wire->ready.ready_len = ready->len;
   wire->ready.ready_val = (char *)ready->data;
   wire->changes.changes_val = changes;
+  if (limits != NULL)
+    {
+      wire->limits.limits_len = limits->len;
+      wire->limits.limits_val = (fleet_wire_limit *)(void *)limits->data;
+    }
   if (config != NULL)
     {
       wire->config.config_len = 1;
       wire->config.config_val = wire_config_new (config);
     }
   *more = false;
-  length = encode_message (relay, &message, data, RELAY_BUFFER_BYTES);
+  length = relay_encode_message (relay, &message, data, RELAY_BUFFER_BYTES);
   bytes_left = length < message_length_max ? message_length_max - length : 0;
   if (message_length_max > 0)
     {
@@ -181,7 +187,8 @@
         (void)add_changes (relay, wire, false, &bytes_left, now);
       wire->more = *more;
       if (wire->changes.changes_len > 0)
-        length = encode_message (relay, &message, data, RELAY_BUFFER_BYTES);
+        length
+            = relay_encode_message (relay, &message, data, RELAY_BUFFER_BYTES);
     }
   g_byte_array_free (ready, TRUE);
   if (wire->config.config_len > 0)
@@ -247,23 +254,26 @@
   char data[RELAY_BUFFER_BYTES];
   bool more = true;
   config_change_t *config = make_config_change (relay);
+  GArray *limits = relay_collect_limits (relay, false, LIMITS_MAX_BYTES, now);
   GArray *groups;
   size_t message_length_max;
 
   relay->announced_at = now;
   relay->sequence_number++;
   groups = spread_plan (relay->members, relay->sequence_number, now);
-  message_length_max = DATAGRAM_MAX_BYTES - forward_list_bytes (groups);
+  message_length_max = RELAY_DATAGRAM_MAX_BYTES - forward_list_bytes (groups);
   for (int i = 0; more && i < ANNOUNCE_DATAGRAMS_MAX; i++)
     {
       size_t length = encode_announcement (
-          relay, i == 0 ? config : NULL, message_length_max, now, data, &more);
+          relay, i == 0 ? config : NULL, i == 0 ? limits : NULL,
+          message_length_max, now, data, &more);
 
       if (length == 0)
         break;
       send_to_groups (relay, groups, data, length);
     }
   g_array_unref (groups);
+  g_array_unref (limits);
   if (config != NULL)
     config_change_free (config);
   if (more)
@@ -275,15 +285,15 @@
 {
   char data[RELAY_BUFFER_BYTES];
   bool more;
-  size_t length = encode_announcement (relay, NULL, 0, now, data, &more);
+  size_t length = encode_announcement (relay, NULL, NULL, 0, now, data, &more);
 
   if (length > 0)
     relay_send_to (relay, ip, data, length);
 }
 
-static size_t
-encode_message (const relay_t *relay, fleet_wire_message *message, char *data,
-                size_t size)
+size_t
+relay_encode_message (const relay_t *relay, fleet_wire_message *message,
+                      char *data, size_t size)
 {
   XDR xdr;
   size_t length = 0;
@@ -332,12 +342,17 @@
   const member_t *own = relay->members->own;
   fleet_wire_message message = { .body.type = FLEET_HELLO };
   fleet_wire_hello *wire = &message.body.fleet_wire_body_u.hello;
-  char data[DATAGRAM_MAX_BYTES];
+  GArray *limits = relay_collect_limits (relay, true, HELLO_LIMITS_MAX_BYTES,
+                                         clock_now ());
+  char data[RELAY_DATAGRAM_MAX_BYTES];
   size_t length;
 
   wire->ready = own->ready;
   wire->member = make_own_wire_member (relay);
-  length = encode_message (relay, &message, data, sizeof data);
+  wire->limits.limits_len = limits->len;
+  wire->limits.limits_val = (fleet_wire_limit *)(void *)limits->data;
+  length = relay_encode_message (relay, &message, data, sizeof data);
   if (length > 0)
     relay_send_to (relay, ip, data, length);
+  g_array_unref (limits);
 }
--- a/lib/fleet/relay_serve.c
+++ b/lib/fleet/relay_serve.c
@@ -311,6 +311,12 @@
   return g_bytes_ref (relay->config_snapshot);
 }
 
+void
+relay_serve_drop_cached (relay_t *relay)
+{
+  g_clear_pointer (&relay->full_snapshot, g_bytes_unref);
+}
+
 void
 relay_serve_tick (relay_t *relay, clock_ms_t now)
 {
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -12,6 +12,8 @@
                             clock_ms_t now);
 static int apply_snapshot (const fleet_wire_snapshot *wire, view_t *view,
                            members_t *members, clock_ms_t now);
+static void add_limits (fleet_wire_snapshot *wire, const view_t *view,
+                        clock_ms_t now);
 static void free_snapshot_arrays (fleet_wire_snapshot *wire);
 
 void
@@ -52,6 +54,51 @@
   entry->address.sin_port = htons ((uint16_t)wire->port);
 }
 
+void
+wire_from_limit (fleet_wire_limit *wire, const backend_t *backend,
+                 clock_ms_t now)
+{
+  const rate_limit_t *limit = &backend->rate_limit;
+
+  *wire = (fleet_wire_limit){ .id = backend->entry.id,
+                              .is_limited = limit->statement.is_limited,
+                              .per_s = limit->statement.per_s,
+                              .sources = limit->sources,
+                              .age = (u_int)CLAMP (now - limit->stated_at, 0,
+                                                   INT32_MAX) };
+}
+
+bool
+wire_apply_limit (const fleet_wire_limit *wire, backends_t *backends,
+                  clock_ms_t now)
+{
+  rate_limit_statement_t statement
+      = { .is_limited = wire->is_limited != 0,
+          .per_s = wire->is_limited != 0 ? wire->per_s : 0 };
+  backend_t *backend = backends_find (backends, wire->id);
+
+  /* This also excludes a value that is not a number.  */
+  if (backend == NULL || !(statement.per_s >= 0))
+    return false;
+  return rate_limit_learn (&backend->rate_limit, &statement, wire->sources,
+                           now - (clock_ms_t)wire->age, now);
+}
+
+/* Adds the limits that endpoints have stated to a snapshot.  */
+static void
+add_limits (fleet_wire_snapshot *wire, const view_t *view, clock_ms_t now)
+{
+  uint32_t position = 0;
+
+  wire->limits.limits_val
+      = g_new0 (fleet_wire_limit, (gsize)backends_count (view->backends));
+  for (const backend_t *b = backends_next (view->backends, &position);
+       b != NULL; b = backends_next (view->backends, &position))
+    if (b->rate_limit.statement.is_limited)
+      wire_from_limit (&wire->limits.limits_val[wire->limits.limits_len++], b,
+                       now);
+}
+
 /* Frees the arrays of a snapshot that was encoded, but not its strings, which
    belong to the view and the members.  */
 static void
@@ -63,6 +110,7 @@
   g_free (wire->gone.gone_val);
   g_free (wire->out.out_val);
   g_free (wire->members.members_val);
+  g_free (wire->limits.limits_val);
 }
 
 void
@@ -175,6 +223,7 @@
         add_backend_changes (&wire, view, request->since, now);
       else
         add_all_backends (&wire, view, now);
+      add_limits (&wire, view, now);
     }
   wire.out.out_len = view->out->len;
   wire.out.out_val = g_new0 (fleet_wire_name, view->out->len);
@@ -252,6 +301,8 @@
     config_error = wire_apply_config (wire->config.config_val, view);
   if ((wire->included & FLEET_PART_BACKENDS) != 0)
     apply_backends (wire, view, now);
+  for (u_int i = 0; i < wire->limits.limits_len; i++)
+    (void)wire_apply_limit (&wire->limits.limits_val[i], view->backends, now);
   for (u_int i = 0; i < wire->out.out_len; i++)
     g_ptr_array_add (out, wire->out.out_val[i]);
   /* If the sender has an older revision than this instance, its set of data
--- a/lib/fleet/wire.h
+++ b/lib/fleet/wire.h
@@ -9,9 +9,9 @@
 #include "members.h"
 #include "view.h"
 
-/* First field of each datagram, "PRF2" in ASCII.  A datagram that begins with
+/* First field of each datagram, "PRF3" in ASCII.  A datagram that begins with
    another value is ignored.  */
-#define WIRE_MAGIC 0x50524632
+#define WIRE_MAGIC 0x50524633
 /* Length of an encoded fleet_wire_request in bytes.  */
 #define WIRE_REQUEST_BYTES 24
 
@@ -24,6 +24,16 @@
    not copied, so that @wire must outlive @entry.  */
 void wire_to_backend (const fleet_wire_backend *wire, backend_entry_t *entry);
 
+/* Sets @wire to what an endpoint has stated about its limit.  @backend must
+   outlive @wire.  */
+void wire_from_limit (fleet_wire_limit *wire, const backend_t *backend,
+                      clock_ms_t now);
+/* Records a limit that another instance has told, unless its endpoint is not
+   known or the values are out of range.  Return: whether the limit has
+   changed.  */
+bool wire_apply_limit (const fleet_wire_limit *wire, backends_t *backends,
+                       clock_ms_t now);
+
 /* A request of one instance for parts of another one's state.  */
 typedef struct wire_request
 {
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -56,6 +56,9 @@
 static void on_routes_changed (void *context, const routes_t *routes);
 static void on_backends_changed (void *context);
 static void on_members_changed (void *context);
+static void on_permit_needed (void *context, backend_t *backend,
+                              clock_ms_t wait_max);
+static void on_limit_changed (void *context);
 static bool is_ready (const instance_t *instance);
 static void handle_ready_request (void *context, exchange_t *exchange);
 static void handle_addresses_request (void *context, exchange_t *exchange);
@@ -82,7 +85,10 @@
                                       .probes_per_round = PROBES_PER_ROUND,
                                       .probes_per_s = settings->probes_per_s,
                                       .log_sample_share = LOG_SAMPLE_SHARE,
-                                      .log_lines_per_s = LOG_LINES_PER_S };
+                                      .log_lines_per_s = LOG_LINES_PER_S,
+                                      .ask_permit = on_permit_needed,
+                                      .limit_changed = on_limit_changed,
+                                      .context = &instance };
   feed_source_t source;
   int result;
 
@@ -303,6 +309,22 @@
   g_free (names);
 }
 
+static void
+on_permit_needed (void *context, backend_t *backend, clock_ms_t wait_max)
+{
+  const instance_t *instance = context;
+
+  relay_ask_permit (instance->relay, backend, wait_max);
+}
+
+static void
+on_limit_changed (void *context)
+{
+  const instance_t *instance = context;
+
+  relay_tell_limits (instance->relay);
+}
+
 static void
 on_client_disconnected (void *context, exchange_t *exchange)
 {
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -50,6 +50,12 @@
   double log_sample_share;  /* share of the debug-level decisions that are
                                logged, 0 to 1 */
   uint32_t log_lines_per_s; /* largest number of log lines per second */
+  /* Asks the keeper of @backend for a permit (see rate_limit.h) that can be
+     used within @wait_max ms; NULL: there are no permits.  */
+  void (*ask_permit) (void *context, backend_t *backend, clock_ms_t wait_max);
+  /* Called when a limit that an endpoint states has changed; may be NULL.  */
+  void (*limit_changed) (void *context);
+  void *context; /* first argument of the callbacks */
 } proxy_settings_t;
 
 proxy_t *proxy_new (struct ev_loop *loop, const proxy_settings_t *settings,
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -5,6 +5,7 @@
 
 #include "assign.h"
 #include "caller_age.h"
+#include "drain_rate.h"
 #include "probing.h"
 #include "proxy.h"
 #include "telemetry.h"
@@ -68,8 +69,9 @@
   proxy_t *proxy;
   service_index_t service;
   retry_budget_t retry_budget;
-  GQueue waiting;       /* request_t * that wait for an endpoint */
-  ev_timer round_timer; /* starts the next round of probes for @waiting */
+  GQueue waiting;          /* request_t * that wait for an endpoint */
+  drain_rate_t drain_rate; /* rate at which @waiting is drained */
+  ev_timer round_timer;    /* starts the next round of probes for @waiting */
   bool followup_round_active; /* a round of probes that @round_timer started is
                                  in progress */
 } service_state_t;
@@ -198,6 +200,8 @@
   /* Outcome to report if the request is refused because of
      @marked_for_refusal.  */
   telemetry_outcome_t refusal_outcome;
+  clock_ms_t retry_after;  /* if that is TELEMETRY_OUTCOME_LIMITED: ms until a
+                              limit may allow the request */
   bool may_have_run;       /* the endpoint of a failed attempt may have run the
                               request */
   bool has_error_response; /* @error_response is set */
@@ -344,6 +348,26 @@
    reported its load.  Return: whether a request was sent.  */
 bool probe_round_try_assign (uplink_t *uplink);
 
+/* ---- permit.c ---- */
+
+/* Asks for permits for the requests of a service that wait for an endpoint, as
+   far as its endpoints need some and have none.  @ahead: a request has just
+   arrived, and may also find an endpoint that needs no permit.  */
+void permits_ask (service_state_t *state, bool ahead);
+/**
+ * permits_refuse_hopeless() - refuse the waiting requests that the endpoints
+ * will not take in time, because some of them have stated limits
+ * @requests: waiting requests in the order of their precedence, with the
+ *   results of assign_decide()
+ *
+ * The wait of a request is known from the permits of this instance, and
+ * otherwise expected from the rate at which the queue is drained.  Requests
+ * that would wait too long get the result ADMISSION_REFUSE and @is_limited
+ * set, and their @retry_after says when it is worth to come back.
+ */
+void permits_refuse_hopeless (service_state_t *state,
+                              assign_request_t *requests, int count);
+
 /* ---- request.c ---- */
 
 /* Routes a new request of a client and starts a round of probes for it, or
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -352,6 +352,8 @@
   backend->in_flight++;
   if (backend->rate_limit.statement.is_limited)
     telemetry_counter_increment (TELEMETRY_LIMITED_SENT, 0);
+  rate_limit_take (&backend->rate_limit,
+                   backends_instance_count (proxy->backends), now);
   decision_log_write (request, G_LOG_LEVEL_DEBUG, "sent", backend, NULL);
   /* The request counts as load until the endpoint reports its load again.  */
   backend->load.running++;
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -110,6 +110,8 @@
     return 0;
   if (request->service < 0)
     return RETRY_AFTER_UNROUTED_MS;
+  if (outcome == TELEMETRY_OUTCOME_LIMITED)
+    return request->retry_after;
   return admission_retry_after_ms (outcome == TELEMETRY_OUTCOME_NOT_RUN,
                                    request->admission.service_time_ms,
                                    &proxy->rng);
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -65,6 +65,7 @@
           .remote = request->bulk ? 0 : REMOTE_PROBES_FIRST };
   probe_round_t *round = g_new0 (probe_round_t, 1);
 
+  permits_ask (service_state_get (proxy, request->service), true);
   start_probes (proxy, &criteria, round);
 }
 
@@ -328,6 +329,7 @@
   clock_ms_t now = clock_now ();
   int n_endpoints = 0;
   int n_waiting = 0;
+  int n_sent = 0;
 
   for (int i = 0; i < count; i++)
     {
@@ -351,6 +353,10 @@
     }
   assign_decide (proxy->backends, requests, n_waiting, endpoints, n_endpoints,
                  now);
+  for (int i = 0; i < n_waiting; i++)
+    n_sent += requests[i].result == ADMISSION_SEND ? 1 : 0;
+  drain_rate_observe (&state->drain_rate, n_sent, n_waiting - n_sent, now);
+  permits_refuse_hopeless (state, requests, n_waiting);
   for (int i = 0; i < n_waiting; i++)
     {
       request_t *request = requests[i].user;
@@ -370,7 +376,9 @@
         decision_log_write (request, G_LOG_LEVEL_DEBUG, "best of the round",
                             endpoints[endpoint_index], NULL);
       request->marked_for_refusal = requests[i].result == ADMISSION_REFUSE;
-      if (admission_is_infeasible (&request->admission, now))
+      if (requests[i].is_limited)
+        request->refusal_outcome = TELEMETRY_OUTCOME_LIMITED;
+      else if (admission_is_infeasible (&request->admission, now))
         request->refusal_outcome = TELEMETRY_OUTCOME_OUT_OF_TIME;
       else
         request->refusal_outcome = endpoint_index >= 0
@@ -444,6 +452,7 @@
     state->followup_round_active = false;
   free_round (round);
   refuse_marked_requests (state);
+  permits_ask (state, false);
   schedule_next_round (state);
 }
 
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -198,10 +198,14 @@
                      "endpoint states a malformed limit");
   else if (rate_limit_state (&backend->rate_limit, source, &uplink->rate_limit,
                              clock_now ()))
-    limit_log_write (proxy, backend, source,
-                     uplink->rate_limit.is_limited
-                         ? "endpoint states a limit"
-                         : "endpoint states no limit any more");
+    {
+      limit_log_write (proxy, backend, source,
+                       uplink->rate_limit.is_limited
+                           ? "endpoint states a limit"
+                           : "endpoint states no limit any more");
+      if (proxy->settings.limit_changed != NULL)
+        proxy->settings.limit_changed (proxy->settings.context);
+    }
 }
 
 static int
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -60,6 +60,8 @@
                                              NULL };
 static const char *const directions[] = { "sent", "received", NULL };
 static const char *const probe_results[] = { "ok", "failed", NULL };
+static const char *const permit_results[]
+    = { "asked", "issued", "refused", NULL };
 static const char *const store_call_results[]
     = { "ok", "conflict", "failed", NULL };
 
@@ -70,6 +72,7 @@
                                         "no_configuration",
                                         "no_endpoint",
                                         "full",
+                                        "limited",
                                         "out_of_time",
                                         "not_run",
                                         "stopping",
@@ -181,6 +184,10 @@
   [TELEMETRY_LIMITED_SENT]
   = { "peridot_limited_sent_total",
       "Requests sent to endpoints that have stated a limit.", NULL, NULL },
+  [TELEMETRY_PERMITS]
+  = { "peridot_permits_total",
+      "Permits for requests to endpoints that have stated a limit.", "result",
+      permit_results },
 };
 
 static const metric_family_t gauges[TELEMETRY_GAUGE_COUNT] = {
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -118,6 +118,8 @@
                                 limit */
   TELEMETRY_LIMITED_SENT, /* none: requests sent to endpoints that have stated
                              a limit */
+  TELEMETRY_PERMITS, /* 0 asked, 1 issued, 2 refused: permits for requests to
+                        endpoints that have stated a limit */
   TELEMETRY_COUNTER_COUNT /* number of families */
 } telemetry_counter_t;
 
@@ -134,6 +136,8 @@
   TELEMETRY_OUTCOME_NO_CONFIGURATION,
   TELEMETRY_OUTCOME_NO_ENDPOINT,
   TELEMETRY_OUTCOME_FULL,        /* no endpoint had free capacity */
+  TELEMETRY_OUTCOME_LIMITED,     /* the limits that the endpoints state were
+                                    used up */
   TELEMETRY_OUTCOME_OUT_OF_TIME, /* no endpoint could respond in time */
   TELEMETRY_OUTCOME_NOT_RUN,     /* every attempt failed before execution */
   TELEMETRY_OUTCOME_STOPPING,    /* this instance is shutting down */
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -22,6 +22,7 @@
 LOAD = "X-Instance-Load"
 NOT_EXECUTED = "X-Not-Executed"
 COLD_REMAINING_MS = "X-Cold-Remaining-Ms"
+RATE_LIMIT = "Server-Limit"
 
 FRONT, READY, DIRECTORY, INTERNAL_PORT, METRICS = 8144, 8140, 8143, 7660, 9600
 # An endpoint must get no request later than this after it began to drain.
@@ -274,6 +275,10 @@
         self.size = options.get("size", 400)
         self.slowdown_percent = 100
         self.reports_load = True
+        # Value of the field with the limit of requests per second, and the
+        # responses that have it.
+        self.limit = None
+        self.limit_in = ("probe", "request")
         self.cold_until = time.monotonic() + options.get("cold", 0)
         self.running = self.waiting = 0
         self.slot_semaphore = asyncio.Semaphore(self.slots)
@@ -325,6 +330,10 @@
         if forget:
             await self.site.store.remove("servers", self.name)
 
+    def add_limit(self, fields, kind):
+        if self.limit is not None and kind in self.limit_in:
+            fields[RATE_LIMIT] = self.limit
+
     def format_load(self):
         return f"{self.running},{self.waiting},{self.slots}," \
                f"{self.slowdown_percent}"
@@ -370,6 +379,7 @@
             response_fields = {ENDPOINT_ID: self.name,
                                COLD_REMAINING_MS: int(cold * 1000),
                                "Keep-Alive": "timeout=10"}
+            self.add_limit(response_fields, "probe")
             if self.reports_load:
                 response_fields[LOAD] = self.format_load()
             else:
@@ -407,6 +417,7 @@
                   "Keep-Alive": "timeout=10"}
         if self.reports_load:
             fields[LOAD] = self.format_load()
+        self.add_limit(fields, "request")
         response = message("HTTP/1.1 200 OK", fields, response_body)
         draw = self.rng.random()
         for fault, probability in self.faults.items():
@@ -532,6 +543,7 @@
     runs: executions of each request, as pairs (time, endpoint name).
     sent: method, target and body of each request that a caller sent.
     refused: requests that were refused.
+    refusals: (start, duration, Retry-After) of each refusal, in s.
     outcomes: number of requests by kind and status; "cut" instead of a status
       stands for a broken connection, "none" for no response in time.
     faults: one line for each failed check.
@@ -552,6 +564,7 @@
         self.endless_sent = []
         self.sent = {}
         self.refused = set()
+        self.refusals = []
         self.outcomes = collections.Counter()
         self.late_responses = 0
         self.faults = []
@@ -693,6 +706,8 @@
                 self.report_fault(f"wrong body or signature: {request_id}")
         elif status in (408, 421, 429, 503):
             self.refused.add(request_id)
+            self.refusals.append((began, time.monotonic() - began,
+                                  float(fields.get("retry-after", 0))))
             if self.runs.get(request_id):
                 self.report_fault(f"refused after execution: {request_id}")
         self.outcomes[kind, status] += 1
