Take over a limit that only responses to requests state

Cause: a response without a limit counted as the newest statement, whatever its kind. An instance that probed the endpoint a moment ago, and got no limit in that response, took the limit that it was told for old news and sent a request to learn of it itself: one for each instance and endpoint.

Change: the time of the newest response is kept for each kind, and a statement tells which kinds have made it.

Ruled out: the restarted instance, which gets the limits with the endpoints. silent_probes_say_nothing fails before the change (the told limit is not taken over).

--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -114,7 +114,7 @@
 
   return limit->statement.is_limited
          && (limit->sources & RATE_LIMIT_PROBE) != 0
-         && now - limit->stated_at >= LIMIT_CHECK_AFTER_MS
+         && now - rate_limit_stated_at (limit) >= LIMIT_CHECK_AFTER_MS
          && decide_rng_below (rng, (uint32_t)backends_instance_count (backends)
                                        * LIMIT_CHECK_ODDS)
                 == 0;
--- a/lib/balance/rate_limit.c
+++ b/lib/balance/rate_limit.c
@@ -19,6 +19,11 @@
 static clock_ms_t interval_ms (double per_s);
 static bool differs (const rate_limit_t *limit,
                      const rate_limit_statement_t *statement);
+static clock_ms_t newest_of (const rate_limit_t *limit, unsigned int sources);
+static bool apply (rate_limit_t *limit,
+                   const rate_limit_statement_t *statement,
+                   unsigned int sources, clock_ms_t stated_at, bool is_own,
+                   clock_ms_t now);
 static void set_statement (rate_limit_t *limit,
                            const rate_limit_statement_t *statement,
                            bool is_own, clock_ms_t now);
@@ -56,7 +61,6 @@
   limit->is_own = is_own;
   if (!statement->is_limited)
     {
-      limit->sources = 0;
       limit->permit_until = 0;
       limit->asked_at = 0;
       limit->ask_again_at = 0;
@@ -70,40 +74,57 @@
         = MIN (limit->next_permit_at, now + interval_ms (rate (limit)));
 }
 
-bool
-rate_limit_state (rate_limit_t *limit, rate_limit_source_t source,
-                  const rate_limit_statement_t *statement, clock_ms_t now)
+/* Returns the time of the newest known response of some kinds.  */
+static clock_ms_t
+newest_of (const rate_limit_t *limit, unsigned int sources)
+{
+  clock_ms_t newest = 0;
+
+  for (int i = 0; i < RATE_LIMIT_SOURCE_COUNT; i++)
+    if ((sources >> i & 1U) != 0)
+      newest = MAX (newest, limit->stated_at[i]);
+  return newest;
+}
+
+clock_ms_t
+rate_limit_stated_at (const rate_limit_t *limit)
 {
-  bool has_changed;
+  return newest_of (limit, limit->sources);
+}
 
-  if (statement == NULL
-      || (!statement->is_limited && limit->statement.is_limited
-          && (limit->sources & source) == 0))
+/* Records a statement that responses of the kinds @sources have made.  */
+static bool
+apply (rate_limit_t *limit, const rate_limit_statement_t *statement,
+       unsigned int sources, clock_ms_t stated_at, bool is_own, clock_ms_t now)
+{
+  bool has_changed = differs (limit, statement);
+
+  for (int i = 0; i < RATE_LIMIT_SOURCE_COUNT; i++)
+    if ((sources >> i & 1U) != 0)
+      limit->stated_at[i] = stated_at;
+  if (!statement->is_limited && limit->statement.is_limited
+      && (limit->sources & sources) == 0)
     return false;
-  has_changed = differs (limit, statement);
-  limit->stated_at = now;
+  limit->sources = has_changed ? sources : limit->sources | sources;
   if (has_changed)
-    set_statement (limit, statement, true, now);
-  if (statement->is_limited)
-    limit->sources |= source;
+    set_statement (limit, statement, is_own, now);
   return has_changed;
 }
 
+bool
+rate_limit_state (rate_limit_t *limit, rate_limit_source_t source,
+                  const rate_limit_statement_t *statement, clock_ms_t now)
+{
+  return statement != NULL && apply (limit, statement, source, now, true, now);
+}
+
 bool
 rate_limit_learn (rate_limit_t *limit, const rate_limit_statement_t *statement,
                   unsigned int sources, clock_ms_t stated_at, clock_ms_t now)
 {
-  bool has_changed;
-
-  if (stated_at <= limit->stated_at)
-    return false;
-  has_changed = differs (limit, statement);
-  limit->stated_at = stated_at;
-  if (has_changed)
-    set_statement (limit, statement, false, now);
-  if (statement->is_limited)
-    limit->sources |= sources;
-  return has_changed;
+  sources &= RATE_LIMIT_SOURCES;
+  return sources != 0 && stated_at > newest_of (limit, sources)
+         && apply (limit, statement, sources, stated_at, false, now);
 }
 
 bool
--- a/lib/balance/rate_limit.h
+++ b/lib/balance/rate_limit.h
@@ -26,13 +26,18 @@
 /* An instance that got no reply from the keeper asks again after this time. */
 #define RATE_LIMIT_ASK_TIMEOUT_MS 100
 
-/* Kinds of response that can state a limit; bits of a mask.  */
+/* Kinds of response that can state a limit; bits of a mask.  An endpoint may
+   state its limit in responses of one kind only.  */
 typedef enum rate_limit_source
 {
-  RATE_LIMIT_PROBE = 1,  /* response to a probe */
-  RATE_LIMIT_REQUEST = 2 /* response to a request */
+  RATE_LIMIT_PROBE = 1,   /* response to a probe */
+  RATE_LIMIT_REQUEST = 2, /* response to a request */
+  RATE_LIMIT_SOURCES = 3  /* mask of all kinds */
 } rate_limit_source_t;
 
+/* Number of kinds of response.  */
+#define RATE_LIMIT_SOURCE_COUNT 2
+
 /* What an endpoint has stated about its limit.  */
 typedef struct rate_limit_statement
 {
@@ -45,13 +50,14 @@
 typedef struct rate_limit
 {
   rate_limit_statement_t statement;
-  clock_ms_t stated_at;  /* time of the response with the newest statement */
+  /* Times of the newest known responses, by kind.  */
+  clock_ms_t stated_at[RATE_LIMIT_SOURCE_COUNT];
   clock_ms_t changed_at; /* time at which @statement last changed here */
   bool is_own; /* @statement was in a response to this instance, and not told
                   by another one */
-  unsigned int sources; /* mask of the kinds of response that have stated the
-                           limit: one without a limit ends it only if its kind
-                           has */
+  unsigned int sources;     /* mask of the kinds of response that have made
+                               @statement; a response of another kind without a
+                               limit does not end it */
   clock_ms_t next_share_at; /* time from which this instance may send the next
                                request of its share, if the limit is divided */
   /* The permit of this instance, or its request for one.  */
@@ -80,7 +86,8 @@
  * @sources: mask of the kinds of response that have said so
  * @stated_at: time of the newest of these responses
  *
- * A statement that is not newer than the known one is ignored.
+ * A statement is ignored unless it is newer than all known responses of these
+ * kinds.
  * Return: whether the limit has changed.
  */
 bool rate_limit_learn (rate_limit_t *limit,
@@ -88,6 +95,9 @@
                        unsigned int sources, clock_ms_t stated_at,
                        clock_ms_t now);
 
+/* Returns the time of the newest response that has made the statement.  */
+clock_ms_t rate_limit_stated_at (const rate_limit_t *limit);
+
 /* Whether a request to the endpoint needs a permit.  @instances: number of
    instances, at least 1.  */
 bool rate_limit_needs_permit (const rate_limit_t *limit, int instances);
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -60,12 +60,13 @@
 {
   const rate_limit_t *limit = &backend->rate_limit;
 
-  *wire = (fleet_wire_limit){ .id = backend->entry.id,
-                              .is_limited = limit->statement.is_limited,
-                              .per_s = limit->statement.per_s,
-                              .sources = limit->sources,
-                              .age = (u_int)CLAMP (now - limit->stated_at, 0,
-                                                   INT32_MAX) };
+  *wire = (fleet_wire_limit){
+    .id = backend->entry.id,
+    .is_limited = limit->statement.is_limited,
+    .per_s = limit->statement.per_s,
+    .sources = limit->sources,
+    .age = (u_int)CLAMP (now - rate_limit_stated_at (limit), 0, INT32_MAX)
+  };
 }
 
 bool
--- a/test/unit/rate_limit.c
+++ b/test/unit/rate_limit.c
@@ -64,22 +64,38 @@
 static void
 newest_statement_counts (void)
 {
+  const unsigned int both = RATE_LIMIT_PROBE | RATE_LIMIT_REQUEST;
   rate_limit_t limit = { 0 };
 
-  g_assert_true (
-      rate_limit_learn (&limit, &two, RATE_LIMIT_REQUEST, 1000, 1010));
-  g_assert_false (rate_limit_learn (&limit, &none, 0, 900, 1020));
+  g_assert_true (rate_limit_learn (&limit, &two, both, 1000, 1010));
+  g_assert_false (rate_limit_learn (&limit, &none, both, 900, 1020));
   g_assert_true (limit.statement.is_limited);
-  g_assert_true (rate_limit_learn (&limit, &none, 0, 1100, 1120));
-  g_assert_false (
-      rate_limit_learn (&limit, &two, RATE_LIMIT_REQUEST, 1050, 1130));
+  g_assert_true (rate_limit_learn (&limit, &none, both, 1100, 1120));
+  g_assert_false (rate_limit_learn (&limit, &two, both, 1050, 1130));
   g_assert_false (limit.statement.is_limited);
-  /* A limit that was told is not ended by a kind of response that does not
-     state it.  */
+  g_assert_cmpint (rate_limit_stated_at (&limit), ==, 1100);
+  g_assert_false (rate_limit_learn (&limit, &two, 0, 1200, 1210));
+}
+
+/* Guards against a limit that is stated only in responses to requests and that
+   other instances do not take over, or end, because their probes say nothing
+   of it.  */
+static void
+silent_probes_say_nothing (void)
+{
+  rate_limit_t limit = { 0 };
+
+  for (clock_ms_t now = 1000; now <= 1200; now += 10)
+    g_assert_false (rate_limit_state (&limit, RATE_LIMIT_PROBE, &none, now));
   g_assert_true (
-      rate_limit_learn (&limit, &two, RATE_LIMIT_REQUEST, 1200, 1210));
+      rate_limit_learn (&limit, &two, RATE_LIMIT_REQUEST, 1100, 1210));
   g_assert_false (rate_limit_state (&limit, RATE_LIMIT_PROBE, &none, 1300));
+  g_assert_false (
+      rate_limit_learn (&limit, &none, RATE_LIMIT_PROBE, 1400, 1410));
   g_assert_true (limit.statement.is_limited);
+  g_assert_true (
+      rate_limit_learn (&limit, &none, RATE_LIMIT_REQUEST, 1400, 1410));
+  g_assert_false (limit.statement.is_limited);
 }
 
 /* One instance in a simulation of many that ask the keeper for permits.  */
@@ -263,6 +279,8 @@
                    limit_lasts_as_long_as_it_is_stated);
   g_test_add_func ("/rate_limit/newest_statement_counts",
                    newest_statement_counts);
+  g_test_add_func ("/rate_limit/silent_probes_say_nothing",
+                   silent_probes_say_nothing);
   g_test_add_func ("/rate_limit/permits_keep_to_limit", permits_keep_to_limit);
   g_test_add_func ("/rate_limit/permit_runs_out_in_a_pause",
                    permit_runs_out_in_a_pause);
