Limits in the fault soak; tell them to instances that return

The soak lets endpoints state limits, also malformed ones and only in responses to requests, and checks each 4 s. An instance that was silent, because it was paused or cut off, is told the limits in the announcement that it gets at once; before, it had to wait for its turn in the next ones.

--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -285,10 +285,13 @@
 {
   char data[RELAY_BUFFER_BYTES];
   bool more;
-  size_t length = encode_announcement (relay, NULL, NULL, 0, now, data, &more);
+  GArray *limits = relay_collect_limits (relay, false, LIMITS_MAX_BYTES, now);
+  size_t length
+      = encode_announcement (relay, NULL, limits, 0, now, data, &more);
 
   if (length > 0)
     relay_send_to (relay, ip, data, length);
+  g_array_unref (limits);
 }
 
 size_t
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -28,6 +28,7 @@
 # An endpoint must get no request later than this after it began to drain.
 DRAIN_S = 2.0
 CONFIG_S = 2.0
+LIMIT_WINDOW_S = 4.0
 HISTORY_EVENTS_MAX = 2000
 NETWORK_NUMBERS = range(10, 240)
 RESERVATION_PORT = 8499
@@ -56,6 +57,23 @@
     return hashlib.sha256(request_id.encode() + body).hexdigest()[:16]
 
 
+def most_in_window(times):
+    """Returns the largest number of the times, which are sorted, that lie in
+    a window of LIMIT_WINDOW_S."""
+    most = first = 0
+    for last, at in enumerate(times):
+        while at - times[first] > LIMIT_WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def allowed_in_window(limit):
+    """Returns the largest number of requests that an endpoint with a limit
+    may get in LIMIT_WINDOW_S."""
+    return 1.5 * limit * LIMIT_WINDOW_S + 5
+
+
 class MessageError(Exception):
     """The peer closed the connection or sent a malformed message."""
 
@@ -767,6 +785,13 @@
                     break
                 await asyncio.sleep(0.05)
 
+    def executed_at(self, name, since):
+        """Returns the sorted times from since on at which an endpoint executed
+        requests."""
+        return sorted(at for runs in self.runs.values()
+                      for at, endpoint in runs
+                      if endpoint == name and at >= since)
+
     def share(self, *kinds):
         """Returns the fraction of requests of the given kinds that got status
         200."""
--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -18,6 +18,10 @@
 
 FAULT_GAP_S = (0.2, 1.5)
 FAULT_DURATION_S = (0.5, 4.0)
+# Time after which all instances have to know of a limit: the users' platform
+# gives 3 s.
+LIMIT_TOLD_S = 3.0
+LIMIT_DURATION_S = (2.0, 5.0)
 # After the last fault, all instances must be ready within this time, which is
 # the users' limit for the recovery.
 RECOVERY_S = 15.0
@@ -214,6 +218,31 @@
             options["address"] = old.address
         await self.site.add_endpoint(service, old.zone, **options)
 
+    async def limit_endpoint(self, _):
+        """Lets an endpoint state a limit, or a malformed one, and checks that
+        it gets no more."""
+        free = [e for e in self.site.endpoints.values()
+                if e.server.is_serving() and e.limit is None]
+        if not free:
+            return
+        endpoint = self.rng.choice(free)
+        limit = self.rng.choice((0.0, 1.5, 3.0, 12.5, None))
+        endpoint.limit = "none" if limit is None else str(limit)
+        endpoint.limit_in = self.rng.choice((("probe", "request"),
+                                             ("request",)))
+        self.log(f"{endpoint.name}: limit {endpoint.limit} in responses to "
+                 f"{endpoint.limit_in}")
+        await asyncio.sleep(LIMIT_TOLD_S)
+        since = time.monotonic()
+        await asyncio.sleep(self.rng.uniform(*LIMIT_DURATION_S))
+        most = platform_site.most_in_window(
+            self.site.executed_at(endpoint.name, since))
+        endpoint.limit = None
+        if limit is not None and most > platform_site.allowed_in_window(limit):
+            self.site.report_fault(
+                f"{endpoint.name} got {most} requests in 4 s with a limit of "
+                f"{limit} per second")
+
     async def configure(self, _):
         self.log("configuration changes")
         await self.site.configure()
@@ -247,6 +276,7 @@
                            self.disturb_store_connection)
         other_faults = (self.store, self.endpoint, self.endpoint,
                         self.replace_endpoint, self.configure,
+                        self.limit_endpoint, self.limit_endpoint,
                         self.take_data_centre_out)
         while time.monotonic() - self.began < self.seconds:
             fault = self.rng.choice(instance_faults + other_faults)
--- a/test/run/platform_limits.py
+++ b/test/run/platform_limits.py
@@ -16,33 +16,12 @@
 import platformrun
 from platformrun import platform_site
 
-WINDOW_S = 4.0
 # Time after which all instances should know of a limit.
 TOLD_S = 1.0
 CALLERS = 24
 REQUESTS_PER_S = 8
 
 
-def arrivals(site, service, since):
-    """Returns the times of the executions at each endpoint of a service."""
-    found = {e.name: [] for e in site.endpoints.values()
-             if e.service == service}
-    for runs in site.runs.values():
-        for at, name in runs:
-            if name in found and at >= since:
-                found[name].append(at)
-    return {name: sorted(times) for name, times in found.items()}
-
-
-def most_in_window(times):
-    most = first = 0
-    for last, at in enumerate(times):
-        while at - times[first] > WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def set_limit(site, value, limit_in=("probe", "request")):
     for endpoint in site.endpoints.values():
         if endpoint.service == "slots":
@@ -52,12 +31,13 @@
 def check(site, title, limit, since, until):
     """Prints whether the endpoints got no more than the platform allows, and
     how much of the limit was used."""
-    found = arrivals(site, "slots", since)
-    allowed = 1.5 * limit * WINDOW_S + 5
-    worst = max(most_in_window(times) for times in found.values())
+    found = [site.executed_at(e.name, since) for e in site.endpoints.values()
+             if e.service == "slots"]
+    allowed = platform_site.allowed_in_window(limit)
+    worst = max(platform_site.most_in_window(times) for times in found)
     print(f"{title}: at most {allowed:.0f} requests in 4 s:", worst <= allowed
           or worst)
-    served = sum(len(times) for times in found.values())
+    served = sum(len(times) for times in found)
     capacity = limit * len(found) * (until - since)
     if capacity > 0:
         print(f"{title}: most of the limit is used:",
