Look for permits only where an endpoint has stated a limit

The choice of endpoints went through all endpoints of a service with their data centres three times for each request, to sum up limits that mostly do not exist. A function that nothing called is removed.

--- a/lib/balance/assign.h
+++ b/lib/balance/assign.h
@@ -21,8 +21,8 @@
                          endpoint for the request among those that were not
                          assigned to requests of higher precedence; -1:
                          none */
-  bool is_limited;    /* always false; set later if the limits of the endpoints
-                         refuse the request */
+  bool is_limited;    /* the request is refused because of the limits that
+                         endpoints state; set by the proxy, not here */
 } assign_request_t;
 
 /**
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -36,6 +36,8 @@
                        clock_ms_t now);
 static bool is_limit_due (const backends_t *backends, const backend_t *backend,
                           decide_rng_t *rng, clock_ms_t now);
+static bool has_limits (backends_t *backends, service_index_t service,
+                        int instances);
 static void add_permit (choose_limits_t *limits, clock_ms_t from);
 static void keep_subset (backends_t *backends, GArray *handles, guint count);
 static gint compare_rendezvous_weight (gconstpointer a, gconstpointer b,
@@ -176,6 +178,21 @@
   limits->n_permits = MIN (limits->n_permits + 1, CHOOSE_ENDPOINTS_MAX);
 }
 
+/* Whether an endpoint of the service needs a permit.  Mostly none does, and
+   this is decided for every request.  */
+static bool
+has_limits (backends_t *backends, service_index_t service, int instances)
+{
+  uint32_t position = 0;
+
+  for (const backend_t *backend = backends_next (backends, &position);
+       backend != NULL; backend = backends_next (backends, &position))
+    if (backend->service == service
+        && rate_limit_needs_permit (&backend->rate_limit, instances))
+      return true;
+  return false;
+}
+
 choose_limits_t
 choose_get_limits (backends_t *backends, service_index_t service,
                    clock_ms_t now)
@@ -184,6 +201,8 @@
   int instances = backends_instance_count (backends);
   uint32_t position = 0;
 
+  if (!has_limits (backends, service, instances))
+    return limits;
   for (backend_t *backend = backends_next (backends, &position);
        backend != NULL; backend = backends_next (backends, &position))
     {
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -51,7 +51,8 @@
                     backend_handle_t chosen[CHOOSE_ENDPOINTS_MAX]);
 
 /* What this instance knows of the limits that the endpoints of a service
-   state.  Endpoints that could not get a request in any case are left out.  */
+   state.  Endpoints that could not get a request in any case are left out.
+   All numbers are 0 if no endpoint needs a permit.  */
 typedef struct choose_limits
 {
   int n_unlimited; /* endpoints that need no permit */
--- a/lib/balance/rate_limit.c
+++ b/lib/balance/rate_limit.c
@@ -165,18 +165,6 @@
              || now - limit->asked_at >= RATE_LIMIT_ASK_TIMEOUT_MS);
 }
 
-clock_ms_t
-rate_limit_next_at (const rate_limit_t *limit, int instances, clock_ms_t now)
-{
-  if (!limit->statement.is_limited)
-    return now;
-  if (!rate_limit_needs_permit (limit, instances))
-    return MAX (limit->next_share_at, now);
-  if (now < limit->permit_until)
-    return MAX (limit->permit_from, now);
-  return MAX (limit->ask_again_at, now);
-}
-
 void
 rate_limit_ask (rate_limit_t *limit, clock_ms_t now)
 {
--- a/lib/balance/rate_limit.h
+++ b/lib/balance/rate_limit.h
@@ -110,10 +110,6 @@
 /* Whether to ask the keeper for a permit.  */
 bool rate_limit_should_ask (const rate_limit_t *limit, int instances,
                             clock_ms_t now);
-/* Earliest time at which this instance may be able to send a request, as far
-   as it knows.  */
-clock_ms_t rate_limit_next_at (const rate_limit_t *limit, int instances,
-                               clock_ms_t now);
 /* Records that the keeper is asked.  */
 void rate_limit_ask (rate_limit_t *limit, clock_ms_t now);
 
