Log and count the store's era and announcements that are ignored as older

The store's field Store-Era is decoded in the adapter; the reader logs when it rises (gauge peridot_store_era). An instance that ignores an announcement with an older store revision although it names a newer configuration logs both revisions and both versions (peridot_older_announcements_total). No decision changes.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -59,6 +59,8 @@
   bool stopping;             /* feed_stop() was called */
   bool was_reader;        /* this instance was the reader at the last tick */
   bool store_unreachable; /* the last call that listed the endpoints failed */
+  bool knows_era;         /* a response of the store was received */
+  uint64_t era;           /* newest era in the responses of the store */
 };
 
 static void start_next_call (feed_t *feed, feed_kind_t kind, clock_ms_t now);
@@ -71,6 +73,7 @@
                         clock_ms_t now);
 static void schedule_read_retry (feed_t *feed, feed_kind_t kind, int error,
                                  clock_ms_t now);
+static void record_era (feed_t *feed, const feed_response_t *response);
 static void record_list_success (feed_t *feed, clock_ms_t now);
 static void stop_reading (feed_t *feed);
 static void store_members (feed_t *feed, clock_ms_t now);
@@ -276,6 +279,7 @@
       schedule_read_retry (feed, kind, response->error, now);
       return;
     }
+  record_era (feed, response);
   if (channel->listing)
     {
       for (guint i = 0; i < response->items->len; i++)
@@ -307,6 +311,22 @@
   feed_tick (feed, now);
 }
 
+/* Records the era that a response states.  */
+static void
+record_era (feed_t *feed, const feed_response_t *response)
+{
+  if (feed->knows_era && response->era > feed->era)
+    g_log_structured (
+        "fleet", G_LOG_LEVEL_WARNING, "MESSAGE",
+        "the store was restored from an older copy: era %" G_GUINT64_FORMAT
+        " after %" G_GUINT64_FORMAT ", store revision %" G_GUINT64_FORMAT
+        " after %" G_GUINT64_FORMAT,
+        response->era, feed->era, response->revision, feed->view->revision);
+  feed->era = MAX (feed->era, response->era);
+  feed->knows_era = true;
+  telemetry_gauge_set (TELEMETRY_STORE_ERA, (int64_t)feed->era);
+}
+
 /* Schedules a complete list after a list or watch has failed.  If the failed
    call was a list of the endpoints, the store counts as unreachable until a
    list succeeds.  */
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -51,8 +51,10 @@
 /* The result of a list or a watch.  */
 typedef struct feed_response
 {
-  int error; /* 0, -ESTALE if the store has dropped the history after the
-                requested revision, or another negative errno */
+  int error;    /* 0, -ESTALE if the store has dropped the history after the
+                   requested revision, or another negative errno */
+  uint64_t era; /* number of times that the store was restored from an
+                   older copy before it sent the response */
   uint64_t revision; /* store revision of the list, or the one up to which the
                         watch has reported changes */
   bool more;         /* a further page of the list follows */
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -45,6 +45,8 @@
 static bool can_reply_without_reader (const relay_t *relay, clock_ms_t now);
 static void forward_hello (relay_t *relay, const char *sender,
                            const char *data, size_t length, clock_ms_t now);
+static void log_older_announcement (const relay_t *relay, const char *sender,
+                                    const fleet_wire_announce *wire);
 static void apply_changes (relay_t *relay, const fleet_wire_announce *wire,
                            clock_ms_t now);
 
@@ -322,6 +324,30 @@
     }
 }
 
+/* Logs that an announcement is ignored because its store revision is older
+   than this instance's.  That is usual while two instances read the store,
+   unless it names a newer configuration.  */
+static void
+log_older_announcement (const relay_t *relay, const char *sender,
+                        const fleet_wire_announce *wire)
+{
+  uint64_t config_version
+      = relay->view->routes != NULL ? relay->view->routes->version : 0;
+  bool names_newer_config = wire->config_version > config_version;
+
+  telemetry_counter_increment (TELEMETRY_OLDER_ANNOUNCEMENTS,
+                               names_newer_config ? 1 : 0);
+  if (names_newer_config)
+    g_log_structured (
+        "fleet", G_LOG_LEVEL_WARNING, "PEER", sender, "MESSAGE",
+        "announcement is ignored: store revision %" G_GUINT64_FORMAT
+        " is older than %" G_GUINT64_FORMAT
+        ", although it names configuration %" G_GUINT64_FORMAT
+        " and this instance has %" G_GUINT64_FORMAT,
+        (uint64_t)wire->revision, relay->view->revision,
+        (uint64_t)wire->config_version, config_version);
+}
+
 static void
 handle_announcement (relay_t *relay, const char *sender,
                      const fleet_wire_announce *wire, clock_ms_t now)
@@ -374,7 +400,10 @@
   /* If this instance already has a newer store revision than the announced
      one, the announcement has nothing new.  */
   if (wire->revision < relay->view->revision)
-    return;
+    {
+      log_older_announcement (relay, sender, wire);
+      return;
+    }
   apply_changes (relay, wire, now);
   out = g_ptr_array_new ();
   for (u_int i = 0; i < wire->out.out_len; i++)
--- a/lib/net/call.c
+++ b/lib/net/call.c
@@ -15,6 +15,11 @@
    body fails with -EPROTO.  */
 #define BODY_MAX_BYTES (64 << 20)
 
+/* Limits of the parts of a name and of a value of a header field that are
+   compared and kept.  */
+#define NAME_MAX_BYTES 256
+#define VALUE_MAX_BYTES 256
+
 struct call_client
 {
   struct ev_loop *loop;
@@ -34,8 +39,15 @@
   int connect_error; /* negative errno of a connect that failed at once; 0:
                         none.  The timer passes it to @callback, which must not
                         be called before call_send() returns.  */
-  call_callback_t callback; /* receives the result of the current call */
-  void *context;            /* passed to @callback */
+  const char *selected_name; /* name of the field that call_get_field()
+                                returns; NULL: none */
+  GString *field_name;       /* name of the field that is being read */
+  GString *field_value;      /* value of the field that is being read */
+  bool in_field_value;       /* a part of that value was read */
+  GString *selected_value;   /* value of the selected field so far */
+  int selected_count;        /* number of selected fields in the response */
+  call_callback_t callback;  /* receives the result of the current call */
+  void *context;             /* passed to @callback */
 };
 
 static void start_request (call_client_t *client);
@@ -45,11 +57,21 @@
 static void on_readable (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable (struct ev_loop *loop, ev_io *watcher, int events);
 static void on_timeout (struct ev_loop *loop, ev_timer *watcher, int events);
+static int on_field_name (http_parser *parser, const char *data,
+                          size_t length);
+static int on_field_value (http_parser *parser, const char *data,
+                           size_t length);
+static int on_headers_complete (http_parser *parser);
+static void finish_field (call_client_t *client);
 static int on_body (http_parser *parser, const char *data, size_t length);
 static int on_message_complete (http_parser *parser);
 
 static const http_parser_settings parser_settings
-    = { .on_body = on_body, .on_message_complete = on_message_complete };
+    = { .on_header_field = on_field_name,
+        .on_header_value = on_field_value,
+        .on_headers_complete = on_headers_complete,
+        .on_body = on_body,
+        .on_message_complete = on_message_complete };
 
 call_client_t *
 call_client_new (struct ev_loop *loop, const struct sockaddr_in *address)
@@ -64,6 +86,9 @@
   client->fd = -1;
   client->request = g_string_new (NULL);
   client->response_body = g_byte_array_new ();
+  client->field_name = g_string_new (NULL);
+  client->field_value = g_string_new (NULL);
+  client->selected_value = g_string_new (NULL);
   ev_init (&client->timer, on_timeout);
   client->timer.data = client;
   return client;
@@ -78,9 +103,26 @@
   disconnect (client);
   g_string_free (client->request, TRUE);
   g_byte_array_free (client->response_body, TRUE);
+  g_string_free (client->field_name, TRUE);
+  g_string_free (client->field_value, TRUE);
+  g_string_free (client->selected_value, TRUE);
   g_free (client);
 }
 
+void
+call_select_field (call_client_t *client, const char *name)
+{
+  client->selected_name = name;
+}
+
+const char *
+call_get_field (const call_client_t *client)
+{
+  if (client->selected_count > 1)
+    return NULL;
+  return client->selected_count == 1 ? client->selected_value->str : "";
+}
+
 bool
 call_is_busy (const call_client_t *client)
 {
@@ -127,6 +169,10 @@
 {
   client->request_sent_bytes = 0;
   g_byte_array_set_size (client->response_body, 0);
+  g_string_truncate (client->field_name, 0);
+  g_string_truncate (client->field_value, 0);
+  client->in_field_value = false;
+  client->selected_count = 0;
   if (client->fd < 0)
     {
       int fd = socket_connect (&client->address);
@@ -266,6 +312,56 @@
     fail_call (client, -ETIMEDOUT);
 }
 
+static int
+on_field_name (http_parser *parser, const char *data, size_t length)
+{
+  call_client_t *client = parser->data;
+
+  if (client->in_field_value)
+    finish_field (client);
+  if (client->selected_name != NULL
+      && client->field_name->len < NAME_MAX_BYTES)
+    g_string_append_len (client->field_name, data, (gssize)length);
+  return 0;
+}
+
+static int
+on_field_value (http_parser *parser, const char *data, size_t length)
+{
+  call_client_t *client = parser->data;
+
+  client->in_field_value = true;
+  if (client->selected_name != NULL
+      && client->field_value->len < VALUE_MAX_BYTES)
+    g_string_append_len (client->field_value, data, (gssize)length);
+  return 0;
+}
+
+/* Keeps the field whose name and value have been read if it is the selected
+   one.  */
+static void
+finish_field (call_client_t *client)
+{
+  if (client->selected_name != NULL
+      && g_ascii_strcasecmp (client->field_name->str, client->selected_name)
+             == 0)
+    {
+      g_string_assign (client->selected_value,
+                       g_strchomp (client->field_value->str));
+      client->selected_count++;
+    }
+  g_string_truncate (client->field_name, 0);
+  g_string_truncate (client->field_value, 0);
+  client->in_field_value = false;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  finish_field (parser->data);
+  return 0;
+}
+
 static int
 on_body (http_parser *parser, const char *data, size_t length)
 {
--- a/lib/net/call.h
+++ b/lib/net/call.h
@@ -33,6 +33,14 @@
 /* Cancels a call in progress and frees the client.  */
 void call_client_free (call_client_t *client);
 
+/* Selects the header field of responses that call_get_field() returns.  @name:
+   not copied.  */
+void call_select_field (call_client_t *client, const char *name);
+/* Returns the value of the selected field in the response of the last call,
+   valid until the next call.  "": the response has no such field, or there was
+   no response.  NULL: it has several.  */
+const char *call_get_field (const call_client_t *client);
+
 /* Whether a call is in progress.  */
 bool call_is_busy (const call_client_t *client);
 
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -80,6 +80,8 @@
                                         "broken",
                                         "cut",
                                         NULL };
+static const char *const older_announcements[]
+    = { "older", "newer_config", NULL };
 static const char *const reader_changes[] = { "took_over", "gave_up", NULL };
 
 static const char *const transfer_kinds[]
@@ -174,6 +176,12 @@
   = { "peridot_reader_changes_total",
       "Times this instance began or ended reading the store for all.",
       "change", reader_changes },
+  [TELEMETRY_OLDER_ANNOUNCEMENTS]
+  = { "peridot_older_announcements_total",
+      "Announcements ignored because their store revision is older than "
+      "known, "
+      "and of these, those that name a newer configuration.",
+      "kind", older_announcements },
   [TELEMETRY_RETURNED]
   = { "peridot_returned_total",
       "Requests of callers that asked before, by the time that they state.",
@@ -197,6 +205,10 @@
   = { "peridot_connections", "Open connections of callers.", NULL, NULL },
   [TELEMETRY_REVISION]
   = { "peridot_revision", "Store revision known completely.", NULL, NULL },
+  [TELEMETRY_STORE_ERA]
+  = { "peridot_store_era",
+      "Times that the store was restored from an older copy, as last read.",
+      NULL, NULL },
   [TELEMETRY_RECORD_VERSION]
   = { "peridot_record_version", "Version of the ownership record.", NULL,
       NULL },
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -111,6 +111,10 @@
   TELEMETRY_CONFIG_TRANSFERS,
   TELEMETRY_READER_CHANGES, /* 0 began, 1 ended: times that this instance began
                                or ended reading the store on behalf of all */
+  /* 0 older, 1 older although it names a newer configuration: announcements
+     that were ignored because their store revision is older than this
+     instance's */
+  TELEMETRY_OLDER_ANNOUNCEMENTS,
   TELEMETRY_RETURNED, /* none: requests that repeat an earlier attempt of the
                          client, as inferred from the timeout stated in the
                          request (see caller_age_update()) */
@@ -155,6 +159,9 @@
   TELEMETRY_CONNECTIONS,    /* open connections of clients */
   TELEMETRY_REVISION,       /* store revision up to which this instance has all
                                changes */
+  TELEMETRY_STORE_ERA,      /* number of times that the store was restored from
+                               an older copy, as last stated to this
+                               instance */
   TELEMETRY_RECORD_VERSION, /* version of the ownership record, which assigns
                                each slice (a partition of the pools of
                                endpoints of a data centre) to an instance */
