--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -23,6 +23,7 @@
 NOT_EXECUTED = "X-Not-Executed"
 COLD_REMAINING_MS = "X-Cold-Remaining-Ms"
 RATE_LIMIT = "Server-Limit"
+STORE_ERA = "Store-Era"
 
 FRONT, READY, DIRECTORY, INTERNAL_PORT, METRICS = 8144, 8140, 8143, 7660, 9600
 # An endpoint must get no request later than this after it began to drain.
@@ -126,6 +127,7 @@
     def __init__(self):
         self.objects = collections.defaultdict(dict)
         self.revision = 1
+        self.era = 1
         self.events = []
         self.compacted_revision = 0
         self.changed = asyncio.Condition()
@@ -168,6 +170,20 @@
         self.events.clear()
         self.cut()
 
+    def copy(self):
+        """Returns a copy of the objects, for restore()."""
+        return self.revision, {kind: dict(objects) for kind, objects
+                               in self.objects.items()}
+
+    def restore(self, copy):
+        """Returns to a copy: later changes are lost, and their revisions are
+        used again."""
+        self.revision, objects = copy
+        self.objects = collections.defaultdict(dict)
+        self.objects.update({kind: dict(o) for kind, o in objects.items()})
+        self.era += 1
+        self.compact()
+
     def cut(self):
         # Aborts all connections.
         for writer in list(self.writers):
@@ -187,7 +203,8 @@
                 if self.mode == "slow":
                     await asyncio.sleep(0.4)
                 if self.mode == "busy":
-                    writer.write(message("HTTP/1.1 503 Busy", {}))
+                    writer.write(message("HTTP/1.1 503 Busy",
+                                         {STORE_ERA: self.era}))
                     continue
                 method, target, _ = start_line.split(" ")
                 status, answer = await self.call(method, target, body)
@@ -196,7 +213,8 @@
                     writer.transport.abort()
                     return
                 writer.write(message(f"HTTP/1.1 {status} -",
-                                     {"Content-Type": "application/json"},
+                                     {"Content-Type": "application/json",
+                                      STORE_ERA: self.era},
                                      json.dumps(answer).encode()))
                 await writer.drain()
         except (MessageError, ConnectionError, OSError,
@@ -238,7 +256,7 @@
     async def watch(self, kind, after, wait_ms):
         deadline = time.monotonic() + wait_ms / 1000
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return 410, {}
             found = [{"object": o, "removed": is_removed}
                      for r, k, o, is_removed in self.events if k == kind
@@ -768,6 +786,46 @@
         if streams is not None:
             streams[1].transport.abort()
 
+    async def find_reader(self):
+        """Returns the running instance that made the most successful calls of
+        the store."""
+        busiest, max_calls = None, -1
+        for instance in self.instances:
+            if instance.process.returncode is not None:
+                continue
+            calls = (await instance.metrics())[
+                'peridot_store_calls_total{result="ok"}']
+            if calls > max_calls:
+                busiest, max_calls = instance, calls
+        return busiest
+
+    async def ask(self, instance, target):
+        """Returns the status of a GET request to an instance."""
+        self.next_id += 1
+        request_id = f"s{self.next_id}"
+        self.sent[request_id] = ("GET", target, b"")
+        reader, writer = await asyncio.open_connection(instance.ip, FRONT)
+        try:
+            writer.write(message(
+                f"GET {target} HTTP/1.1",
+                {"Host": "here.example", ATTEMPT_ID: request_id,
+                 DEADLINE_MS: "1000"}))
+            start_line, _, _ = await read_message(reader)
+            return int(start_line.split(" ")[1])
+        finally:
+            writer.transport.abort()
+
+    async def all_return_status(self, target, wanted, timeout_s):
+        """Whether each instance responds with the wanted status in time."""
+        until = time.monotonic() + timeout_s
+        pending = list(self.instances)
+        while pending and time.monotonic() < until:
+            for instance in list(pending):
+                if await self.ask(instance, target) == wanted:
+                    pending.remove(instance)
+            await asyncio.sleep(0.05)
+        return not pending
+
     async def wait_until_ready(self, timeout_s=5.0):
         """Waits until all instances report that they are ready.  Each one
         that is not ready after timeout_s is a fault."""
--- a/test/run/platformrun.py
+++ b/test/run/platformrun.py
@@ -14,6 +14,7 @@
     the last lines of the instances' logs."""
     program = os.path.join(sys.argv[1], "platform", "peridotrouter")
     with tempfile.TemporaryDirectory() as folder:
+        folder = os.environ.get("RUN_LOGS") or folder
         site = platform_site.run(program, folder, script, **options)
         print("faults:", len(site.faults))
         for fault in site.faults[:20]:
