--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -132,7 +132,8 @@
   backend_t *backend = g_hash_table_lookup (backends->by_id, entry->id);
   bool is_restarted;
 
-  if (backend != NULL && entry->revision < backend->entry.revision)
+  if (backend != NULL
+      && store_revision_compare (entry->revision, backend->entry.revision) < 0)
     return;
   is_restarted
       = backend != NULL
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -14,6 +14,7 @@
 #include "clock.h"
 #include "decide.h"
 #include "rate_limit.h"
+#include "store_revision.h"
 
 /* Handle of an endpoint in the table.  The generation changes when the table
    entry is reused, so that a stale handle does not resolve to another
@@ -35,13 +36,13 @@
   char *data_centre;
   char *software; /* version of the endpoint's software; NULL: not stated */
   struct sockaddr_in address;
-  uint32_t slots;    /* number of requests that it can run at the same time */
-  bool draining;     /* no new requests may be sent to it */
-  clock_ms_t cold;   /* remaining warm-up time in ms, counted from the call of
-                        backends_put() */
-  uint64_t born;     /* time at which the endpoint was started, Unix ms; 0: not
-                        stated */
-  uint64_t revision; /* store revision of the entry */
+  uint32_t slots;  /* number of requests that it can run at the same time */
+  bool draining;   /* no new requests may be sent to it */
+  clock_ms_t cold; /* remaining warm-up time in ms, counted from the call of
+                      backends_put() */
+  uint64_t born;   /* time at which the endpoint was started, Unix ms; 0: not
+                      stated */
+  store_revision_t revision; /* store revision of the entry */
 } backend_entry_t;
 
 /* Load as an endpoint reports it.  */
--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -29,15 +29,15 @@
    instead.  */
 typedef struct channel
 {
-  bool busy;         /* a list or watch is pending */
-  bool listing;      /* the pending or last call is a list, not a watch */
-  bool has_list;     /* a complete list was read, and no failure has made it
-                        necessary to read a new one */
-  uint64_t revision; /* store revision of the last complete list or of the last
-                        changes that a watch has reported */
-  clock_ms_t next_call_at; /* ms; time before which no call starts */
-  GPtrArray *items;        /* feed_item_t *; while a list is read in pages, the
-                              objects of the pages received so far */
+  bool busy;     /* a list or watch is pending */
+  bool listing;  /* the pending or last call is a list, not a watch */
+  bool has_list; /* a complete list was read, and no failure has made it
+                    necessary to read a new one */
+  store_revision_t revision; /* store revision of the last complete list or of
+                        the last changes that a watch has reported */
+  clock_ms_t next_call_at;   /* ms; time before which no call starts */
+  GPtrArray *items; /* feed_item_t *; while a list is read in pages, the
+                       objects of the pages received so far */
 } channel_t;
 
 struct feed
@@ -48,15 +48,15 @@
   members_t *members;
   reader_t *reader;
   channel_t channels[FEED_KIND_COUNT];
-  bool storing;              /* a call of store_members() is pending */
-  clock_ms_t next_store_at;  /* ms; time before which store_members() is not
-                                called; 0: no call is scheduled */
-  uint64_t storing_digest;   /* digest of the members that the pending call of
-                                store_members() writes */
-  uint64_t stored_digest;    /* digest of the members that the store lists */
-  uint64_t members_revision; /* store revision of the list of members; 0: the
-                                store has no list */
-  bool stopping;             /* feed_stop() was called */
+  bool storing;             /* a call of store_members() is pending */
+  clock_ms_t next_store_at; /* ms; time before which store_members() is not
+                               called; 0: no call is scheduled */
+  uint64_t storing_digest;  /* digest of the members that the pending call of
+                               store_members() writes */
+  uint64_t stored_digest;   /* digest of the members that the store lists */
+  store_revision_t members_revision; /* store revision of the list of members;
+                                zero: the store has no list */
+  bool stopping;                     /* feed_stop() was called */
   bool was_reader;        /* this instance was the reader at the last tick */
   bool store_unreachable; /* the last call that listed the endpoints failed */
   bool knows_era;         /* a response of the store was received */
@@ -65,8 +65,8 @@
 
 static void start_next_call (feed_t *feed, feed_kind_t kind, clock_ms_t now);
 static void start_list (feed_t *feed, feed_kind_t kind, const char *after);
-static void apply_list (feed_t *feed, feed_kind_t kind, uint64_t revision,
-                        clock_ms_t now);
+static void apply_list (feed_t *feed, feed_kind_t kind,
+                        store_revision_t revision, clock_ms_t now);
 static void apply_watched_changes (feed_t *feed, feed_kind_t kind,
                                    const GPtrArray *items, clock_ms_t now);
 static void apply_item (feed_t *feed, feed_kind_t kind, feed_item_t *item,
@@ -186,7 +186,7 @@
 }
 
 void
-feed_handle_store_result (feed_t *feed, int error, uint64_t revision)
+feed_handle_store_result (feed_t *feed, int error, store_revision_t revision)
 {
   feed->storing = false;
   if (error == 0)
@@ -315,14 +315,16 @@
 static void
 record_era (feed_t *feed, const feed_response_t *response)
 {
-  if (feed->knows_era && response->era > feed->era)
-    g_log_structured (
-        "fleet", G_LOG_LEVEL_WARNING, "MESSAGE",
-        "the store was restored from an older copy: era %" G_GUINT64_FORMAT
-        " after %" G_GUINT64_FORMAT ", store revision %" G_GUINT64_FORMAT
-        " after %" G_GUINT64_FORMAT,
-        response->era, feed->era, response->revision, feed->view->revision);
-  feed->era = MAX (feed->era, response->era);
+  uint64_t era = response->revision.era;
+
+  if (feed->knows_era && era > feed->era)
+    g_log_structured ("fleet", G_LOG_LEVEL_WARNING, "MESSAGE",
+                      "the store was restored from an older copy: store "
+                      "revision " STORE_REVISION_FORMAT
+                      " after " STORE_REVISION_FORMAT,
+                      STORE_REVISION_ARGS (response->revision),
+                      STORE_REVISION_ARGS (feed->view->revision));
+  feed->era = MAX (feed->era, era);
   feed->knows_era = true;
   telemetry_gauge_set (TELEMETRY_STORE_ERA, (int64_t)feed->era);
 }
@@ -383,7 +385,8 @@
 /* Applies the objects of a complete list, which are in the channel's items,
    and frees them.  */
 static void
-apply_list (feed_t *feed, feed_kind_t kind, uint64_t revision, clock_ms_t now)
+apply_list (feed_t *feed, feed_kind_t kind, store_revision_t revision,
+            clock_ms_t now)
 {
   channel_t *channel = &feed->channels[kind];
   GPtrArray *values; /* backend_entry_t * or char *, owned by the items */
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -40,26 +40,24 @@
    FEED_OUT_OF_SERVICE, of which only the name is used.  */
 typedef struct feed_item
 {
-  char *name;        /* name of the object; that of an endpoint is its id */
-  uint64_t revision; /* store revision of the object's last change */
-  bool removed;      /* the object was deleted from the store */
-  backend_entry_t *backend; /* endpoint, for FEED_BACKENDS */
-  routes_t *routes;         /* configuration, for FEED_CONFIG */
-  GPtrArray *members;       /* feed_member_t *; instances, for FEED_MEMBERS */
+  char *name; /* name of the object; that of an endpoint is its id */
+  store_revision_t revision; /* store revision of the object's last change */
+  bool removed;              /* the object was deleted from the store */
+  backend_entry_t *backend;  /* endpoint, for FEED_BACKENDS */
+  routes_t *routes;          /* configuration, for FEED_CONFIG */
+  GPtrArray *members;        /* feed_member_t *; instances, for FEED_MEMBERS */
 } feed_item_t;
 
 /* The result of a list or a watch.  */
 typedef struct feed_response
 {
-  int error;    /* 0, -ESTALE if the store has dropped the history after the
-                   requested revision, or another negative errno */
-  uint64_t era; /* number of times that the store was restored from an
-                   older copy before it sent the response */
-  uint64_t revision; /* store revision of the list, or the one up to which the
-                        watch has reported changes */
-  bool more;         /* a further page of the list follows */
-  GPtrArray *items;  /* feed_item_t *; objects of the page of the list, or
-                        changes that the watch has reported */
+  int error; /* 0, -ESTALE if the store has dropped the history after the
+                requested revision, or another negative errno */
+  store_revision_t revision; /* store revision of the list, or the one up to
+                                which the watch has reported changes */
+  bool more;                 /* a further page of the list follows */
+  GPtrArray *items; /* feed_item_t *; objects of the page of the list, or
+                       changes that the watch has reported */
 } feed_response_t;
 
 /* Frees a feed_item_t and all that it owns.  */
@@ -78,12 +76,12 @@
                 clock_ms_t timeout);
   /* Waits up to @wait ms for objects of a kind to change after a store
      revision.  */
-  void (*watch) (void *context, feed_kind_t kind, uint64_t revision,
+  void (*watch) (void *context, feed_kind_t kind, store_revision_t revision,
                  clock_ms_t wait);
   /* Replaces the list of members in the store if its revision there is still
-     @revision.  If @revision is 0, creates the list unless it exists.  */
+     @revision.  If @revision is zero, creates the list unless it exists.  */
   void (*store_members) (void *context, const members_t *members,
-                         uint64_t revision);
+                         store_revision_t revision);
   /* Cancels the pending list or watch of a kind.  */
   void (*cancel) (void *context, feed_kind_t kind);
   void *context; /* first argument of the functions */
@@ -104,7 +102,8 @@
    failed.  @error: 0, -EEXIST if another reader has changed the list, or
    another negative errno.  @revision: store revision of the written list, used
    if @error is 0.  */
-void feed_handle_store_result (feed_t *feed, int error, uint64_t revision);
+void feed_handle_store_result (feed_t *feed, int error,
+                               store_revision_t revision);
 /* Frees a feed_member_t and its strings.  */
 void feed_member_free (gpointer member);
 
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -11,6 +11,13 @@
 
 typedef string fleet_wire_name<FLEET_NAME_MAX>;
 
+/* A revision of the store.  */
+struct fleet_wire_revision
+{
+  unsigned hyper era;    /* times that the store was restored before it */
+  unsigned hyper number; /* that the store gave out in that era */
+};
+
 struct fleet_wire_backend
 {
   string id<FLEET_NAME_MAX>;
@@ -23,7 +30,7 @@
   bool draining;
   unsigned int cold;
   unsigned hyper born;
-  unsigned hyper revision;
+  fleet_wire_revision revision;
 };
 
 struct fleet_wire_change
@@ -103,15 +110,15 @@
 {
   unsigned int asker;   /* its address, where others may fetch from it */
   unsigned int parts;   /* sum of FLEET_PART_ */
-  unsigned hyper since; /* the asker's endpoints are those of this revision;
-                           0: it wants all of them */
+  fleet_wire_revision since; /* the asker's endpoints are those of this
+                                revision; zero: it wants all of them */
   unsigned hyper config_version; /* the asker's; 0: it has none */
 };
 
 struct fleet_wire_gone
 {
   string id<FLEET_NAME_MAX>;
-  unsigned hyper revision;
+  fleet_wire_revision revision;
 };
 
 /* What the sender knows, as of a revision of the store.  */
@@ -122,8 +129,9 @@
                                     is busy with others */
   unsigned int elsewhere;        /* address of an instance that has what was
                                     left out; 0: none */
-  unsigned hyper revision;
-  unsigned hyper since;          /* endpoints that changed after it; 0: all */
+  fleet_wire_revision revision;
+  fleet_wire_revision since;     /* endpoints that changed after it; zero:
+                                    all */
   unsigned hyper digest;         /* of the sender's table of endpoints */
   fleet_wire_config config<1>;
   fleet_wire_backend backends<FLEET_LIST_MAX>;
@@ -136,7 +144,7 @@
 /* Sent by the reader to all members a few times a second.  */
 struct fleet_wire_announce
 {
-  unsigned hyper revision;
+  fleet_wire_revision revision;
   unsigned hyper digest;         /* of the sender's table of endpoints */
   unsigned hyper config_version; /* 0: none */
   unsigned hyper members_digest;
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -23,6 +23,12 @@
 
 typedef char *fleet_wire_name;
 
+struct fleet_wire_revision {
+	u_quad_t era;
+	u_quad_t number;
+};
+typedef struct fleet_wire_revision fleet_wire_revision;
+
 struct fleet_wire_backend {
 	char *id;
 	char *service;
@@ -34,7 +40,7 @@
 	bool_t draining;
 	u_int cold;
 	u_quad_t born;
-	u_quad_t revision;
+	fleet_wire_revision revision;
 };
 typedef struct fleet_wire_backend fleet_wire_backend;
 
@@ -124,22 +130,22 @@
 struct fleet_wire_request {
 	u_int asker;
 	u_int parts;
-	u_quad_t since;
+	fleet_wire_revision since;
 	u_quad_t config_version;
 };
 typedef struct fleet_wire_request fleet_wire_request;
 
 struct fleet_wire_gone {
 	char *id;
-	u_quad_t revision;
+	fleet_wire_revision revision;
 };
 typedef struct fleet_wire_gone fleet_wire_gone;
 
 struct fleet_wire_snapshot {
 	u_int included;
 	u_int elsewhere;
-	u_quad_t revision;
-	u_quad_t since;
+	fleet_wire_revision revision;
+	fleet_wire_revision since;
 	u_quad_t digest;
 	struct {
 		u_int config_len;
@@ -169,7 +175,7 @@
 typedef struct fleet_wire_snapshot fleet_wire_snapshot;
 
 struct fleet_wire_announce {
-	u_quad_t revision;
+	fleet_wire_revision revision;
 	u_quad_t digest;
 	u_quad_t config_version;
 	u_quad_t members_digest;
@@ -260,6 +266,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_fleet_wire_name (XDR *, fleet_wire_name*);
+extern  bool_t xdr_fleet_wire_revision (XDR *, fleet_wire_revision*);
 extern  bool_t xdr_fleet_wire_backend (XDR *, fleet_wire_backend*);
 extern  bool_t xdr_fleet_wire_change (XDR *, fleet_wire_change*);
 extern  bool_t xdr_fleet_wire_part (XDR *, fleet_wire_part*);
@@ -281,6 +288,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_fleet_wire_name ();
+extern bool_t xdr_fleet_wire_revision ();
 extern bool_t xdr_fleet_wire_backend ();
 extern bool_t xdr_fleet_wire_change ();
 extern bool_t xdr_fleet_wire_part ();
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -15,6 +15,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_wire_revision (XDR *xdrs, fleet_wire_revision *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_backend (XDR *xdrs, fleet_wire_backend *objp)
 {
@@ -52,7 +64,7 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->born))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -86,7 +98,7 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->born))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -111,7 +123,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->born))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 		 return FALSE;
 	return TRUE;
 }
@@ -260,7 +272,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->parts))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->since))
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->since))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
@@ -274,7 +286,7 @@
 
 	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 		 return FALSE;
 	return TRUE;
 }
@@ -288,9 +300,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->elsewhere))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->since))
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->since))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
@@ -320,7 +332,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -45,8 +45,9 @@
 static bool can_reply_without_reader (const relay_t *relay, clock_ms_t now);
 static void forward_hello (relay_t *relay, const char *sender,
                            const char *data, size_t length, clock_ms_t now);
-static void log_older_announcement (const relay_t *relay, const char *sender,
-                                    const fleet_wire_announce *wire);
+static unsigned int apply_announced_state (relay_t *relay,
+                                           const fleet_wire_announce *wire,
+                                           clock_ms_t now);
 static void apply_changes (relay_t *relay, const fleet_wire_announce *wire,
                            clock_ms_t now);
 
@@ -324,28 +325,31 @@
     }
 }
 
-/* Logs that an announcement is ignored because its store revision is older
-   than this instance's.  That is usual while two instances read the store,
-   unless it names a newer configuration.  */
-static void
-log_older_announcement (const relay_t *relay, const char *sender,
-                        const fleet_wire_announce *wire)
+/* Applies what an announcement says about endpoints and data centres.  Return:
+   bit mask of FLEET_PART_BACKENDS and FLEET_PART_MEMBERS: the parts that are
+   to be fetched.  */
+static unsigned int
+apply_announced_state (relay_t *relay, const fleet_wire_announce *wire,
+                       clock_ms_t now)
 {
-  uint64_t config_version
-      = relay->view->routes != NULL ? relay->view->routes->version : 0;
-  bool names_newer_config = wire->config_version > config_version;
-
-  telemetry_counter_increment (TELEMETRY_OLDER_ANNOUNCEMENTS,
-                               names_newer_config ? 1 : 0);
-  if (names_newer_config)
-    g_log_structured (
-        "fleet", G_LOG_LEVEL_WARNING, "PEER", sender, "MESSAGE",
-        "announcement is ignored: store revision %" G_GUINT64_FORMAT
-        " is older than %" G_GUINT64_FORMAT
-        ", although it names configuration %" G_GUINT64_FORMAT
-        " and this instance has %" G_GUINT64_FORMAT,
-        (uint64_t)wire->revision, relay->view->revision,
-        (uint64_t)wire->config_version, config_version);
+  GPtrArray *out = g_ptr_array_new ();
+  unsigned int missing_parts = 0;
+
+  apply_changes (relay, wire, now);
+  for (u_int i = 0; i < wire->out.out_len; i++)
+    g_ptr_array_add (out, wire->out.out_val[i]);
+  view_set_out_of_service (relay->view, out);
+  g_ptr_array_free (out, TRUE);
+  if (wire->members_digest != members_digest (relay->members))
+    missing_parts |= FLEET_PART_MEMBERS;
+  if (wire->digest == view_digest (relay->view))
+    {
+      relay->fetch_mismatches = 0;
+      view_set_synced (relay->view, wire_to_revision (wire->revision));
+    }
+  else if (!wire->more)
+    missing_parts |= FLEET_PART_BACKENDS;
+  return missing_parts;
 }
 
 static void
@@ -359,7 +363,6 @@
   unsigned int missing_parts = 0;
   /* Address of the announcing instance, not of the forwarder.  */
   uint32_t ip = wire->member.ip;
-  GPtrArray *out;
 
   (void)members_put (relay->members, wire->member.name,
                      wire->member.data_centre, wire->member.ip, now);
@@ -397,34 +400,18 @@
                             wire->ready.ready_len)
              > 0)
     relay->hooks.members_changed (relay->hooks.context);
-  /* If this instance already has a newer store revision than the announced
-     one, the announcement has nothing new.  */
-  if (wire->revision < relay->view->revision)
-    {
-      log_older_announcement (relay, sender, wire);
-      return;
-    }
-  apply_changes (relay, wire, now);
-  out = g_ptr_array_new ();
-  for (u_int i = 0; i < wire->out.out_len; i++)
-    g_ptr_array_add (out, wire->out.out_val[i]);
-  view_set_out_of_service (relay->view, out);
-  g_ptr_array_free (out, TRUE);
   if (wire->config_version
       > (relay->view->routes != NULL ? relay->view->routes->version : 0))
     missing_parts |= FLEET_PART_CONFIG;
-  if (wire->members_digest != members_digest (relay->members))
-    missing_parts |= FLEET_PART_MEMBERS;
-  if (wire->digest != view_digest (relay->view))
-    {
-      if (!wire->more)
-        missing_parts |= FLEET_PART_BACKENDS;
-    }
+  /* Of an announcement with an older store revision than this instance's, only
+     the configuration is of use, which has an order of its own.  */
+  if (store_revision_compare (wire_to_revision (wire->revision),
+                              relay->view->revision)
+      < 0)
+    telemetry_counter_increment (TELEMETRY_OLDER_ANNOUNCEMENTS,
+                                 missing_parts != 0 ? 1 : 0);
   else
-    {
-      relay->fetch_mismatches = 0;
-      view_set_synced (relay->view, wire->revision);
-    }
+    missing_parts |= apply_announced_state (relay, wire, now);
   /* A changed configuration has to take effect on all instances sooner than
      any other change.  It is therefore fetched at once and without the other
      parts of the state.  */
--- a/lib/fleet/relay_fetch.c
+++ b/lib/fleet/relay_fetch.c
@@ -188,7 +188,8 @@
   if ((relay->fetch_request.parts & received->included & FLEET_PART_BACKENDS)
       != 0)
     {
-      if (relay->fetch_request.since == 0 || received->digest_matches)
+      if (store_revision_is_zero (relay->fetch_request.since)
+          || received->digest_matches)
         relay->fetch_mismatches = 0;
       else
         relay->fetch_mismatches++;
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -92,7 +92,7 @@
         return true;
       to->removed = change->removed;
       wire_from_backend (&to->backend, &change->entry, change->entry.cold);
-      to->backend.revision = change->revision;
+      to->backend.revision = wire_from_revision (change->revision);
       size = xdr_sizeof ((xdrproc_t)xdr_fleet_wire_change, to);
       if (size > *bytes_left)
         return true;
@@ -154,7 +154,7 @@
   size_t length;
   size_t bytes_left;
 
-  wire->revision = relay->view->revision;
+  wire->revision = wire_from_revision (relay->view->revision);
   wire->digest = view_digest (relay->view);
   wire->config_version
       = relay->view->routes != NULL ? relay->view->routes->version : 0;
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -20,14 +20,18 @@
 
 static void change_free (view_change_t *change);
 static void record_change (view_t *view, const backend_entry_t *entry,
-                           uint64_t revision, bool removed, clock_ms_t now);
+                           store_revision_t revision, bool removed,
+                           clock_ms_t now);
 static void log_change (view_t *view, const char *id,
-                        const backend_entry_t *entry, uint64_t revision);
+                        const backend_entry_t *entry,
+                        store_revision_t revision);
 static bool has_same_state (const backend_entry_t *a,
                             const backend_entry_t *b);
-static void remember_removal (view_t *view, const char *id, uint64_t revision);
+static void remember_removal (view_t *view, const char *id,
+                              store_revision_t revision);
 static void remove_missing_backends (view_t *view, const GPtrArray *entries,
-                                     uint64_t revision, clock_ms_t now);
+                                     store_revision_t revision,
+                                     clock_ms_t now);
 static uint64_t entry_digest (const backend_entry_t *entry);
 
 view_t *
@@ -72,8 +76,8 @@
 /* Adds a change to @view->changes.  If that exceeds the limit, the oldest
    change is dropped.  */
 static void
-record_change (view_t *view, const backend_entry_t *entry, uint64_t revision,
-               bool removed, clock_ms_t now)
+record_change (view_t *view, const backend_entry_t *entry,
+               store_revision_t revision, bool removed, clock_ms_t now)
 {
   view_change_t *change;
 
@@ -94,7 +98,8 @@
   if (view->changes.length > VIEW_CHANGES_MAX)
     {
       change = g_queue_pop_tail (&view->changes);
-      view->history_start = MAX (view->history_start, change->revision);
+      if (store_revision_compare (view->history_start, change->revision) < 0)
+        view->history_start = change->revision;
       change_free (change);
     }
 }
@@ -105,7 +110,7 @@
    removed.  */
 static void
 log_change (view_t *view, const char *id, const backend_entry_t *entry,
-            uint64_t revision)
+            store_revision_t revision)
 {
   if (!view->has_all_backends)
     return;
@@ -117,15 +122,17 @@
       || view->unlogged_updates + view->unlogged_removals > LOGGED_CHANGES_MAX)
     return;
   if (entry == NULL)
-    g_log_structured ("fleet", G_LOG_LEVEL_INFO, "ENDPOINT", id, "MESSAGE",
-                      "endpoint is gone, store revision %" G_GUINT64_FORMAT,
-                      revision);
-  else
     g_log_structured (
-        "fleet", G_LOG_LEVEL_INFO, "ENDPOINT", id, "SERVICE", entry->service,
-        "DATA_CENTRE", entry->data_centre, "MESSAGE",
-        "endpoint %s, store revision %" G_GUINT64_FORMAT,
-        entry->draining ? "is leaving" : "is in service", revision);
+        "fleet", G_LOG_LEVEL_INFO, "ENDPOINT", id, "MESSAGE",
+        "endpoint is gone, store revision " STORE_REVISION_FORMAT,
+        STORE_REVISION_ARGS (revision));
+  else
+    g_log_structured ("fleet", G_LOG_LEVEL_INFO, "ENDPOINT", id, "SERVICE",
+                      entry->service, "DATA_CENTRE", entry->data_centre,
+                      "MESSAGE",
+                      "endpoint %s, store revision " STORE_REVISION_FORMAT,
+                      entry->draining ? "is leaving" : "is in service",
+                      STORE_REVISION_ARGS (revision));
 }
 
 /* Whether two entries of an endpoint are equal apart from the revision and the
@@ -146,13 +153,15 @@
 view_put_backend (view_t *view, const backend_entry_t *entry, clock_ms_t now)
 {
   const backend_t *known = backends_find (view->backends, entry->id);
-  const uint64_t *tombstone
+  const store_revision_t *tombstone
       = g_hash_table_lookup (view->tombstones, entry->id);
   bool changed;
 
-  if (tombstone != NULL && entry->revision <= *tombstone)
+  if (tombstone != NULL
+      && store_revision_compare (entry->revision, *tombstone) <= 0)
     return;
-  if (known != NULL && entry->revision < known->entry.revision)
+  if (known != NULL
+      && store_revision_compare (entry->revision, known->entry.revision) < 0)
     return;
   changed = known == NULL || !has_same_state (&known->entry, entry);
   if (changed && known != NULL)
@@ -170,16 +179,17 @@
 /* Records the store revision of a removal, so that older entries of the
    endpoint are ignored.  */
 static void
-remember_removal (view_t *view, const char *id, uint64_t revision)
+remember_removal (view_t *view, const char *id, store_revision_t revision)
 {
-  uint64_t *tombstone = g_hash_table_lookup (view->tombstones, id);
+  store_revision_t *tombstone = g_hash_table_lookup (view->tombstones, id);
 
   if (tombstone != NULL)
     {
-      *tombstone = MAX (*tombstone, revision);
+      if (store_revision_compare (*tombstone, revision) < 0)
+        *tombstone = revision;
       return;
     }
-  tombstone = g_new (uint64_t, 1);
+  tombstone = g_new (store_revision_t, 1);
   *tombstone = revision;
   if (g_hash_table_size (view->tombstones) >= TOMBSTONES_MAX)
     g_hash_table_remove_all (view->tombstones);
@@ -187,7 +197,7 @@
 }
 
 void
-view_remove_backend (view_t *view, const char *id, uint64_t revision,
+view_remove_backend (view_t *view, const char *id, store_revision_t revision,
                      clock_ms_t now)
 {
   const backend_t *known = backends_find (view->backends, id);
@@ -198,7 +208,7 @@
       remember_removal (view, id, revision);
       return;
     }
-  if (revision < known->entry.revision)
+  if (store_revision_compare (revision, known->entry.revision) < 0)
     return;
   if (now < view->retain_until && !known->entry.draining)
     return;
@@ -213,7 +223,7 @@
 /* Removes the endpoints that are not among @entries.  */
 static void
 remove_missing_backends (view_t *view, const GPtrArray *entries,
-                         uint64_t revision, clock_ms_t now)
+                         store_revision_t revision, clock_ms_t now)
 {
   GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
   GPtrArray *missing = g_ptr_array_new_with_free_func (g_free);
@@ -237,12 +247,19 @@
 
 void
 view_replace_backends (view_t *view, const GPtrArray *entries,
-                       uint64_t revision, clock_ms_t now)
+                       store_revision_t revision, clock_ms_t now)
 {
-  if (revision < view->revision)
+  if (store_revision_compare (revision, view->revision) < 0)
     return;
   for (guint i = 0; i < entries->len; i++)
-    view_put_backend (view, g_ptr_array_index (entries, i), now);
+    {
+      backend_entry_t entry
+          = *(const backend_entry_t *)g_ptr_array_index (entries, i);
+
+      if (entry.revision.era < revision.era)
+        entry.revision = (store_revision_t){ .era = revision.era };
+      view_put_backend (view, &entry, now);
+    }
   remove_missing_backends (view, entries, revision, now);
   view_set_synced (view, revision);
 }
@@ -261,33 +278,35 @@
     return;
   g_log_structured ("fleet", G_LOG_LEVEL_INFO, "MESSAGE",
                     "endpoints have changed: %u added or changed, %u gone, "
-                    "%d known, store revision %" G_GUINT64_FORMAT,
+                    "%d known, store revision " STORE_REVISION_FORMAT,
                     view->unlogged_updates, view->unlogged_removals,
-                    backends_count (view->backends), view->revision);
+                    backends_count (view->backends),
+                    STORE_REVISION_ARGS (view->revision));
   view->unlogged_updates = 0;
   view->unlogged_removals = 0;
   view->changes_logged_at = now;
 }
 
 void
-view_set_synced (view_t *view, uint64_t revision)
+view_set_synced (view_t *view, store_revision_t revision)
 {
   view->revision = revision;
   view->synced_at = clock_now ();
-  if (view->has_all_backends || revision == 0)
+  if (view->has_all_backends || store_revision_is_zero (revision))
     return;
   view->has_all_backends = true;
   view->history_start = revision;
   g_log_structured (
       "fleet", G_LOG_LEVEL_INFO, "MESSAGE",
-      "%d endpoints are known, store revision %" G_GUINT64_FORMAT,
-      backends_count (view->backends), revision);
+      "%d endpoints are known, store revision " STORE_REVISION_FORMAT,
+      backends_count (view->backends), STORE_REVISION_ARGS (revision));
 }
 
 bool
-view_has_changes_since (const view_t *view, uint64_t since)
+view_has_changes_since (const view_t *view, store_revision_t since)
 {
-  return view->has_all_backends && since != 0 && since >= view->history_start;
+  return view->has_all_backends && !store_revision_is_zero (since)
+         && store_revision_compare (since, view->history_start) >= 0;
 }
 
 void
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -16,10 +16,10 @@
 /* A change of an endpoint, in the log of changes.  */
 typedef struct view_change
 {
-  bool removed;       /* the endpoint was removed */
-  uint64_t revision;  /* store revision of the change */
-  int announce_count; /* number of announcements (messages to the other
-                         instances) that have included the change */
+  bool removed;              /* the endpoint was removed */
+  store_revision_t revision; /* store revision of the change */
+  int announce_count;        /* number of announcements (messages to the other
+                                instances) that have included the change */
   /* The endpoint's entry after the change or, if the endpoint was removed, its
      last entry.  The change owns the strings in it.  */
   backend_entry_t entry;
@@ -45,20 +45,20 @@
                                       @routes */
   uint64_t config_digest;          /* config_digest() of @routes */
   clock_ms_t routes_changed_at;    /* ms; when @routes took effect */
-  GPtrArray *out;        /* char *; names of the data centres that are out of
-                            service */
-  clock_ms_t synced_at;  /* ms; when @revision was last confirmed */
-  uint64_t revision;     /* newest store revision up to which @backends has all
-                            changes */
-  bool has_all_backends; /* a complete set of the endpoints was received */
+  GPtrArray *out;       /* char *; names of the data centres that are out of
+                           service */
+  clock_ms_t synced_at; /* ms; when @revision was last confirmed */
+  store_revision_t revision; /* newest store revision up to which @backends has
+                                all changes */
+  bool has_all_backends;     /* a complete set of the endpoints was received */
   /* ms; before this time, only draining endpoints are removed (see
      view_retain_missing()).  */
   clock_ms_t retain_until;
   GQueue changes; /* log of changes: view_change_t *, newest first */
-  /* @changes has all changes after this store revision; 0: changes are not
-     recorded yet, as @has_all_backends is false.  */
-  uint64_t history_start;
-  /* Removed endpoints: id to uint64_t *, the store revision of the
+  /* @changes has all changes after this store revision; unused while
+     @has_all_backends is false, as changes are not recorded yet.  */
+  store_revision_t history_start;
+  /* Removed endpoints: id to store_revision_t *, the store revision of the
      removal.  */
   GHashTable *tombstones;
   uint64_t digest; /* digest of the endpoints' entries without the software
@@ -90,8 +90,8 @@
  * For a time after view_retain_missing(), only draining endpoints are
  * removed.
  */
-void view_remove_backend (view_t *view, const char *id, uint64_t revision,
-                          clock_ms_t now);
+void view_remove_backend (view_t *view, const char *id,
+                          store_revision_t revision, clock_ms_t now);
 
 /**
  * view_replace_backends() - replace all endpoints with those of a complete
@@ -99,10 +99,12 @@
  * @entries: the list, of backend_entry_t *
  * @revision: store revision of the list
  *
- * A list whose revision is older than that of the view is ignored.
+ * A list whose revision is older than that of the view is ignored.  Otherwise
+ * an entry in it whose own revision is of an earlier era counts as one of the
+ * list's era, as the store still had it then.
  */
 void view_replace_backends (view_t *view, const GPtrArray *entries,
-                            uint64_t revision, clock_ms_t now);
+                            store_revision_t revision, clock_ms_t now);
 
 /* Sets whether changes of single endpoints are logged, which only the reader
    does: the number of lines of all instances would otherwise grow with the
@@ -115,7 +117,7 @@
 
 /* Records that the view has all changes of the endpoints up to a store
    revision.  */
-void view_set_synced (view_t *view, uint64_t revision);
+void view_set_synced (view_t *view, store_revision_t revision);
 
 /**
  * view_retain_missing() - retain endpoints that are missing from the store
@@ -137,8 +139,8 @@
 void view_set_out_of_service (view_t *view, GPtrArray *names);
 
 /* Whether the log of changes has all changes of the endpoints after the store
-   revision @since.  False if @since is 0.  */
-bool view_has_changes_since (const view_t *view, uint64_t since);
+   revision @since.  False if @since is before any.  */
+bool view_has_changes_since (const view_t *view, store_revision_t since);
 
 /* Digest of the endpoints.  It does not depend on the revision and the warm-up
    time of their entries, which change with each heartbeat of an endpoint.  */
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -7,7 +7,7 @@
 static void add_all_backends (fleet_wire_snapshot *wire, const view_t *view,
                               clock_ms_t now);
 static void add_backend_changes (fleet_wire_snapshot *wire, const view_t *view,
-                                 uint64_t since, clock_ms_t now);
+                                 store_revision_t since, clock_ms_t now);
 static void apply_backends (const fleet_wire_snapshot *wire, view_t *view,
                             clock_ms_t now);
 static int apply_snapshot (const fleet_wire_snapshot *wire, view_t *view,
@@ -16,6 +16,19 @@
                         clock_ms_t now);
 static void free_snapshot_arrays (fleet_wire_snapshot *wire);
 
+fleet_wire_revision
+wire_from_revision (store_revision_t revision)
+{
+  return (fleet_wire_revision){ .era = revision.era,
+                                .number = revision.number };
+}
+
+store_revision_t
+wire_to_revision (fleet_wire_revision wire)
+{
+  return (store_revision_t){ .era = wire.era, .number = wire.number };
+}
+
 void
 wire_from_backend (fleet_wire_backend *wire, const backend_entry_t *entry,
                    clock_ms_t cold)
@@ -31,7 +44,7 @@
     .draining = entry->draining,
     .cold = (u_int)MAX (cold, 0),
     .born = entry->born,
-    .revision = entry->revision,
+    .revision = wire_from_revision (entry->revision),
   };
 }
 
@@ -47,7 +60,7 @@
     .draining = wire->draining != 0,
     .cold = wire->cold,
     .born = wire->born,
-    .revision = wire->revision,
+    .revision = wire_to_revision (wire->revision),
   };
   entry->address.sin_family = AF_INET;
   entry->address.sin_addr.s_addr = htonl (wire->ip);
@@ -120,7 +133,7 @@
 {
   fleet_wire_request wire = { .asker = ntohl (request->asker),
                               .parts = request->parts,
-                              .since = request->since,
+                              .since = wire_from_revision (request->since),
                               .config_version = request->config_version };
   XDR xdr;
 
@@ -141,7 +154,7 @@
   xdr_destroy (&xdr);
   *request = (wire_request_t){ .asker = htonl (wire.asker),
                                .parts = wire.parts,
-                               .since = wire.since,
+                               .since = wire_to_revision (wire.since),
                                .config_version = wire.config_version };
 }
 
@@ -165,11 +178,11 @@
    the ids of those that were removed, to a snapshot.  */
 static void
 add_backend_changes (fleet_wire_snapshot *wire, const view_t *view,
-                     uint64_t since, clock_ms_t now)
+                     store_revision_t since, clock_ms_t now)
 {
   GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
 
-  wire->since = since;
+  wire->since = wire_from_revision (since);
   wire->backends.backends_val
       = g_new0 (fleet_wire_backend, view->changes.length);
   wire->gone.gone_val = g_new0 (fleet_wire_gone, view->changes.length);
@@ -181,7 +194,7 @@
 
       /* @view->changes has the newest changes first.  Older changes of an
          endpoint that was added already are skipped.  */
-      if (change->revision <= since
+      if (store_revision_compare (change->revision, since) <= 0
           || !g_hash_table_add (seen, change->entry.id))
         continue;
       if (backend != NULL)
@@ -191,7 +204,8 @@
       else
         wire->gone.gone_val[wire->gone.gone_len++]
             = (fleet_wire_gone){ .id = change->entry.id,
-                                 .revision = change->revision };
+                                 .revision
+                                 = wire_from_revision (change->revision) };
     }
   g_hash_table_destroy (seen);
 }
@@ -201,7 +215,7 @@
                       const wire_request_t *request, uint32_t redirect_ip,
                       clock_ms_t now)
 {
-  fleet_wire_snapshot wire = { .revision = view->revision,
+  fleet_wire_snapshot wire = { .revision = wire_from_revision (view->revision),
                                .included = request->parts,
                                .elsewhere = ntohl (redirect_ip),
                                .digest = view_digest (view) };
@@ -265,6 +279,7 @@
 apply_backends (const fleet_wire_snapshot *wire, view_t *view, clock_ms_t now)
 {
   GPtrArray *entries = g_ptr_array_new_with_free_func (g_free);
+  store_revision_t revision = wire_to_revision (wire->revision);
 
   for (u_int i = 0; i < wire->backends.backends_len; i++)
     {
@@ -273,18 +288,19 @@
       wire_to_backend (&wire->backends.backends_val[i], entry);
       g_ptr_array_add (entries, entry);
     }
-  if (wire->since == 0)
-    view_replace_backends (view, entries, wire->revision, now);
+  if (store_revision_is_zero (wire_to_revision (wire->since)))
+    view_replace_backends (view, entries, revision, now);
   else
     {
       for (guint i = 0; i < entries->len; i++)
         view_put_backend (view, g_ptr_array_index (entries, i), now);
       for (u_int i = 0; i < wire->gone.gone_len; i++)
-        view_remove_backend (view, wire->gone.gone_val[i].id,
-                             wire->gone.gone_val[i].revision, now);
-      if (wire->revision >= view->revision
+        view_remove_backend (
+            view, wire->gone.gone_val[i].id,
+            wire_to_revision (wire->gone.gone_val[i].revision), now);
+      if (store_revision_compare (revision, view->revision) >= 0
           && wire->digest == view_digest (view))
-        view_set_synced (view, wire->revision);
+        view_set_synced (view, revision);
     }
   g_ptr_array_free (entries, TRUE);
 }
@@ -308,7 +324,9 @@
     g_ptr_array_add (out, wire->out.out_val[i]);
   /* If the sender has an older revision than this instance, its set of data
      centres out of service may be outdated.  */
-  if (wire->revision >= view->revision)
+  if (store_revision_compare (wire_to_revision (wire->revision),
+                              view->revision)
+      >= 0)
     view_set_out_of_service (view, out);
   if ((wire->included & FLEET_PART_MEMBERS) != 0)
     {
--- a/lib/fleet/wire.h
+++ b/lib/fleet/wire.h
@@ -9,11 +9,15 @@
 #include "members.h"
 #include "view.h"
 
-/* First field of each datagram, "PRF3" in ASCII.  A datagram that begins with
+/* First field of each datagram, "PRF4" in ASCII.  A datagram that begins with
    another value is ignored.  */
-#define WIRE_MAGIC 0x50524633
+#define WIRE_MAGIC 0x50524634
 /* Length of an encoded fleet_wire_request in bytes.  */
-#define WIRE_REQUEST_BYTES 24
+#define WIRE_REQUEST_BYTES 32
+
+/* Convert a revision of the store to and from its form in messages.  */
+fleet_wire_revision wire_from_revision (store_revision_t revision);
+store_revision_t wire_to_revision (fleet_wire_revision wire);
 
 /* Sets @wire to the form that an endpoint has in messages.  The strings are
    not copied, so that @entry must outlive @wire.  @cold: remaining warm-up
@@ -37,13 +41,13 @@
 /* A request of one instance for parts of another one's state.  */
 typedef struct wire_request
 {
-  uint32_t asker;     /* address of the requester; network byte order */
-  unsigned int parts; /* requested parts of the state: bit mask of
-                         FLEET_PART_CONFIG, FLEET_PART_BACKENDS and
-                         FLEET_PART_MEMBERS */
-  uint64_t since; /* store revision of the requester's endpoints; only later
-                     changes are requested; 0: all endpoints are
-                     requested */
+  uint32_t asker;          /* address of the requester; network byte order */
+  unsigned int parts;      /* requested parts of the state: bit mask of
+                              FLEET_PART_CONFIG, FLEET_PART_BACKENDS and
+                              FLEET_PART_MEMBERS */
+  store_revision_t since;  /* store revision of the requester's endpoints; only
+                              later changes are requested; zero: all endpoints
+                              are requested */
   uint64_t config_version; /* version of the requester's configuration; only
                               later changes are requested; 0: the whole
                               configuration is requested */
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -81,7 +81,7 @@
                                         "cut",
                                         NULL };
 static const char *const older_announcements[]
-    = { "older", "newer_config", NULL };
+    = { "unused", "newer_config", NULL };
 static const char *const reader_changes[] = { "took_over", "gave_up", NULL };
 
 static const char *const transfer_kinds[]
@@ -178,9 +178,8 @@
       "change", reader_changes },
   [TELEMETRY_OLDER_ANNOUNCEMENTS]
   = { "peridot_older_announcements_total",
-      "Announcements ignored because their store revision is older than "
-      "known, "
-      "and of these, those that name a newer configuration.",
+      "Announcements with an older store revision than known, of which only "
+      "a newer configuration is used: without and with one.",
       "kind", older_announcements },
   [TELEMETRY_RETURNED]
   = { "peridot_returned_total",
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -111,9 +111,8 @@
   TELEMETRY_CONFIG_TRANSFERS,
   TELEMETRY_READER_CHANGES, /* 0 began, 1 ended: times that this instance began
                                or ended reading the store on behalf of all */
-  /* 0 older, 1 older although it names a newer configuration: announcements
-     that were ignored because their store revision is older than this
-     instance's */
+  /* 0 without, 1 with a newer configuration: announcements whose store
+     revision is older than this instance's */
   TELEMETRY_OLDER_ANNOUNCEMENTS,
   TELEMETRY_RETURNED, /* none: requests that repeat an earlier attempt of the
                          client, as inferred from the timeout stated in the
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -234,7 +234,7 @@
                             .slots = 3,
                             .cold = warmup_ms,
                             .born = 1,
-                            .revision = revision };
+                            .revision = { .number = revision } };
 
   backends_put (backends, &entry, 1000);
 }
@@ -305,7 +305,7 @@
                             .data_centre = data_centre_a,
                             .slots = 3,
                             .born = 1,
-                            .revision = 5 };
+                            .revision = { .number = 5 } };
   backend_handle_t handle;
 
   backends_put (backends, &entry, 0);
@@ -317,19 +317,19 @@
       choose_is_eligible (backends, backends_get (backends, handle), 0));
   backends_set_data_centre_out (backends, "a", false);
   entry.draining = true;
-  entry.revision = 6;
+  entry.revision.number = 6;
   backends_put (backends, &entry, 0);
   g_assert_false (
       choose_is_eligible (backends, backends_get (backends, handle), 0));
   /* An entry with an older revision is ignored.  */
   entry.draining = false;
-  entry.revision = 5;
+  entry.revision.number = 5;
   backends_put (backends, &entry, 0);
   g_assert_false (
       choose_is_eligible (backends, backends_get (backends, handle), 0));
   /* An endpoint that was restarted under the same id is a new one.  */
   entry.born = 2;
-  entry.revision = 9;
+  entry.revision.number = 9;
   backends_put (backends, &entry, 0);
   g_assert_null (backends_get (backends, handle));
   g_assert_nonnull (backends_find (backends, "i-1"));
@@ -513,7 +513,7 @@
                                 .service = service,
                                 .data_centre = data_centre,
                                 .slots = 2,
-                                .revision = 1 };
+                                .revision = { .number = 1 } };
 
       backends_put (backends, &entry, 0);
       endpoints[i] = backends_find (backends, id);
@@ -546,7 +546,7 @@
                             .service = service,
                             .data_centre = own_data_centre,
                             .slots = 3,
-                            .revision = 1 };
+                            .revision = { .number = 1 } };
   static const struct
   {
     backend_load_t load;
--- a/test/unit/balance_load.c
+++ b/test/unit/balance_load.c
@@ -548,7 +548,7 @@
                   .data_centre = simulation.endpoints[i].centre_name,
                   .slots = SLOTS,
                   .born = 1,
-                  .revision = 1 };
+                  .revision = { .number = 1 } };
 
           backends_put (simulation.tables[n], &entry, 0);
         }
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -28,6 +28,7 @@
   reader_t reader;
   feed_t *feed;
   pending_call_t pending_call[FEED_KIND_COUNT];
+  uint64_t era;             /* era of the responses of the store */
   int store_calls;          /* number of calls of store_members() */
   uint64_t stored_revision; /* argument of the last of these calls */
 } fixture_t;
@@ -45,23 +46,24 @@
 }
 
 static void
-on_watch (void *context, feed_kind_t kind, uint64_t revision, clock_ms_t wait)
+on_watch (void *context, feed_kind_t kind, store_revision_t revision,
+          clock_ms_t wait)
 {
   fixture_t *fixture = context;
 
   (void)wait;
   fixture->pending_call[kind]
-      = (pending_call_t){ .watch = true, .revision = revision };
+      = (pending_call_t){ .watch = true, .revision = revision.number };
 }
 
 static void
-on_store (void *context, const members_t *members, uint64_t revision)
+on_store (void *context, const members_t *members, store_revision_t revision)
 {
   fixture_t *fixture = context;
 
   (void)members;
   fixture->store_calls++;
-  fixture->stored_revision = revision;
+  fixture->stored_revision = revision.number;
 }
 
 static void
@@ -118,6 +120,12 @@
   ev_loop_destroy (fixture->loop);
 }
 
+static store_revision_t
+in_era (uint64_t era, uint64_t number)
+{
+  return (store_revision_t){ .era = era, .number = number };
+}
+
 /* Creates an item of FEED_BACKENDS, an endpoint of the service "slots".  */
 static feed_item_t *
 backend_item (const char *id, uint64_t revision, bool draining)
@@ -125,14 +133,14 @@
   feed_item_t *item = g_new0 (feed_item_t, 1);
 
   item->name = g_strdup (id);
-  item->revision = revision;
+  item->revision.number = revision;
   item->backend = g_new0 (backend_entry_t, 1);
   item->backend->id = g_strdup (id);
   item->backend->service = g_strdup ("slots");
   item->backend->data_centre = g_strdup ("a");
   item->backend->slots = 3;
   item->backend->draining = draining;
-  item->backend->revision = revision;
+  item->backend->revision.number = revision;
   return item;
 }
 
@@ -144,11 +152,18 @@
        bool more, feed_item_t *item)
 {
   feed_response_t reply
-      = { .error = error, .revision = revision, .more = more };
+      = { .error = error,
+          .revision = { .era = fixture->era, .number = revision },
+          .more = more };
 
   reply.items = g_ptr_array_new_with_free_func (feed_item_free);
   if (item != NULL)
-    g_ptr_array_add (reply.items, item);
+    {
+      item->revision.era = fixture->era;
+      if (item->backend != NULL)
+        item->backend->revision.era = fixture->era;
+      g_ptr_array_add (reply.items, item);
+    }
   fixture->pending_call[kind] = (pending_call_t){ 0 };
   feed_handle_response (fixture->feed, kind, &reply);
   g_ptr_array_free (reply.items, TRUE);
@@ -243,7 +258,7 @@
   feed_tick (fixture.feed, clock_now () + 1500);
   g_assert_cmpint (fixture.store_calls, ==, 1);
   g_assert_cmpuint (fixture.stored_revision, ==, 0);
-  feed_handle_store_result (fixture.feed, -EEXIST, 0);
+  feed_handle_store_result (fixture.feed, -EEXIST, (store_revision_t){ 0 });
   feed_tick (fixture.feed, clock_now () + 4000);
   g_assert_true (fixture.pending_call[FEED_MEMBERS].list);
   g_assert_cmpint (fixture.store_calls, ==, 1);
@@ -263,9 +278,9 @@
   fixture_start (&fixture);
   respond_to_first_lists (&fixture);
   view_retain_missing (fixture.view, now);
-  view_replace_backends (fixture.view, none, 80, now + 100);
+  view_replace_backends (fixture.view, none, in_era (0, 80), now + 100);
   g_assert_cmpint (backends_count (fixture.backends), ==, 1);
-  view_replace_backends (fixture.view, none, 90, now + 2300);
+  view_replace_backends (fixture.view, none, in_era (0, 90), now + 2300);
   g_assert_cmpint (backends_count (fixture.backends), ==, 0);
   g_ptr_array_free (none, TRUE);
   fixture_end (&fixture);
@@ -281,10 +296,10 @@
 
   fixture_start (&fixture);
   respond_to_first_lists (&fixture);
-  view_remove_backend (fixture.view, "i-1", 60, 1000);
+  view_remove_backend (fixture.view, "i-1", in_era (0, 60), 1000);
   view_put_backend (fixture.view, old->backend, 1000);
   g_assert_cmpint (backends_count (fixture.backends), ==, 0);
-  old->backend->revision = 61;
+  old->backend->revision.number = 61;
   view_put_backend (fixture.view, old->backend, 1000);
   g_assert_cmpint (backends_count (fixture.backends), ==, 1);
   feed_item_free (old);
@@ -301,17 +316,45 @@
 
   fixture_start (&fixture);
   respond_to_first_lists (&fixture);
-  view_remove_backend (fixture.view, "i-9", 60, 1000);
+  view_remove_backend (fixture.view, "i-9", in_era (0, 60), 1000);
   view_put_backend (fixture.view, old->backend, 1000);
   g_assert_null (backends_find (fixture.backends, "i-9"));
   /* An older removal does not weaken the newer one.  */
-  view_remove_backend (fixture.view, "i-9", 50, 1000);
+  view_remove_backend (fixture.view, "i-9", in_era (0, 50), 1000);
   view_put_backend (fixture.view, old->backend, 1000);
   g_assert_null (backends_find (fixture.backends, "i-9"));
   feed_item_free (old);
   fixture_end (&fixture);
 }
 
+/* Guards against an instance that takes what it is told after a restore of the
+   store for old, because the store gives out lower revisions again.  */
+static void
+revisions_of_a_restored_store_are_newer (void)
+{
+  fixture_t fixture;
+  feed_item_t *lost = backend_item ("i-1", 45, true);
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  fixture.era = 1;
+  feed_tick (fixture.feed, clock_now () + 700);
+  reply (&fixture, FEED_BACKENDS, 0, 20, false,
+         backend_item ("i-1", 15, false));
+  g_assert_cmpint (
+      store_revision_compare (fixture.view->revision, in_era (1, 20)), ==, 0);
+  g_assert_false (view_has_changes_since (fixture.view, in_era (0, 49)));
+  /* Messages from before the restore are outdated.  */
+  view_put_backend (fixture.view, lost->backend, 1000);
+  view_remove_backend (fixture.view, "i-1", in_era (0, 60), 1000);
+  g_assert_false (backends_find (fixture.backends, "i-1")->entry.draining);
+  view_remove_backend (fixture.view, "i-1", in_era (1, 21),
+                       clock_now () + 10000);
+  g_assert_null (backends_find (fixture.backends, "i-1"));
+  feed_item_free (lost);
+  fixture_end (&fixture);
+}
+
 /* Guards against an instance that starts during an outage of the store and
    drops what the others have told it when the store returns with expired
    entries: the end of that outage is not its first contact with the store.  */
@@ -481,6 +524,8 @@
                    removed_endpoints_stay_removed);
   g_test_add_func ("/feed/removal_of_unknown_endpoint_is_remembered",
                    removal_of_unknown_endpoint_is_remembered);
+  g_test_add_func ("/feed/revisions_of_a_restored_store_are_newer",
+                   revisions_of_a_restored_store_are_newer);
   g_test_add_func ("/feed/start_during_outage_is_followed_by_retention",
                    start_during_outage_is_followed_by_retention);
   g_test_add_func ("/feed/state_crosses_whole_or_not",
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -147,7 +147,7 @@
                             .data_centre = "a",
                             .slots = 3,
                             .draining = draining,
-                            .revision = revision };
+                            .revision = { .number = revision } };
 
   (void)g_snprintf (id, sizeof id, "endpoint-%05d", number);
   entry.address.sin_family = AF_INET;
@@ -167,7 +167,7 @@
   fixture->instances[0].reader.last_read_at = clock_now ();
   for (int i = 0; i < count; i++)
     put_endpoint (view, i, false, ++fixture->revision);
-  view_set_synced (view, fixture->revision);
+  view_set_synced (view, (store_revision_t){ .number = fixture->revision });
 }
 
 /* Returns the number of instances that have the reader's endpoints.  */
@@ -262,10 +262,11 @@
       char id[24];
 
       (void)g_snprintf (id, sizeof id, "endpoint-%05d", i * 4 + 1);
-      view_remove_backend (fixture.instances[0].view, id, ++fixture.revision,
+      view_remove_backend (fixture.instances[0].view, id,
+                           (store_revision_t){ .number = ++fixture.revision },
                            clock_now ());
     }
-  fixture.instances[0].view->revision = fixture.revision;
+  fixture.instances[0].view->revision.number = fixture.revision;
   relay_schedule_announcement (fixture.instances[0].relay);
   g_assert_true (run_until_synced (&fixture, 10));
   g_assert_cmpint (backends_count (fixture.instances[5].backends), ==, 900);
@@ -409,14 +410,15 @@
   fixture_start (&fixture, 4);
   set_up_reader (&fixture, 100);
   g_assert_true (run_until_synced (&fixture, 10));
-  view_remove_backend (fixture.instances[2].view, removed.id, 8, clock_now ());
+  view_remove_backend (fixture.instances[2].view, removed.id,
+                       (store_revision_t){ .number = 8 }, clock_now ());
   g_assert_cmpint (count_synced (&fixture), ==, 3);
   /* Instance 2 now has a tombstone that is newer than the reader's entry of
      the endpoint, so that it would ignore that entry.  The reader therefore
      puts the endpoint at a newer revision, as after the endpoint's
      heartbeat.  */
   put_endpoint (fixture.instances[0].view, 7, false, ++fixture.revision);
-  fixture.instances[0].view->revision = fixture.revision;
+  fixture.instances[0].view->revision.number = fixture.revision;
   g_assert_true (run_until_synced (&fixture, 10));
   fixture_end (&fixture);
 }
@@ -434,7 +436,7 @@
   g_assert_true (run_until_synced (&fixture, 15));
   for (int i = 0; i < 2000; i++)
     put_endpoint (fixture.instances[0].view, i, true, ++fixture.revision);
-  fixture.instances[0].view->revision = fixture.revision;
+  fixture.instances[0].view->revision.number = fixture.revision;
   view_set_routes (fixture.instances[0].view, routes_new (5));
   relay_schedule_announcement (fixture.instances[0].relay);
   run_for (&fixture, 1.0);
@@ -445,6 +447,70 @@
   fixture_end (&fixture);
 }
 
+/* Guards against instances that ignore what the reader has learnt from a
+   restored store, because its revisions are lower than the last ones before:
+   changes of endpoints, data centres out of service and the configuration.  */
+static void
+restored_store_is_followed (void)
+{
+  fixture_t fixture;
+  GPtrArray *restored = g_ptr_array_new ();
+  GPtrArray *out = g_ptr_array_new ();
+  backend_entry_t entry = { .id = "endpoint-00000",
+                            .service = "slots",
+                            .data_centre = "a",
+                            .slots = 1,
+                            .revision = { .era = 1, .number = 5 } };
+  view_t *view;
+
+  fixture_start (&fixture, 4);
+  set_up_reader (&fixture, 100);
+  g_assert_true (run_until_synced (&fixture, 10));
+  view = fixture.instances[0].view;
+  g_ptr_array_add (restored, &entry);
+  g_ptr_array_add (out, "a");
+  view_replace_backends (view, restored, (store_revision_t){ 1, 20 },
+                         clock_now ());
+  view_remove_backend (view, "endpoint-00001", (store_revision_t){ 1, 21 },
+                       clock_now () + 10000);
+  view_set_synced (view, (store_revision_t){ 1, 21 });
+  view_set_out_of_service (view, out);
+  view_set_routes (view, routes_new (7));
+  g_assert_true (run_until_synced (&fixture, 5));
+  run_for (&fixture, 1.0);
+  for (int i = 0; i < fixture.count; i++)
+    {
+      const instance_t *instance = &fixture.instances[i];
+
+      g_assert_null (backends_find (instance->backends, "endpoint-00001"));
+      g_assert_cmpint (
+          backends_find (instance->backends, "endpoint-00000")->entry.slots,
+          ==, 1);
+      g_assert_true (backends_is_data_centre_out (instance->backends, "a"));
+      g_assert_nonnull (instance->view->routes);
+    }
+  g_ptr_array_free (restored, TRUE);
+  g_ptr_array_free (out, TRUE);
+  fixture_end (&fixture);
+}
+
+/* Guards against an instance that stays with an older configuration because
+   the instance that announces the newer one has an older store revision.  */
+static void
+configuration_of_an_older_revision_is_fetched (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture, 3);
+  set_up_reader (&fixture, 20);
+  g_assert_true (run_until_synced (&fixture, 10));
+  fixture.instances[2].view->revision.number = 1000;
+  view_set_routes (fixture.instances[0].view, routes_new (7));
+  run_for (&fixture, 1.0);
+  g_assert_nonnull (fixture.instances[2].view->routes);
+  fixture_end (&fixture);
+}
+
 /* Returns a configuration with many routes, of which the first has the given
    timeout.  */
 static routes_t *
@@ -621,6 +687,10 @@
                    starting_instances_receive_all_endpoints);
   g_test_add_func ("/relay/wrong_table_is_replaced",
                    wrong_endpoints_are_replaced);
+  g_test_add_func ("/relay/restored_store_is_followed",
+                   restored_store_is_followed);
+  g_test_add_func ("/relay/configuration_of_an_older_revision_is_fetched",
+                   configuration_of_an_older_revision_is_fetched);
   g_test_add_func ("/relay/configuration_arrives_while_tables_are_sent",
                    configuration_arrives_during_transfers);
   g_test_add_func ("/relay/small_change_of_the_configuration_is_not_fetched",
--- a/test/unit/limits.c
+++ b/test/unit/limits.c
@@ -34,7 +34,7 @@
                                 .service = (char *)"slots",
                                 .data_centre = (char *)"a",
                                 .slots = 3,
-                                .revision = 1 };
+                                .revision = { .number = 1 } };
 
       (void)g_snprintf (id, sizeof id, "i-%d", i);
       backends_put (backends, &entry, NOW);
