List all kinds of objects again when the store was restored

A watch went on at a revision of before the restore. If the store has reached that number again by then, it does not answer 410, and the changes that it gave that number and those below it are missed: a configuration, or a data centre out of service. The pages of a list could be of two eras.

The first response of a new era now ends all pending reads, and every kind is listed again. A response of an older era, and one that continues a list or a watch of an older one, are dropped.

/feed/restore_ends_watches and /feed/pages_of_two_eras_are_not_joined failed before.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -73,7 +73,7 @@
                         clock_ms_t now);
 static void schedule_read_retry (feed_t *feed, feed_kind_t kind, int error,
                                  clock_ms_t now);
-static void record_era (feed_t *feed, const feed_response_t *response);
+static void enter_era (feed_t *feed, const feed_response_t *response);
 static void record_list_success (feed_t *feed, clock_ms_t now);
 static void stop_reading (feed_t *feed);
 static void store_members (feed_t *feed, clock_ms_t now);
@@ -270,6 +270,8 @@
 {
   channel_t *channel = &feed->channels[kind];
   clock_ms_t now = clock_now ();
+  bool is_new_era;
+  bool is_whole_list;
 
   channel->busy = false;
   if (feed->stopping)
@@ -279,7 +281,19 @@
       schedule_read_retry (feed, kind, response->error, now);
       return;
     }
-  record_era (feed, response);
+  is_whole_list = channel->listing && channel->items->len == 0;
+  is_new_era = !feed->knows_era || response->revision.era > feed->era;
+  if (is_new_era)
+    enter_era (feed, response);
+  /* A response of an older era, and one that continues a list or a watch of an
+     older era, are dropped.  */
+  if (response->revision.era < feed->era || (is_new_era && !is_whole_list))
+    {
+      channel->has_list = false;
+      g_ptr_array_set_size (channel->items, 0);
+      feed_tick (feed, now);
+      return;
+    }
   if (channel->listing)
     {
       for (guint i = 0; i < response->items->len; i++)
@@ -311,20 +325,23 @@
   feed_tick (feed, now);
 }
 
-/* Records the era that a response states.  */
+/* Handles the first response of a new era.  What was read before, and the
+   revision at which a watch waits, are of a history that the store has lost in
+   part, so that all kinds are listed again.  */
 static void
-record_era (feed_t *feed, const feed_response_t *response)
+enter_era (feed_t *feed, const feed_response_t *response)
 {
-  uint64_t era = response->revision.era;
-
-  if (feed->knows_era && era > feed->era)
-    g_log_structured ("fleet", G_LOG_LEVEL_WARNING, "MESSAGE",
-                      "the store was restored from an older copy: store "
-                      "revision " STORE_REVISION_FORMAT
-                      " after " STORE_REVISION_FORMAT,
-                      STORE_REVISION_ARGS (response->revision),
-                      STORE_REVISION_ARGS (feed->view->revision));
-  feed->era = MAX (feed->era, era);
+  if (feed->knows_era)
+    {
+      g_log_structured ("fleet", G_LOG_LEVEL_WARNING, "MESSAGE",
+                        "the store was restored from an older copy: store "
+                        "revision " STORE_REVISION_FORMAT
+                        " after " STORE_REVISION_FORMAT,
+                        STORE_REVISION_ARGS (response->revision),
+                        STORE_REVISION_ARGS (feed->view->revision));
+      stop_reading (feed);
+    }
+  feed->era = response->revision.era;
   feed->knows_era = true;
   telemetry_gauge_set (TELEMETRY_STORE_ERA, (int64_t)feed->era);
 }
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -327,6 +327,61 @@
   fixture_end (&fixture);
 }
 
+/* Guards against a watch that waits at a revision of before a restore of the
+   store, and misses the changes that the store gives that revision and those
+   below it again.  */
+static void
+restore_ends_watches (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  fixture.era = 1;
+  feed_tick (fixture.feed, clock_now () + 700);
+  g_assert_true (fixture.pending_call[FEED_BACKENDS].list);
+  reply (&fixture, FEED_BACKENDS, 0, 20, false,
+         backend_item ("i-1", 15, false));
+  for (int i = FEED_CONFIG; i < FEED_KIND_COUNT; i++)
+    g_assert_true (fixture.pending_call[i].list);
+  reply (&fixture, FEED_CONFIG, 0, 20, false, NULL);
+  g_assert_true (fixture.pending_call[FEED_CONFIG].watch);
+  g_assert_cmpuint (fixture.pending_call[FEED_CONFIG].revision, ==, 20);
+  /* The first response of an era may also be that of a watch.  */
+  fixture.era = 2;
+  reply (&fixture, FEED_CONFIG, 0, 19, false, NULL);
+  g_assert_true (fixture.pending_call[FEED_CONFIG].list);
+  g_assert_true (fixture.pending_call[FEED_OUT_OF_SERVICE].list);
+  fixture_end (&fixture);
+}
+
+/* Guards against a list that joins pages of before and after a restore of the
+   store.  */
+static void
+pages_of_two_eras_are_not_joined (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture);
+  reply (&fixture, FEED_BACKENDS, 0, 50, true,
+         backend_item ("i-1", 40, false));
+  g_assert_cmpstr (fixture.pending_call[FEED_BACKENDS].after, ==, "i-1");
+  fixture.era = 1;
+  reply (&fixture, FEED_BACKENDS, 0, 20, false,
+         backend_item ("i-2", 15, false));
+  g_assert_true (fixture.pending_call[FEED_BACKENDS].list);
+  g_assert_cmpstr (fixture.pending_call[FEED_BACKENDS].after, ==, "");
+  reply (&fixture, FEED_BACKENDS, 0, 20, false,
+         backend_item ("i-2", 15, false));
+  g_assert_cmpint (backends_count (fixture.backends), ==, 1);
+  /* A late response of the older era is dropped.  */
+  feed_tick (fixture.feed, clock_now () + 700);
+  fixture.era = 0;
+  reply (&fixture, FEED_BACKENDS, 0, 51, false, NULL);
+  g_assert_cmpint (backends_count (fixture.backends), ==, 1);
+  fixture_end (&fixture);
+}
+
 /* Guards against an instance that takes what it is told after a restore of the
    store for old, because the store gives out lower revisions again.  */
 static void
@@ -524,6 +579,9 @@
                    removed_endpoints_stay_removed);
   g_test_add_func ("/feed/removal_of_unknown_endpoint_is_remembered",
                    removal_of_unknown_endpoint_is_remembered);
+  g_test_add_func ("/feed/restore_ends_watches", restore_ends_watches);
+  g_test_add_func ("/feed/pages_of_two_eras_are_not_joined",
+                   pages_of_two_eras_are_not_joined);
   g_test_add_func ("/feed/revisions_of_a_restored_store_are_newer",
                    revisions_of_a_restored_store_are_newer);
   g_test_add_func ("/feed/start_during_outage_is_followed_by_retention",
