Write the list of instances again after a restore of the store

The list of instances is written under the revision that it had. If the store returned without the list, or without the last write of it, the revision of before the restore stayed: each write failed with 404 or 409, each 1.5 s, until another instance read the store; instances that start during an outage later would not know the others. A write that an earlier era had acknowledged counted as stored.

The list is read again in a new era; a list without the object means that there is none. An acknowledgement of another era than the feed's is not believed.

/feed/members_are_stored_again_after_a_restore failed before.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -189,12 +189,17 @@
 feed_handle_store_result (feed_t *feed, int error, store_revision_t revision)
 {
   feed->storing = false;
-  if (error == 0)
+  if (error == 0 && revision.era == feed->era)
     {
       feed->stored_digest = feed->storing_digest;
       feed->members_revision = revision;
       return;
     }
+  /* The store may have lost what it acknowledged in another era, and the
+     condition of a write may have named a revision that it has given out
+     again.  */
+  if (error == 0)
+    error = -ESTALE;
   g_info ("cannot write the list of instances to the store: %s",
           g_strerror (-error));
   feed->next_store_at = clock_now () + STORE_MEMBERS_RETRY_MS;
@@ -422,6 +427,14 @@
       view_replace_backends (feed->view, values, revision, now);
       g_ptr_array_free (values, TRUE);
       break;
+    case FEED_MEMBERS:
+      /* The list may be missing, also after it was there: the store may have
+         been restored.  */
+      feed->members_revision = (store_revision_t){ 0 };
+      feed->stored_digest = 0;
+      if (channel->items->len > 0)
+        apply_item (feed, kind, g_ptr_array_index (channel->items, 0), now);
+      break;
     case FEED_OUT_OF_SERVICE:
       values = g_ptr_array_new ();
       for (guint i = 0; i < channel->items->len; i++)
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -382,6 +382,37 @@
   fixture_end (&fixture);
 }
 
+/* Guards against a list of instances that is never written again: the restored
+   store has no such list, so that each write under the old revision fails.  */
+static void
+members_are_stored_again_after_a_restore (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  feed_tick (fixture.feed, clock_now ());
+  feed_tick (fixture.feed, clock_now () + 1500);
+  g_assert_cmpint (fixture.store_calls, ==, 1);
+  feed_handle_store_result (fixture.feed, 0, in_era (0, 51));
+  feed_tick (fixture.feed, clock_now () + 4000);
+  g_assert_cmpint (fixture.store_calls, ==, 1);
+  fixture.era = 1;
+  reply (&fixture, FEED_BACKENDS, 0, 20, false,
+         backend_item ("i-1", 15, false));
+  g_assert_true (fixture.pending_call[FEED_MEMBERS].list);
+  reply (&fixture, FEED_MEMBERS, 0, 20, false, NULL);
+  feed_tick (fixture.feed, clock_now ());
+  feed_tick (fixture.feed, clock_now () + 1500);
+  g_assert_cmpint (fixture.store_calls, ==, 2);
+  g_assert_cmpuint (fixture.stored_revision, ==, 0);
+  /* What another era has acknowledged may be lost.  */
+  feed_handle_store_result (fixture.feed, 0, in_era (0, 52));
+  feed_tick (fixture.feed, clock_now () + 1);
+  g_assert_true (fixture.pending_call[FEED_MEMBERS].list);
+  fixture_end (&fixture);
+}
+
 /* Guards against an instance that takes what it is told after a restore of the
    store for old, because the store gives out lower revisions again.  */
 static void
@@ -582,6 +613,8 @@
   g_test_add_func ("/feed/restore_ends_watches", restore_ends_watches);
   g_test_add_func ("/feed/pages_of_two_eras_are_not_joined",
                    pages_of_two_eras_are_not_joined);
+  g_test_add_func ("/feed/members_are_stored_again_after_a_restore",
+                   members_are_stored_again_after_a_restore);
   g_test_add_func ("/feed/revisions_of_a_restored_store_are_newer",
                    revisions_of_a_restored_store_are_newer);
   g_test_add_func ("/feed/start_during_outage_is_followed_by_retention",
