Retain endpoints that a restored store lacks while they register again

Endpoints that registered after the copy was made are missing when the store returns. They were retained only after an outage of 1.5 s or more; a store that is away for a moment took them from all instances at once, until their next heartbeat.

The view retains missing endpoints for the same 2.2 s when it learns of a new era, at each instance, as a removal may also be announced. Draining endpoints are removed as before.

/feed/endpoints_that_a_restored_store_lacks_are_retained failed before (0 endpoints known, 1 expected).

--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -18,6 +18,7 @@
 /* Shortest time between two summaries of changed endpoints in the log.  */
 #define CHANGES_LOG_INTERVAL_MS 200
 
+static void enter_era (view_t *view, uint64_t era, clock_ms_t now);
 static void change_free (view_change_t *change);
 static void record_change (view_t *view, const backend_entry_t *entry,
                            store_revision_t revision, bool removed,
@@ -63,6 +64,17 @@
   g_free (view);
 }
 
+/* Notes that something of an era of the store was learned.  */
+static void
+enter_era (view_t *view, uint64_t era, clock_ms_t now)
+{
+  if (era <= view->era)
+    return;
+  view->era = era;
+  if (view->has_all_backends)
+    view_retain_missing (view, now);
+}
+
 static void
 change_free (view_change_t *change)
 {
@@ -157,6 +169,7 @@
       = g_hash_table_lookup (view->tombstones, entry->id);
   bool changed;
 
+  enter_era (view, entry->revision.era, now);
   if (tombstone != NULL
       && store_revision_compare (entry->revision, *tombstone) <= 0)
     return;
@@ -202,6 +215,7 @@
 {
   const backend_t *known = backends_find (view->backends, id);
 
+  enter_era (view, revision.era, now);
   if (known == NULL)
     {
       /* An older message about the endpoint may still arrive.  */
@@ -251,6 +265,7 @@
 {
   if (store_revision_compare (revision, view->revision) < 0)
     return;
+  enter_era (view, revision.era, now);
   for (guint i = 0; i < entries->len; i++)
     {
       backend_entry_t entry
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -51,6 +51,7 @@
   store_revision_t revision; /* newest store revision up to which @backends has
                                 all changes */
   bool has_all_backends;     /* a complete set of the endpoints was received */
+  uint64_t era; /* newest era of the store of which something was learned */
   /* ms; before this time, only draining endpoints are removed (see
      view_retain_missing()).  */
   clock_ms_t retain_until;
@@ -126,7 +127,9 @@
  * This is called at the first read after the outage.  During the outage, live
  * endpoints could not renew their entries, which may have expired.  Endpoints
  * that are missing from the store, but were not draining, are therefore
- * retained for the time in which live ones register again.
+ * retained for the time in which live ones register again.  The view does the
+ * same when it learns that the store was restored from an older copy, which
+ * lacks the endpoints that have registered since.
  */
 void view_retain_missing (view_t *view, clock_ms_t now);
 
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -327,6 +327,27 @@
   fixture_end (&fixture);
 }
 
+/* Guards against the removal of live endpoints that the restored store lacks
+   because they registered after the copy was made, also if the store was away
+   only for a moment.  */
+static void
+endpoints_that_a_restored_store_lacks_are_retained (void)
+{
+  fixture_t fixture;
+  GPtrArray *none = g_ptr_array_new ();
+  clock_ms_t now = 100000;
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  view_replace_backends (fixture.view, none, in_era (1, 20), now);
+  view_remove_backend (fixture.view, "i-1", in_era (1, 21), now + 100);
+  g_assert_cmpint (backends_count (fixture.backends), ==, 1);
+  view_replace_backends (fixture.view, none, in_era (1, 22), now + 2300);
+  g_assert_cmpint (backends_count (fixture.backends), ==, 0);
+  g_ptr_array_free (none, TRUE);
+  fixture_end (&fixture);
+}
+
 /* Guards against a watch that waits at a revision of before a restore of the
    store, and misses the changes that the store gives that revision and those
    below it again.  */
@@ -610,6 +631,8 @@
                    removed_endpoints_stay_removed);
   g_test_add_func ("/feed/removal_of_unknown_endpoint_is_remembered",
                    removal_of_unknown_endpoint_is_remembered);
+  g_test_add_func ("/feed/endpoints_that_a_restored_store_lacks_are_retained",
+                   endpoints_that_a_restored_store_lacks_are_retained);
   g_test_add_func ("/feed/restore_ends_watches", restore_ends_watches);
   g_test_add_func ("/feed/pages_of_two_eras_are_not_joined",
                    pages_of_two_eras_are_not_joined);
