Do not bring back endpoints with entries from before a restore of the store

The copy has the entries that endpoints wrote before it was made: an endpoint that has begun to drain since stands as in service, and one that has left stands there until it lapses. Instances that had known better sent them requests again, as a newer era goes before.

Entries now carry the number of the heartbeat that wrote them (sequence), which together with the time of start orders the entries of one endpoint whatever the store has lost. In a newer era an entry with a lower number than the known one, or no higher than the last one before the removal, is ignored. An earlier time of start counts only while endpoints register again (2.2 s), as clocks are set back at times. Removals carry both, so that all instances know them.

/feed/restored_entries_do_not_bring_back_endpoints fails with is_lost_state() returning false.

--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -161,6 +161,7 @@
       backend->entry.slots = entry->slots;
       backend->entry.draining = entry->draining;
       backend->entry.cold = entry->cold;
+      backend->entry.sequence = entry->sequence;
       backend->entry.revision = entry->revision;
     }
   backend->cold_until = MAX (backend->cold_until, now + entry->cold);
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -36,12 +36,14 @@
   char *data_centre;
   char *software; /* version of the endpoint's software; NULL: not stated */
   struct sockaddr_in address;
-  uint32_t slots;  /* number of requests that it can run at the same time */
-  bool draining;   /* no new requests may be sent to it */
-  clock_ms_t cold; /* remaining warm-up time in ms, counted from the call of
-                      backends_put() */
-  uint64_t born;   /* time at which the endpoint was started, Unix ms; 0: not
-                      stated */
+  uint32_t slots;    /* number of requests that it can run at the same time */
+  bool draining;     /* no new requests may be sent to it */
+  clock_ms_t cold;   /* remaining warm-up time in ms, counted from the call of
+                        backends_put() */
+  uint64_t born;     /* time at which the endpoint was started, Unix ms; 0: not
+                        stated */
+  uint64_t sequence; /* number of the endpoint's heartbeat since its start that
+                        has written the entry; 0: not stated */
   store_revision_t revision; /* store revision of the entry */
 } backend_entry_t;
 
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -30,6 +30,8 @@
   bool draining;
   unsigned int cold;
   unsigned hyper born;
+  unsigned hyper sequence; /* number of the heartbeat that wrote it; 0: not
+                              stated */
   fleet_wire_revision revision;
 };
 
@@ -118,6 +120,8 @@
 struct fleet_wire_gone
 {
   string id<FLEET_NAME_MAX>;
+  unsigned hyper born;     /* of its last entry */
+  unsigned hyper sequence;
   fleet_wire_revision revision;
 };
 
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -40,6 +40,7 @@
 	bool_t draining;
 	u_int cold;
 	u_quad_t born;
+	u_quad_t sequence;
 	fleet_wire_revision revision;
 };
 typedef struct fleet_wire_backend fleet_wire_backend;
@@ -137,6 +138,8 @@
 
 struct fleet_wire_gone {
 	char *id;
+	u_quad_t born;
+	u_quad_t sequence;
 	fleet_wire_revision revision;
 };
 typedef struct fleet_wire_gone fleet_wire_gone;
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -64,6 +64,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->born))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
 		 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 			 return FALSE;
 		return TRUE;
@@ -98,6 +100,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->born))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
 		 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 			 return FALSE;
 	 return TRUE;
@@ -123,6 +127,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->born))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 		 return FALSE;
 	return TRUE;
@@ -286,6 +292,10 @@
 
 	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 		 return FALSE;
 	return TRUE;
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -319,7 +319,13 @@
 
       wire_to_backend (&change->backend, &entry);
       if (change->removed)
-        view_remove_backend (relay->view, entry.id, entry.revision, now);
+        {
+          view_removal_t removal = { .revision = entry.revision,
+                                     .born = entry.born,
+                                     .sequence = entry.sequence };
+
+          view_remove_backend (relay->view, entry.id, &removal, now);
+        }
       else
         view_put_backend (relay->view, &entry, now);
     }
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -28,8 +28,12 @@
                         store_revision_t revision);
 static bool has_same_state (const backend_entry_t *a,
                             const backend_entry_t *b);
+static bool is_lost_state (const view_t *view, const backend_entry_t *entry,
+                           uint64_t born, uint64_t sequence, clock_ms_t now);
+static bool is_outdated (const view_t *view, const backend_entry_t *entry,
+                         clock_ms_t now);
 static void remember_removal (view_t *view, const char *id,
-                              store_revision_t revision);
+                              const view_removal_t *removal);
 static void remove_missing_backends (view_t *view, const GPtrArray *entries,
                                      store_revision_t revision,
                                      clock_ms_t now);
@@ -161,20 +165,51 @@
          && strcmp (a->data_centre, b->data_centre) == 0;
 }
 
+/* Whether an entry of a newer era than what is known of its endpoint is older
+   all the same, by what the endpoint says of itself.  @born, @sequence: of the
+   oldest entry that is not.  */
+static bool
+is_lost_state (const view_t *view, const backend_entry_t *entry, uint64_t born,
+               uint64_t sequence, clock_ms_t now)
+{
+  if (entry->born == born)
+    return entry->sequence < sequence;
+  /* Clocks are set back at times, so that an earlier start does not count for
+     longer than it takes the endpoint to write its entry again.  */
+  return entry->born < born && now < view->retain_until;
+}
+
+/* Whether the view knows something newer about the endpoint than an entry.  */
+static bool
+is_outdated (const view_t *view, const backend_entry_t *entry, clock_ms_t now)
+{
+  const backend_t *known = backends_find (view->backends, entry->id);
+  const view_removal_t *removal
+      = g_hash_table_lookup (view->tombstones, entry->id);
+
+  if (removal != NULL
+      && (store_revision_compare (entry->revision, removal->revision) <= 0
+          || (entry->revision.era > removal->revision.era
+              && removal->sequence != 0
+              && is_lost_state (view, entry, removal->born,
+                                removal->sequence + 1, now))))
+    return true;
+  return known != NULL
+         && (store_revision_compare (entry->revision, known->entry.revision)
+                 < 0
+             || (entry->revision.era > known->entry.revision.era
+                 && is_lost_state (view, entry, known->entry.born,
+                                   known->entry.sequence, now)));
+}
+
 void
 view_put_backend (view_t *view, const backend_entry_t *entry, clock_ms_t now)
 {
   const backend_t *known = backends_find (view->backends, entry->id);
-  const store_revision_t *tombstone
-      = g_hash_table_lookup (view->tombstones, entry->id);
   bool changed;
 
   enter_era (view, entry->revision.era, now);
-  if (tombstone != NULL
-      && store_revision_compare (entry->revision, *tombstone) <= 0)
-    return;
-  if (known != NULL
-      && store_revision_compare (entry->revision, known->entry.revision) < 0)
+  if (is_outdated (view, entry, now))
     return;
   changed = known == NULL || !has_same_state (&known->entry, entry);
   if (changed && known != NULL)
@@ -189,46 +224,50 @@
   view->hooks.backends_changed (view->hooks.context);
 }
 
-/* Records the store revision of a removal, so that older entries of the
-   endpoint are ignored.  */
+/* Records a removal, so that older entries of the endpoint are ignored.  */
 static void
-remember_removal (view_t *view, const char *id, store_revision_t revision)
+remember_removal (view_t *view, const char *id, const view_removal_t *removal)
 {
-  store_revision_t *tombstone = g_hash_table_lookup (view->tombstones, id);
+  view_removal_t *tombstone = g_hash_table_lookup (view->tombstones, id);
 
   if (tombstone != NULL)
     {
-      if (store_revision_compare (*tombstone, revision) < 0)
-        *tombstone = revision;
+      if (store_revision_compare (tombstone->revision, removal->revision) < 0)
+        *tombstone = *removal;
       return;
     }
-  tombstone = g_new (store_revision_t, 1);
-  *tombstone = revision;
   if (g_hash_table_size (view->tombstones) >= TOMBSTONES_MAX)
     g_hash_table_remove_all (view->tombstones);
-  g_hash_table_insert (view->tombstones, g_strdup (id), tombstone);
+  g_hash_table_insert (view->tombstones, g_strdup (id),
+                       g_memdup2 (removal, sizeof *removal));
 }
 
 void
-view_remove_backend (view_t *view, const char *id, store_revision_t revision,
-                     clock_ms_t now)
+view_remove_backend (view_t *view, const char *id,
+                     const view_removal_t *removal, clock_ms_t now)
 {
   const backend_t *known = backends_find (view->backends, id);
+  view_removal_t remembered = *removal;
 
-  enter_era (view, revision.era, now);
+  enter_era (view, removal->revision.era, now);
   if (known == NULL)
     {
       /* An older message about the endpoint may still arrive.  */
-      remember_removal (view, id, revision);
+      remember_removal (view, id, removal);
       return;
     }
-  if (store_revision_compare (revision, known->entry.revision) < 0)
+  if (store_revision_compare (removal->revision, known->entry.revision) < 0)
     return;
   if (now < view->retain_until && !known->entry.draining)
     return;
-  remember_removal (view, id, revision);
-  record_change (view, &known->entry, revision, true, now);
-  log_change (view, id, NULL, revision);
+  if (removal->sequence == 0)
+    {
+      remembered.born = known->entry.born;
+      remembered.sequence = known->entry.sequence;
+    }
+  remember_removal (view, id, &remembered);
+  record_change (view, &known->entry, removal->revision, true, now);
+  log_change (view, id, NULL, removal->revision);
   view->digest ^= entry_digest (&known->entry);
   (void)backends_remove (view->backends, id);
   view->hooks.backends_changed (view->hooks.context);
@@ -241,6 +280,7 @@
 {
   GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
   GPtrArray *missing = g_ptr_array_new_with_free_func (g_free);
+  view_removal_t removal = { .revision = revision };
   uint32_t position = 0;
 
   for (guint i = 0; i < entries->len; i++)
@@ -254,7 +294,7 @@
     if (!g_hash_table_contains (present, b->entry.id))
       g_ptr_array_add (missing, g_strdup (b->entry.id));
   for (guint i = 0; i < missing->len; i++)
-    view_remove_backend (view, g_ptr_array_index (missing, i), revision, now);
+    view_remove_backend (view, g_ptr_array_index (missing, i), &removal, now);
   g_ptr_array_free (missing, TRUE);
   g_hash_table_destroy (present);
 }
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -13,6 +13,16 @@
    for instances that have missed some; a change takes about 300 bytes.  */
 #define VIEW_CHANGES_MAX 1024
 
+/* Removal of an endpoint.  */
+typedef struct view_removal
+{
+  store_revision_t
+      revision; /* store revision at which the entry was missing */
+  /* Of the last known entry of the endpoint; 0: not known.  */
+  uint64_t born;
+  uint64_t sequence;
+} view_removal_t;
+
 /* A change of an endpoint, in the log of changes.  */
 typedef struct view_change
 {
@@ -59,8 +69,7 @@
   /* @changes has all changes after this store revision; unused while
      @has_all_backends is false, as changes are not recorded yet.  */
   store_revision_t history_start;
-  /* Removed endpoints: id to store_revision_t *, the store revision of the
-     removal.  */
+  /* Removed endpoints: id to view_removal_t *.  */
   GHashTable *tombstones;
   uint64_t digest; /* digest of the endpoints' entries without the software
                       version, and without the revision and the warm-up time,
@@ -78,21 +87,24 @@
 
 /* Adds or updates an endpoint, unless the view has a newer revision of its
    entry or knows that the endpoint was removed at the same or a newer
-   revision.  */
+   revision.  In a newer era, an entry that the endpoint wrote before the known
+   one, or before its removal, is ignored too: it is in the copy from which the
+   store was restored, and the endpoint has yet to write it again or to lapse.
+ */
 void view_put_backend (view_t *view, const backend_entry_t *entry,
                        clock_ms_t now);
 
 /**
  * view_remove_backend() - remove an endpoint whose entry was deleted from the
  * store
- * @revision: store revision at which the entry was missing
+ * @removal: copied
  *
  * The endpoint is not removed if the view has a newer revision of its entry.
  * For a time after view_retain_missing(), only draining endpoints are
  * removed.
  */
 void view_remove_backend (view_t *view, const char *id,
-                          store_revision_t revision, clock_ms_t now);
+                          const view_removal_t *removal, clock_ms_t now);
 
 /**
  * view_replace_backends() - replace all endpoints with those of a complete
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -44,6 +44,7 @@
     .draining = entry->draining,
     .cold = (u_int)MAX (cold, 0),
     .born = entry->born,
+    .sequence = entry->sequence,
     .revision = wire_from_revision (entry->revision),
   };
 }
@@ -60,6 +61,7 @@
     .draining = wire->draining != 0,
     .cold = wire->cold,
     .born = wire->born,
+    .sequence = wire->sequence,
     .revision = wire_to_revision (wire->revision),
   };
   entry->address.sin_family = AF_INET;
@@ -202,10 +204,12 @@
             &wire->backends.backends_val[wire->backends.backends_len++],
             &backend->entry, backend->cold_until - now);
       else
-        wire->gone.gone_val[wire->gone.gone_len++]
-            = (fleet_wire_gone){ .id = change->entry.id,
-                                 .revision
-                                 = wire_from_revision (change->revision) };
+        wire->gone.gone_val[wire->gone.gone_len++] = (fleet_wire_gone){
+          .id = change->entry.id,
+          .born = change->entry.born,
+          .sequence = change->entry.sequence,
+          .revision = wire_from_revision (change->revision),
+        };
     }
   g_hash_table_destroy (seen);
 }
@@ -295,9 +299,15 @@
       for (guint i = 0; i < entries->len; i++)
         view_put_backend (view, g_ptr_array_index (entries, i), now);
       for (u_int i = 0; i < wire->gone.gone_len; i++)
-        view_remove_backend (
-            view, wire->gone.gone_val[i].id,
-            wire_to_revision (wire->gone.gone_val[i].revision), now);
+        {
+          const fleet_wire_gone *gone = &wire->gone.gone_val[i];
+          view_removal_t removal
+              = { .revision = wire_to_revision (gone->revision),
+                  .born = gone->born,
+                  .sequence = gone->sequence };
+
+          view_remove_backend (view, gone->id, &removal, now);
+        }
       if (store_revision_compare (revision, view->revision) >= 0
           && wire->digest == view_digest (view))
         view_set_synced (view, revision);
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -126,6 +126,15 @@
   return (store_revision_t){ .era = era, .number = number };
 }
 
+static void
+remove_at (fixture_t *fixture, const char *id, store_revision_t revision,
+           clock_ms_t now)
+{
+  view_removal_t removal = { .revision = revision };
+
+  view_remove_backend (fixture->view, id, &removal, now);
+}
+
 /* Creates an item of FEED_BACKENDS, an endpoint of the service "slots".  */
 static feed_item_t *
 backend_item (const char *id, uint64_t revision, bool draining)
@@ -296,7 +305,7 @@
 
   fixture_start (&fixture);
   respond_to_first_lists (&fixture);
-  view_remove_backend (fixture.view, "i-1", in_era (0, 60), 1000);
+  remove_at (&fixture, "i-1", in_era (0, 60), 1000);
   view_put_backend (fixture.view, old->backend, 1000);
   g_assert_cmpint (backends_count (fixture.backends), ==, 0);
   old->backend->revision.number = 61;
@@ -316,11 +325,11 @@
 
   fixture_start (&fixture);
   respond_to_first_lists (&fixture);
-  view_remove_backend (fixture.view, "i-9", in_era (0, 60), 1000);
+  remove_at (&fixture, "i-9", in_era (0, 60), 1000);
   view_put_backend (fixture.view, old->backend, 1000);
   g_assert_null (backends_find (fixture.backends, "i-9"));
   /* An older removal does not weaken the newer one.  */
-  view_remove_backend (fixture.view, "i-9", in_era (0, 50), 1000);
+  remove_at (&fixture, "i-9", in_era (0, 50), 1000);
   view_put_backend (fixture.view, old->backend, 1000);
   g_assert_null (backends_find (fixture.backends, "i-9"));
   feed_item_free (old);
@@ -340,7 +349,7 @@
   fixture_start (&fixture);
   respond_to_first_lists (&fixture);
   view_replace_backends (fixture.view, none, in_era (1, 20), now);
-  view_remove_backend (fixture.view, "i-1", in_era (1, 21), now + 100);
+  remove_at (&fixture, "i-1", in_era (1, 21), now + 100);
   g_assert_cmpint (backends_count (fixture.backends), ==, 1);
   view_replace_backends (fixture.view, none, in_era (1, 22), now + 2300);
   g_assert_cmpint (backends_count (fixture.backends), ==, 0);
@@ -348,6 +357,47 @@
   fixture_end (&fixture);
 }
 
+/* Puts an endpoint with the given heartbeat into the view.  */
+static void
+put_heartbeat (fixture_t *fixture, store_revision_t revision,
+               uint64_t sequence, bool draining, clock_ms_t now)
+{
+  backend_entry_t entry = { .id = "i-1",
+                            .service = "slots",
+                            .data_centre = "a",
+                            .draining = draining,
+                            .born = 7000,
+                            .sequence = sequence,
+                            .revision = revision };
+
+  view_put_backend (fixture->view, &entry, now);
+}
+
+/* Guards against requests to an endpoint that is draining or gone, because the
+   restored store has the entry that it wrote before it began to leave.  */
+static void
+restored_entries_do_not_bring_back_endpoints (void)
+{
+  fixture_t fixture;
+  clock_ms_t now = 100000;
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  put_heartbeat (&fixture, in_era (0, 60), 12, true, now);
+  put_heartbeat (&fixture, in_era (1, 30), 9, false, now + 100);
+  g_assert_true (backends_find (fixture.backends, "i-1")->entry.draining);
+  remove_at (&fixture, "i-1", in_era (1, 31), now + 200);
+  g_assert_null (backends_find (fixture.backends, "i-1"));
+  /* The same in the next restore, also long after it.  */
+  put_heartbeat (&fixture, in_era (2, 29), 12, false, now + 300);
+  put_heartbeat (&fixture, in_era (2, 29), 12, false, now + 9000);
+  g_assert_null (backends_find (fixture.backends, "i-1"));
+  /* The endpoint itself writes its entry again.  */
+  put_heartbeat (&fixture, in_era (2, 33), 13, false, now + 9000);
+  g_assert_nonnull (backends_find (fixture.backends, "i-1"));
+  fixture_end (&fixture);
+}
+
 /* Guards against a watch that waits at a revision of before a restore of the
    store, and misses the changes that the store gives that revision and those
    below it again.  */
@@ -453,10 +503,9 @@
   g_assert_false (view_has_changes_since (fixture.view, in_era (0, 49)));
   /* Messages from before the restore are outdated.  */
   view_put_backend (fixture.view, lost->backend, 1000);
-  view_remove_backend (fixture.view, "i-1", in_era (0, 60), 1000);
+  remove_at (&fixture, "i-1", in_era (0, 60), 1000);
   g_assert_false (backends_find (fixture.backends, "i-1")->entry.draining);
-  view_remove_backend (fixture.view, "i-1", in_era (1, 21),
-                       clock_now () + 10000);
+  remove_at (&fixture, "i-1", in_era (1, 21), clock_now () + 10000);
   g_assert_null (backends_find (fixture.backends, "i-1"));
   feed_item_free (lost);
   fixture_end (&fixture);
@@ -633,6 +682,8 @@
                    removal_of_unknown_endpoint_is_remembered);
   g_test_add_func ("/feed/endpoints_that_a_restored_store_lacks_are_retained",
                    endpoints_that_a_restored_store_lacks_are_retained);
+  g_test_add_func ("/feed/restored_entries_do_not_bring_back_endpoints",
+                   restored_entries_do_not_bring_back_endpoints);
   g_test_add_func ("/feed/restore_ends_watches", restore_ends_watches);
   g_test_add_func ("/feed/pages_of_two_eras_are_not_joined",
                    pages_of_two_eras_are_not_joined);
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -262,9 +262,10 @@
       char id[24];
 
       (void)g_snprintf (id, sizeof id, "endpoint-%05d", i * 4 + 1);
-      view_remove_backend (fixture.instances[0].view, id,
-                           (store_revision_t){ .number = ++fixture.revision },
-                           clock_now ());
+      view_remove_backend (
+          fixture.instances[0].view, id,
+          &(view_removal_t){ .revision = { .number = ++fixture.revision } },
+          clock_now ());
     }
   fixture.instances[0].view->revision.number = fixture.revision;
   relay_schedule_announcement (fixture.instances[0].relay);
@@ -411,7 +412,8 @@
   set_up_reader (&fixture, 100);
   g_assert_true (run_until_synced (&fixture, 10));
   view_remove_backend (fixture.instances[2].view, removed.id,
-                       (store_revision_t){ .number = 8 }, clock_now ());
+                       &(view_removal_t){ .revision = { .number = 8 } },
+                       clock_now ());
   g_assert_cmpint (count_synced (&fixture), ==, 3);
   /* Instance 2 now has a tombstone that is newer than the reader's entry of
      the endpoint, so that it would ignore that entry.  The reader therefore
@@ -471,7 +473,8 @@
   g_ptr_array_add (out, "a");
   view_replace_backends (view, restored, (store_revision_t){ 1, 20 },
                          clock_now ());
-  view_remove_backend (view, "endpoint-00001", (store_revision_t){ 1, 21 },
+  view_remove_backend (view, "endpoint-00001",
+                       &(view_removal_t){ .revision = { 1, 21 } },
                        clock_now () + 10000);
   view_set_synced (view, (store_revision_t){ 1, 21 });
   view_set_out_of_service (view, out);
