Keep data centres out of service while a restored store lacks the order

An operator's order to take a data centre out of service that was given after the copy was made is missing when the store returns. The data centre got requests again at once, until the order was written again.

For 2.2 s after an instance has learnt of a new era, a data centre that was out stays out although the newest set lacks it; then the newest set counts. New orders take effect at once. Each instance does so for itself, as a restarted reader does not know the order. Sets carry the revision that states them, and one of an older era is ignored. A watch is applied to the set as stated, so that an order that ends meanwhile is not forgotten.

/feed/data_centres_stay_out_after_a_restore fails without the time.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -68,7 +68,8 @@
 static void apply_list (feed_t *feed, feed_kind_t kind,
                         store_revision_t revision, clock_ms_t now);
 static void apply_watched_changes (feed_t *feed, feed_kind_t kind,
-                                   const GPtrArray *items, clock_ms_t now);
+                                   const GPtrArray *items,
+                                   store_revision_t revision, clock_ms_t now);
 static void apply_item (feed_t *feed, feed_kind_t kind, feed_item_t *item,
                         clock_ms_t now);
 static void schedule_read_retry (feed_t *feed, feed_kind_t kind, int error,
@@ -322,7 +323,8 @@
     }
   else
     {
-      apply_watched_changes (feed, kind, response->items, now);
+      apply_watched_changes (feed, kind, response->items, response->revision,
+                             now);
       if (response->items->len > 0)
         channel->revision = response->revision;
       channel->next_call_at = 0;
@@ -443,7 +445,7 @@
 
           g_ptr_array_add (values, item->name);
         }
-      view_set_out_of_service (feed->view, values);
+      view_set_out_of_service (feed->view, values, revision, now);
       g_ptr_array_free (values, TRUE);
       break;
     default:
@@ -459,7 +461,7 @@
    FEED_OUT_OF_SERVICE are applied.  */
 static void
 apply_watched_changes (feed_t *feed, feed_kind_t kind, const GPtrArray *items,
-                       clock_ms_t now)
+                       store_revision_t revision, clock_ms_t now)
 {
   for (guint i = 0; i < items->len; i++)
     {
@@ -467,19 +469,19 @@
 
       if (kind == FEED_OUT_OF_SERVICE)
         {
-          GPtrArray *names = g_ptr_array_new ();
+          const GPtrArray *stated = feed->view->stated_out;
+          GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
 
-          for (guint j = 0; j < feed->view->out->len; j++)
+          for (guint j = 0; j < stated->len; j++)
             {
-              char *name = g_ptr_array_index (feed->view->out, j);
+              const char *name = g_ptr_array_index (stated, j);
 
-              if (!item->removed || strcmp (name, item->name) != 0)
+              if (strcmp (name, item->name) != 0)
                 g_ptr_array_add (names, g_strdup (name));
             }
           if (!item->removed)
             g_ptr_array_add (names, g_strdup (item->name));
-          view_set_out_of_service (feed->view, names);
-          g_ptr_array_set_free_func (names, g_free);
+          view_set_out_of_service (feed->view, names, revision, now);
           g_ptr_array_free (names, TRUE);
         }
       else if (!item->removed)
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -344,7 +344,8 @@
   apply_changes (relay, wire, now);
   for (u_int i = 0; i < wire->out.out_len; i++)
     g_ptr_array_add (out, wire->out.out_val[i]);
-  view_set_out_of_service (relay->view, out);
+  view_set_out_of_service (relay->view, out, wire_to_revision (wire->revision),
+                           now);
   g_ptr_array_free (out, TRUE);
   if (wire->members_digest != members_digest (relay->members))
     missing_parts |= FLEET_PART_MEMBERS;
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -18,6 +18,7 @@
 /* Shortest time between two summaries of changed endpoints in the log.  */
 #define CHANGES_LOG_INTERVAL_MS 200
 
+static void put_back_into_service (view_t *view, clock_ms_t now);
 static void enter_era (view_t *view, uint64_t era, clock_ms_t now);
 static void change_free (view_change_t *change);
 static void record_change (view_t *view, const backend_entry_t *entry,
@@ -47,6 +48,7 @@
   view->backends = backends;
   view->hooks = *hooks;
   view->out = g_ptr_array_new_with_free_func (g_free);
+  view->stated_out = g_ptr_array_new_with_free_func (g_free);
   view->tombstones
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&view->changes);
@@ -62,6 +64,7 @@
   while ((change = g_queue_pop_head (&view->changes)) != NULL)
     change_free (change);
   g_ptr_array_free (view->out, TRUE);
+  g_ptr_array_free (view->stated_out, TRUE);
   g_hash_table_destroy (view->tombstones);
   config_history_clear (&view->config_history);
   routes_free (view->routes);
@@ -75,8 +78,10 @@
   if (era <= view->era)
     return;
   view->era = era;
-  if (view->has_all_backends)
-    view_retain_missing (view, now);
+  if (!view->has_all_backends)
+    return;
+  view_retain_missing (view, now);
+  view->retain_out_until = now + EXPIRED_RETENTION_MS;
 }
 
 static void
@@ -328,6 +333,7 @@
 void
 view_tick (view_t *view, clock_ms_t now)
 {
+  put_back_into_service (view, now);
   if (view->unlogged_updates + view->unlogged_removals == 0
       || now - view->changes_logged_at < CHANGES_LOG_INTERVAL_MS)
     return;
@@ -394,29 +400,46 @@
   routes_free (old);
 }
 
-void
-view_set_out_of_service (view_t *view, GPtrArray *names)
+/* Puts the data centres back into service that are out according to no recent
+   statement.  */
+static void
+put_back_into_service (view_t *view, clock_ms_t now)
 {
+  if (now < view->retain_out_until)
+    return;
   for (guint i = view->out->len; i > 0; i--)
     {
       char *name = g_ptr_array_index (view->out, i - 1);
 
-      if (g_ptr_array_find_with_equal_func (names, name, g_str_equal, NULL))
+      if (g_ptr_array_find_with_equal_func (view->stated_out, name,
+                                            g_str_equal, NULL))
         continue;
       g_message ("data centre %s is back in service", name);
       backends_set_data_centre_out (view->backends, name, false);
       g_ptr_array_remove_index (view->out, i - 1);
     }
+}
+
+void
+view_set_out_of_service (view_t *view, const GPtrArray *names,
+                         store_revision_t revision, clock_ms_t now)
+{
+  if (revision.era < view->era)
+    return;
+  enter_era (view, revision.era, now);
+  g_ptr_array_set_size (view->stated_out, 0);
   for (guint i = 0; i < names->len; i++)
     {
       const char *name = g_ptr_array_index (names, i);
 
+      g_ptr_array_add (view->stated_out, g_strdup (name));
       if (backends_is_data_centre_out (view->backends, name))
         continue;
       g_message ("data centre %s is taken out of service", name);
       backends_set_data_centre_out (view->backends, name, true);
       g_ptr_array_add (view->out, g_strdup (name));
     }
+  put_back_into_service (view, now);
 }
 
 /* Digest of an entry without the parts that change with each heartbeat of the
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -55,9 +55,12 @@
                                       @routes */
   uint64_t config_digest;          /* config_digest() of @routes */
   clock_ms_t routes_changed_at;    /* ms; when @routes took effect */
-  GPtrArray *out;       /* char *; names of the data centres that are out of
-                           service */
-  clock_ms_t synced_at; /* ms; when @revision was last confirmed */
+  GPtrArray *out;        /* char *; names of the data centres that are out of
+                            service */
+  GPtrArray *stated_out; /* char *; those that are according to the newest
+                            statement; others in @out are kept there until
+                            @retain_out_until */
+  clock_ms_t synced_at;  /* ms; when @revision was last confirmed */
   store_revision_t revision; /* newest store revision up to which @backends has
                                 all changes */
   bool has_all_backends;     /* a complete set of the endpoints was received */
@@ -65,6 +68,9 @@
   /* ms; before this time, only draining endpoints are removed (see
      view_retain_missing()).  */
   clock_ms_t retain_until;
+  /* ms; before this time, data centres stay out of service (see
+     view_set_out_of_service()).  */
+  clock_ms_t retain_out_until;
   GQueue changes; /* log of changes: view_change_t *, newest first */
   /* @changes has all changes after this store revision; unused while
      @has_all_backends is false, as changes are not recorded yet.  */
@@ -125,7 +131,8 @@
 void view_log_each_change (view_t *view, bool each);
 
 /* Logs how many endpoints have changed since the last such line, if any and if
-   that line is old enough.  Must be called a few times a second.  */
+   that line is old enough.  Puts data centres back into service that were kept
+   out after a restore of the store.  Must be called a few times a second.  */
 void view_tick (view_t *view, clock_ms_t now);
 
 /* Records that the view has all changes of the endpoints up to a store
@@ -149,9 +156,19 @@
    newer than that of the current one, it is freed instead.  */
 void view_set_routes (view_t *view, routes_t *routes);
 
-/* Replaces the set of data centres that are out of service.  @names: char *,
-   copied.  */
-void view_set_out_of_service (view_t *view, GPtrArray *names);
+/**
+ * view_set_out_of_service() - replace the set of data centres that are out of
+ * service
+ * @names: char *, copied
+ * @revision: store revision of the set
+ *
+ * A set of an older era than known is ignored.  For a time after a restore of
+ * the store, data centres stay out of service although the set lacks them:
+ * what an operator has ordered since the copy was made is missing until it is
+ * written again.
+ */
+void view_set_out_of_service (view_t *view, const GPtrArray *names,
+                              store_revision_t revision, clock_ms_t now);
 
 /* Whether the log of changes has all changes of the endpoints after the store
    revision @since.  False if @since is before any.  */
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -322,6 +322,7 @@
                 members_t *members, clock_ms_t now)
 {
   GPtrArray *out = g_ptr_array_new ();
+  store_revision_t revision = wire_to_revision (wire->revision);
   int config_error = 0;
 
   if (wire->config.config_len > 0)
@@ -334,10 +335,8 @@
     g_ptr_array_add (out, wire->out.out_val[i]);
   /* If the sender has an older revision than this instance, its set of data
      centres out of service may be outdated.  */
-  if (store_revision_compare (wire_to_revision (wire->revision),
-                              view->revision)
-      >= 0)
-    view_set_out_of_service (view, out);
+  if (store_revision_compare (revision, view->revision) >= 0)
+    view_set_out_of_service (view, out, revision, now);
   if ((wire->included & FLEET_PART_MEMBERS) != 0)
     {
       members_begin_replace (members);
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -398,6 +398,56 @@
   fixture_end (&fixture);
 }
 
+static feed_item_t *
+data_centre_item (const char *name, bool removed)
+{
+  feed_item_t *item = g_new0 (feed_item_t, 1);
+
+  item->name = g_strdup (name);
+  item->removed = removed;
+  return item;
+}
+
+/* Guards against requests to a data centre that an operator has taken out of
+   service, because the restored store lacks the order until it is written
+   again; and against a data centre that stays out for good, as the end of the
+   order came meanwhile.  */
+static void
+data_centres_stay_out_after_a_restore (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  reply (&fixture, FEED_OUT_OF_SERVICE, 0, 52, false,
+         data_centre_item ("a", false));
+  g_assert_true (backends_is_data_centre_out (fixture.backends, "a"));
+  fixture.era = 1;
+  feed_tick (fixture.feed, clock_now () + 700);
+  reply (&fixture, FEED_BACKENDS, 0, 20, false,
+         backend_item ("i-1", 15, false));
+  reply (&fixture, FEED_OUT_OF_SERVICE, 0, 20, false, NULL);
+  view_tick (fixture.view, clock_now () + 2000);
+  g_assert_true (backends_is_data_centre_out (fixture.backends, "a"));
+  view_tick (fixture.view, clock_now () + 2300);
+  g_assert_false (backends_is_data_centre_out (fixture.backends, "a"));
+  /* Another one is taken out and back while the next restore is recent.  */
+  reply (&fixture, FEED_OUT_OF_SERVICE, 0, 21, false,
+         data_centre_item ("b", false));
+  fixture.era = 2;
+  feed_tick (fixture.feed, clock_now () + 700);
+  reply (&fixture, FEED_BACKENDS, 0, 20, false,
+         backend_item ("i-1", 15, false));
+  reply (&fixture, FEED_OUT_OF_SERVICE, 0, 21, false,
+         data_centre_item ("b", false));
+  reply (&fixture, FEED_OUT_OF_SERVICE, 0, 22, false,
+         data_centre_item ("b", true));
+  g_assert_true (backends_is_data_centre_out (fixture.backends, "b"));
+  view_tick (fixture.view, clock_now () + 2300);
+  g_assert_false (backends_is_data_centre_out (fixture.backends, "b"));
+  fixture_end (&fixture);
+}
+
 /* Guards against a watch that waits at a revision of before a restore of the
    store, and misses the changes that the store gives that revision and those
    below it again.  */
@@ -684,6 +734,8 @@
                    endpoints_that_a_restored_store_lacks_are_retained);
   g_test_add_func ("/feed/restored_entries_do_not_bring_back_endpoints",
                    restored_entries_do_not_bring_back_endpoints);
+  g_test_add_func ("/feed/data_centres_stay_out_after_a_restore",
+                   data_centres_stay_out_after_a_restore);
   g_test_add_func ("/feed/restore_ends_watches", restore_ends_watches);
   g_test_add_func ("/feed/pages_of_two_eras_are_not_joined",
                    pages_of_two_eras_are_not_joined);
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -477,7 +477,8 @@
                        &(view_removal_t){ .revision = { 1, 21 } },
                        clock_now () + 10000);
   view_set_synced (view, (store_revision_t){ 1, 21 });
-  view_set_out_of_service (view, out);
+  view_set_out_of_service (view, out, (store_revision_t){ 1, 21 },
+                           clock_now ());
   view_set_routes (view, routes_new (7));
   g_assert_true (run_until_synced (&fixture, 5));
   run_for (&fixture, 1.0);
