Learn a newer configuration than the store's from the instances that have it

A reader that is restarted after the store was restored finds an older version there, puts it into force and announces it. Instances that were not restarted keep theirs, as versions only rise, but the reader and all that started with it served by the older one until the operator had written the newer one again.

Hellos now state the version of the sender. An instance whose own is older fetches the configuration from the sender, and announces it if it is the reader.

/relay/reader_gets_a_newer_configuration_from_others fails without the fetch: version 5 in place of 9.

--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -171,6 +171,7 @@
 {
   bool ready;
   fleet_wire_member member;
+  unsigned hyper config_version; /* 0: none */
   fleet_wire_limit limits<FLEET_LIMITS_MAX>; /* that the sender has learnt */
 };
 
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -212,6 +212,7 @@
 struct fleet_wire_hello {
 	bool_t ready;
 	fleet_wire_member member;
+	u_quad_t config_version;
 	struct {
 		u_int limits_len;
 		fleet_wire_limit *limits_val;
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -384,6 +384,8 @@
 		 return FALSE;
 	 if (!xdr_fleet_wire_member (xdrs, &objp->member))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIMITS_MAX,
 		sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
 		 return FALSE;
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -150,6 +150,12 @@
   relay->hello_sent_at = now - SEED_HELLO_INTERVAL_MS;
 }
 
+uint64_t
+relay_config_version (const relay_t *relay)
+{
+  return relay->view->routes != NULL ? relay->view->routes->version : 0;
+}
+
 bool
 relay_has_announced_config (const relay_t *relay)
 {
@@ -289,6 +295,10 @@
   relay_handle_limits (relay, wire->limits.limits_val, wire->limits.limits_len,
                        now);
   member = members_find (relay->members, wire->member.name);
+  /* A reader that was started after the store was restored from an older copy
+     finds an older version there than the one in force.  */
+  if (wire->config_version > relay_config_version (relay))
+    relay_fetch_config (relay, wire->member.ip, now);
   /* The reader sends an announcement at once to a member that has just started
      or has sent no hello for MEMBER_STALE_MS.  If there is no reader, as
      during an outage of the store, any instance that knows the endpoints
@@ -407,8 +417,7 @@
                             wire->ready.ready_len)
              > 0)
     relay->hooks.members_changed (relay->hooks.context);
-  if (wire->config_version
-      > (relay->view->routes != NULL ? relay->view->routes->version : 0))
+  if (wire->config_version > relay_config_version (relay))
     missing_parts |= FLEET_PART_CONFIG;
   /* Of an announcement with an older store revision than this instance's, only
      the configuration is of use, which has an order of its own.  */
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -98,6 +98,9 @@
 /* Shortest time between hellos that an instance sends to the reader.  */
 #define RELAY_HELLO_MIN_INTERVAL_MS 200
 
+/* Version of this instance's configuration; 0: none.  */
+uint64_t relay_config_version (const relay_t *relay);
+
 /* Sends announcements to all members: the digests of this instance's state and
    the changes that are to be announced.  */
 void relay_announce (relay_t *relay, clock_ms_t now);
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -156,8 +156,7 @@
 
   wire->revision = wire_from_revision (relay->view->revision);
   wire->digest = view_digest (relay->view);
-  wire->config_version
-      = relay->view->routes != NULL ? relay->view->routes->version : 0;
+  wire->config_version = relay_config_version (relay);
   wire->members_digest = members_digest (relay->members);
   wire->fresh = reader_is_fresh (relay->reader, now);
   wire->weak = relay->reader->weak;
@@ -351,6 +350,7 @@
   size_t length;
 
   wire->ready = own->ready;
+  wire->config_version = relay_config_version (relay);
   wire->member = make_own_wire_member (relay);
   wire->limits.limits_len = limits->len;
   wire->limits.limits_val = (fleet_wire_limit *)(void *)limits->data;
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -515,6 +515,25 @@
   fixture_end (&fixture);
 }
 
+/* Guards against an older configuration at a reader that was restarted after
+   the store was restored, and at all that start and learn it from that reader,
+   while others have the newer one.  */
+static void
+reader_gets_a_newer_configuration_from_others (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture, 4);
+  set_up_reader (&fixture, 20);
+  view_set_routes (fixture.instances[0].view, routes_new (5));
+  g_assert_true (run_until_synced (&fixture, 10));
+  view_set_routes (fixture.instances[2].view, routes_new (9));
+  run_for (&fixture, 1.0);
+  for (int i = 0; i < fixture.count; i++)
+    g_assert_cmpuint (fixture.instances[i].view->routes->version, ==, 9);
+  fixture_end (&fixture);
+}
+
 /* Returns a configuration with many routes, of which the first has the given
    timeout.  */
 static routes_t *
@@ -695,6 +714,8 @@
                    restored_store_is_followed);
   g_test_add_func ("/relay/configuration_of_an_older_revision_is_fetched",
                    configuration_of_an_older_revision_is_fetched);
+  g_test_add_func ("/relay/reader_gets_a_newer_configuration_from_others",
+                   reader_gets_a_newer_configuration_from_others);
   g_test_add_func ("/relay/configuration_arrives_while_tables_are_sent",
                    configuration_arrives_during_transfers);
   g_test_add_func ("/relay/small_change_of_the_configuration_is_not_fetched",
