--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -20,6 +20,18 @@
   return store_decode (kind, body, strlen (body), response);
 }
 
+/* Returns the number of items that are endpoints.  */
+static int
+count_backends (const feed_response_t *response)
+{
+  int n = 0;
+
+  for (guint i = 0; i < response->items->len; i++)
+    n += ((const feed_item_t *)g_ptr_array_index (response->items, i))->backend
+         != NULL;
+  return n;
+}
+
 /* Returns whether an object of the store whose "spec" is the JSON text @spec
    is decoded to an endpoint.  */
 static bool
@@ -66,6 +78,55 @@
       "\"slots\":3,\"state\":\"ready\",\"born\":\"yesterday\"}"));
 }
 
+/* Guards against one entry that another program has written and that cannot be
+   read: very deeply nested, with numbers that are out of range, or without a
+   name.  It must neither hide the others nor end the process.  */
+static void
+odd_entry_does_not_hide_the_others (void)
+{
+  static const char valid[]
+      = "{\"metadata\":{\"name\":\"i-2\",\"revision\":8},\"spec\":"
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+        "\"slots\":3,\"state\":\"ready\"}}";
+  static const char *const odd[] = {
+    "17",
+    "null",
+    "[[[]]]",
+    "{}",
+    "{\"spec\":{}}",
+    "{\"metadata\":{\"name\":1e999},\"spec\":{}}",
+    "{\"metadata\":{\"name\":\"i-1\",\"revision\":1e999},\"spec\":"
+    "{\"slots\":99999999999999999999999}}",
+    "{\"metadata\":{\"name\":\"i-1\"},\"spec\":{\"a\":\"\\ud800\"}}",
+    "{\"metadata\":{\"name\":\"i-1\"},\"spec\":{\"a\":-}}",
+    "{\"metadata\":{\"name\":\"i-1\"},\"spec\":\"\\\"}]\"}",
+  };
+  GString *deep = g_string_new ("{\"metadata\":{\"name\":\"i-1\"},\"spec\":");
+  feed_response_t response;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      g_autofree char *items = g_strdup_printf ("%s,%s", odd[i], valid);
+
+      g_assert_cmpint (decode (FEED_BACKENDS, items, &response), ==, 0);
+      g_assert_cmpint (count_backends (&response), ==, 1);
+      g_ptr_array_free (response.items, TRUE);
+    }
+  for (int i = 0; i < 400000; i++)
+    g_string_append (deep, i % 2 == 0 ? "[" : "{\"a\":");
+  for (int i = 0; i < 400000; i++)
+    g_string_append (deep, i % 2 == 0 ? "}" : "]");
+  g_string_append_printf (deep, "},%s", valid);
+  g_assert_cmpint (decode (FEED_BACKENDS, deep->str, &response), ==, 0);
+  g_assert_cmpint (count_backends (&response), ==, 1);
+  g_ptr_array_free (response.items, TRUE);
+  /* Of a data centre out of service, only the name is of use.  */
+  g_assert_cmpint (decode (FEED_OUT_OF_SERVICE, deep->str, &response), ==, 0);
+  g_assert_cmpuint (response.items->len, ==, 2);
+  g_ptr_array_free (response.items, TRUE);
+  g_string_free (deep, TRUE);
+}
+
 #define LIMITS                                                                \
   "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":1000,"           \
   "\"header-timeout-s\":3,\"idle-timeout-s\":15}"
@@ -266,6 +327,8 @@
   g_log_set_always_fatal (G_LOG_FATAL_MASK);
   g_test_add_func ("/platform/foreign_entries_name_nothing",
                    invalid_endpoints_are_skipped);
+  g_test_add_func ("/platform/odd_entry_does_not_hide_the_others",
+                   odd_entry_does_not_hide_the_others);
   g_test_add_func ("/platform/configuration_is_decoded",
                    configuration_is_decoded);
   g_test_add_func ("/platform/bad_configuration_is_refused_whole",
