--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -127,6 +127,38 @@
   g_string_free (deep, TRUE);
 }
 
+/* Guards against entries with values out of range that are used.  */
+static void
+endpoints_with_values_out_of_range_are_skipped (void)
+{
+  static const char *const invalid[] = {
+    "\"address\":\"10.0.0.1:65536\"",
+    "\"address\":\"10.0.0.1:0\"",
+    "\"address\":\"10.0.0.1:-1\"",
+    "\"slots\":1e400",
+    "\"slots\":4294967296",
+    "\"slots\":-1",
+    "\"slots\":2.5",
+    "\"cold-remaining-s\":1e300",
+    "\"cold-remaining-s\":5000000",
+    "\"born\":1e30",
+    "\"service\":\"s\\u0000t\"",
+    "\"zone\":\"a\\u0000\"",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
+    {
+      /* The last one of several members with the same name counts.  */
+      g_autofree char *spec = g_strdup_printf (
+          "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+          "\"slots\":3,\"state\":\"ready\",%s}",
+          invalid[i]);
+
+      if (decodes_to_backend (spec))
+        g_error ("accepted: %s", invalid[i]);
+    }
+}
+
 #define LIMITS                                                                \
   "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":1000,"           \
   "\"header-timeout-s\":3,\"idle-timeout-s\":15}"
@@ -329,6 +361,8 @@
                    invalid_endpoints_are_skipped);
   g_test_add_func ("/platform/odd_entry_does_not_hide_the_others",
                    odd_entry_does_not_hide_the_others);
+  g_test_add_func ("/platform/endpoints_with_values_out_of_range_are_skipped",
+                   endpoints_with_values_out_of_range_are_skipped);
   g_test_add_func ("/platform/configuration_is_decoded",
                    configuration_is_decoded);
   g_test_add_func ("/platform/bad_configuration_is_refused_whole",
