Skip objects of the store with names that messages cannot hold

Messages between instances hold names of up to 128 bytes.

The limits stand in feed.h and are checked against the messages at compile time.

--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -26,6 +26,12 @@
 
 } feed_kind_t;
 
+/* Limits of the lengths of texts in the store's objects, without their NUL.
+   Messages between instances cannot hold longer ones.  */
+#define FEED_NAME_MAX_BYTES 128 /* names, ids and versions of software */
+#define FEED_HOST_MAX_BYTES 512
+#define FEED_PATH_MAX_BYTES 4096
+
 /* An instance in the list that the store holds.  */
 typedef struct feed_member
 {
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -4,6 +4,11 @@
 #include <errno.h>
 #include <string.h>
 
+#include "feed.h"
+
+_Static_assert(FEED_NAME_MAX_BYTES <= FLEET_NAME_MAX,
+               "names of the store must fit into messages");
+
 static void add_all_backends (fleet_wire_snapshot *wire, const view_t *view,
                               clock_ms_t now);
 static void add_backend_changes (fleet_wire_snapshot *wire, const view_t *view,
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -7,6 +7,7 @@
 
 #include "settings.h"
 #include "store_decode.h"
+#include "wire.h"
 
 /* Decodes a response of the store that lists the objects @items, which are
    JSON texts separated by commas.  Return: the result of store_decode().  */
@@ -159,6 +160,35 @@
     }
 }
 
+/* Guards against an entry with a name that is too long for the messages
+   between instances: no message with it could be encoded, so that the other
+   instances would stop following the store.  */
+static void
+endpoints_with_long_names_are_skipped (void)
+{
+  g_autofree char *name = g_strnfill (FLEET_NAME_MAX + 1, 'n');
+  static const char *const fields[] = { "service", "zone", "version" };
+  g_autofree char *item = g_strdup_printf (
+      "{\"metadata\":{\"name\":\"%s\"},\"spec\":{\"service\":\"s\","
+      "\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":3,"
+      "\"state\":\"ready\"}}",
+      name);
+  feed_response_t response;
+
+  g_assert_cmpint (decode (FEED_BACKENDS, item, &response), ==, 0);
+  g_assert_cmpint (count_backends (&response), ==, 0);
+  g_ptr_array_free (response.items, TRUE);
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      g_autofree char *spec = g_strdup_printf (
+          "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+          "\"slots\":3,\"state\":\"ready\",\"%s\":\"%s\"}",
+          fields[i], name);
+
+      g_assert_false (decodes_to_backend (spec));
+    }
+}
+
 #define LIMITS                                                                \
   "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":1000,"           \
   "\"header-timeout-s\":3,\"idle-timeout-s\":15}"
@@ -363,6 +393,8 @@
                    odd_entry_does_not_hide_the_others);
   g_test_add_func ("/platform/endpoints_with_values_out_of_range_are_skipped",
                    endpoints_with_values_out_of_range_are_skipped);
+  g_test_add_func ("/platform/endpoints_with_long_names_are_skipped",
+                   endpoints_with_long_names_are_skipped);
   g_test_add_func ("/platform/configuration_is_decoded",
                    configuration_is_decoded);
   g_test_add_func ("/platform/bad_configuration_is_refused_whole",
