Believe a refusal only if it names the request

It could happen here: a refusal with the id of another request was skipped, but one without any id was taken for that of the request that waited, which then went to a second endpoint. Endpoints answer a probe that they shed without an id, so that a late copy of such an answer is enough. A request never goes to one endpoint twice, so that a late copy of its own refusal finds no second attempt.

An answer that ends within its head: looked for, not found. http_parser reports the end of the connection there as an error, and the attempt fails as one that may have run.

--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -481,10 +481,13 @@
   if (backend != NULL && uplink->has_load)
     backend_record_load (backend, &uplink->load, now);
   /* Status 421 states that another endpoint responds at this address.  */
-  if (uplink->not_run || response->status == 421)
+  if (backend != NULL && response->status == 421)
+    backend_record_probe (backend, BACKEND_ID_MISMATCH, NULL, 0, now);
+  /* A refusal that does not name the request may be a late one of an earlier
+     request or probe, and states nothing about this one.  */
+  if (uplink->request_id_matches
+      && (uplink->not_run || response->status == 421))
     {
-      if (backend != NULL && response->status == 421)
-        backend_record_probe (backend, BACKEND_ID_MISMATCH, NULL, 0, now);
       request_handle_attempt_failure (
           request, uplink, FAILURE_NOT_RUN,
           response->status == 421 ? "another endpoint" : "shed");
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -296,8 +296,10 @@
     """Simulated backend server.  The test sets its faults: probabilities by
     kind of fault.  A response is lost, cut short, sent twice ("extra"), sent
     again while the connection may carry the next request ("late"), sent
-    without its length ("unframed"), or replaced by status 500 or by garbage
-    ("rot").  With a fault of ENDLESS, bytes that are no response follow until
+    without its length ("unframed"), ended within its head ("head"), or replaced
+    by status 500 or by garbage ("rot").  An earlier refusal may be sent once
+    more before the response ("refusal"), or a refusal of no stated request
+    ("nameless").  With a fault of ENDLESS, bytes that are no response follow until
     the caller closes the connection.  Whatever the probability, "silent"
     leaves all requests without a response and "ill" makes health checks
     fail."""
@@ -434,6 +436,12 @@
                                  {NOT_EXECUTED: "1", ATTEMPT_ID:
                                                     request_id}))
             return
+        for fault, refused_id in (("refusal", "r-earlier"), ("nameless", None)):
+            if self.rng.random() < self.faults.get(fault, 0):
+                refused = {} if refused_id is None \
+                    else {ATTEMPT_ID: refused_id}
+                writer.write(message("HTTP/1.1 503 -",
+                                     {NOT_EXECUTED: "1", **refused}))
         self.waiting += 1
         async with self.slot_semaphore:
             self.waiting -= 1
@@ -457,13 +465,18 @@
         response = message("HTTP/1.1 200 OK", fields, response_body)
         draw = self.rng.random()
         for fault, probability in self.faults.items():
-            if draw >= probability or fault in ("silent", "ill"):
+            if draw >= probability or fault in (
+                    "silent", "ill", "refusal", "nameless"):
                 continue
             if fault == "lost":
                 writer.transport.abort()
             elif fault == "short":
                 writer.write(response[:-len(response_body) // 2])
                 writer.close()
+            elif fault == "head":
+                writer.write(response[:self.rng.randrange(
+                    1, response.index(b"\r\n\r\n"))])
+                writer.close()
             elif fault == "extra":
                 writer.write(response + response)
             elif fault == "late":
--- a/test/run/platform_answers.py
+++ b/test/run/platform_answers.py
@@ -2,7 +2,9 @@
 replaced by others at the same address.
 
 Guards against a client that gets a corrupt response, the response to another
-request, or a refusal of a request that an endpoint executed.
+request, or a refusal of a request that an endpoint executed, and against a
+second execution of a request because the endpoint sends a refusal that is not
+its.
 """
 
 import asyncio
@@ -28,7 +30,8 @@
 
 
 async def script(site):
-    for fault in ("lost", "short", "extra", "late", "unframed", "errors", "rot"):
+    for fault in ("lost", "short", "extra", "late", "unframed", "errors", "rot",
+                  "head", "refusal", "nameless"):
         for endpoint in list(site.endpoints.values())[:2]:
             endpoint.faults = {fault: 0.3}
         await run_load(site, fault)
