Restores of the store, odd entries and foreign refusals in the fault soak

The soak restores the store from copies of up to 4 s, after which what was lost is written again; another program writes entries that name no endpoint; endpoints end responses in their heads and send refusals of other requests.

--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -22,6 +22,11 @@
 # gives 3 s.
 LIMIT_TOLD_S = 3.0
 LIMIT_DURATION_S = (2.0, 5.0)
+# Age of the copy from which the store is restored.
+COPY_AGE_S = (0.5, 4.0)
+# Time after which the entry of an endpoint that has left lapses.
+LAPSE_S = 3.0
+ODD_LEVELS = 400
 # After the last fault, all instances must be ready within this time, which is
 # the users' limit for the recovery.
 RECOVERY_S = 15.0
@@ -172,12 +177,58 @@
         store.mode, store.lost_response_ratio = None, 0.0
         store.cut()
 
+    async def restore_store(self, _):
+        """Restores the store from a copy, after which the operator and the
+        endpoints write again what was lost."""
+        store = self.site.store
+        copy = store.copy()
+        await asyncio.sleep(self.rng.uniform(*COPY_AGE_S))
+        self.log("store: restored")
+        store.mode = "reset"
+        store.cut()
+        await asyncio.sleep(self.rng.uniform(0.1, 2.0))
+        lost = {kind: dict(store.objects[kind])
+                for kind in ("config", "evacuations")}
+        store.restore(copy)
+        store.mode = None
+        for endpoint in list(self.site.endpoints.values()):
+            if endpoint.state == "draining" and endpoint.server.is_serving():
+                await endpoint.send_heartbeat()
+        await asyncio.sleep(self.rng.uniform(0.0, 0.5))
+        await store.put("config", "main", lost["config"]["main"]["spec"])
+        for zone in "ab":
+            if zone in lost["evacuations"]:
+                await store.put("evacuations", zone, {})
+            else:
+                await store.remove("evacuations", zone)
+        await asyncio.sleep(LAPSE_S)
+        for name, endpoint in list(self.site.endpoints.items()):
+            if not endpoint.server.is_serving():
+                await store.remove("servers", name)
+
+    async def odd_entry(self, _):
+        """Another program writes an entry that names no endpoint."""
+        deep = []
+        for _ in range(ODD_LEVELS):
+            deep = [deep]
+        valid = {"service": "slots", "zone": "a", "version": "v1", "slots": 3,
+                 "state": "ready", "address": f"{self.site.network}.9.9:1"}
+        name, change = self.rng.choice((
+            ("odd", {"version": deep}), ("odd", {"slots": 1e30}),
+            ("odd", {"address": f"{self.site.network}.9.9:70000"}),
+            ("odd", {"zone": "z" * 5000}), ("o" * 400, {}),
+            ("odd", {"service": None}), ("odd", {"state": "asleep"})))
+        self.log(f"odd entry {name[:8]}: {str(change)[:40]}")
+        await self.site.store.put("servers", name, valid | change)
+        await asyncio.sleep(self.rng.uniform(*FAULT_DURATION_S))
+        await self.site.store.remove("servers", name)
+
     async def endpoint(self, _):
         # Injects a fault of an endpoint, which ends after a random time.
         endpoint = self.rng.choice(list(self.site.endpoints.values()))
         fault = self.rng.choice(("lost", "short", "extra", "unframed",
                                  "errors", "rot", "silent", "ill", "slow",
-                                 "noisy"))
+                                 "noisy", "head", "refusal", "nameless"))
         self.log(f"{endpoint.name}: {fault}")
         if fault == "slow":
             endpoint.service_time_s *= 5
@@ -277,7 +328,8 @@
         other_faults = (self.store, self.endpoint, self.endpoint,
                         self.replace_endpoint, self.configure,
                         self.limit_endpoint, self.limit_endpoint,
-                        self.take_data_centre_out)
+                        self.take_data_centre_out, self.restore_store,
+                        self.restore_store, self.odd_entry)
         while time.monotonic() - self.began < self.seconds:
             fault = self.rng.choice(instance_faults + other_faults)
             coroutine = (self.run_on_undisturbed_instance(fault, disturbed)
