Stop sending to endpoints that say in a response that they leave

Server-Leaving was read nowhere: an endpoint that says only in its responses that it leaves, because the store is away, got requests until the store said so.

The adapter names the field; 1 in a response to a probe or with the id of the request takes the endpoint out of the choice of this instance for as long as it runs. Anything else, or several values that differ, says nothing and is logged within the limit of log lines. What keeps an endpoint from getting a request is now one value, choose_get_obstacle(), asked right before each send, probe, retry and hedged attempt; peridot_withheld_total counts the endpoints left out by it, and refusals for want of an endpoint name the numbers.

Not done: other instances are not told, each learns it from a response of its own.

--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -101,7 +101,9 @@
   int cold_rank; /* number of instances that precede this one in the order that
                     decides which instances may send it requests while it is
                     cold */
-  rate_limit_t rate_limit;    /* limit that the endpoint has stated */
+  bool says_leaving;       /* the endpoint has stated in a response that it is
+                              leaving; holds as long as the endpoint runs */
+  rate_limit_t rate_limit; /* limit that the endpoint has stated */
   uint32_t rendezvous_weight; /* weight of the endpoint for this instance in
                                  rendezvous hashing */
 } backend_t;
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -93,16 +93,42 @@
     }
 }
 
+choose_obstacle_t
+choose_get_obstacle (backends_t *backends, backend_t *backend, clock_ms_t now)
+{
+  if (backend->entry.draining)
+    return CHOOSE_DRAINING;
+  if (backend->says_leaving)
+    return CHOOSE_LEAVING;
+  if (backends_is_data_centre_out (backends, backend->entry.data_centre))
+    return CHOOSE_DATA_CENTRE_OUT;
+  if (backend_is_cold (backend, now)
+      && !backends_can_send_to_cold (backends, backend, now))
+    return CHOOSE_COLD;
+  if (!rate_limit_allows (&backend->rate_limit,
+                          backends_instance_count (backends), now))
+    return CHOOSE_LIMITED;
+  return CHOOSE_NO_OBSTACLE;
+}
+
+const char *
+choose_obstacle_name (choose_obstacle_t obstacle)
+{
+  static const char *const names[CHOOSE_OBSTACLE_COUNT] = {
+    "none", "draining", "leaving", "data centre out", "cold", "limited"
+  };
+
+  return names[obstacle];
+}
+
 /* Whether a request may be sent to an endpoint now if the limit that it has
    stated allows one.  */
 static bool
 is_usable (backends_t *backends, backend_t *backend, clock_ms_t now)
 {
-  if (backend->entry.draining
-      || backends_is_data_centre_out (backends, backend->entry.data_centre))
-    return false;
-  return !backend_is_cold (backend, now)
-         || backends_can_send_to_cold (backends, backend, now);
+  choose_obstacle_t obstacle = choose_get_obstacle (backends, backend, now);
+
+  return obstacle == CHOOSE_NO_OBSTACLE || obstacle == CHOOSE_LIMITED;
 }
 
 /* Whether to probe an endpoint only to learn whether it still states its
@@ -125,9 +151,7 @@
 bool
 choose_is_eligible (backends_t *backends, backend_t *backend, clock_ms_t now)
 {
-  return rate_limit_allows (&backend->rate_limit,
-                            backends_instance_count (backends), now)
-         && is_usable (backends, backend, now);
+  return choose_get_obstacle (backends, backend, now) == CHOOSE_NO_OBSTACLE;
 }
 
 int
@@ -249,13 +273,18 @@
        backend != NULL; backend = backends_next (backends, &position))
     {
       backend_handle_t handle;
+      choose_obstacle_t obstacle;
 
       if (backend->service != criteria->service
           || choose_is_listed (backends, backend, criteria->excluded,
-                               criteria->n_excluded)
-          || (!choose_is_eligible (backends, backend, now)
-              && !(is_limit_due (backends, backend, rng, now)
-                   && is_usable (backends, backend, now))))
+                               criteria->n_excluded))
+        continue;
+      obstacle = choose_get_obstacle (backends, backend, now);
+      if (obstacle != CHOOSE_NO_OBSTACLE && criteria->withheld != NULL)
+        criteria->withheld[obstacle]++;
+      if (obstacle != CHOOSE_NO_OBSTACLE
+          && !(obstacle == CHOOSE_LIMITED
+               && is_limit_due (backends, backend, rng, now)))
         continue;
       handle = backends_get_handle (backends, backend);
       if (now < backend->backoff_until)
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -21,6 +21,9 @@
                  if there are as many */
   bool skip_subsetting; /* choose from all endpoints of the service, not only
                            from this instance's subset */
+  /* out: number of endpoints of the service that were left out, by obstacle;
+     NULL: not counted */
+  uint32_t *withheld;
 } choose_criteria_t;
 
 /**
@@ -50,6 +53,27 @@
                     decide_rng_t *rng, clock_ms_t now,
                     backend_handle_t chosen[CHOOSE_ENDPOINTS_MAX]);
 
+/* Why no request may be sent to an endpoint now.  An endpoint may have several
+   obstacles, of which the first in this order counts.  */
+typedef enum choose_obstacle
+{
+  CHOOSE_NO_OBSTACLE,
+  CHOOSE_DRAINING,        /* according to its entry in the store */
+  CHOOSE_LEAVING,         /* according to its responses */
+  CHOOSE_DATA_CENTRE_OUT, /* its data centre is out of service */
+  CHOOSE_COLD,            /* it is warming up, and others may send to it */
+  CHOOSE_LIMITED,         /* its limit needs a permit */
+  CHOOSE_OBSTACLE_COUNT
+} choose_obstacle_t;
+
+/* Returns the obstacle of an endpoint.  This is the only place that decides
+   whether an endpoint may get a request now: rounds of probes, waiting
+   requests, retries and hedged attempts all ask it right before they send.  */
+choose_obstacle_t choose_get_obstacle (backends_t *backends,
+                                       backend_t *backend, clock_ms_t now);
+/* Returns a short name for the log.  */
+const char *choose_obstacle_name (choose_obstacle_t obstacle);
+
 /* What this instance knows of the limits that the endpoints of a service
    state.  Endpoints that could not get a request in any case are left out.
    All numbers are 0 if no endpoint needs a permit.  */
@@ -73,9 +97,7 @@
 bool choose_is_listed (const backends_t *backends, const backend_t *backend,
                        const backend_handle_t *list, int count);
 
-/* Whether a request may be sent to an endpoint now: it is not draining, its
-   data centre is in service, and the limit that it has stated and, if it is
-   cold, its rate limit allow a request.  */
+/* Whether a request may be sent to an endpoint now: it has no obstacle.  */
 bool choose_is_eligible (backends_t *backends, backend_t *backend,
                          clock_ms_t now);
 
--- a/lib/proxy/decision_log.c
+++ b/lib/proxy/decision_log.c
@@ -110,3 +110,13 @@
                     "SOURCE", source == RATE_LIMIT_PROBE ? "probe" : "request",
                     "MESSAGE", "%s", event);
 }
+
+void
+statement_log_write (proxy_t *proxy, const backend_t *backend,
+                     const char *event)
+{
+  if (!reserve_log_line (proxy, G_LOG_LEVEL_INFO))
+    return;
+  g_log_structured ("proxy", G_LOG_LEVEL_INFO, "ENDPOINT", backend->entry.id,
+                    "SERVICE", backend->entry.service, "MESSAGE", "%s", event);
+}
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -33,6 +33,7 @@
                             a status below 300 must have one */
   const char *cold_left; /* remaining warm-up time of the endpoint that
                             responds, in ms */
+  const char *leaving;   /* "1": the endpoint that responds is leaving */
   const char *rate_limit; /* requests per second that the endpoint that
                              responds takes from all instances together; see
                              rate_limit_parse() */
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -74,6 +74,8 @@
   ev_timer round_timer;    /* starts the next round of probes for @waiting */
   bool followup_round_active; /* a round of probes that @round_timer started is
                                  in progress */
+  /* Endpoints that the last round of probes left out, by obstacle.  */
+  uint32_t withheld[CHOOSE_OBSTACLE_COUNT];
 } service_state_t;
 
 /* Response of an endpoint.  */
@@ -142,12 +144,13 @@
   backend_load_t load;   /* load of the endpoint, as the response states it */
   clock_ms_t cold_left_ms; /* remaining warm-up time of the endpoint, in ms */
   rate_limit_statement_t rate_limit; /* limit that the response states */
-  bool is_limit_malformed;  /* the value of the field with the limit could not
-                               be parsed */
-  int64_t retry_after;      /* set to -1 when a response begins; never read */
-  clock_ms_t keep_alive_ms; /* idle timeout that the endpoint states for the
-                               connection, in ms; 0: not stated */
-  bool response_complete;   /* the response has been read to its end */
+  bool is_limit_malformed;   /* the value of the field with the limit could not
+                                be parsed */
+  bool says_leaving;         /* the endpoint states that it is leaving */
+  bool is_leaving_malformed; /* it states something else in that field */
+  clock_ms_t keep_alive_ms;  /* idle timeout that the endpoint states for the
+                                connection, in ms; 0: not stated */
+  bool response_complete;    /* the response has been read to its end */
   bool is_reusable; /* the connection can be kept after this response */
   bool had_foreign_response; /* a response to another request arrived on this
                                 connection, which is therefore not reused */
@@ -435,6 +438,9 @@
 void decision_log_write (request_t *request, GLogLevelFlags level,
                          const char *outcome, const backend_t *backend,
                          const char *detail);
+/* Logs what an endpoint states about itself in a response.  */
+void statement_log_write (proxy_t *proxy, const backend_t *backend,
+                          const char *event);
 /* Logs what an endpoint states about its limit.  */
 void limit_log_write (proxy_t *proxy, const backend_t *backend,
                       rate_limit_source_t source, const char *event);
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -5,6 +5,7 @@
 #include "proxy_private.h"
 
 #include <errno.h>
+#include <string.h>
 
 /* Longest time that a round waits for the results of its probes.  After that
    time, the round is finished with the responses received so far.  */
@@ -37,6 +38,7 @@
 static void try_send_hedge (probe_round_t *round, request_t *request);
 static GArray *assign_waiting (proxy_t *proxy, service_index_t service,
                                uplink_t *const *uplinks, int count);
+static char *describe_withheld (const service_state_t *state);
 static void refuse_marked_requests (service_state_t *state);
 static void schedule_next_round (service_state_t *state);
 
@@ -120,6 +122,7 @@
 {
   backend_handle_t chosen[CHOOSE_ENDPOINTS_MAX];
   choose_criteria_t allowed = *criteria;
+  service_state_t *state = service_state_get (proxy, criteria->service);
   int n_chosen;
 
   allowed.count
@@ -128,8 +131,13 @@
   if (allowed.count < criteria->count)
     telemetry_counter_add (TELEMETRY_PROBES_WITHHELD, 0,
                            (uint64_t)(criteria->count - allowed.count));
+  memset (state->withheld, 0, sizeof state->withheld);
+  allowed.withheld = state->withheld;
   n_chosen = choose_candidates (proxy->backends, &allowed, &proxy->rng,
                                 clock_now (), chosen);
+  for (unsigned int i = 1; i < CHOOSE_OBSTACLE_COUNT; i++)
+    if (state->withheld[i] > 0)
+      telemetry_counter_add (TELEMETRY_WITHHELD, i - 1, state->withheld[i]);
   round->proxy = proxy;
   round->service = criteria->service;
   ev_timer_init (&round->timer, on_round_timeout, ROUND_TIMEOUT_MS / 1000.0,
@@ -388,6 +396,22 @@
   return used;
 }
 
+/* Returns a text on the endpoints that the last round of probes left out;
+   NULL: none.  */
+static char *
+describe_withheld (const service_state_t *state)
+{
+  GString *text = g_string_new (NULL);
+
+  for (unsigned int i = 1; i < CHOOSE_OBSTACLE_COUNT; i++)
+    if (state->withheld[i] > 0)
+      g_string_append_printf (
+          text, "%s%u %s",
+          text->len > 0 ? ", " : "no_endpoint; left out: ", state->withheld[i],
+          choose_obstacle_name ((choose_obstacle_t)i));
+  return g_string_free (text, text->len == 0);
+}
+
 /* Refuses the requests for which @marked_for_refusal is set.  Writing a
    refusal may fail and close the client's connection, which also removes that
    client's other requests from the queue.  Therefore the search restarts at
@@ -395,6 +419,7 @@
 static void
 refuse_marked_requests (service_state_t *state)
 {
+  g_autofree char *withheld = describe_withheld (state);
   GList *link = state->waiting.head;
 
   while (link != NULL)
@@ -404,7 +429,10 @@
       link = link->next;
       if (!request->marked_for_refusal)
         continue;
-      request_refuse (request, request->refusal_outcome, NULL);
+      request_refuse (request, request->refusal_outcome,
+                      request->refusal_outcome == TELEMETRY_OUTCOME_NO_ENDPOINT
+                          ? withheld
+                          : NULL);
       link = state->waiting.head;
     }
 }
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -23,6 +23,7 @@
 static void parse_field (uplink_t *uplink, const char *name,
                          const char *value);
 static void record_rate_limit (uplink_t *uplink, rate_limit_source_t source);
+static void record_leaving (uplink_t *uplink);
 static void parse_keep_alive (uplink_t *uplink, const char *value);
 
 const http_parser_settings uplink_parser_settings = {
@@ -79,7 +80,8 @@
   uplink->has_load = false;
   uplink->rate_limit = (rate_limit_statement_t){ 0 };
   uplink->is_limit_malformed = false;
-  uplink->retry_after = -1;
+  uplink->says_leaving = false;
+  uplink->is_leaving_malformed = false;
   return 0;
 }
 
@@ -160,6 +162,11 @@
     uplink->has_load = fields_parse_load (value, &uplink->load) == 0;
   else if (g_ascii_strcasecmp (name, names->cold_left) == 0)
     uplink->cold_left_ms = (clock_ms_t)g_ascii_strtod (value, NULL);
+  else if (g_ascii_strcasecmp (name, names->leaving) == 0)
+    {
+      uplink->says_leaving = strcmp (value, "1") == 0;
+      uplink->is_leaving_malformed |= !uplink->says_leaving;
+    }
   else if (g_ascii_strcasecmp (name, names->rate_limit) == 0)
     uplink->is_limit_malformed
         = rate_limit_parse (value, &uplink->rate_limit) != 0;
@@ -208,6 +215,26 @@
     }
 }
 
+/* Records that the endpoint states in the head of a response that it is
+   leaving.  A malformed statement, or several that differ, say nothing.  */
+static void
+record_leaving (uplink_t *uplink)
+{
+  proxy_t *proxy = uplink->proxy;
+  backend_t *backend = backends_get (proxy->backends, uplink->backend);
+
+  if (backend == NULL || uplink->response.status == 421)
+    return;
+  if (uplink->is_leaving_malformed)
+    statement_log_write (proxy, backend,
+                         "endpoint makes a malformed statement on leaving");
+  else if (uplink->says_leaving && !backend->says_leaving)
+    {
+      backend->says_leaving = true;
+      statement_log_write (proxy, backend, "endpoint says that it is leaving");
+    }
+}
+
 static int
 on_response_headers (http_parser *parser)
 {
@@ -226,14 +253,20 @@
       if (uplink->has_request_id)
         return -1;
       if (uplink->endpoint_matches)
-        record_rate_limit (uplink, RATE_LIMIT_PROBE);
+        {
+          record_rate_limit (uplink, RATE_LIMIT_PROBE);
+          record_leaving (uplink);
+        }
       return 0;
     }
   if (request == NULL)
     return -1;
   uplink->is_foreign = uplink->has_request_id && !uplink->request_id_matches;
   if (uplink->request_id_matches)
-    record_rate_limit (uplink, RATE_LIMIT_REQUEST);
+    {
+      record_rate_limit (uplink, RATE_LIMIT_REQUEST);
+      record_leaving (uplink);
+    }
   /* If the length of the body is known, its buffer is allocated at once.  */
   if (parser->content_length != ULLONG_MAX
       && parser->content_length <= RESPONSE_BUFFER_MAX_BYTES)
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -80,6 +80,8 @@
                                         "broken",
                                         "cut",
                                         NULL };
+static const char *const obstacles[]
+    = { "draining", "leaving", "data_centre_out", "cold", "limited", NULL };
 static const char *const older_announcements[]
     = { "unused", "newer_config", NULL };
 static const char *const reader_changes[] = { "took_over", "gave_up", NULL };
@@ -191,6 +193,10 @@
   [TELEMETRY_LIMITED_SENT]
   = { "peridot_limited_sent_total",
       "Requests sent to endpoints that have stated a limit.", NULL, NULL },
+  [TELEMETRY_WITHHELD]
+  = { "peridot_withheld_total",
+      "Endpoints that a round of probes left out, by the reason.", "reason",
+      obstacles },
   [TELEMETRY_PERMITS]
   = { "peridot_permits_total",
       "Permits for requests to endpoints that have stated a limit.", "result",
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -123,6 +123,8 @@
                              a limit */
   TELEMETRY_PERMITS, /* 0 asked, 1 issued, 2 refused: permits for requests to
                         endpoints that have stated a limit */
+  /* choose_obstacle_t less 1: endpoints that a round of probes left out */
+  TELEMETRY_WITHHELD,
   TELEMETRY_COUNTER_COUNT /* number of families */
 } telemetry_counter_t;
 
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -24,6 +24,7 @@
 COLD_REMAINING_MS = "X-Cold-Remaining-Ms"
 RATE_LIMIT = "Server-Limit"
 STORE_ERA = "Store-Era"
+LEAVING = "Server-Leaving"
 
 FRONT, READY, DIRECTORY, INTERNAL_PORT, METRICS = 8144, 8140, 8143, 7660, 9600
 # An endpoint must get no request later than this after it began to drain.
@@ -317,6 +318,9 @@
         # responses that have it.
         self.limit = None
         self.limit_in = ("probe", "request")
+        # Value of the field that says that the endpoint leaves, in all its
+        # responses; None: no field.
+        self.leaving = None
         self.cold_until = time.monotonic() + options.get("cold", 0)
         self.running = self.waiting = 0
         self.slot_semaphore = asyncio.Semaphore(self.slots)
@@ -369,6 +373,8 @@
             await self.site.store.remove("servers", self.name)
 
     def add_limit(self, fields, kind):
+        if self.leaving is not None:
+            fields[LEAVING] = self.leaving
         if self.limit is not None and kind in self.limit_in:
             fields[RATE_LIMIT] = self.limit
 
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -530,6 +530,45 @@
   backends_free (backends);
 }
 
+/* Guards against a request or probe for an endpoint that has said that it
+   leaves, and against the statement of a former endpoint that holds for the
+   next one under the same id.  */
+static void
+leaving_endpoint_gets_nothing_until_it_is_replaced (void)
+{
+  backends_t *backends = backends_new ("front-0", data_centre_a);
+  uint32_t withheld[CHOOSE_OBSTACLE_COUNT] = { 0 };
+  choose_criteria_t criteria = { .count = 5, .withheld = withheld };
+  backend_handle_t chosen[CHOOSE_ENDPOINTS_MAX];
+  char id[] = "x";
+  backend_entry_t entry = { .id = id,
+                            .service = service_name,
+                            .data_centre = data_centre_a,
+                            .slots = 3,
+                            .born = 2,
+                            .revision = { .number = 9 } };
+  decide_rng_t rng;
+
+  decide_rng_seed (&rng, 1);
+  put_backend (backends, id, data_centre_a, 5, 0);
+  g_assert_cmpint (choose_candidates (backends, &criteria, &rng, 2000, chosen),
+                   ==, 1);
+  backends_find (backends, id)->says_leaving = true;
+  g_assert_false (
+      choose_is_eligible (backends, backends_find (backends, id), 2000));
+  g_assert_cmpint (choose_candidates (backends, &criteria, &rng, 2000, chosen),
+                   ==, 0);
+  g_assert_cmpuint (withheld[CHOOSE_LEAVING], ==, 1);
+  /* An update of its entry changes nothing; a new start does.  */
+  put_backend (backends, id, data_centre_a, 6, 0);
+  g_assert_cmpint (choose_candidates (backends, &criteria, &rng, 2000, chosen),
+                   ==, 0);
+  backends_put (backends, &entry, 2000);
+  g_assert_cmpint (choose_candidates (backends, &criteria, &rng, 2000, chosen),
+                   ==, 1);
+  backends_free (backends);
+}
+
 /* Guards against requests that wait for probes of slow or unreachable
    endpoints although an idle endpoint has responded, and against the choice of
    the first endpoint that responds, whatever its load.  In scenario scale-2 of
@@ -664,6 +703,9 @@
                    retries_are_recognised);
   g_test_add_func ("/balance/endpoint_with_room_is_better",
                    endpoint_with_free_slot_is_preferred);
+  g_test_add_func (
+      "/balance/leaving_endpoint_gets_nothing_until_it_is_replaced",
+      leaving_endpoint_gets_nothing_until_it_is_replaced);
   g_test_add_func ("/balance/idle_endpoint_is_good_enough",
                    idle_endpoint_is_good_enough);
   g_test_add_func ("/balance/shed_callers_return_at_once",
