Give endpoints that refuse the time for which they ask

Retry-After of an endpoint's 503 was not read: an endpoint that turned a request away got the next ones at once, and while all endpoints of a service did so, callers waited until they were refused with the time of a full service.

A 503 with the id of the request, or of a probe, keeps requests and probes of this instance from the endpoint until its time is over, as one more reason of choose_get_obstacle(). While all endpoints of a service have asked for time, a request that can't wait so long is refused at once; Retry-After is the earliest of these times and up to a quarter of it more, so that callers return spread. Fractions count. More than an hour counts as an hour; a date, a negative number, another text, or several fields say nothing and are logged within the limit of log lines.

--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -101,8 +101,11 @@
   int cold_rank; /* number of instances that precede this one in the order that
                     decides which instances may send it requests while it is
                     cold */
-  bool says_leaving;       /* the endpoint has stated in a response that it is
-                              leaving; holds as long as the endpoint runs */
+  bool says_leaving; /* the endpoint has stated in a response that it is
+                        leaving; holds as long as the endpoint runs */
+  clock_ms_t
+      declined_until;      /* the endpoint has asked for no requests from this
+                              instance before this time; 0: it has not */
   rate_limit_t rate_limit; /* limit that the endpoint has stated */
   uint32_t rendezvous_weight; /* weight of the endpoint for this instance in
                                  rendezvous hashing */
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -100,6 +100,8 @@
     return CHOOSE_DRAINING;
   if (backend->says_leaving)
     return CHOOSE_LEAVING;
+  if (now < backend->declined_until)
+    return CHOOSE_DECLINED;
   if (backends_is_data_centre_out (backends, backend->entry.data_centre))
     return CHOOSE_DATA_CENTRE_OUT;
   if (backend_is_cold (backend, now)
@@ -111,12 +113,39 @@
   return CHOOSE_NO_OBSTACLE;
 }
 
+clock_ms_t
+choose_get_declined_until (backends_t *backends, service_index_t service,
+                           clock_ms_t now)
+{
+  clock_ms_t earliest = 0;
+  uint32_t position = 0;
+
+  for (backend_t *backend = backends_next (backends, &position);
+       backend != NULL; backend = backends_next (backends, &position))
+    {
+      choose_obstacle_t obstacle;
+
+      if (backend->service != service)
+        continue;
+      obstacle = choose_get_obstacle (backends, backend, now);
+      if (obstacle == CHOOSE_DRAINING || obstacle == CHOOSE_LEAVING
+          || backends_is_data_centre_out (backends,
+                                          backend->entry.data_centre))
+        continue;
+      if (obstacle != CHOOSE_DECLINED)
+        return 0;
+      if (earliest == 0 || backend->declined_until < earliest)
+        earliest = backend->declined_until;
+    }
+  return earliest;
+}
+
 const char *
 choose_obstacle_name (choose_obstacle_t obstacle)
 {
-  static const char *const names[CHOOSE_OBSTACLE_COUNT] = {
-    "none", "draining", "leaving", "data centre out", "cold", "limited"
-  };
+  static const char *const names[CHOOSE_OBSTACLE_COUNT]
+      = { "none", "draining", "leaving", "declined", "data centre out",
+          "cold", "limited" };
 
   return names[obstacle];
 }
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -60,6 +60,7 @@
   CHOOSE_NO_OBSTACLE,
   CHOOSE_DRAINING,        /* according to its entry in the store */
   CHOOSE_LEAVING,         /* according to its responses */
+  CHOOSE_DECLINED,        /* it has asked for no requests for a time */
   CHOOSE_DATA_CENTRE_OUT, /* its data centre is out of service */
   CHOOSE_COLD,            /* it is warming up, and others may send to it */
   CHOOSE_LIMITED,         /* its limit needs a permit */
@@ -71,6 +72,19 @@
    requests, retries and hedged attempts all ask it right before they send.  */
 choose_obstacle_t choose_get_obstacle (backends_t *backends,
                                        backend_t *backend, clock_ms_t now);
+/**
+ * choose_get_declined_until() - find out whether all endpoints of a service
+ * have asked for no requests
+ *
+ * Endpoints that are draining or leaving, or whose data centre is out of
+ * service, are left out.
+ *
+ * Return: the earliest time at which one of them takes requests again; 0: one
+ * may do so already, or there is none.
+ */
+clock_ms_t choose_get_declined_until (backends_t *backends,
+                                      service_index_t service, clock_ms_t now);
+
 /* Returns a short name for the log.  */
 const char *choose_obstacle_name (choose_obstacle_t obstacle);
 
--- a/lib/proxy/fields.c
+++ b/lib/proxy/fields.c
@@ -3,8 +3,12 @@
 #include "proxy_private.h"
 
 #include <errno.h>
+#include <math.h>
 #include <string.h>
 
+/* A longer time for which an endpoint asks is reduced to this.  */
+#define RETRY_AFTER_MAX_S 3600.0
+
 static bool is_listed (const char *list, const char *name);
 
 bool
@@ -76,6 +80,19 @@
                             exchange->body->len);
 }
 
+int
+fields_parse_retry_after (const char *text, clock_ms_t *ms)
+{
+  char *end;
+  double seconds = g_ascii_strtod (text, &end);
+
+  if (end == text || *end != '\0' || !isfinite (seconds)
+      || !g_ascii_isdigit (*text))
+    return -EINVAL;
+  *ms = (clock_ms_t)(MIN (seconds, RETRY_AFTER_MAX_S) * 1000.0);
+  return 0;
+}
+
 int
 fields_parse_load (const char *text, backend_load_t *load)
 {
--- a/lib/proxy/permit.c
+++ b/lib/proxy/permit.c
@@ -18,6 +18,9 @@
    retries.  */
 #define RETRY_AFTER_MIN_MS 20
 #define RETRY_AFTER_MAX_MS 2000
+/* Clients that are refused because all endpoints have asked for time return
+   within this share of that time after its end.  */
+#define RETURN_SPREAD_SHARE 0.25
 
 static clock_ms_t longest_patience (const service_state_t *state,
                                     clock_ms_t now);
@@ -25,6 +28,8 @@
                                   clock_ms_t now);
 static void ask (service_state_t *state, int count, clock_ms_t wait_max,
                  bool skip_subsetting, clock_ms_t now);
+static void refuse_until (assign_request_t *assigned, clock_ms_t from,
+                          clock_ms_t now);
 static void refuse (assign_request_t *assigned, clock_ms_t next_at,
                     clock_ms_t now);
 
@@ -98,6 +103,23 @@
       = CLAMP (next_at - now, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
 }
 
+/* Marks a request for refusal because all endpoints have asked for no requests
+   before @from.  The clients return spread over a time after that.  */
+static void
+refuse_until (assign_request_t *assigned, clock_ms_t from, clock_ms_t now)
+{
+  request_t *request = assigned->user;
+  double spread = MAX ((double)(from - now) * RETURN_SPREAD_SHARE,
+                       request->admission.service_time_ms);
+
+  assigned->result = ADMISSION_REFUSE;
+  assigned->is_limited = true;
+  request->retry_after
+      = from - now
+        + (clock_ms_t)decide_rng_below (&request->proxy->rng,
+                                        (uint32_t)MAX (spread, 1.0));
+}
+
 /* Returns the longest time in ms that a request may wait so that it can still
    meet its target or, if it cannot, as long as it may wait at all.  */
 static clock_ms_t
@@ -111,6 +133,20 @@
                             - (clock_ms_t)request->service_time_ms - now);
 }
 
+void
+permits_refuse_declined (service_state_t *state, assign_request_t *requests,
+                         int count)
+{
+  clock_ms_t now = clock_now ();
+  clock_ms_t from = choose_get_declined_until (state->proxy->backends,
+                                               state->service, now);
+
+  for (int i = 0; from != 0 && i < count; i++)
+    if (requests[i].result == ADMISSION_WAIT
+        && from - now > useful_wait_ms (requests[i].request, now))
+      refuse_until (&requests[i], from, now);
+}
+
 void
 permits_refuse_hopeless (service_state_t *state, assign_request_t *requests,
                          int count)
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -144,13 +144,17 @@
   backend_load_t load;   /* load of the endpoint, as the response states it */
   clock_ms_t cold_left_ms; /* remaining warm-up time of the endpoint, in ms */
   rate_limit_statement_t rate_limit; /* limit that the response states */
-  bool is_limit_malformed;   /* the value of the field with the limit could not
-                                be parsed */
-  bool says_leaving;         /* the endpoint states that it is leaving */
-  bool is_leaving_malformed; /* it states something else in that field */
-  clock_ms_t keep_alive_ms;  /* idle timeout that the endpoint states for the
-                                connection, in ms; 0: not stated */
-  bool response_complete;    /* the response has been read to its end */
+  bool is_limit_malformed; /* the value of the field with the limit could not
+                              be parsed */
+  clock_ms_t retry_after;  /* ms for which the endpoint asks for no requests;
+                              -1:  it does not */
+  bool has_retry_after;    /* a field with that was read */
+  bool is_retry_after_malformed; /* it is malformed, or there are several */
+  bool says_leaving;             /* the endpoint states that it is leaving */
+  bool is_leaving_malformed;     /* it states something else in that field */
+  clock_ms_t keep_alive_ms; /* idle timeout that the endpoint states for the
+                               connection, in ms; 0: not stated */
+  bool response_complete;   /* the response has been read to its end */
   bool is_reusable; /* the connection can be kept after this response */
   bool had_foreign_response; /* a response to another request arrived on this
                                 connection, which is therefore not reused */
@@ -265,6 +269,16 @@
  */
 int fields_parse_load (const char *text, backend_load_t *load);
 
+/**
+ * fields_parse_retry_after() - parse the value of a Retry-After field
+ * @text: seconds, a decimal number
+ * @ms: out: at most an hour
+ *
+ * Return: 0, or -EINVAL for a date, a negative number or another text; @ms is
+ * then left unchanged.
+ */
+int fields_parse_retry_after (const char *text, clock_ms_t *ms);
+
 /* ---- uplink.c ---- */
 
 /**
@@ -371,6 +385,12 @@
 void permits_refuse_hopeless (service_state_t *state,
                               assign_request_t *requests, int count);
 
+/* Refuses the waiting requests of a service all of whose endpoints have asked
+   for no requests, as far as they can't wait so long, like
+   permits_refuse_hopeless().  */
+void permits_refuse_declined (service_state_t *state,
+                              assign_request_t *requests, int count);
+
 /* ---- request.c ---- */
 
 /* Routes a new request of a client and starts a round of probes for it, or
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -365,6 +365,7 @@
     n_sent += requests[i].result == ADMISSION_SEND ? 1 : 0;
   drain_rate_observe (&state->drain_rate, n_sent, n_waiting - n_sent, now);
   permits_refuse_hopeless (state, requests, n_waiting);
+  permits_refuse_declined (state, requests, n_waiting);
   for (int i = 0; i < n_waiting; i++)
     {
       request_t *request = requests[i].user;
@@ -396,8 +397,8 @@
   return used;
 }
 
-/* Returns a text on the endpoints that the last round of probes left out;
-   NULL: none.  */
+/* Returns a text on the endpoints that the last round of probes left out,
+   which is empty if it left out none.  */
 static char *
 describe_withheld (const service_state_t *state)
 {
@@ -407,9 +408,9 @@
     if (state->withheld[i] > 0)
       g_string_append_printf (
           text, "%s%u %s",
-          text->len > 0 ? ", " : "no_endpoint; left out: ", state->withheld[i],
+          text->len > 0 ? ", " : "; left out: ", state->withheld[i],
           choose_obstacle_name ((choose_obstacle_t)i));
-  return g_string_free (text, text->len == 0);
+  return g_string_free (text, FALSE);
 }
 
 /* Refuses the requests for which @marked_for_refusal is set.  Writing a
@@ -425,14 +426,14 @@
   while (link != NULL)
     {
       request_t *request = link->data;
+      g_autofree char *detail = NULL;
 
       link = link->next;
       if (!request->marked_for_refusal)
         continue;
-      request_refuse (request, request->refusal_outcome,
-                      request->refusal_outcome == TELEMETRY_OUTCOME_NO_ENDPOINT
-                          ? withheld
-                          : NULL);
+      detail = g_strconcat (telemetry_outcome_name (request->refusal_outcome),
+                            withheld, NULL);
+      request_refuse (request, request->refusal_outcome, detail);
       link = state->waiting.head;
     }
 }
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -24,6 +24,7 @@
                          const char *value);
 static void record_rate_limit (uplink_t *uplink, rate_limit_source_t source);
 static void record_leaving (uplink_t *uplink);
+static void record_declined (uplink_t *uplink);
 static void parse_keep_alive (uplink_t *uplink, const char *value);
 
 const http_parser_settings uplink_parser_settings = {
@@ -80,6 +81,9 @@
   uplink->has_load = false;
   uplink->rate_limit = (rate_limit_statement_t){ 0 };
   uplink->is_limit_malformed = false;
+  uplink->retry_after = -1;
+  uplink->has_retry_after = false;
+  uplink->is_retry_after_malformed = false;
   uplink->says_leaving = false;
   uplink->is_leaving_malformed = false;
   return 0;
@@ -162,6 +166,13 @@
     uplink->has_load = fields_parse_load (value, &uplink->load) == 0;
   else if (g_ascii_strcasecmp (name, names->cold_left) == 0)
     uplink->cold_left_ms = (clock_ms_t)g_ascii_strtod (value, NULL);
+  else if (g_ascii_strcasecmp (name, "Retry-After") == 0)
+    {
+      uplink->is_retry_after_malformed
+          |= uplink->has_retry_after
+             || fields_parse_retry_after (value, &uplink->retry_after) != 0;
+      uplink->has_retry_after = true;
+    }
   else if (g_ascii_strcasecmp (name, names->leaving) == 0)
     {
       uplink->says_leaving = strcmp (value, "1") == 0;
@@ -235,6 +246,31 @@
     }
 }
 
+/* Records that the endpoint refuses in the head of a response and asks for no
+   requests for a time.  A malformed time, or several, say nothing.  */
+static void
+record_declined (uplink_t *uplink)
+{
+  proxy_t *proxy = uplink->proxy;
+  backend_t *backend = backends_get (proxy->backends, uplink->backend);
+  clock_ms_t now = clock_now ();
+
+  if (backend == NULL || uplink->response.status != 503
+      || !uplink->has_retry_after)
+    return;
+  if (uplink->is_retry_after_malformed)
+    {
+      statement_log_write (proxy, backend,
+                           "endpoint asks for a malformed time");
+      return;
+    }
+  if (now >= backend->declined_until && uplink->retry_after > 0)
+    statement_log_write (proxy, backend,
+                         "endpoint asks for no requests for a time");
+  backend->declined_until
+      = MAX (backend->declined_until, now + uplink->retry_after);
+}
+
 static int
 on_response_headers (http_parser *parser)
 {
@@ -256,6 +292,7 @@
         {
           record_rate_limit (uplink, RATE_LIMIT_PROBE);
           record_leaving (uplink);
+          record_declined (uplink);
         }
       return 0;
     }
@@ -266,6 +303,7 @@
     {
       record_rate_limit (uplink, RATE_LIMIT_REQUEST);
       record_leaving (uplink);
+      record_declined (uplink);
     }
   /* If the length of the body is known, its buffer is allocated at once.  */
   if (parser->content_length != ULLONG_MAX
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -81,7 +81,8 @@
                                         "cut",
                                         NULL };
 static const char *const obstacles[]
-    = { "draining", "leaving", "data_centre_out", "cold", "limited", NULL };
+    = { "draining", "leaving", "declined", "data_centre_out",
+        "cold",     "limited", NULL };
 static const char *const older_announcements[]
     = { "unused", "newer_config", NULL };
 static const char *const reader_changes[] = { "took_over", "gave_up", NULL };
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -321,6 +321,10 @@
         # Value of the field that says that the endpoint leaves, in all its
         # responses; None: no field.
         self.leaving = None
+        # Value of Retry-After in a refusal of each request; None: requests
+        # are not refused for that.
+        self.declines = None
+        self.declined_at = []
         self.cold_until = time.monotonic() + options.get("cold", 0)
         self.running = self.waiting = 0
         self.slot_semaphore = asyncio.Semaphore(self.slots)
@@ -437,6 +441,12 @@
         if fields.get(EXPECTED_INSTANCE.lower(), self.name) != self.name:
             writer.write(message("HTTP/1.1 421 -", {ENDPOINT_ID: self.name}))
             return
+        if self.declines is not None:
+            self.declined_at.append(time.monotonic())
+            writer.write(message("HTTP/1.1 503 -",
+                                 {NOT_EXECUTED: "1", ATTEMPT_ID: request_id,
+                                  "Retry-After": self.declines}))
+            return
         if self.running + self.waiting >= self.slots + self.queue:
             writer.write(message("HTTP/1.1 503 -",
                                  {NOT_EXECUTED: "1", ATTEMPT_ID:
