--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -260,6 +260,7 @@
             await asyncio.sleep(2.0)
             await self.site.store.remove("servers", old.name)
         else:
+            old.leaving = self.rng.choice((None, "1"))
             await old.drain()
             await asyncio.sleep(platform_site.DRAIN_S + 2.0)
             await old.stop()
@@ -294,6 +295,15 @@
                 f"{endpoint.name} got {most} requests in 4 s with a limit of "
                 f"{limit} per second")
 
+    async def decline_requests(self, _):
+        """Lets an endpoint refuse requests and ask for time, or for none."""
+        endpoint = self.rng.choice(list(self.site.endpoints.values()))
+        endpoint.declines = self.rng.choice(
+            (0, 0.4, 1.0, 2.0, "-3", "soon", "1e999"))
+        self.log(f"{endpoint.name}: declines, {endpoint.declines}")
+        await asyncio.sleep(self.rng.uniform(*FAULT_DURATION_S))
+        endpoint.declines = None
+
     async def configure(self, _):
         self.log("configuration changes")
         await self.site.configure()
@@ -329,7 +339,8 @@
                         self.replace_endpoint, self.configure,
                         self.limit_endpoint, self.limit_endpoint,
                         self.take_data_centre_out, self.restore_store,
-                        self.restore_store, self.odd_entry)
+                        self.restore_store, self.odd_entry,
+                        self.decline_requests)
         while time.monotonic() - self.began < self.seconds:
             fault = self.rng.choice(instance_faults + other_faults)
             coroutine = (self.run_on_undisturbed_instance(fault, disturbed)
