Tell other instances of endpoints that say that they leave

Each instance learnt it only from a response of its own, and so sent the endpoint a request or a probe more.

The statement is told with the limits, in hellos to the reader and in its announcements, and with the endpoints to instances that start. It names the start of the endpoint (born), so that it does not count for another one under the same id.

/relay/leaving_endpoint_is_told_to_all fails when what is told is not applied.

--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -366,3 +366,14 @@
 
   return backend->failure_rate / (1.0 + half_times);
 }
+
+bool
+backend_record_leaving (backend_t *backend, bool is_own, clock_ms_t now)
+{
+  if (backend->says_leaving)
+    return false;
+  backend->says_leaving = true;
+  backend->leaving_is_own = is_own;
+  backend->leaving_learnt_at = now;
+  return true;
+}
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -101,8 +101,10 @@
   int cold_rank; /* number of instances that precede this one in the order that
                     decides which instances may send it requests while it is
                     cold */
-  bool says_leaving; /* the endpoint has stated in a response that it is
-                        leaving; holds as long as the endpoint runs */
+  bool says_leaving;   /* the endpoint has stated in a response that it is
+                          leaving; holds as long as the endpoint runs */
+  bool leaving_is_own; /* the response was to this instance */
+  clock_ms_t leaving_learnt_at; /* time at which this instance learnt of it */
   clock_ms_t
       declined_until;      /* the endpoint has asked for no requests from this
                               instance before this time; 0: it has not */
@@ -217,6 +219,11 @@
    expected time.  */
 double backend_slowdown (const backend_t *backend, clock_ms_t now);
 
+/* Records that an endpoint has stated that it is leaving.  @is_own: in a
+   response to this instance, not to another one.  Return: whether that is new.
+ */
+bool backend_record_leaving (backend_t *backend, bool is_own, clock_ms_t now);
+
 /* ---- Rate limit of cold endpoints, shared by the instances ---- */
 
 /**
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -92,8 +92,8 @@
   unsigned int ip;
 };
 
-/* What an endpoint has stated about the rate of requests that it takes from
-   all instances together.  */
+/* What an endpoint has stated in its responses: the rate of requests that it
+   takes from all instances together, and that it is leaving.  */
 struct fleet_wire_limit
 {
   string id<FLEET_NAME_MAX>; /* of the endpoint */
@@ -101,6 +101,8 @@
   double per_s;
   unsigned int sources;      /* kinds of response that state it */
   unsigned int age;          /* of the response that stated it */
+  bool leaving;
+  unsigned hyper born;       /* of the endpoint that is leaving */
 };
 
 const FLEET_PART_CONFIG = 1;
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -122,6 +122,8 @@
 	double per_s;
 	u_int sources;
 	u_int age;
+	bool_t leaving;
+	u_quad_t born;
 };
 typedef struct fleet_wire_limit fleet_wire_limit;
 #define FLEET_PART_CONFIG 1
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -256,6 +256,57 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->is_limited))
+			 return FALSE;
+		 if (!xdr_double (xdrs, &objp->per_s))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->sources))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->sources);
+		IXDR_PUT_U_LONG(buf, objp->age);
+		IXDR_PUT_BOOL(buf, objp->leaving);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->is_limited))
+			 return FALSE;
+		 if (!xdr_double (xdrs, &objp->per_s))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->sources))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+
+		} else {
+		objp->sources = IXDR_GET_U_LONG(buf);
+		objp->age = IXDR_GET_U_LONG(buf);
+		objp->leaving = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_limited))
@@ -266,6 +317,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/lib/fleet/relay_permit.c
+++ b/lib/fleet/relay_permit.c
@@ -21,6 +21,8 @@
                                     const char *endpoint);
 static bool append_limit (GArray *limits, const backend_t *backend,
                           size_t *bytes_left, clock_ms_t now);
+static bool is_recent (const backend_t *backend, bool only_own,
+                       clock_ms_t now);
 static void send_message (relay_t *relay, uint32_t ip,
                           fleet_wire_message *message);
 
@@ -67,6 +69,21 @@
   return true;
 }
 
+/* Whether an endpoint has stated something new lately.  @only_own: in
+   responses to this instance.  */
+static bool
+is_recent (const backend_t *backend, bool only_own, clock_ms_t now)
+{
+  const rate_limit_t *limit = &backend->rate_limit;
+
+  if (limit->changed_at != 0 && now - limit->changed_at <= CHANGE_TOLD_MS
+      && (!only_own || limit->is_own))
+    return true;
+  return backend->says_leaving
+         && now - backend->leaving_learnt_at <= CHANGE_TOLD_MS
+         && (!only_own || backend->leaving_is_own);
+}
+
 GArray *
 relay_collect_limits (relay_t *relay, bool only_own, size_t bytes_max,
                       clock_ms_t now)
@@ -79,9 +96,7 @@
   for (const backend_t *backend = backends_next (backends, &position);
        backend != NULL && has_room;
        backend = backends_next (backends, &position))
-    if (backend->rate_limit.changed_at != 0
-        && now - backend->rate_limit.changed_at <= CHANGE_TOLD_MS
-        && (!only_own || backend->rate_limit.is_own))
+    if (is_recent (backend, only_own, now))
       has_room = append_limit (limits, backend, &bytes_max, now);
   if (only_own)
     return limits;
@@ -91,8 +106,8 @@
        has_room && backend != NULL;
        backend = backends_next (backends, &position))
     {
-      if (backend->rate_limit.statement.is_limited
-          && now - backend->rate_limit.changed_at > CHANGE_TOLD_MS)
+      if ((backend->rate_limit.statement.is_limited || backend->says_leaving)
+          && !is_recent (backend, false, now))
         has_room = append_limit (limits, backend, &bytes_max, now);
       if (has_room)
         relay->limits_position = position;
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -85,7 +85,9 @@
     .is_limited = limit->statement.is_limited,
     .per_s = limit->statement.per_s,
     .sources = limit->sources,
-    .age = (u_int)CLAMP (now - rate_limit_stated_at (limit), 0, INT32_MAX)
+    .age = (u_int)CLAMP (now - rate_limit_stated_at (limit), 0, INT32_MAX),
+    .leaving = backend->says_leaving,
+    .born = backend->entry.born,
   };
 }
 
@@ -97,12 +99,16 @@
       = { .is_limited = wire->is_limited != 0,
           .per_s = wire->is_limited != 0 ? wire->per_s : 0 };
   backend_t *backend = backends_find (backends, wire->id);
+  bool is_leaving_new = backend != NULL && wire->leaving != 0
+                        && wire->born == backend->entry.born
+                        && backend_record_leaving (backend, false, now);
 
   /* This also excludes a value that is not a number.  */
   if (backend == NULL || !(statement.per_s >= 0))
-    return false;
+    return is_leaving_new;
   return rate_limit_learn (&backend->rate_limit, &statement, wire->sources,
-                           now - (clock_ms_t)wire->age, now);
+                           now - (clock_ms_t)wire->age, now)
+         || is_leaving_new;
 }
 
 /* Adds the limits that endpoints have stated to a snapshot.  */
@@ -115,7 +121,7 @@
       = g_new0 (fleet_wire_limit, (gsize)backends_count (view->backends));
   for (const backend_t *b = backends_next (view->backends, &position);
        b != NULL; b = backends_next (view->backends, &position))
-    if (b->rate_limit.statement.is_limited)
+    if (b->rate_limit.statement.is_limited || b->says_leaving)
       wire_from_limit (&wire->limits.limits_val[wire->limits.limits_len++], b,
                        now);
 }
--- a/lib/fleet/wire.h
+++ b/lib/fleet/wire.h
@@ -28,13 +28,13 @@
    not copied, so that @wire must outlive @entry.  */
 void wire_to_backend (const fleet_wire_backend *wire, backend_entry_t *entry);
 
-/* Sets @wire to what an endpoint has stated about its limit.  @backend must
+/* Sets @wire to what an endpoint has stated in its responses.  @backend must
    outlive @wire.  */
 void wire_from_limit (fleet_wire_limit *wire, const backend_t *backend,
                       clock_ms_t now);
-/* Records a limit that another instance has told, unless its endpoint is not
-   known or the values are out of range.  Return: whether the limit has
-   changed.  */
+/* Records what another instance has told of an endpoint's limit and of its
+   leaving, unless the endpoint is not known or the values are out of range.
+   Return: whether something has changed.  */
 bool wire_apply_limit (const fleet_wire_limit *wire, backends_t *backends,
                        clock_ms_t now);
 
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -54,7 +54,8 @@
   /* Asks the keeper of @backend for a permit (see rate_limit.h) that can be
      used within @wait_max ms; NULL: there are no permits.  */
   void (*ask_permit) (void *context, backend_t *backend, clock_ms_t wait_max);
-  /* Called when a limit that an endpoint states has changed; may be NULL.  */
+  /* Called when a limit that an endpoint states has changed, or when an
+     endpoint states that it is leaving; may be NULL.  */
   void (*limit_changed) (void *context);
   void *context; /* first argument of the callbacks */
 } proxy_settings_t;
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -239,10 +239,12 @@
   if (uplink->is_leaving_malformed)
     statement_log_write (proxy, backend,
                          "endpoint makes a malformed statement on leaving");
-  else if (uplink->says_leaving && !backend->says_leaving)
+  else if (uplink->says_leaving
+           && backend_record_leaving (backend, true, clock_now ()))
     {
-      backend->says_leaving = true;
       statement_log_write (proxy, backend, "endpoint says that it is leaving");
+      if (proxy->settings.limit_changed != NULL)
+        proxy->settings.limit_changed (proxy->settings.context);
     }
 }
 
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -534,6 +534,38 @@
   fixture_end (&fixture);
 }
 
+/* Guards against requests of other instances to an endpoint that has told one
+   of them that it leaves, while the store says nothing; and against a
+   statement of another start of the endpoint that is believed.  */
+static void
+leaving_endpoint_is_told_to_all (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture, 4);
+  set_up_reader (&fixture, 20);
+  g_assert_true (run_until_synced (&fixture, 10));
+  run_for (&fixture, 0.5);
+  g_assert_true (backend_record_leaving (
+      backends_find (fixture.instances[2].backends, "endpoint-00003"), true,
+      clock_now ()));
+  relay_tell_limits (fixture.instances[2].relay);
+  backends_find (fixture.instances[1].backends, "endpoint-00003")->entry.born
+      = 77;
+  run_for (&fixture, 1.0);
+  for (int i = 0; i < fixture.count; i++)
+    {
+      g_assert_cmpint (
+          backends_find (fixture.instances[i].backends, "endpoint-00003")
+              ->says_leaving,
+          ==, i != 1);
+      g_assert_false (
+          backends_find (fixture.instances[i].backends, "endpoint-00004")
+              ->says_leaving);
+    }
+  fixture_end (&fixture);
+}
+
 /* Returns a configuration with many routes, of which the first has the given
    timeout.  */
 static routes_t *
@@ -716,6 +748,8 @@
                    configuration_of_an_older_revision_is_fetched);
   g_test_add_func ("/relay/reader_gets_a_newer_configuration_from_others",
                    reader_gets_a_newer_configuration_from_others);
+  g_test_add_func ("/relay/leaving_endpoint_is_told_to_all",
+                   leaving_endpoint_is_told_to_all);
   g_test_add_func ("/relay/configuration_arrives_while_tables_are_sent",
                    configuration_arrives_during_transfers);
   g_test_add_func ("/relay/small_change_of_the_configuration_is_not_fetched",
