Wait before the next call when the store states an older era

A response of an older era than known was dropped, and the objects, but for the endpoints, were listed again at once. A store whose era goes back for good, against what the platform says, would have been called without a pause, at the rate of its answers. It now counts as a failed read, with its delay and its log line.

/feed/pages_of_two_eras_are_not_joined failed before with the new check.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -291,9 +291,13 @@
   is_new_era = !feed->knows_era || response->revision.era > feed->era;
   if (is_new_era)
     enter_era (feed, response);
-  /* A response of an older era, and one that continues a list or a watch of an
-     older era, are dropped.  */
-  if (response->revision.era < feed->era || (is_new_era && !is_whole_list))
+  if (response->revision.era < feed->era)
+    {
+      schedule_read_retry (feed, kind, -ESTALE, now);
+      return;
+    }
+  /* A response that continues a list or a watch of an older era is dropped. */
+  if (is_new_era && !is_whole_list)
     {
       channel->has_list = false;
       g_ptr_array_set_size (channel->items, 0);
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -147,7 +147,7 @@
   bool is_limit_malformed; /* the value of the field with the limit could not
                               be parsed */
   clock_ms_t retry_after;  /* ms for which the endpoint asks for no requests;
-                              -1:  it does not */
+                              -1: it does not */
   bool has_retry_after;    /* a field with that was read */
   bool is_retry_after_malformed; /* it is malformed, or there are several */
   bool says_leaving;             /* the endpoint states that it is leaving */
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -495,11 +495,21 @@
   reply (&fixture, FEED_BACKENDS, 0, 20, false,
          backend_item ("i-2", 15, false));
   g_assert_cmpint (backends_count (fixture.backends), ==, 1);
-  /* A late response of the older era is dropped.  */
+  /* A response of the older era is dropped, and the next call has to wait, so
+     that a store whose era has gone back is not called again and again.  */
   feed_tick (fixture.feed, clock_now () + 700);
   fixture.era = 0;
   reply (&fixture, FEED_BACKENDS, 0, 51, false, NULL);
   g_assert_cmpint (backends_count (fixture.backends), ==, 1);
+  g_assert_false (fixture.pending_call[FEED_BACKENDS].list);
+  fixture.era = 1;
+  feed_tick (fixture.feed, clock_now () + 700);
+  reply (&fixture, FEED_BACKENDS, 0, 21, false,
+         backend_item ("i-2", 15, false));
+  g_assert_true (fixture.pending_call[FEED_CONFIG].list);
+  fixture.era = 0;
+  reply (&fixture, FEED_CONFIG, 0, 51, false, NULL);
+  g_assert_false (fixture.pending_call[FEED_CONFIG].list);
   fixture_end (&fixture);
 }
 
