Send nothing behind a response that was aborted

Cause: collect_output() noted the aborted response, but connection_flush() acted on the note only if the socket took all output in the same call. Otherwise a later call began with collect_output() again, which moved the next response to the output and cleared the note. Ruled out: bytes of the endpoint (the next response has another endpoint's head, written by this instance), and the proxy (the unit test has none).

Evidence: net/aborted_answer_ends_short_before_others, red before: 39 bytes of the next response behind the aborted one. The same state on a related path: "100 Continue" to a request whose body waited for memory was added behind an aborted response (net/aborted_answer_ends_short_before_body, red before).

Change: an aborted response ends the connection's output for good; both ways that add to it look at that. What happens next follows from the state of the connection, not from how far one call got.

--- a/lib/net/server_body.c
+++ b/lib/net/server_body.c
@@ -64,7 +64,7 @@
       exchange->body = g_byte_array_sized_new ((guint)bytes);
     }
   if (exchange_header_value (exchange, "Expect") != NULL
-      && connection->exchanges.head == NULL)
+      && connection->exchanges.head == NULL && !connection->truncated)
     {
       static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
--- a/lib/net/server_output.c
+++ b/lib/net/server_output.c
@@ -174,13 +174,14 @@
 
 /* Moves what was written to the response of the oldest exchange to the
    connection's output, and frees the exchange if the response has ended.
-   Return: whether the response of the next exchange may follow.  */
+   Nothing may follow an aborted response: the client would take it for the
+   rest of that one.  Return: whether the response has ended.  */
 static bool
 collect_output (connection_t *connection)
 {
   exchange_t *exchange = g_queue_peek_head (&connection->exchanges);
 
-  if (exchange == NULL || !exchange->response_started
+  if (connection->truncated || exchange == NULL || !exchange->response_started
       || connection->output_body != NULL)
     return false;
   if (!exchange->head_queued)
@@ -201,9 +202,10 @@
   if (exchange->response_aborted || exchange->close_after)
     connection->closing = true;
   g_queue_pop_head (&connection->exchanges);
-  connection->truncated = exchange->response_aborted;
+  if (exchange->response_aborted)
+    connection->truncated = true;
   exchange_free (exchange);
-  return !connection->truncated;
+  return true;
 }
 
 /* Sends the connection's output.  Return: false when the socket takes no more
--- a/lib/net/server_private.h
+++ b/lib/net/server_private.h
@@ -66,7 +66,8 @@
   GList body_link;                 /* in the server's @waiting_bodies */
   bool closing;   /* no further request is read; the connection closes
                      after the last response */
-  bool truncated; /* a response was aborted; no further response may be sent */
+  bool truncated; /* a response was aborted; nothing is added to the output any
+                     more, and the connection closes after it */
   bool lingering; /* all output was sent; input is discarded until the client
                      closes the connection */
   bool closed;    /* the socket is closed; the memory is freed in the
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -11,6 +11,9 @@
 #include "socket.h"
 
 #define EXCHANGES_MAX 32
+/* Bytes of a body that is aborted later; more than the buffers of both sockets
+   of a connection hold.  */
+#define ABORTED_BYTES 12000000
 
 typedef struct fixture
 {
@@ -186,6 +189,55 @@
   fixture_tear_down (&fixture);
 }
 
+/* Returns all that the server sends on a connection to a client that reads
+   slowly.  */
+static GString *
+receive_slowly (fixture_t *fixture, int fd)
+{
+  GString *received = g_string_new (NULL);
+
+  for (int i = 0; i < 1000 && !g_str_has_suffix (received->str, "(end)"); i++)
+    {
+      g_autofree char *piece = NULL;
+
+      run_loop (fixture, 2);
+      piece = receive_available (fd);
+      g_string_append (received, piece);
+    }
+  return received;
+}
+
+/* Guards against a truncated response whose missing bytes are taken from the
+   next response, because the socket was full when the first one was aborted
+   and the rest of its output was sent later.  */
+static void
+test_aborted_response_before_others (void)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\n"
+                             "Content-Length: 12100000\r\n\r\n";
+  fixture_t fixture;
+  g_autofree char *data = g_strnfill (ABORTED_BYTES, 'a');
+  GString *received;
+  int fd;
+
+  fixture_set_up (&fixture);
+  fd = connect_and_send (&fixture, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                                   "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  exchange_respond (fixture.exchanges[1], 200, "OK", NULL, "b", 1);
+  exchange_start_response (fixture.exchanges[0], 200, "OK", NULL, 12100000);
+  exchange_write_body (fixture.exchanges[0], data, ABORTED_BYTES);
+  g_assert_cmpuint (exchange_unsent_bytes (fixture.exchanges[0]), >, 0);
+  exchange_abort_response (fixture.exchanges[0]);
+  received = receive_slowly (&fixture, fd);
+  g_assert_cmpuint (received->len, ==,
+                    strlen (head) + ABORTED_BYTES + strlen ("(end)"));
+  g_assert_true (g_str_has_prefix (received->str, head));
+  g_assert_true (g_str_has_suffix (received->str, "a(end)"));
+  g_string_free (received, TRUE);
+  close (fd);
+  fixture_tear_down (&fixture);
+}
+
 /* Guards against input that exceeds the limits or is not HTTP, and against
    request smuggling with two conflicting lengths.  */
 static void
@@ -525,12 +577,50 @@
   fixture_tear_down (&fixture);
 }
 
+/* Guards against an interim response behind a truncated one.  The body of the
+   second request waits for memory while the first response is aborted, and the
+   client reads so slowly that the memory is free before all was sent.  */
+static void
+test_aborted_response_before_body (void)
+{
+  fixture_t fixture;
+  g_autofree char *beginning = make_upload ("/1", 1000);
+  g_autofree char *data = g_strnfill (ABORTED_BYTES, 'a');
+  GString *received;
+  int first;
+  int second;
+
+  set_up_for_uploads (&fixture);
+  first = connect_and_send (&fixture, beginning);
+  second = connect_and_send (&fixture, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                                       "POST /3 HTTP/1.1\r\nHost: a\r\n"
+                                       "Content-Length: 50000\r\n"
+                                       "Expect: 100-continue\r\n\r\n");
+  g_assert_cmpint (fixture.request_count, ==, 1);
+  exchange_start_response (fixture.exchanges[0], 200, "OK", NULL, 12100000);
+  exchange_write_body (fixture.exchanges[0], data, ABORTED_BYTES);
+  g_assert_cmpuint (exchange_unsent_bytes (fixture.exchanges[0]), >, 0);
+  exchange_abort_response (fixture.exchanges[0]);
+  close (first);
+  run_loop (&fixture, 50);
+  received = receive_slowly (&fixture, second);
+  g_assert_null (strstr (received->str, "100 Continue"));
+  g_assert_true (g_str_has_suffix (received->str, "a(end)"));
+  g_string_free (received, TRUE);
+  close (second);
+  fixture_tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/net/answers_keep_their_order", test_response_order);
   g_test_add_func ("/net/aborted_answer_ends_short", test_aborted_response);
+  g_test_add_func ("/net/aborted_answer_ends_short_before_others",
+                   test_aborted_response_before_others);
+  g_test_add_func ("/net/aborted_answer_ends_short_before_body",
+                   test_aborted_response_before_body);
   g_test_add_func ("/net/bad_input_is_refused", test_invalid_input);
   g_test_add_func ("/net/long_header_is_refused", test_long_header);
   g_test_add_func ("/net/drained_connections_end_whole", test_drain);
