Let a watch of the store fail before a change that it has missed is due

Cause: while the store answers other calls, only the timeout of the watch shows that its response was lost, and it was 6,500 ms, longer than the bounds. Ruled out: a change that was read but not passed on (the reader itself served the dropped route); the revision in the list of endpoints as a sign (it grows with each heartbeat).

Change: the wait of a watch follows from the bounds in the settings, so that a missed change is listed and told to all instances before it is due, or before the fault of the store stops to excuse it.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -9,9 +9,15 @@
    must stop sending requests to a draining endpoint within two seconds;
    docs/platform.md breaks that time down.  */
 #define BACKENDS_POLL_INTERVAL_MS 600
-/* Longest time that a watch waits for changes.  The platform charges for each
-   watch as one call, however long it waits.  */
-#define WATCH_WAIT_MS 5000
+/* Longest and shortest time that a watch waits for changes.  The platform
+   charges for each watch as one call, however long it waits.  */
+#define WATCH_WAIT_MAX_MS 5000
+#define WATCH_WAIT_MIN_MS 500
+/* Time for the response to a watch after its wait has ended.  */
+#define WATCH_RESPONSE_MS 500
+/* Time from the failure of a watch until a change that it has missed was
+   listed and is in force at all instances.  */
+#define MISSED_CHANGE_MS 1000
 /* Timeout of the request for one page of a list.  */
 #define LIST_TIMEOUT_MS 1000
 /* Delay from a failed list to the next list of the same kind.  After a failed
@@ -48,6 +54,7 @@
   members_t *members;
   reader_t *reader;
   channel_t channels[FEED_KIND_COUNT];
+  feed_bounds_t bounds;
   bool storing;             /* a call of store_members() is pending */
   clock_ms_t next_store_at; /* ms; time before which store_members() is not
                                called; 0: no call is scheduled */
@@ -64,6 +71,7 @@
 };
 
 static void start_next_call (feed_t *feed, feed_kind_t kind, clock_ms_t now);
+static clock_ms_t get_watch_wait (const feed_t *feed, feed_kind_t kind);
 static void start_list (feed_t *feed, feed_kind_t kind, const char *after);
 static void apply_list (feed_t *feed, feed_kind_t kind,
                         store_revision_t revision, clock_ms_t now);
@@ -135,6 +143,12 @@
   g_free (feed);
 }
 
+void
+feed_set_bounds (feed_t *feed, const feed_bounds_t *bounds)
+{
+  feed->bounds = *bounds;
+}
+
 void
 feed_stop (feed_t *feed)
 {
@@ -231,6 +245,7 @@
 start_next_call (feed_t *feed, feed_kind_t kind, clock_ms_t now)
 {
   channel_t *channel = &feed->channels[kind];
+  clock_ms_t wait;
 
   if (channel->busy || now < channel->next_call_at)
     return;
@@ -252,8 +267,25 @@
   /* The watch starts at the revision of the last list or reported change, even
      if the store has a newer one by now.  If the store has dropped the changes
      after that revision, the watch fails and the objects are listed again.  */
-  feed->source.watch (feed->source.context, kind, channel->revision,
-                      WATCH_WAIT_MS);
+  wait = get_watch_wait (feed, kind);
+  feed->source.watch (feed->source.context, kind, channel->revision, wait,
+                      wait + WATCH_RESPONSE_MS);
+}
+
+/* Returns the time for which a watch waits for changes.  If the response with
+   a change is lost, only the timeout of the watch shows that.  The change must
+   then be in force in time, or at the latest when the lost response does not
+   excuse its delay any more.  */
+static clock_ms_t
+get_watch_wait (const feed_t *feed, feed_kind_t kind)
+{
+  const feed_bounds_t *bounds = &feed->bounds;
+  clock_ms_t in_force = kind == FEED_CONFIG ? bounds->config_in_force
+                                            : bounds->out_of_service_in_force;
+
+  return CLAMP (MAX (bounds->fault_excused, in_force) - MISSED_CHANGE_MS
+                    - WATCH_RESPONSE_MS,
+                WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS);
 }
 
 /* Requests a page of a list.  @after: last name on the previous page; NULL:
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -81,9 +81,10 @@
   void (*list) (void *context, feed_kind_t kind, const char *after,
                 clock_ms_t timeout);
   /* Waits up to @wait ms for objects of a kind to change after a store
-     revision.  */
+     revision.  The call fails if its response has not come after @timeout
+     ms.  */
   void (*watch) (void *context, feed_kind_t kind, store_revision_t revision,
-                 clock_ms_t wait);
+                 clock_ms_t wait, clock_ms_t timeout);
   /* Replaces the list of members in the store if its revision there is still
      @revision.  If @revision is zero, creates the list unless it exists.  */
   void (*store_members) (void *context, const members_t *members,
@@ -93,11 +94,26 @@
   void *context; /* first argument of the functions */
 } feed_source_t;
 
+/* Times within which changes must be in force at all instances, in ms.  */
+typedef struct feed_bounds
+{
+  clock_ms_t fault_excused;   /* after a fault of the store has ended, changes
+                                 may be late for this time */
+  clock_ms_t config_in_force; /* from the store's acknowledgement of a
+                                 configuration */
+  clock_ms_t out_of_service_in_force; /* from its acknowledgement that a data
+                                         centre is out of service */
+} feed_bounds_t;
+
 /* Creates a feed that makes no call before the first feed_tick().  @source is
    copied; @view, @members and @reader must outlive the feed.  */
 feed_t *feed_new (struct ev_loop *loop, const feed_source_t *source,
                   view_t *view, members_t *members, reader_t *reader);
 void feed_free (feed_t *feed);
+/* Sets the times within which changes must be in force.  They bound how long a
+   watch may go without a response; a watch that is pending keeps its
+   timeout.  */
+void feed_set_bounds (feed_t *feed, const feed_bounds_t *bounds);
 
 /* Applies the result of list() or watch(), or schedules a retry if the call
    has failed.  If the items are a page of a list, the feed takes ownership of
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -106,6 +106,7 @@
   source = make_source (source_context, instance.loop);
   instance.feed = feed_new (instance.loop, &source, instance.view,
                             instance.members, &instance.reader);
+  feed_set_bounds (instance.feed, &settings->feed_bounds);
   attach (source_context, instance.feed);
   instance.relay
       = relay_new (instance.loop, &settings->peer_listen_address,
@@ -251,9 +252,11 @@
   if (instance->hooks.reload (instance->hooks.context, &settings) != 0)
     return;
   instance->settings.retry_rules = settings.retry_rules;
+  instance->settings.feed_bounds = settings.feed_bounds;
   instance->settings.stop_timeout = settings.stop_timeout;
   instance->settings.addresses_ttl_max = settings.addresses_ttl_max;
   instance->settings.probes_per_s = settings.probes_per_s;
+  feed_set_bounds (instance->feed, &settings.feed_bounds);
   proxy_set_retry_rules (instance->proxy, &settings.retry_rules);
   proxy_set_probe_limit (instance->proxy, settings.probes_per_s);
   g_message ("settings read again");
--- a/lib/instance/instance.h
+++ b/lib/instance/instance.h
@@ -28,6 +28,7 @@
                 instances only if no instance that is not weak does */
   size_t memory_bytes;      /* memory that the process may use; 0: not known */
   struct sockaddr_in store; /* address of the store */
+  feed_bounds_t feed_bounds; /* when changes in the store must be in force */
   retry_budget_rules_t retry_rules; /* limits of retries and hedged requests */
   double probes_per_s; /* largest number of probes per second to one endpoint,
                           from all instances together; 0: unlimited */
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -136,6 +136,11 @@
         self.writers = set()
         self.calls = 0
         self.lost_response_ratio = 0.0
+        # Kinds of objects: the next response with changes to a watch of these
+        # is lost, and its connection carries nothing more.
+        self.lost_watches = set()
+        # Notified when a watch of the kind begins.
+        self.watch_began = collections.defaultdict(asyncio.Condition)
         self.rng = random.Random(1)
 
     async def put(self, kind, name, spec):
@@ -209,6 +214,8 @@
                     continue
                 method, target, _ = start_line.split(" ")
                 status, answer = await self.call(method, target, body)
+                if self.is_lost(target, answer):
+                    await asyncio.sleep(3600)
                 if method != "GET" and self.rng.random() \
                         < self.lost_response_ratio:
                     writer.transport.abort()
@@ -225,6 +232,18 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
+    def is_lost(self, target, answer):
+        kind = target.split("?")[0].split("/")[2]
+        if kind not in self.lost_watches or not answer.get("events"):
+            return False
+        self.lost_watches.remove(kind)
+        return True
+
+    async def wait_for_watch(self, kind):
+        """Returns when a watch of objects of a kind has just begun."""
+        async with self.watch_began[kind]:
+            await self.watch_began[kind].wait()
+
     async def call(self, method, target, body):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -256,6 +275,8 @@
 
     async def watch(self, kind, after, wait_ms):
         deadline = time.monotonic() + wait_ms / 1000
+        async with self.watch_began[kind]:
+            self.watch_began[kind].notify_all()
         while True:
             if not self.compacted_revision <= after <= self.revision:
                 return 410, {}
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -12,11 +12,13 @@
    yet.  */
 typedef struct pending_call
 {
-  bool list;         /* the pending call is list() */
-  bool watch;        /* the pending call is watch(); if @list is false too, no
-                        call is pending */
-  uint64_t revision; /* of watch(): changes after this revision are awaited */
-  char after[32];    /* of list(): names after this one are listed; "": all */
+  bool list;          /* the pending call is list() */
+  bool watch;         /* the pending call is watch(); if @list is false too, no
+                         call is pending */
+  uint64_t revision;  /* of watch(): changes after this revision are awaited */
+  clock_ms_t wait;    /* of watch(): time for which the store waits, in ms */
+  clock_ms_t timeout; /* of watch(): time after which it fails, in ms */
+  char after[32];     /* of list(): names after this one are listed; "": all */
 } pending_call_t;
 
 typedef struct fixture
@@ -47,13 +49,14 @@
 
 static void
 on_watch (void *context, feed_kind_t kind, store_revision_t revision,
-          clock_ms_t wait)
+          clock_ms_t wait, clock_ms_t timeout)
 {
   fixture_t *fixture = context;
 
-  (void)wait;
-  fixture->pending_call[kind]
-      = (pending_call_t){ .watch = true, .revision = revision.number };
+  fixture->pending_call[kind] = (pending_call_t){ .watch = true,
+                                                  .revision = revision.number,
+                                                  .wait = wait,
+                                                  .timeout = timeout };
 }
 
 static void
@@ -191,6 +194,47 @@
   g_assert_cmpuint (fixture->pending_call[FEED_CONFIG].revision, ==, 50);
 }
 
+/* Guards against a change that is late because the response to a watch was
+   lost: the watch must fail so early that a list can still bring the change
+   into force in time, whatever the bounds, and must not become a busy loop. */
+static void
+lost_watch_fails_in_time (void)
+{
+  /* Bounds in ms, and the time that a watch may go without a response: 1 s
+     before the change must be in force.  */
+  static const struct
+  {
+    feed_bounds_t bounds;
+    clock_ms_t config_max;
+    clock_ms_t out_of_service_max;
+  } cases[] = {
+    { { 3000, 2000, 5000 }, 2000, 4000 },
+    { { 4000, 3000, 5000 }, 3000, 4000 },
+    { { 3000, 6000, 2000 }, 5000, 2000 },
+    { { 60000, 60000, 60000 }, 6000, 6000 },
+    { { 0, 0, 0 }, 1000, 1000 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture;
+      const pending_call_t *config;
+      const pending_call_t *out_of_service;
+
+      fixture_start (&fixture);
+      feed_set_bounds (fixture.feed, &cases[i].bounds);
+      respond_to_first_lists (&fixture);
+      config = &fixture.pending_call[FEED_CONFIG];
+      out_of_service = &fixture.pending_call[FEED_OUT_OF_SERVICE];
+      g_assert_cmpint (config->timeout, <=, cases[i].config_max);
+      g_assert_cmpint (out_of_service->timeout, <=,
+                       cases[i].out_of_service_max);
+      g_assert_cmpint (MIN (config->wait, out_of_service->wait), >=, 500);
+      g_assert_cmpint (config->timeout - config->wait, >=, 500);
+      fixture_end (&fixture);
+    }
+}
+
 /* Guards against an instance that misses a change of the configuration: a
    watch receives nothing for a time, and when its connection breaks, the store
    has already dropped the changes of that time (seen in scenario scale-1 of
@@ -730,6 +774,7 @@
   g_log_set_always_fatal (G_LOG_FATAL_MASK);
   g_test_add_func ("/feed/cut_watch_is_followed_by_a_list",
                    failed_watch_is_followed_by_a_list);
+  g_test_add_func ("/feed/lost_watch_fails_in_time", lost_watch_fails_in_time);
   g_test_add_func ("/feed/outage_ends_watches", outage_ends_watches);
   g_test_add_func ("/feed/pages_are_joined", pages_are_joined);
   g_test_add_func ("/feed/members_are_stored_under_a_condition",
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -369,6 +369,12 @@
     { "10.0.0.9:8142", "", "platform.address" },
     { "\"retry-window-s\":10", "\"retry-window-s\":0", "retry-window-s" },
     { "\"grace-s\":6", "\"grace-s\":-6", "bounds.grace-s" },
+    { "\"grace-s\":6", "\"grace-s\":6,\"stable-window-s\":-1",
+      "bounds.stable-window-s" },
+    { "\"grace-s\":6", "\"grace-s\":6,\"config-apply-s\":\"2\"",
+      "bounds.config-apply-s" },
+    { "\"grace-s\":6", "\"grace-s\":6,\"evacuate-s\":[]",
+      "bounds.evacuate-s" },
     { "{\"node-name\"", "[", "not a readable JSON object" },
   };
 
