Bound the memory of all incomplete responses together

What callers would see (first report of other operators): endpoints send bytes that are no response, without end; the instance keeps them, its memory is used up, and the requests of all its clients end with it.

Cause: an incomplete response may take 1 MiB, and nothing bounded their sum. Ruled out: heads, fields, interim responses, chunk sizes and extensions, and responses to health checks, which were tried with half of the endpoints (bounded before); streamed bodies, whose endpoint is not read while the client does not read.

Change: incomplete bodies take at most a sixteenth of the memory together. Beyond it, a response for the client is streamed and another one ends its attempt, but for bodies of at most 16 KB.

--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -37,9 +37,11 @@
 /* Share of the process's memory that the bodies of requests may take together.
    The socket buffers of as many uploads take about as much again.  */
 #define BODY_MEMORY_SHARE 0.25
-/* Memory for the bodies of requests if the memory of the process is not
-   known.  */
-#define BODY_MEMORY_DEFAULT_BYTES (32 << 20)
+/* Share of the process's memory that the incomplete bodies of responses may
+   take together.  Their buffers may be twice as large as the bodies.  */
+#define RESPONSE_MEMORY_SHARE 0.0625
+/* Memory of the process if it is not known.  */
+#define MEMORY_DEFAULT_BYTES (128 << 20)
 
 static int open_servers (instance_t *instance);
 static server_t *
@@ -64,6 +66,8 @@
 static void handle_addresses_request (void *context, exchange_t *exchange);
 static void handle_metrics_request (void *context, exchange_t *exchange);
 static void on_client_disconnected (void *context, exchange_t *exchange);
+static size_t get_memory_share (const instance_settings_t *settings,
+                                double share);
 static int choose_addresses (const instance_t *instance,
                              const char *data_centre,
                              struct sockaddr_in *addresses);
@@ -84,6 +88,8 @@
                                       .retry_rules = settings->retry_rules,
                                       .probes_per_round = PROBES_PER_ROUND,
                                       .probes_per_s = settings->probes_per_s,
+                                      .buffer_bytes_max = get_memory_share (
+                                          settings, RESPONSE_MEMORY_SHARE),
                                       .log_sample_share = LOG_SAMPLE_SHARE,
                                       .log_lines_per_s = LOG_LINES_PER_S,
                                       .ask_permit = on_permit_needed,
@@ -153,6 +159,15 @@
   return server_new (instance->loop, address, &hooks, result);
 }
 
+static size_t
+get_memory_share (const instance_settings_t *settings, double share)
+{
+  size_t bytes = settings->memory_bytes > 0 ? settings->memory_bytes
+                                            : MEMORY_DEFAULT_BYTES;
+
+  return (size_t)((double)bytes * share);
+}
+
 static int
 open_servers (instance_t *instance)
 {
@@ -163,11 +178,8 @@
   instance->client_server = server_new (
       instance->loop, &settings->client_listen_address, &hooks, &result);
   if (result == 0)
-    server_set_body_memory (
-        instance->client_server,
-        settings->memory_bytes > 0
-            ? (size_t)((double)settings->memory_bytes * BODY_MEMORY_SHARE)
-            : BODY_MEMORY_DEFAULT_BYTES);
+    server_set_body_memory (instance->client_server,
+                            get_memory_share (settings, BODY_MEMORY_SHARE));
   if (result == 0)
     instance->ready_server
         = open_server (instance, &settings->ready_listen_address,
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -33,6 +33,8 @@
   ev_prepare cleanup_watcher; /* frees the connections in @closed_uplinks, once
                                  in each iteration of the event loop */
   GQueue closed_uplinks; /* uplink_t * that are closed but not freed yet */
+  size_t buffered_bytes; /* bytes of the incomplete bodies that are buffered,
+                            of all responses together */
   int instance_count;    /* number of known instances, at least 1 */
   int in_flight;   /* number of clients' requests that are not answered yet */
   bool is_holding; /* no attempt starts; see proxy_hold() */
@@ -129,11 +131,14 @@
   double expected_duration_ms; /* estimated response time of @request, in ms */
   /* The response that is being read, and what its header fields state.  */
   response_t response;
+  size_t buffered_bytes;   /* part of the proxy's @buffered_bytes */
   GString *field_name;     /* name of the header field that is being read */
   GString *field_value;    /* value of that header field */
   bool in_field_value;     /* part of @field_value has been read */
   bool has_request_id;     /* the response states a request ID */
   bool request_id_matches; /* that request ID is the ID of @request */
+  bool is_oversized; /* there is no memory for the rest of the body, which is
+                        not streamed */
   bool is_foreign; /* the response belongs to another request and is skipped */
   bool not_run;    /* the endpoint states that it did not run the request */
   bool has_signature; /* the response has a signature, which the proxy does not
@@ -322,6 +327,9 @@
 void uplink_begin_response (uplink_t *uplink);
 /* Frees the contents of a response and makes it empty.  */
 void response_clear (response_t *response);
+/* Gives back the part of the memory for incomplete bodies that the response of
+   a connection takes.  */
+void response_release_buffer (uplink_t *uplink);
 
 /* ---- probe.c ---- */
 
--- a/lib/proxy/uplink.c
+++ b/lib/proxy/uplink.c
@@ -235,6 +235,7 @@
   ev_io_stop (proxy->loop, &uplink->write_watcher);
   ev_timer_stop (proxy->loop, &uplink->timer);
   close (uplink->fd);
+  response_release_buffer (uplink);
   pool = g_ptr_array_index (proxy->pools, uplink->backend.index);
   if (uplink->state == UPLINK_IDLE)
     g_queue_unlink (&pool->idle, &uplink->link);
@@ -371,7 +372,11 @@
         http_parser_pause (&uplink->parser, 0);
       else if (error != HPE_OK)
         {
-          fail_uplink (uplink, http_errno_name (error));
+          if (uplink->is_oversized)
+            telemetry_counter_increment (TELEMETRY_ENDLESS_RESPONSES, 0);
+          fail_uplink (uplink, uplink->is_oversized
+                                   ? "no memory for the response"
+                                   : http_errno_name (error));
           break;
         }
       if (uplink->response_complete)
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -9,6 +9,9 @@
    be tried if the response ends too early.  Larger bodies are streamed to the
    client.  */
 #define RESPONSE_BUFFER_MAX_BYTES (192 << 10)
+/* A response body up to this size is buffered even if the memory for such
+   bodies is used up, so that a large one does not end others.  */
+#define SMALL_BODY_BYTES 16384
 
 static int on_response_begin (http_parser *parser);
 static int on_status (http_parser *parser, const char *data, size_t length);
@@ -19,6 +22,7 @@
 static int on_response_headers (http_parser *parser);
 static int on_body (http_parser *parser, const char *data, size_t length);
 static int on_response_complete (http_parser *parser);
+static bool can_stream (const uplink_t *uplink);
 static void finish_field (uplink_t *uplink);
 static void parse_field (uplink_t *uplink, const char *name,
                          const char *value);
@@ -49,6 +53,13 @@
   *response = (response_t){ 0 };
 }
 
+void
+response_release_buffer (uplink_t *uplink)
+{
+  uplink->proxy->buffered_bytes -= uplink->buffered_bytes;
+  uplink->buffered_bytes = 0;
+}
+
 void
 uplink_begin_response (uplink_t *uplink)
 {
@@ -65,6 +76,7 @@
   uplink_t *uplink = parser->data;
 
   response_clear (&uplink->response);
+  response_release_buffer (uplink);
   uplink->response.reason = g_string_new (NULL);
   uplink->response.fields = g_string_new (NULL);
   uplink->response.body = g_byte_array_new ();
@@ -73,6 +85,7 @@
   uplink->in_field_value = false;
   uplink->has_request_id = false;
   uplink->request_id_matches = false;
+  uplink->is_oversized = false;
   uplink->is_foreign = false;
   uplink->not_run = false;
   uplink->has_signature = false;
@@ -320,12 +333,27 @@
   return request->exchange->no_body ? 1 : 0;
 }
 
+/* Whether the response that is being read is one for the client, so that a
+   part of it may be sent before its end.  A failure may be followed by a
+   retry.  */
+static bool
+can_stream (const uplink_t *uplink)
+{
+  int status = uplink->response.status;
+
+  if (!uplink->request_id_matches || uplink->not_run || status == 421)
+    return false;
+  return status < 300 ? uplink->has_signature : status < 500;
+}
+
 static int
 on_body (http_parser *parser, const char *data, size_t length)
 {
   uplink_t *uplink = parser->data;
+  proxy_t *proxy = uplink->proxy;
   request_t *request = uplink->request;
   response_t *response = &uplink->response;
+  bool is_memory_short;
 
   if (uplink->is_foreign || uplink->state == UPLINK_PROBING)
     return 0;
@@ -337,11 +365,19 @@
       return 0;
     }
   g_byte_array_append (response->body, (const guint8 *)data, (guint)length);
-  if (response->body->len > RESPONSE_BUFFER_MAX_BYTES && response->status < 500
-      && uplink->request_id_matches && uplink->has_signature
-      && !uplink->not_run)
-    request_stream_data (request, uplink, NULL, 0);
-  return 0;
+  uplink->buffered_bytes += length;
+  proxy->buffered_bytes += length;
+  is_memory_short = proxy->buffered_bytes > proxy->settings.buffer_bytes_max
+                    && response->body->len > SMALL_BODY_BYTES;
+  if (can_stream (uplink)
+      && (is_memory_short || response->body->len > RESPONSE_BUFFER_MAX_BYTES))
+    {
+      response_release_buffer (uplink);
+      request_stream_data (request, uplink, NULL, 0);
+      return 0;
+    }
+  uplink->is_oversized = is_memory_short;
+  return is_memory_short ? -1 : 0;
 }
 
 static int
@@ -360,6 +396,7 @@
       return 0;
     }
   uplink->response_complete = true;
+  response_release_buffer (uplink);
   uplink->is_reusable
       = http_should_keep_alive (parser) != 0 && !uplink->had_foreign_response;
   http_parser_pause (parser, 1);
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -299,6 +299,9 @@
 ENDLESS = {
     "endless field": ("HTTP/1.1 200 OK\r\nX-Padding: ", b"a" * 16384),
     "endless fields": ("HTTP/1.1 200 OK\r\n", b"X-Padding: a\r\n" * 1024),
+    # In responses to health checks.
+    "endless health": (f"HTTP/1.1 200 OK\r\n{LOAD}: 0,0,3\r\n\r\n",
+                       b"a" * 16384),
     "endless interim responses": ("", b"HTTP/1.1 100 Continue\r\n\r\n" * 512),
     "endless body without signature": (
         f"HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: %s\r\n\r\n", b"a" * 16384),
@@ -308,6 +311,10 @@
         f"HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: other\r\n"
         "Transfer-Encoding: chunked\r\n\r\n",
         b"4000\r\n" + b"a" * 16384 + b"\r\n"),
+    "endless chunk extension of a streamed body": (
+        f"HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: %s\r\n{SIGNATURE}: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n40000\r\n" + "a" * 0x40000
+        + "\r\n1;a=", b"a" * 16384),
     "endless chunk size": (
         f"HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: %s\r\n"
         "Transfer-Encoding: chunked\r\n\r\n1;a=", b"a" * 16384),
@@ -353,6 +360,7 @@
         self.drained_at = None
         self.faults = {}
         self.endless = None
+        self.endless_pause_s = 0
         self.rng = random.Random(name)
         self.server = None
         self.writers = set()
@@ -436,6 +444,7 @@
                 writer.write(piece)
                 sent += len(piece)
                 await writer.drain()
+                await asyncio.sleep(self.endless_pause_s)
         finally:
             self.site.endless_sent.append(
                 (sent, time.monotonic() - started_at))
@@ -443,6 +452,10 @@
     async def answer_request(self, start_line, fields, body, reader, writer):
         method, target, _ = start_line.split(" ")
         if target == "/healthz":
+            if self.rng.random() < self.faults.get("endless health", 0):
+                head, self.endless = ENDLESS["endless health"]
+                writer.write(head.encode())
+                return
             is_healthy = self.state == "ready" and not self.faults.get("ill")
             cold = max(0, self.cold_until - time.monotonic())
             response_fields = {ENDPOINT_ID: self.name,
@@ -503,7 +516,8 @@
         draw = self.rng.random()
         for fault, probability in self.faults.items():
             if draw >= probability or fault in (
-                    "silent", "ill", "refusal", "nameless"):
+                    "silent", "ill", "refusal", "nameless",
+                    "endless health"):
                 continue
             if fault == "lost":
                 writer.transport.abort()
--- a/test/run/platform_endless.py
+++ b/test/run/platform_endless.py
@@ -18,6 +18,10 @@
 # A stated bound far below the shortest timeout of the routes, 800 ms.
 OPEN_MAX_S = 0.4
 MEMORY_GROWTH_MAX_KB = 8 << 10
+# Requests at the same time, and a quarter of the memory of the smallest
+# machines, 160 MB.
+CROWD = 200
+CROWD_GROWTH_MAX_KB = 40 << 10
 
 
 async def run_fault(site, name):
@@ -48,7 +52,42 @@
           if site.share("look") >= 0.9 else dict(site.outcomes))
 
 
+async def run_crowd(site, name):
+    """All endpoints of a service send without end in response to as many
+    requests as they take at a time; another service has to be served."""
+    before = site.instances[0].peak_memory_kb()
+    for endpoint in site.endpoints.values():
+        if endpoint.service == "slots":
+            endpoint.faults = {name: 1.0}
+            # The responses grow side by side.
+            endpoint.endless_pause_s = 0.01
+    site.outcomes.clear()
+
+    async def send(kind):
+        streams = await asyncio.open_connection(site.instances[0].ip,
+                                                platform_site.FRONT)
+        try:
+            await site.request(*streams, kind)
+        finally:
+            streams[1].transport.abort()
+
+    await asyncio.gather(*(send("book") for _ in range(CROWD)),
+                         *(send("file") for _ in range(4)))
+    growth = site.instances[0].peak_memory_kb() - before
+    print(f"crowd, {name}:", "bounded" if growth <= CROWD_GROWTH_MAX_KB
+          else f"grew by {growth} KB")
+    print("  other service:", "at least 0.9" if site.share("file") >= 0.9
+          else dict(site.outcomes))
+    for endpoint in site.endpoints.values():
+        endpoint.faults, endpoint.endless_pause_s = {}, 0
+
+
 async def script(site):
+    for endpoint in range(4):
+        await site.add_endpoint("slots", "a", slots=CROWD // 4, work=0.3)
+    await asyncio.sleep(1.5)
+    await run_crowd(site, "endless body of a failure")
+    await asyncio.sleep(1.0)
     for name in platform_site.ENDLESS:
         await run_fault(site, name)
     failed = sum([(await i.metrics())["peridot_endless_responses_total"]
