Refuse requests that a stopping instance may not complete

Cause: a stopping instance took requests for 3 s, whatever the time until SIGKILL and whatever a request takes, and exited without a response to those in flight. Ruled out for the own interface: it waits for all requests in progress.

Change: a request is taken during the stop only if its response timeout, or three times its service time, ends before the process. Otherwise it is refused at once, as not run. 100 ms before the end, requests in flight are ended with what is true of them.

--- a/lib/instance/instance_private.h
+++ b/lib/instance/instance_private.h
@@ -25,8 +25,9 @@
   ev_signal sighup_watcher;
   clock_ms_t stop_began_at; /* ms; when SIGTERM or SIGINT was received; 0: the
                                instance is not shutting down */
-  bool idle_connections_closed; /* the shutdown has closed idle connections and
-                                   refuses new requests */
+  clock_ms_t stop_ends_at;  /* ms; the process ends then at the latest */
+  bool idle_connections_closed; /* the shutdown has closed idle connections */
+  bool requests_ended;          /* it has ended the requests in flight */
   ev_check iteration_watcher;   /* detects pauses of the process */
   clock_ms_t last_iteration_at; /* ms; when the event loop last began to call
                                    callbacks */
--- a/lib/instance/stop.c
+++ b/lib/instance/stop.c
@@ -14,6 +14,9 @@
 /* The process ends this long before SIGKILL is expected, even if requests are
    still in flight.  */
 #define KILL_MARGIN_MS 400
+/* Time for the clients to get the responses to the requests that are ended
+   then.  */
+#define LAST_RESPONSES_MS 100
 
 void
 stop_begin (instance_t *instance, clock_ms_t now)
@@ -21,6 +24,10 @@
   if (instance->stop_began_at != 0)
     return;
   instance->stop_began_at = now;
+  instance->stop_ends_at
+      = now + MAX (instance->settings.stop_timeout - KILL_MARGIN_MS, 0);
+  proxy_stop (instance->proxy, now + ADDRESSES_EXPIRE_MS,
+              instance->stop_ends_at - LAST_RESPONSES_MS);
   g_message ("stopping: %d requests in flight",
              proxy_count_in_flight (instance->proxy));
   relay_set_ready (instance->relay, false);
@@ -31,19 +38,24 @@
 stop_tick (instance_t *instance, clock_ms_t now)
 {
   clock_ms_t elapsed = now - instance->stop_began_at;
-  bool deadline_reached
-      = elapsed >= instance->settings.stop_timeout - KILL_MARGIN_MS;
+  bool deadline_reached = now >= instance->stop_ends_at;
+  bool ends_requests = now >= instance->stop_ends_at - LAST_RESPONSES_MS;
 
   if (instance->stop_began_at == 0)
     return;
-  if (elapsed >= ADDRESSES_EXPIRE_MS && !instance->idle_connections_closed)
+  if ((elapsed >= ADDRESSES_EXPIRE_MS || ends_requests)
+      && !instance->idle_connections_closed)
     {
-      /* New requests are refused, because a request that takes longer than the
-         time left would be aborted.  */
       instance->idle_connections_closed = true;
-      proxy_refuse_new (instance->proxy);
       server_close_idle (instance->client_server);
     }
+  if (ends_requests && !instance->requests_ended)
+    {
+      instance->requests_ended = true;
+      g_message ("stopping: %d requests in flight are ended",
+                 proxy_count_in_flight (instance->proxy));
+      proxy_end_requests (instance->proxy);
+    }
   if (!deadline_reached
       && (elapsed < ADDRESSES_EXPIRE_MS + LAST_ACCEPTED_GRACE_MS
           || proxy_count_in_flight (instance->proxy) > 0
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -166,9 +166,37 @@
 }
 
 void
-proxy_refuse_new (proxy_t *proxy)
+proxy_stop (proxy_t *proxy, clock_ms_t refuse_from, clock_ms_t answer_by)
 {
-  proxy->is_refusing_new = true;
+  proxy->is_stopping = true;
+  proxy->refuse_from = refuse_from;
+  proxy->answer_by = answer_by;
+}
+
+void
+proxy_end_requests (proxy_t *proxy)
+{
+  /* The end of a request may start another one on its connection, which is
+     refused, and closes connections to endpoints, so that the table of them is
+     read anew each time.  */
+  for (guint i = 0; i < proxy->uplinks->len;)
+    {
+      const uplink_t *uplink = g_ptr_array_index (proxy->uplinks, i);
+
+      if (uplink->request == NULL)
+        i++;
+      else
+        request_end_unfinished (uplink->request);
+    }
+  for (int i = 0; i < backends_service_count (proxy->backends); i++)
+    {
+      service_state_t *state = service_state_get (proxy, (service_index_t)i);
+
+      while (state->waiting.head != NULL)
+        request_end_unfinished (state->waiting.head->data);
+    }
+  while (proxy->unrouted.head != NULL)
+    request_end_unfinished (proxy->unrouted.head->data);
 }
 
 void
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -94,8 +94,15 @@
    their weights changed are left out.  */
 void proxy_append_split_metrics (const proxy_t *proxy, GString *text);
 
-/* Makes the proxy refuse all requests that arrive from now on.  */
-void proxy_refuse_new (proxy_t *proxy);
+/* Makes the proxy refuse requests that may not have their response before the
+   instance ends.  @refuse_from: time in ms from which all new requests are
+   refused.  @answer_by: time in ms by which each request must have its
+   response.  */
+void proxy_stop (proxy_t *proxy, clock_ms_t refuse_from, clock_ms_t answer_by);
+/* Ends all requests: those that have not run are refused, and for those that
+   may have run the client is told that the endpoint did not respond in time. A
+   response that is being streamed breaks off.  */
+void proxy_end_requests (proxy_t *proxy);
 
 /* Closes idle connections to endpoints that are no longer in the table, and
    those that have been idle for too long.  The function has to be called
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -36,9 +36,12 @@
   size_t buffered_bytes; /* bytes of the incomplete bodies that are buffered,
                             of all responses together */
   int instance_count;    /* number of known instances, at least 1 */
-  int in_flight;   /* number of clients' requests that are not answered yet */
-  bool is_holding; /* no attempt starts; see proxy_hold() */
-  bool is_refusing_new;      /* all new requests are refused */
+  int in_flight;    /* number of clients' requests that are not answered yet */
+  bool is_holding;  /* no attempt starts; see proxy_hold() */
+  bool is_stopping; /* proxy_stop() was called, with these: */
+  clock_ms_t refuse_from;    /* ms; new requests are refused from then on */
+  clock_ms_t answer_by;      /* ms; new requests that may not have their
+                                response by then are refused, too */
   probing_t probing;         /* limits the rate of probes */
   int least_urgent_priority; /* largest priority value of all routes; 0 is the
                                 most urgent */
@@ -427,6 +430,9 @@
 /* Cancels the request of a client that has disconnected.  A non-idempotent
    request that was already assigned to an endpoint is left to finish.  */
 void request_handle_disconnect (request_t *request);
+/* Ends a request that has no response, or an incomplete one, with what is true
+   of it: it was not run, or may have run, or its response breaks off.  */
+void request_end_unfinished (request_t *request);
 /* Returns the proxy's state for a service; creates it if there is none.  */
 service_state_t *service_state_get (proxy_t *proxy, service_index_t service);
 
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -24,6 +24,11 @@
 /* A retry is started only if at least this time is left until the response
    deadline.  */
 #define RETRY_TIME_MIN_MS 30
+/* While the instance stops, a request is taken only if this multiple of its
+   service time, or its whole response timeout, is left until the end.  Clients
+   can go to another instance at once, so that a wide margin costs them less
+   than a response that is cut off.  */
+#define STOP_TIME_FACTOR 3.0
 /* Longest time that a request waits for the first configuration before it is
    refused.  */
 #define UNROUTED_WAIT_MAX_MS 600
@@ -41,6 +46,7 @@
                                 GByteArray *out);
 static void record_attempt_durations (request_t *request);
 static void detach_uplink (request_t *request, const uplink_t *uplink);
+static bool is_too_late (request_t *request);
 static void route_request (request_t *request);
 static void enqueue_request (request_t *request);
 static void dequeue_request (request_t *request);
@@ -182,6 +188,26 @@
     }
 }
 
+/* Whether a request has to be refused because the instance stops.  A request
+   that may take less time than that is left to respond before the instance
+   ends, so that the client gets a response in any case.  */
+static bool
+is_too_late (request_t *request)
+{
+  const proxy_t *proxy = request->proxy;
+  admission_request_t *admission = &request->admission;
+  clock_ms_t now = clock_now ();
+  clock_ms_t likely_end
+      = now + (clock_ms_t)(admission->service_time_ms * STOP_TIME_FACTOR);
+
+  if (now >= proxy->refuse_from
+      || MIN (likely_end, admission->response_deadline) > proxy->answer_by)
+    return true;
+  admission->response_deadline
+      = MIN (admission->response_deadline, proxy->answer_by);
+  return false;
+}
+
 static void
 route_request (request_t *request)
 {
@@ -209,7 +235,7 @@
   set_deadlines (request, route);
   request->admission.service_time_ms = estimate_service_time (
       &request->route_state->service_time, request->admission.target);
-  if (proxy->is_refusing_new)
+  if (proxy->is_stopping && is_too_late (request))
     {
       request_refuse (request, TELEMETRY_OUTCOME_STOPPING, NULL);
       return;
@@ -588,17 +614,18 @@
   clock_ms_t left = request->client_deadline - clock_now ();
 
   (void)events;
-  if (request->state == REQUEST_UNROUTED)
-    {
-      request_refuse (request, TELEMETRY_OUTCOME_NO_CONFIGURATION, NULL);
-      return;
-    }
   if (request->state == REQUEST_STREAMING && left > 0)
     {
       ev_timer_set (watcher, (double)left / 1000.0, 0);
       ev_timer_start (loop, watcher);
       return;
     }
+  request_end_unfinished (request);
+}
+
+void
+request_end_unfinished (request_t *request)
+{
   if (request->state == REQUEST_STREAMING)
     {
       telemetry_counter_increment (TELEMETRY_ROUTED, TELEMETRY_OUTCOME_CUT);
@@ -611,6 +638,10 @@
     request_deliver (request, &request->error_response);
   else if (request->n_uplinks > 0 || request->may_have_run)
     request_fail (request, TELEMETRY_OUTCOME_TIMEOUT, NULL);
+  else if (request->proxy->is_stopping)
+    request_refuse (request, TELEMETRY_OUTCOME_STOPPING, NULL);
+  else if (request->state == REQUEST_UNROUTED)
+    request_refuse (request, TELEMETRY_OUTCOME_NO_CONFIGURATION, NULL);
   else
     request_refuse (request, TELEMETRY_OUTCOME_OUT_OF_TIME, NULL);
 }
