Refuse a request under which two endpoints have ended

Cause: attempts were limited for each request of a client only. From a trial that logs target and fields: 60 failed attempts have the same method, host, target and body, and nothing else in common; the endpoint closes the connection without a response and then refuses connections. Ruled out as a sign: the id, which is new with each attempt, header fields, and the client.

Change: when an endpoint closes the connection of a request that it runs, a probe finds out whether it has ended; one that lives has lost the response or was full. Each request that it ran is then a suspect, known by a digest at all instances; it gets no second attempt beside a first one. A response ends the suspicion; a second endpoint that ends under it has it refused everywhere, as not run, for a minute. Hellos and announcements have a digest of what is refused, so that it outlasts the restart of an instance. `peridotctl suspects` lists them.

--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -8,6 +8,8 @@
 const FLEET_ZONES_MAX = 64;
 const FLEET_FORWARD_MAX = 128;
 const FLEET_LIMITS_MAX = 24;
+const FLEET_ENDINGS_MAX = 2;
+const FLEET_SUSPECTS_MAX = 24;
 
 typedef string fleet_wire_name<FLEET_NAME_MAX>;
 
@@ -165,6 +167,8 @@
   bool more;                     /* further changes follow at once */
   fleet_wire_config config<1>;   /* a small change of the configuration */
   fleet_wire_limit limits<FLEET_LIMITS_MAX>;
+  unsigned hyper refused_digest; /* of the requests that the sender refuses
+                                    because endpoints have ended under them */
 };
 
 /* Sent by each member to the reader that it hears, or to the seeds while it
@@ -175,6 +179,7 @@
   fleet_wire_member member;
   unsigned hyper config_version; /* 0: none */
   fleet_wire_limit limits<FLEET_LIMITS_MAX>; /* that the sender has learnt */
+  unsigned hyper refused_digest; /* as in an announcement */
 };
 
 /* Asks the keeper of an endpoint's limit for a permit to send one request.  */
@@ -195,10 +200,32 @@
                         ask again */
 };
 
+/* An endpoint that has ended while it ran a request.  */
+struct fleet_wire_ending
+{
+  unsigned hyper endpoint; /* digest of its id */
+  unsigned int age;        /* since it ended */
+};
+
+/* A request that may crash the endpoints that run it.  */
+struct fleet_wire_suspect
+{
+  unsigned hyper digest;   /* of the request */
+  bool served;             /* a response to it has arrived */
+  unsigned int served_age; /* since then */
+  fleet_wire_ending endings<FLEET_ENDINGS_MAX>;
+};
+
+struct fleet_wire_suspects
+{
+  fleet_wire_suspect suspects<FLEET_SUSPECTS_MAX>;
+};
+
 const FLEET_ANNOUNCE = 1;
 const FLEET_HELLO = 2;
 const FLEET_PERMIT_ASK = 3;
 const FLEET_PERMIT_REPLY = 4;
+const FLEET_SUSPECTS = 5;
 
 union fleet_wire_body switch (unsigned int type)
 {
@@ -210,6 +237,8 @@
   fleet_wire_permit_ask permit_ask;
 case FLEET_PERMIT_REPLY:
   fleet_wire_permit_reply permit_reply;
+case FLEET_SUSPECTS:
+  fleet_wire_suspects suspects;
 };
 
 /* May follow a message in its datagram: addresses that the receiver passes the
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -20,6 +20,8 @@
 #define FLEET_ZONES_MAX 64
 #define FLEET_FORWARD_MAX 128
 #define FLEET_LIMITS_MAX 24
+#define FLEET_ENDINGS_MAX 2
+#define FLEET_SUSPECTS_MAX 24
 
 typedef char *fleet_wire_name;
 
@@ -208,6 +210,7 @@
 		u_int limits_len;
 		fleet_wire_limit *limits_val;
 	} limits;
+	u_quad_t refused_digest;
 };
 typedef struct fleet_wire_announce fleet_wire_announce;
 
@@ -219,6 +222,7 @@
 		u_int limits_len;
 		fleet_wire_limit *limits_val;
 	} limits;
+	u_quad_t refused_digest;
 };
 typedef struct fleet_wire_hello fleet_wire_hello;
 
@@ -237,10 +241,36 @@
 	u_int wait;
 };
 typedef struct fleet_wire_permit_reply fleet_wire_permit_reply;
+
+struct fleet_wire_ending {
+	u_quad_t endpoint;
+	u_int age;
+};
+typedef struct fleet_wire_ending fleet_wire_ending;
+
+struct fleet_wire_suspect {
+	u_quad_t digest;
+	bool_t served;
+	u_int served_age;
+	struct {
+		u_int endings_len;
+		fleet_wire_ending *endings_val;
+	} endings;
+};
+typedef struct fleet_wire_suspect fleet_wire_suspect;
+
+struct fleet_wire_suspects {
+	struct {
+		u_int suspects_len;
+		fleet_wire_suspect *suspects_val;
+	} suspects;
+};
+typedef struct fleet_wire_suspects fleet_wire_suspects;
 #define FLEET_ANNOUNCE 1
 #define FLEET_HELLO 2
 #define FLEET_PERMIT_ASK 3
 #define FLEET_PERMIT_REPLY 4
+#define FLEET_SUSPECTS 5
 
 struct fleet_wire_body {
 	u_int type;
@@ -249,6 +279,7 @@
 		fleet_wire_hello hello;
 		fleet_wire_permit_ask permit_ask;
 		fleet_wire_permit_reply permit_reply;
+		fleet_wire_suspects suspects;
 	} fleet_wire_body_u;
 };
 typedef struct fleet_wire_body fleet_wire_body;
@@ -288,6 +319,9 @@
 extern  bool_t xdr_fleet_wire_hello (XDR *, fleet_wire_hello*);
 extern  bool_t xdr_fleet_wire_permit_ask (XDR *, fleet_wire_permit_ask*);
 extern  bool_t xdr_fleet_wire_permit_reply (XDR *, fleet_wire_permit_reply*);
+extern  bool_t xdr_fleet_wire_ending (XDR *, fleet_wire_ending*);
+extern  bool_t xdr_fleet_wire_suspect (XDR *, fleet_wire_suspect*);
+extern  bool_t xdr_fleet_wire_suspects (XDR *, fleet_wire_suspects*);
 extern  bool_t xdr_fleet_wire_body (XDR *, fleet_wire_body*);
 extern  bool_t xdr_fleet_wire_forward (XDR *, fleet_wire_forward*);
 extern  bool_t xdr_fleet_wire_message (XDR *, fleet_wire_message*);
@@ -310,6 +344,9 @@
 extern bool_t xdr_fleet_wire_hello ();
 extern bool_t xdr_fleet_wire_permit_ask ();
 extern bool_t xdr_fleet_wire_permit_reply ();
+extern bool_t xdr_fleet_wire_ending ();
+extern bool_t xdr_fleet_wire_suspect ();
+extern bool_t xdr_fleet_wire_suspects ();
 extern bool_t xdr_fleet_wire_body ();
 extern bool_t xdr_fleet_wire_forward ();
 extern bool_t xdr_fleet_wire_message ();
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -427,6 +427,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIMITS_MAX,
 		sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->refused_digest))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -444,6 +446,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIMITS_MAX,
 		sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->refused_digest))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -479,6 +483,46 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_wire_ending (XDR *xdrs, fleet_wire_ending *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_wire_suspect (XDR *xdrs, fleet_wire_suspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->served))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->served_age))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->endings.endings_val, (u_int *) &objp->endings.endings_len, FLEET_ENDINGS_MAX,
+		sizeof (fleet_wire_ending), (xdrproc_t) xdr_fleet_wire_ending))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_wire_suspects (XDR *xdrs, fleet_wire_suspects *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, FLEET_SUSPECTS_MAX,
+		sizeof (fleet_wire_suspect), (xdrproc_t) xdr_fleet_wire_suspect))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_body (XDR *xdrs, fleet_wire_body *objp)
 {
@@ -503,6 +547,10 @@
 		 if (!xdr_fleet_wire_permit_reply (xdrs, &objp->fleet_wire_body_u.permit_reply))
 			 return FALSE;
 		break;
+	case FLEET_SUSPECTS:
+		 if (!xdr_fleet_wire_suspects (xdrs, &objp->fleet_wire_body_u.suspects))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -67,6 +67,7 @@
   relay->hello_sent_at = -SEED_HELLO_INTERVAL_MS;
   relay->seeds = *seeds;
   relay->hooks = *hooks;
+  decide_rng_seed (&relay->rng, address->sin_addr.s_addr);
   relay->fetch_fd = -1;
   relay->tcp_fd = -1;
   relay->fetch_buffer = g_byte_array_new ();
@@ -114,6 +115,7 @@
       = !relay->reader->has_heard_reader
         || now - relay->reader->last_announcement_at > READER_LOST_MS;
 
+  relay_suspects_tick (relay, now);
   relay_serve_tick (relay, now);
   relay_fetch_tick (relay, now);
   if (!relay->reader->is_reader)
@@ -219,6 +221,8 @@
   else if (body->type == FLEET_PERMIT_REPLY)
     relay_handle_permit_reply (relay, &body->fleet_wire_body_u.permit_reply,
                                now);
+  else if (body->type == FLEET_SUSPECTS)
+    relay_handle_suspects (relay, &body->fleet_wire_body_u.suspects, now);
 }
 
 static void
@@ -244,7 +248,8 @@
           && message.magic == WIRE_MAGIC
           && strcmp (message.sender, relay->members->own->name) != 0)
         {
-          if (message.body.type == FLEET_ANNOUNCE)
+          if (message.body.type == FLEET_ANNOUNCE
+              || message.body.type == FLEET_SUSPECTS)
             relay_forward (relay, &xdr, data, (size_t)n);
           else if (message.body.type == FLEET_HELLO)
             forward_hello (relay, message.sender, data, (size_t)n, now);
@@ -294,6 +299,8 @@
 
   relay_handle_limits (relay, wire->limits.limits_val, wire->limits.limits_len,
                        now);
+  relay_tell_missing_refused (relay, wire->member.ip, wire->refused_digest, 1,
+                              now);
   member = members_find (relay->members, wire->member.name);
   /* A reader that was started after the store was restored from an older copy
      finds an older version there than the one in force.  */
@@ -385,6 +392,8 @@
                      wire->member.data_centre, wire->member.ip, now);
   relay_handle_limits (relay, wire->limits.limits_val, wire->limits.limits_len,
                        now);
+  relay_tell_missing_refused (relay, ip, wire->refused_digest,
+                              relay->members->table->len, now);
   /* Live endpoints may have been unable to renew their entries in the store
      while no instance could read it.  */
   if (fresh
--- a/lib/fleet/relay.h
+++ b/lib/fleet/relay.h
@@ -67,6 +67,9 @@
 /* Tells other instances of a limit that an endpoint has stated.  */
 void relay_tell_limits (relay_t *relay);
 
+/* Tells other instances of a change of a request that may crash endpoints.  */
+void relay_tell_suspect (relay_t *relay, suspect_t *suspect);
+
 /* Called after a pause of the process.  Drops the messages that arrived during
    the pause, which may be as old as it is, and asks for an announcement.  */
 void relay_start_anew (relay_t *relay, clock_ms_t now);
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -38,8 +38,10 @@
                                         change was last announced */
   int config_announce_count; /* number of announcements that have included
                                 or could have included that change */
-  uint32_t limits_position;  /* position in the table of endpoints from which
-                                the next announcement includes limits */
+  decide_rng_t rng; /* chooses the instances that tell the reader what it
+                       lacks */
+  uint32_t limits_position; /* position in the table of endpoints from which
+                               the next announcement includes limits */
   unsigned int sequence_number; /* number of announcements that were sent to
                                    all members so far, which also is the
                                    sequence number of the last one */
@@ -111,6 +113,11 @@
    the datagram, if any.  @xdr: decoder of the datagram, which has just decoded
    the message.  @data, @length: the datagram.  */
 void relay_forward (relay_t *relay, XDR *xdr, const char *data, size_t length);
+/* Sends a message to the forwarder of each group (see spread.h), followed by
+   the addresses to which it forwards the message.  @data: buffer of
+   RELAY_BUFFER_BYTES bytes, of which the message takes @length.  */
+void relay_send_to_groups (relay_t *relay, const GArray *groups, char *data,
+                           size_t length);
 /* Sends a datagram to an address.  A failure is only counted, in
    TELEMETRY_PEER_DROPPED.  */
 void relay_send_to (relay_t *relay, uint32_t ip, const char *data,
@@ -141,6 +148,18 @@
                                 const fleet_wire_permit_reply *wire,
                                 clock_ms_t now);
 
+/* Records what another instance has told of requests that may crash
+   endpoints.  */
+void relay_handle_suspects (relay_t *relay, const fleet_wire_suspects *wire,
+                            clock_ms_t now);
+/* Tells an instance of the requests that this one refuses if the digest of
+   those that it refuses differs.  @tellers: number of instances that may do so
+   at the same time, of which a few suffice.  */
+void relay_tell_missing_refused (relay_t *relay, uint32_t ip, uint64_t digest,
+                                 guint tellers, clock_ms_t now);
+/* Tells others of such requests where that is due.  */
+void relay_suspects_tick (relay_t *relay, clock_ms_t now);
+
 /* Starts to fetch parts of the state from the instance at an address, unless a
    fetch is in progress or @now is before @relay->next_fetch_at.  @parts: bit
    mask of FLEET_PART_CONFIG, FLEET_PART_BACKENDS and FLEET_PART_MEMBERS.  */
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -42,8 +42,6 @@
                                    const GArray *limits,
                                    size_t message_length_max, clock_ms_t now,
                                    char *data, bool *more);
-static void send_to_groups (relay_t *relay, const GArray *groups, char *data,
-                            size_t length);
 static size_t forward_list_bytes (const GArray *groups);
 static fleet_wire_member make_own_wire_member (const relay_t *relay);
 
@@ -165,6 +163,7 @@
   wire->out.out_val = (fleet_wire_name *)(void *)relay->view->out->pdata;
   wire->ready.ready_len = ready->len;
   wire->ready.ready_val = (char *)ready->data;
+  wire->refused_digest = suspects_refused_digest (relay->view->suspects);
   wire->changes.changes_val = changes;
   if (limits != NULL)
     {
@@ -195,12 +194,9 @@
   return length;
 }
 
-/* Sends a message to the forwarder of each group (see spread.h), followed by
-   the addresses to which it forwards the message.  @data: buffer of
-   RELAY_BUFFER_BYTES bytes, of which the message takes @length.  */
-static void
-send_to_groups (relay_t *relay, const GArray *groups, char *data,
-                size_t length)
+void
+relay_send_to_groups (relay_t *relay, const GArray *groups, char *data,
+                      size_t length)
 {
   for (guint i = 0; i < groups->len; i++)
     {
@@ -269,7 +265,7 @@
 
       if (length == 0)
         break;
-      send_to_groups (relay, groups, data, length);
+      relay_send_to_groups (relay, groups, data, length);
     }
   g_array_unref (groups);
   g_array_unref (limits);
@@ -354,6 +350,7 @@
   wire->member = make_own_wire_member (relay);
   wire->limits.limits_len = limits->len;
   wire->limits.limits_val = (fleet_wire_limit *)(void *)limits->data;
+  wire->refused_digest = suspects_refused_digest (relay->view->suspects);
   length = relay_encode_message (relay, &message, data, sizeof data);
   if (length > 0)
     relay_send_to (relay, ip, data, length);
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -46,6 +46,7 @@
   view_t *view = g_new0 (view_t, 1);
 
   view->backends = backends;
+  view->suspects = suspects_new ();
   view->hooks = *hooks;
   view->out = g_ptr_array_new_with_free_func (g_free);
   view->stated_out = g_ptr_array_new_with_free_func (g_free);
@@ -68,6 +69,7 @@
   g_hash_table_destroy (view->tombstones);
   config_history_clear (&view->config_history);
   routes_free (view->routes);
+  suspects_free (view->suspects);
   g_free (view);
 }
 
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -8,6 +8,7 @@
 
 #include "backends.h"
 #include "config_change.h"
+#include "suspects.h"
 
 /* Limit of the number of endpoint changes in the log of changes, which is kept
    for instances that have missed some; a change takes about 300 bytes.  */
@@ -50,6 +51,7 @@
 typedef struct view
 {
   backends_t *backends;            /* the endpoints */
+  suspects_t *suspects;            /* requests that may crash endpoints */
   routes_t *routes;                /* configuration; NULL: none yet */
   config_history_t config_history; /* differences between the versions before
                                       @routes */
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -61,6 +61,7 @@
 static void on_permit_needed (void *context, backend_t *backend,
                               clock_ms_t wait_max);
 static void on_limit_changed (void *context);
+static void on_suspect_changed (void *context, suspect_t *suspect);
 static bool is_ready (const instance_t *instance);
 static void handle_ready_request (void *context, exchange_t *exchange);
 static void handle_addresses_request (void *context, exchange_t *exchange);
@@ -94,6 +95,7 @@
                                       .log_lines_per_s = LOG_LINES_PER_S,
                                       .ask_permit = on_permit_needed,
                                       .limit_changed = on_limit_changed,
+                                      .suspect_changed = on_suspect_changed,
                                       .context = &instance };
   feed_source_t source;
   int result;
@@ -106,6 +108,7 @@
   instance.proxy
       = proxy_new (instance.loop, &proxy_settings, instance.backends);
   instance.view = view_new (instance.backends, &view_hooks);
+  proxy_set_suspects (instance.proxy, instance.view->suspects);
   instance.members
       = members_new (settings->name, settings->data_centre,
                      settings->peer_listen_address.sin_addr.s_addr);
@@ -340,6 +343,14 @@
   relay_tell_limits (instance->relay);
 }
 
+static void
+on_suspect_changed (void *context, suspect_t *suspect)
+{
+  const instance_t *instance = context;
+
+  relay_tell_suspect (instance->relay, suspect);
+}
+
 static void
 on_client_disconnected (void *context, exchange_t *exchange)
 {
--- a/lib/proxy/decision_log.c
+++ b/lib/proxy/decision_log.c
@@ -111,6 +111,24 @@
                     "MESSAGE", "%s", event);
 }
 
+void
+suspect_log_write (proxy_t *proxy, const suspect_t *suspect,
+                   const char *request_id, const char *endpoint_id,
+                   const char *event)
+{
+  char digest[24];
+  char endings[16];
+
+  if (!reserve_log_line (proxy, G_LOG_LEVEL_MESSAGE))
+    return;
+  (void)g_snprintf (digest, sizeof digest, "%016" G_GINT64_MODIFIER "x",
+                    suspect->digest);
+  (void)g_snprintf (endings, sizeof endings, "%d", suspect->n_endings);
+  g_log_structured ("proxy", G_LOG_LEVEL_MESSAGE, "REQUEST", request_id,
+                    "ENDPOINT", endpoint_id, "DIGEST", digest, "ENDINGS",
+                    endings, "MESSAGE", "%s", event);
+}
+
 void
 statement_log_write (proxy_t *proxy, const backend_t *backend,
                      const char *event)
--- a/lib/proxy/probe.c
+++ b/lib/proxy/probe.c
@@ -93,6 +93,9 @@
         probe_round_add_failure (round);
       return;
     }
+  if (uplink->has_endpoint_id)
+    suspicion_handle_probe (proxy, uplink->backend,
+                            health == BACKEND_ID_MISMATCH);
   if (!uplink->has_load && health == BACKEND_HEALTHY)
     uplink->load = assumed_load (backend);
   backend_record_probe (
@@ -129,6 +132,8 @@
   probe_round_t *round = uplink->round;
 
   ev_timer_stop (proxy->loop, &uplink->timer);
+  if (uplink->was_refused)
+    suspicion_handle_probe (proxy, uplink->backend, true);
   telemetry_counter_increment (TELEMETRY_PROBES, 1);
   /* If the endpoint has stated an idle timeout on this connection, the failure
      may just be the close at that timeout, which says nothing about the
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -30,6 +30,7 @@
   proxy->backends = backends;
   proxy->pools = g_ptr_array_new ();
   proxy->uplinks = g_ptr_array_new ();
+  proxy->accusations = suspicion_new_accusations ();
   proxy->route_states
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   proxy->instance_count = 1;
@@ -54,6 +55,7 @@
   pools_free (proxy);
   uplinks_free_closed (proxy);
   g_ptr_array_free (proxy->uplinks, TRUE);
+  g_array_unref (proxy->accusations);
   g_hash_table_destroy (proxy->route_states);
   for (int i = 0; i < backends_service_count (proxy->backends); i++)
     {
@@ -147,6 +149,12 @@
     request_route_all_unrouted (proxy);
 }
 
+void
+proxy_set_suspects (proxy_t *proxy, suspects_t *suspects)
+{
+  proxy->suspects = suspects;
+}
+
 void
 proxy_set_probe_limit (proxy_t *proxy, double probes_per_s)
 {
@@ -226,6 +234,7 @@
   (void)events;
   pools_close_expired (proxy, clock_now ());
   count_limited_endpoints (proxy);
+  suspicion_expire (proxy, clock_now ());
   proxy->log_lines_left
       = MIN (proxy->log_lines_left
                  + proxy->settings.log_lines_per_s / HOUSEKEEPING_PER_S + 1,
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include "repeats.h"
 #include "routes.h"
 #include "server.h"
+#include "suspects.h"
 
 typedef struct proxy proxy_t;
 
@@ -59,6 +60,9 @@
   /* Called when a limit that an endpoint states has changed, or when an
      endpoint states that it is leaving; may be NULL.  */
   void (*limit_changed) (void *context);
+  /* Called when an endpoint has ended under a request, or a request that was
+     suspected of that was answered; may be NULL.  */
+  void (*suspect_changed) (void *context, suspect_t *suspect);
   void *context; /* first argument of the callbacks */
 } proxy_settings_t;
 
@@ -72,6 +76,9 @@
 /* Replaces the routes.  @routes must stay valid until the next call.  Requests
    that were routed before keep the properties of their old route.  */
 void proxy_set_routes (proxy_t *proxy, const routes_t *routes);
+/* Sets the table of requests that may crash endpoints; it must outlive the
+   proxy's use.  Without one, no request is suspected.  */
+void proxy_set_suspects (proxy_t *proxy, suspects_t *suspects);
 /* Replaces the rules of the retry budget.  */
 void proxy_set_retry_rules (proxy_t *proxy, const retry_budget_rules_t *rules);
 /* Holds requests, or ends that.  While requests are held, no attempt starts;
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -35,6 +35,10 @@
   GQueue closed_uplinks; /* uplink_t * that are closed but not freed yet */
   size_t buffered_bytes; /* bytes of the incomplete bodies that are buffered,
                             of all responses together */
+  suspects_t *suspects;  /* requests that may crash endpoints; NULL: none are
+                            suspected */
+  GArray *accusations;   /* requests whose endpoints may have ended; see
+                            suspicion.c */
   int instance_count;    /* number of known instances, at least 1 */
   int in_flight;    /* number of clients' requests that are not answered yet */
   bool is_holding;  /* no attempt starts; see proxy_hold() */
@@ -166,10 +170,11 @@
   bool is_reusable; /* the connection can be kept after this response */
   bool had_foreign_response; /* a response to another request arrived on this
                                 connection, which is therefore not reused */
-  bool is_reading; /* false: reading is paused until more of the streamed
-                      response has been sent to the client */
-  bool is_closed;  /* the connection is in the proxy's @closed_uplinks and will
-                      be freed */
+  bool is_reading;  /* false: reading is paused until more of the streamed
+                       response has been sent to the client */
+  bool was_refused; /* nothing listens at the endpoint's address */
+  bool is_closed; /* the connection is in the proxy's @closed_uplinks and will
+                     be freed */
 };
 
 typedef enum request_state
@@ -334,6 +339,38 @@
    a connection takes.  */
 void response_release_buffer (uplink_t *uplink);
 
+/* Starts a probe of an endpoint on a new connection, which belongs to no round
+   of probes.  */
+void uplink_probe (proxy_t *proxy, backend_t *backend);
+
+/* ---- suspicion.c ---- */
+
+GArray *suspicion_new_accusations (void);
+/* Whether a request must not be sent because endpoints have ended under it. */
+bool suspicion_is_refused (const request_t *request);
+/* Size of the text of suspicion_explain().  */
+#define SUSPICION_TEXT_BYTES 40
+/* Writes why a request is refused, with its digest in the form that the log
+   has.  */
+void suspicion_explain (const request_t *request,
+                        char text[SUSPICION_TEXT_BYTES]);
+/* Whether a request must not be sent again: endpoints have ended under it, or
+   may have, which the probe of the last one has not shown yet.  */
+bool suspicion_forbids_retry (const request_t *request);
+/* Whether a request may be sent to one endpoint at a time only.  */
+bool suspicion_forbids_hedge (const request_t *request);
+/* Suspects a request if its endpoint, which has closed the connection while it
+   ran the request, has ended.  */
+void suspicion_accuse (request_t *request, const uplink_t *uplink);
+/* Handles the result of a probe.  @has_ended: nothing or another endpoint
+   responds at the endpoint's address.  */
+void suspicion_handle_probe (proxy_t *proxy, backend_handle_t backend,
+                             bool has_ended);
+/* Ends the suspicion of a request that was answered.  */
+void suspicion_clear (const request_t *request);
+/* Forgets what is too old.  */
+void suspicion_expire (proxy_t *proxy, clock_ms_t now);
+
 /* ---- probe.c ---- */
 
 /* Sends a probe on a connection.  Its result is reported to @round.  */
@@ -473,6 +510,10 @@
                          const char *outcome, const backend_t *backend,
                          const char *detail);
 /* Logs what an endpoint states about itself in a response.  */
+/* Logs a change of what is known of a request that may crash endpoints.  */
+void suspect_log_write (proxy_t *proxy, const suspect_t *suspect,
+                        const char *request_id, const char *endpoint_id,
+                        const char *event);
 void statement_log_write (proxy_t *proxy, const backend_t *backend,
                           const char *event);
 /* Logs what an endpoint states about its limit.  */
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -240,6 +240,14 @@
       request_refuse (request, TELEMETRY_OUTCOME_STOPPING, NULL);
       return;
     }
+  if (suspicion_is_refused (request))
+    {
+      char why[SUSPICION_TEXT_BYTES];
+
+      suspicion_explain (request, why);
+      request_refuse (request, TELEMETRY_OUTCOME_SUSPECT, why);
+      return;
+    }
   fields_append_for_endpoint (&proxy->settings.names, exchange,
                               request->fields);
   retry_budget_add_first (
@@ -317,7 +325,8 @@
   (void)loop;
   (void)events;
   if (request->hedge_round != NULL || request->state != REQUEST_SENT
-      || !request->idempotent || request->n_tried >= request->endpoints_max)
+      || !request->idempotent || request->n_tried >= request->endpoints_max
+      || suspicion_forbids_hedge (request))
     return;
   record_attempt_durations (request);
   start_hedge_timer (request, HEDGE_RETRY_MS);
@@ -443,7 +452,8 @@
 
   if (request->client_disconnected
       || request->n_tried >= request->endpoints_max
-      || now + RETRY_TIME_MIN_MS > request->admission.response_deadline)
+      || now + RETRY_TIME_MIN_MS > request->admission.response_deadline
+      || suspicion_forbids_retry (request))
     return false;
   if (!request->idempotent
       && (failure != FAILURE_NOT_RUN || request->may_have_run))
@@ -545,6 +555,7 @@
     }
   detach_uplink (request, uplink);
   uplink->request = NULL;
+  suspicion_clear (request);
   if (backend != NULL)
     {
       backend_record_result (backend, !succeeded, now);
--- a/lib/proxy/uplink.c
+++ b/lib/proxy/uplink.c
@@ -148,6 +148,16 @@
   return uplink_new (proxy, backend, error);
 }
 
+void
+uplink_probe (proxy_t *proxy, backend_t *backend)
+{
+  int error;
+  uplink_t *uplink = uplink_new (proxy, backend, &error);
+
+  if (uplink != NULL)
+    probe_start (uplink, NULL);
+}
+
 void
 uplink_send (uplink_t *uplink)
 {
@@ -313,7 +323,7 @@
 
       if (error != 0)
         {
-          fail_uplink (uplink, g_strerror (-error));
+          handle_connection_end (uplink, -error);
           return;
         }
       uplink->state
@@ -411,6 +421,8 @@
 static void
 handle_connection_end (uplink_t *uplink, int error)
 {
+  uplink->was_refused
+      = uplink->state == UPLINK_CONNECTING && error == ECONNREFUSED;
   if (error == 0 && uplink->state == UPLINK_RUNNING && uplink->request != NULL)
     {
       (void)http_parser_execute (&uplink->parser, &uplink_parser_settings,
@@ -422,6 +434,9 @@
           return;
         }
     }
+  if (uplink->state == UPLINK_RUNNING && uplink->request != NULL
+      && uplink_has_sent_all (uplink) && uplink->received_bytes == 0)
+    suspicion_accuse (uplink->request, uplink);
   if (!uplink->is_closed)
     fail_uplink (uplink,
                  error == 0 ? "closed by the endpoint" : g_strerror (error));
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -62,24 +62,16 @@
 static const char *const probe_results[] = { "ok", "failed", NULL };
 static const char *const permit_results[]
     = { "asked", "issued", "refused", NULL };
+static const char *const suspect_changes[]
+    = { "endpoint_ended", "answered", "told", NULL };
 static const char *const store_call_results[]
     = { "ok", "conflict", "failed", NULL };
 
-static const char *const outcomes[] = { "answered",
-                                        "endpoint_failed",
-                                        "caller_left",
-                                        "no_route",
-                                        "no_configuration",
-                                        "no_endpoint",
-                                        "full",
-                                        "limited",
-                                        "out_of_time",
-                                        "not_run",
-                                        "stopping",
-                                        "timeout",
-                                        "broken",
-                                        "cut",
-                                        NULL };
+static const char *const outcomes[]
+    = { "answered",         "endpoint_failed", "caller_left", "no_route",
+        "no_configuration", "no_endpoint",     "full",        "limited",
+        "out_of_time",      "not_run",         "suspect",     "stopping",
+        "timeout",          "broken",          "cut",         NULL };
 static const char *const obstacles[]
     = { "draining", "leaving", "declined", "data_centre_out",
         "cold",     "limited", NULL };
@@ -198,6 +190,10 @@
   = { "peridot_withheld_total",
       "Endpoints that a round of probes left out, by the reason.", "reason",
       obstacles },
+  [TELEMETRY_SUSPECTS]
+  = { "peridot_suspects_total",
+      "Changes of suspicions that a request crashes endpoints.", "change",
+      suspect_changes },
   [TELEMETRY_PERMITS]
   = { "peridot_permits_total",
       "Permits for requests to endpoints that have stated a limit.", "result",
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -123,6 +123,9 @@
                              a limit */
   TELEMETRY_PERMITS, /* 0 asked, 1 issued, 2 refused: permits for requests to
                         endpoints that have stated a limit */
+  /* 0 an endpoint has ended under a request, 1 a request suspected of that was
+     answered, 2 another instance told of either: changes of suspicions */
+  TELEMETRY_SUSPECTS,
   /* choose_obstacle_t less 1: endpoints that a round of probes left out */
   TELEMETRY_WITHHELD,
   TELEMETRY_COUNTER_COUNT /* number of families */
@@ -145,6 +148,7 @@
                                     used up */
   TELEMETRY_OUTCOME_OUT_OF_TIME, /* no endpoint could respond in time */
   TELEMETRY_OUTCOME_NOT_RUN,     /* every attempt failed before execution */
+  TELEMETRY_OUTCOME_SUSPECT,     /* endpoints have ended under it */
   TELEMETRY_OUTCOME_STOPPING,    /* this instance is shutting down */
   /* With the outcomes from here to TELEMETRY_OUTCOME_CUT, the request failed
      and may have been executed.  */
--- a/peridotctl/logs.c
+++ b/peridotctl/logs.c
@@ -12,12 +12,25 @@
 /* Length of a timestamp without the fraction of the second.  */
 #define TIMESTAMP_SECONDS_LENGTH 19
 
+/* Beginning of the detail of a refusal of a request under which endpoints have
+   ended; its digest follows.  */
+#define SUSPECT_DETAIL "suspect "
+
 typedef struct log_entry
 {
   json_object *object;
   const char *time; /* time of the entry; belongs to @object */
 } log_entry_t;
 
+/* A request under which endpoints have ended, as the log shows it.  */
+typedef struct log_suspect
+{
+  const log_entry_t *last_change; /* last entry about it that is not a refusal;
+                                     NULL: none */
+  const char *digest;
+  int refusal_count;
+} log_suspect_t;
+
 static int read_files (const char *const files[], int count, GArray *entries);
 static int read_stream (FILE *stream, const char *name, GArray *entries);
 static gint compare_times (gconstpointer a, gconstpointer b);
@@ -30,6 +43,9 @@
 static bool is_failure (const log_entry_t *entry);
 static void increment_count (GHashTable *counts, const char *kind,
                              const char *key);
+static const char *get_suspect_digest (const log_entry_t *entry);
+static gint compare_suspects (gconstpointer a, gconstpointer b);
+static void print_suspects (const ctl_options_t *opts, GList *suspects);
 static void print_counts (const ctl_options_t *opts, GHashTable *counts,
                           json_object *totals);
 
@@ -125,8 +141,9 @@
              bool is_of_request)
 {
   static const char *const keys[]
-      = { "detail",         "route", "service", "endpoint",      "load",
-          "config_version", "ms",    "rounds",  "caller_age_ms", "trail" };
+      = { "detail", "route",  "service",       "endpoint",
+          "load",   "digest", "endings",       "config_version",
+          "ms",     "rounds", "caller_age_ms", "trail" };
 
   if (opts->json)
     {
@@ -284,3 +301,114 @@
   g_array_free (entries, TRUE);
   return result;
 }
+
+/* Returns the digest of the request under which endpoints have ended if the
+   entry is about one, or NULL.  */
+static const char *
+get_suspect_digest (const log_entry_t *entry)
+{
+  const char *digest = ctl_get_text (entry->object, "digest");
+  const char *detail = ctl_get_text (entry->object, "detail");
+
+  if (*digest != '\0')
+    return digest;
+  return g_str_has_prefix (detail, SUSPECT_DETAIL)
+             ? detail + strlen (SUSPECT_DETAIL)
+             : NULL;
+}
+
+static gint
+compare_suspects (gconstpointer a, gconstpointer b)
+{
+  const log_suspect_t *left = a;
+  const log_suspect_t *right = b;
+
+  return strcmp (left->digest, right->digest);
+}
+
+static void
+print_suspects (const ctl_options_t *opts, GList *suspects)
+{
+  static const char *const headings[]
+      = { "DIGEST", "ENDPOINTS", "REFUSED", "LAST",
+          "EVENT",  "REQUEST",   "ENDPOINT" };
+  static const char *const keys[]
+      = { "time", "message", "request", "endpoint" };
+  table_t *table = table_new ((int)G_N_ELEMENTS (headings));
+  json_object *list = json_object_new_array ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (headings); i++)
+    table_add (table, headings[i]);
+  for (GList *link = suspects; link != NULL; link = link->next)
+    {
+      const log_suspect_t *suspect = link->data;
+      const log_entry_t *last = suspect->last_change;
+      json_object *item = json_object_new_object ();
+
+      json_object_object_add (item, "digest",
+                              json_object_new_string (suspect->digest));
+      json_object_object_add (item, "refused",
+                              json_object_new_int (suspect->refusal_count));
+      if (last != NULL)
+        json_object_object_add (item, "last", json_object_get (last->object));
+      json_object_array_add (list, item);
+      table_add (table, suspect->digest);
+      table_add (table,
+                 last != NULL ? ctl_get_text (last->object, "endings") : "");
+      table_add_number (table, (uint64_t)suspect->refusal_count);
+      for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+        table_add (table,
+                   last != NULL ? ctl_get_text (last->object, keys[i]) : "");
+    }
+  if (opts->json)
+    puts (json_object_to_json_string_ext (list, JSON_C_TO_STRING_PLAIN));
+  else
+    table_print (table);
+  table_free (table);
+  json_object_put (list);
+}
+
+ctl_exit_t
+logs_list_suspects (const ctl_options_t *opts, const char *const files[],
+                    int count)
+{
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (log_entry_t));
+  GHashTable *by_digest
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  GList *suspects = NULL;
+  ctl_exit_t result = CTL_REFUSED;
+
+  g_array_set_clear_func (entries, clear_entry);
+  if (read_files (files, count, entries) != 0)
+    goto out;
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const log_entry_t *entry = &g_array_index (entries, log_entry_t, i);
+      const char *digest = get_suspect_digest (entry);
+      log_suspect_t *suspect;
+
+      if (digest == NULL)
+        continue;
+      suspect = g_hash_table_lookup (by_digest, digest);
+      if (suspect == NULL)
+        {
+          suspect = g_new0 (log_suspect_t, 1);
+          suspect->digest = digest;
+          g_hash_table_insert (by_digest, (gpointer)digest, suspect);
+        }
+      if (*ctl_get_text (entry->object, "digest") != '\0')
+        suspect->last_change = entry;
+      else
+        suspect->refusal_count++;
+    }
+  suspects
+      = g_list_sort (g_hash_table_get_values (by_digest), compare_suspects);
+  print_suspects (opts, suspects);
+  result = CTL_OK;
+
+out:
+  g_list_free (suspects);
+  g_hash_table_destroy (by_digest);
+  g_array_free (entries, TRUE);
+  return result;
+}
--- a/peridotctl/logs.h
+++ b/peridotctl/logs.h
@@ -24,4 +24,11 @@
 ctl_exit_t logs_summarize (const ctl_options_t *opts,
                            const char *const files[], int count);
 
+/* Prints the requests under which endpoints have ended, by digest: the number
+   of endpoints, as last logged, the number of refusals, and the last event
+   with the request and the endpoint that it names.  Return: as
+   logs_summarize().  */
+ctl_exit_t logs_list_suspects (const ctl_options_t *opts,
+                               const char *const files[], int count);
+
 #endif
--- a/peridotctl/main.c
+++ b/peridotctl/main.c
@@ -111,7 +111,8 @@
                "          status [--wait-for-version REVISION "
                "[--timeout SECONDS]]\n"
                "          explain REQUEST-ID LOG-FILE...\n"
-               "          summary LOG-FILE...\n",
+               "          summary LOG-FILE...\n"
+               "          suspects LOG-FILE...\n",
                stderr);
   return CTL_USAGE;
 }
@@ -165,6 +166,8 @@
     return logs_explain_request (opts, args[1], &args[2], count - 2);
   if (strcmp (noun, "summary") == 0 && count >= 2)
     return logs_summarize (opts, &args[1], count - 1);
+  if (strcmp (noun, "suspects") == 0 && count >= 2)
+    return logs_list_suspects (opts, &args[1], count - 1);
   warnx ("no such command, or a wrong number of arguments");
   return print_usage (options);
 }
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -505,6 +505,11 @@
         self.send_response(request_id, writer)
 
     def send_response(self, request_id, writer):
+        target = self.site.sent[request_id][1]
+        if target in self.site.deadly:
+            self.site.ended[target].append(self)
+            asyncio.get_running_loop().create_task(self.stop(forget=False))
+            return
         response_body = expected_body(request_id, self.size)
         fields = {ATTEMPT_ID: request_id,
                   SIGNATURE: expected_signature(request_id, response_body),
@@ -663,6 +668,10 @@
         # (bytes, seconds) of each response of a fault of ENDLESS.
         self.endless_sent = []
         self.sent = {}
+        # Targets of requests under which endpoints end, and the endpoints
+        # that have ended under each.
+        self.deadly = set()
+        self.ended = collections.defaultdict(list)
         self.refused = set()
         self.refusals = []
         self.outcomes = collections.Counter()
--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -27,6 +27,8 @@
 # Time after which the entry of an endpoint that has left lapses.
 LAPSE_S = 3.0
 ODD_LEVELS = 400
+DEADLY_REQUESTS = 12
+DEADLY_ENDINGS_MAX = 3
 # After the last fault, all instances must be ready within this time, which is
 # the users' limit for the recovery.
 RECOVERY_S = 15.0
@@ -304,6 +306,28 @@
         await asyncio.sleep(self.rng.uniform(*FAULT_DURATION_S))
         endpoint.declines = None
 
+    async def deadly_request(self, _):
+        """Sends a request under which endpoints end to all instances, and
+        replaces the endpoints."""
+        site = self.site
+        target = f"/look/deadly-{len(site.ended)}"
+        self.log(f"deadly request {target}")
+        site.deadly.add(target)
+        for _ in range(DEADLY_REQUESTS):
+            try:
+                await asyncio.wait_for(
+                    site.ask(self.rng.choice(site.instances), target), 1)
+            except (OSError, asyncio.TimeoutError, platform_site.MessageError):
+                pass
+            await asyncio.sleep(self.rng.uniform(0, 0.2))
+        site.deadly.remove(target)
+        if len(site.ended[target]) > DEADLY_ENDINGS_MAX:
+            site.report_fault(f"{len(site.ended[target])} endpoints ended "
+                              f"under {target}")
+        for endpoint in site.ended[target]:
+            await site.store.remove("servers", endpoint.name)
+            await site.add_endpoint(endpoint.service, endpoint.zone)
+
     async def configure(self, _):
         self.log("configuration changes")
         await self.site.configure()
@@ -340,7 +364,7 @@
                         self.limit_endpoint, self.limit_endpoint,
                         self.take_data_centre_out, self.restore_store,
                         self.restore_store, self.odd_entry,
-                        self.decline_requests)
+                        self.decline_requests, self.deadly_request)
         while time.monotonic() - self.began < self.seconds:
             fault = self.rng.choice(instance_faults + other_faults)
             coroutine = (self.run_on_undisturbed_instance(fault, disturbed)
