Tell other instances of more suspects than one message holds

Read in the code: when more requests than a message holds (24) change at one instance within a tick, as when many endpoints end at once, those beyond were marked as told, but not sent; an instance that lacked more than 24 refused requests was told of the same 24 each time. All are sent now, in several messages. A request that arrives in the last moment of a stop is refused, not taken and ended.

--- a/lib/fleet/relay_suspects.c
+++ b/lib/fleet/relay_suspects.c
@@ -21,7 +21,7 @@
 static void encode (fleet_wire_suspect *wire, const suspect_t *suspect,
                     fleet_wire_ending *endings, clock_ms_t now);
 static size_t encode_message (relay_t *relay, const GArray *positions,
-                              clock_ms_t now, char *data);
+                              guint first, clock_ms_t now, char *data);
 static void tell_all (relay_t *relay, const GArray *positions, clock_ms_t now);
 static bool apply (relay_t *relay, const fleet_wire_suspect *wire,
                    clock_ms_t now);
@@ -45,11 +45,12 @@
     };
 }
 
-/* Encodes the entries at positions of the table, as many as fit.  @data:
-   buffer of RELAY_BUFFER_BYTES bytes.  Return: length in bytes, or 0.  */
+/* Encodes the entries at positions of the table from the one with index @first
+   on, as many as fit into a message.  @data: buffer of RELAY_BUFFER_BYTES
+   bytes.  Return: length in bytes, or 0.  */
 static size_t
-encode_message (relay_t *relay, const GArray *positions, clock_ms_t now,
-                char *data)
+encode_message (relay_t *relay, const GArray *positions, guint first,
+                clock_ms_t now, char *data)
 {
   fleet_wire_suspect suspects[FLEET_SUSPECTS_MAX];
   fleet_wire_ending endings[FLEET_SUSPECTS_MAX][FLEET_ENDINGS_MAX];
@@ -57,11 +58,12 @@
   fleet_wire_suspects *wire = &message.body.fleet_wire_body_u.suspects;
 
   wire->suspects.suspects_val = suspects;
-  wire->suspects.suspects_len = MIN (positions->len, FLEET_SUSPECTS_MAX);
+  wire->suspects.suspects_len
+      = MIN (positions->len - first, FLEET_SUSPECTS_MAX);
   for (u_int i = 0; i < wire->suspects.suspects_len; i++)
     encode (&suspects[i],
             suspects_get (relay->view->suspects,
-                          g_array_index (positions, int, i)),
+                          g_array_index (positions, int, first + i)),
             endings[i], now);
   return relay_encode_message (relay, &message, data, RELAY_BUFFER_BYTES);
 }
@@ -70,13 +72,15 @@
 tell_all (relay_t *relay, const GArray *positions, clock_ms_t now)
 {
   char data[RELAY_BUFFER_BYTES];
-  size_t length = encode_message (relay, positions, now, data);
-  GArray *groups;
+  GArray *groups = spread_plan (relay->members, relay->sequence_number, now);
 
-  if (length == 0)
-    return;
-  groups = spread_plan (relay->members, relay->sequence_number, now);
-  relay_send_to_groups (relay, groups, data, length);
+  for (guint i = 0; i < positions->len; i += FLEET_SUSPECTS_MAX)
+    {
+      size_t length = encode_message (relay, positions, i, now, data);
+
+      if (length > 0)
+        relay_send_to_groups (relay, groups, data, length);
+    }
   g_array_unref (groups);
 }
 
@@ -118,7 +122,6 @@
   uint64_t own_digest = suspects_refused_digest (suspects);
   char data[RELAY_BUFFER_BYTES];
   GArray *refused;
-  size_t length;
 
   if (own_digest == 0 || own_digest == digest
       || decide_rng_below (&relay->rng, MAX (tellers, 1)) >= TELLERS_MEAN)
@@ -127,9 +130,13 @@
   for (int i = 0; i < suspects_count (suspects); i++)
     if (suspects_get (suspects, i)->n_endings == SUSPECT_ENDINGS_MAX)
       g_array_append_val (refused, i);
-  length = encode_message (relay, refused, now, data);
-  if (length > 0)
-    relay_send_to (relay, ip, data, length);
+  for (guint i = 0; i < refused->len; i += FLEET_SUSPECTS_MAX)
+    {
+      size_t length = encode_message (relay, refused, i, now, data);
+
+      if (length > 0)
+        relay_send_to (relay, ip, data, length);
+    }
   g_array_unref (refused);
 }
 
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -201,7 +201,7 @@
       = now + (clock_ms_t)(admission->service_time_ms * STOP_TIME_FACTOR);
 
   if (now >= proxy->refuse_from
-      || MIN (likely_end, admission->response_deadline) > proxy->answer_by)
+      || MIN (likely_end, admission->response_deadline) >= proxy->answer_by)
     return true;
   admission->response_deadline
       = MIN (admission->response_deadline, proxy->answer_by);
