--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -505,7 +505,7 @@
         self.send_response(request_id, writer)
 
     def send_response(self, request_id, writer):
-        target = self.site.sent[request_id][1]
+        _, target, _ = self.site.sent.get(request_id, (None, None, None))
         if target in self.site.deadly:
             self.site.ended[target].append(self)
             asyncio.get_running_loop().create_task(self.stop(forget=False))
