--- a/lib/balance/backends.c
+++ b/lib/balance/backends.c
@@ -27,6 +27,7 @@
 
 static void entry_copy (backend_entry_t *to, const backend_entry_t *from);
 static void entry_clear (backend_entry_t *entry);
+static service_index_t add_service (backends_t *backends, const char *name);
 static backend_t *allocate_backend (backends_t *backends);
 static void release_backend (backends_t *backends, backend_t *backend);
 
@@ -83,17 +84,67 @@
   for (guint i = 0; i < backends->services->len; i++)
     {
       service = g_ptr_array_index (backends->services, i);
-      if (strcmp (service->name, name) == 0)
+      if (!service->is_canary && strcmp (service->name, name) == 0)
         return (service_index_t)i;
     }
-  service = g_new0 (service_t, 1);
+  return add_service (backends, name);
+}
+
+static service_index_t
+add_service (backends_t *backends, const char *name)
+{
+  service_t *service = g_new0 (service_t, 1);
+
   service->name = g_strdup (name);
   service->health_path = g_strdup ("/");
   service->full_load_slowdown = 1.0;
+  service->canary = -1;
   g_ptr_array_add (backends->services, service);
   return (service_index_t)backends->services->len - 1;
 }
 
+service_index_t
+backends_ensure_canary (backends_t *backends, service_index_t service)
+{
+  service_t *entry = backends_service_get (backends, service);
+
+  if (entry->canary < 0)
+    {
+      entry->canary = add_service (backends, entry->name);
+      backends_service_get (backends, entry->canary)->is_canary = true;
+      backends_sync_canary (backends, service);
+    }
+  return entry->canary;
+}
+
+void
+backends_sync_canary (backends_t *backends, service_index_t service)
+{
+  const service_t *entry = backends_service_get (backends, service);
+  service_t *canary;
+
+  if (entry->canary < 0)
+    return;
+  canary = backends_service_get (backends, entry->canary);
+  g_free (canary->health_path);
+  canary->health_path = g_strdup (entry->health_path);
+  canary->connections_max = entry->connections_max;
+  canary->cold_per_s = entry->cold_per_s;
+}
+
+void
+backends_set_track (backends_t *backends, backend_t *backend,
+                    backend_track_t track)
+{
+  service_index_t service
+      = backends_ensure_service (backends, backend->entry.service);
+
+  backend->track = track;
+  backend->service = track == BACKEND_CANARY
+                         ? backends_ensure_canary (backends, service)
+                         : service;
+}
+
 service_t *
 backends_service_get (backends_t *backends, service_index_t service)
 {
--- a/lib/balance/backends.h
+++ b/lib/balance/backends.h
@@ -67,6 +67,16 @@
   BACKEND_ID_MISMATCH  /* another endpoint responds at this address */
 } backend_health_t;
 
+/* Which requests an endpoint may get, by the version of its software (see
+   rollouts.h).  */
+typedef enum backend_track
+{
+  BACKEND_STABLE,  /* those of its service */
+  BACKEND_CANARY,  /* those of its service that a rollout gives to the new
+                      version */
+  BACKEND_WITHHELD /* none */
+} backend_track_t;
+
 /* An endpoint in the table.  */
 typedef struct backend
 {
@@ -76,7 +86,9 @@
   bool in_use;         /* false: the table entry is on the free list */
   bool removed; /* always false, since the table entry of a removed endpoint is
                    put on the free list at once */
-  service_index_t service;
+  service_index_t service; /* if @track is BACKEND_CANARY, the canary pool of
+                              its service */
+  backend_track_t track;
   clock_ms_t cold_until;        /* time at which the warm-up ends */
   backend_health_t health;      /* result of the last probe */
   clock_ms_t health_checked_at; /* time of the last probe */
@@ -125,6 +137,9 @@
   double full_load_slowdown; /* factor by which requests take longer when
                                 nearly all slots of the endpoint are in use, at
                                 least 1 */
+  service_index_t canary;    /* service that has the endpoints in track
+                                BACKEND_CANARY; -1: none was needed yet */
+  bool is_canary;            /* it is such a service */
   void *user; /* the proxy's state of the service, a service_state_t; NULL: not
                  created yet */
 } service_t;
@@ -141,6 +156,16 @@
                                          const char *name);
 service_t *backends_service_get (backends_t *backends,
                                  service_index_t service);
+/* Returns the index of a service's canary pool, which is added if there is
+   none.  backends_sync_canary() has to be called when the rules of the service
+   change.  */
+service_index_t backends_ensure_canary (backends_t *backends,
+                                        service_index_t service);
+/* Copies the rules of a service to its canary pool, if it has one.  */
+void backends_sync_canary (backends_t *backends, service_index_t service);
+/* Sets the track of an endpoint, and its service index accordingly.  */
+void backends_set_track (backends_t *backends, backend_t *backend,
+                         backend_track_t track);
 int backends_service_count (const backends_t *backends);
 
 /**
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -100,6 +100,8 @@
     return CHOOSE_DRAINING;
   if (backend->says_leaving)
     return CHOOSE_LEAVING;
+  if (backend->track == BACKEND_WITHHELD)
+    return CHOOSE_VERSION;
   if (now < backend->declined_until)
     return CHOOSE_DECLINED;
   if (backends_is_data_centre_out (backends, backend->entry.data_centre))
@@ -129,6 +131,7 @@
         continue;
       obstacle = choose_get_obstacle (backends, backend, now);
       if (obstacle == CHOOSE_DRAINING || obstacle == CHOOSE_LEAVING
+          || obstacle == CHOOSE_VERSION
           || backends_is_data_centre_out (backends,
                                           backend->entry.data_centre))
         continue;
@@ -144,8 +147,8 @@
 choose_obstacle_name (choose_obstacle_t obstacle)
 {
   static const char *const names[CHOOSE_OBSTACLE_COUNT]
-      = { "none", "draining", "leaving", "declined", "data centre out",
-          "cold", "limited" };
+      = { "none",     "draining",        "leaving", "version",
+          "declined", "data centre out", "cold",    "limited" };
 
   return names[obstacle];
 }
--- a/lib/balance/choose.h
+++ b/lib/balance/choose.h
@@ -60,6 +60,7 @@
   CHOOSE_NO_OBSTACLE,
   CHOOSE_DRAINING,        /* according to its entry in the store */
   CHOOSE_LEAVING,         /* according to its responses */
+  CHOOSE_VERSION,         /* a rollout gives its version no requests */
   CHOOSE_DECLINED,        /* it has asked for no requests for a time */
   CHOOSE_DATA_CENTRE_OUT, /* its data centre is out of service */
   CHOOSE_COLD,            /* it is warming up, and others may send to it */
--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -30,6 +30,10 @@
    write.  */
 #define STORE_MEMBERS_RETRY_MS 1500
 
+/* Shortest time between lists of the rollouts because endpoints of a version
+   wait for an order.  */
+#define ORDER_LOOK_INTERVAL_MS 1000
+
 /* State of the calls that read one kind of object.  After a complete list, the
    objects are watched for changes; endpoints are listed periodically
    instead.  */
@@ -63,7 +67,11 @@
   uint64_t stored_digest;   /* digest of the members that the store lists */
   store_revision_t members_revision; /* store revision of the list of members;
                                 zero: the store has no list */
-  bool stopping;                     /* feed_stop() was called */
+  char *storing_rollout; /* service of the rollout whose phase a pending call
+                            of store_rollout() writes; NULL: none is pending */
+  rollout_phase_t storing_phase; /* that phase */
+  clock_ms_t next_order_look_at; /* ms; see look_for_order() */
+  bool stopping;                 /* feed_stop() was called */
   bool was_reader;        /* this instance was the reader at the last tick */
   bool store_unreachable; /* the last call that listed the endpoints failed */
   bool knows_era;         /* a response of the store was received */
@@ -85,6 +93,11 @@
 static void enter_era (feed_t *feed, const feed_response_t *response);
 static void record_list_success (feed_t *feed, clock_ms_t now);
 static void stop_reading (feed_t *feed);
+static void look_for_order (feed_t *feed, clock_ms_t now);
+static void drop_rollout_list (feed_t *feed);
+static rollout_order_t make_order (const feed_rollout_t *rollout);
+static void apply_rollouts (feed_t *feed, const GPtrArray *items,
+                            clock_ms_t now);
 static void store_members (feed_t *feed, clock_ms_t now);
 static void apply_members (feed_t *feed, const feed_item_t *item,
                            clock_ms_t now);
@@ -113,6 +126,12 @@
       g_free (item->backend);
     }
   routes_free (item->routes);
+  if (item->rollout != NULL)
+    {
+      g_free (item->rollout->service);
+      g_free (item->rollout->version);
+      g_free (item->rollout);
+    }
   if (item->members != NULL)
     g_ptr_array_free (item->members, TRUE);
   g_free (item->name);
@@ -140,6 +159,7 @@
 {
   for (int i = 0; i < FEED_KIND_COUNT; i++)
     g_ptr_array_free (feed->channels[i].items, TRUE);
+  g_free (feed->storing_rollout);
   g_free (feed);
 }
 
@@ -171,6 +191,7 @@
   view_log_each_change (feed->view, reader->is_reader);
   if (reader->is_reader)
     {
+      look_for_order (feed, now);
       for (int i = 0; i < FEED_KIND_COUNT; i++)
         start_next_call (feed, (feed_kind_t)i, now);
       store_members (feed, now);
@@ -181,6 +202,33 @@
     start_list (feed, FEED_BACKENDS, NULL);
 }
 
+/* Lists the rollouts if endpoints of a version wait for an order, which a lost
+   response of the watch may have had.  */
+static void
+look_for_order (feed_t *feed, clock_ms_t now)
+{
+  channel_t *channel = &feed->channels[FEED_ROLLOUTS];
+
+  if (!rollouts_has_unordered (feed->view->rollouts) || !channel->has_list
+      || now < feed->next_order_look_at)
+    return;
+  feed->next_order_look_at = now + ORDER_LOOK_INTERVAL_MS;
+  drop_rollout_list (feed);
+}
+
+/* Makes the feed list the rollouts anew.  */
+static void
+drop_rollout_list (feed_t *feed)
+{
+  channel_t *channel = &feed->channels[FEED_ROLLOUTS];
+
+  if (channel->busy)
+    feed->source.cancel (feed->source.context, FEED_ROLLOUTS);
+  channel->busy = false;
+  channel->has_list = false;
+  channel->next_call_at = 0;
+}
+
 /* Writes the list of members to the store if it differs from the one there and
    the delay after the change has passed.  */
 static void
@@ -223,6 +271,41 @@
   feed->channels[FEED_MEMBERS].has_list = false;
 }
 
+int
+feed_store_rollout (feed_t *feed, rollout_t *rollout)
+{
+  if (feed->stopping || feed->storing_rollout != NULL
+      || !feed->channels[FEED_ROLLOUTS].has_list
+      || store_revision_is_zero (rollout->revision)
+      || rollout->revision.era != feed->era)
+    return -EBUSY;
+  feed->storing_rollout = g_strdup (rollout->service);
+  feed->storing_phase = rollout->step.phase;
+  feed->source.store_rollout (feed->source.context, rollout);
+  return 0;
+}
+
+void
+feed_handle_rollout_result (feed_t *feed, int error, store_revision_t revision)
+{
+  g_autofree char *service = g_steal_pointer (&feed->storing_rollout);
+  rollout_t *rollout
+      = service != NULL ? rollouts_find (feed->view->rollouts, service) : NULL;
+
+  if (error == 0 && revision.era == feed->era && rollout != NULL)
+    {
+      rollout->revision = revision;
+      rollout->stored_phase = feed->storing_phase == ROLLOUT_PROMOTED
+                                  ? ROLLOUT_COMPLETED
+                                  : feed->storing_phase;
+      return;
+    }
+  g_info ("cannot write the state of a rollout to the store: %s",
+          g_strerror (error == 0 ? ESTALE : -error));
+  /* Another instance may have written, or this call may have taken effect.  */
+  drop_rollout_list (feed);
+}
+
 /* Cancels the pending lists and watches.  When the feed reads again, it begins
    with complete lists.  */
 static void
@@ -253,6 +336,8 @@
      again.  */
   if (feed->store_unreachable && kind != FEED_BACKENDS)
     return;
+  if (kind == FEED_ROLLOUTS && !feed->view->has_rollouts)
+    return;
   /* The list of members needs no watch: only readers write it, and each knows
      its own writes.  */
   if (kind == FEED_MEMBERS && channel->has_list)
@@ -280,8 +365,14 @@
 get_watch_wait (const feed_t *feed, feed_kind_t kind)
 {
   const feed_bounds_t *bounds = &feed->bounds;
-  clock_ms_t in_force = kind == FEED_CONFIG ? bounds->config_in_force
-                                            : bounds->out_of_service_in_force;
+  clock_ms_t in_force;
+
+  /* An order that is learnt late harms nobody: endpoints of a version without
+     an order get no requests for a time.  */
+  if (kind == FEED_ROLLOUTS)
+    return WATCH_WAIT_MAX_MS;
+  in_force = kind == FEED_CONFIG ? bounds->config_in_force
+                                 : bounds->out_of_service_in_force;
 
   return CLAMP (MAX (bounds->fault_excused, in_force) - MISSED_CHANGE_MS
                     - WATCH_RESPONSE_MS,
@@ -484,6 +575,9 @@
       view_set_out_of_service (feed->view, values, revision, now);
       g_ptr_array_free (values, TRUE);
       break;
+    case FEED_ROLLOUTS:
+      apply_rollouts (feed, channel->items, now);
+      break;
     default:
       for (guint i = 0; i < channel->items->len; i++)
         apply_item (feed, kind, g_ptr_array_index (channel->items, i), now);
@@ -520,6 +614,8 @@
           view_set_out_of_service (feed->view, names, revision, now);
           g_ptr_array_free (names, TRUE);
         }
+      else if (kind == FEED_ROLLOUTS && item->removed)
+        view_cancel_rollouts (feed->view, item->name, NULL, now);
       else if (!item->removed)
         apply_item (feed, kind, item, now);
     }
@@ -537,6 +633,43 @@
     apply_members (feed, item, now);
   else if (kind == FEED_BACKENDS && item->backend != NULL)
     view_put_backend (feed->view, item->backend, now);
+  else if (kind == FEED_ROLLOUTS && item->rollout != NULL)
+    {
+      rollout_order_t order = make_order (item->rollout);
+
+      view_put_rollout (feed->view, &order, item->revision,
+                        item->rollout->stored_phase, now);
+    }
+}
+
+static rollout_order_t
+make_order (const feed_rollout_t *rollout)
+{
+  return (rollout_order_t){ .service = rollout->service,
+                            .version = rollout->version,
+                            .duration = rollout->duration,
+                            .created = rollout->created };
+}
+
+/* Applies a complete list of the orders.  */
+static void
+apply_rollouts (feed_t *feed, const GPtrArray *items, clock_ms_t now)
+{
+  GPtrArray *orders = g_ptr_array_new_with_free_func (g_free);
+
+  for (guint i = 0; i < items->len; i++)
+    {
+      feed_item_t *item = g_ptr_array_index (items, i);
+      rollout_order_t order;
+
+      if (item->rollout == NULL)
+        continue;
+      order = make_order (item->rollout);
+      apply_item (feed, FEED_ROLLOUTS, item, now);
+      g_ptr_array_add (orders, g_memdup2 (&order, sizeof order));
+    }
+  view_cancel_rollouts (feed->view, NULL, orders, now);
+  g_ptr_array_free (orders, TRUE);
 }
 
 /* Adds the instances in the store's list to the table of members.  Members
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -20,6 +20,8 @@
   FEED_CONFIG,         /* routes, services and limits */
   FEED_OUT_OF_SERVICE, /* one object for each data centre that is out of
                           service */
+  FEED_ROLLOUTS,  /* one object for each service whose software is replaced;
+                     read only if rollouts are enabled */
   FEED_MEMBERS,   /* a single object with the list of instances, which only
                      readers write */
   FEED_KIND_COUNT /* number of kinds */
@@ -40,10 +42,23 @@
   uint32_t ip; /* IPv4 address in network byte order */
 } feed_member_t;
 
-/* A decoded object of the store.  Of @backend, @routes and @members, only the
-   one for the object's kind is set.  None is set if the object was removed, if
-   it is invalid and therefore to be skipped, or if its kind is
-   FEED_OUT_OF_SERVICE, of which only the name is used.  */
+/* An operator's order to replace the software of a service.  */
+typedef struct feed_rollout
+{
+  char *service;
+  char *version;
+  clock_ms_t duration;      /* ms */
+  store_revision_t created; /* store revision at which it was made */
+  /* Phase that the status names for this version: ROLLOUT_CANARY for one that
+     is running, ROLLOUT_ROLLED_BACK, ROLLOUT_COMPLETED, or ROLLOUT_PHASE_COUNT
+     if there is none.  */
+  rollout_phase_t stored_phase;
+} feed_rollout_t;
+
+/* A decoded object of the store.  Of @backend, @routes, @members and
+   @rollout, only the one for the object's kind is set.  None is set if the
+   object was removed, if it is invalid and therefore to be skipped, or if its
+   kind is FEED_OUT_OF_SERVICE, of which only the name is used.  */
 typedef struct feed_item
 {
   char *name; /* name of the object; that of an endpoint is its id */
@@ -52,6 +67,7 @@
   backend_entry_t *backend;  /* endpoint, for FEED_BACKENDS */
   routes_t *routes;          /* configuration, for FEED_CONFIG */
   GPtrArray *members;        /* feed_member_t *; instances, for FEED_MEMBERS */
+  feed_rollout_t *rollout;   /* for FEED_ROLLOUTS */
 } feed_item_t;
 
 /* The result of a list or a watch.  */
@@ -89,6 +105,9 @@
      @revision.  If @revision is zero, creates the list unless it exists.  */
   void (*store_members) (void *context, const members_t *members,
                          store_revision_t revision);
+  /* Writes the phase of a rollout into the status of its object, if the object
+     still has its @revision.  */
+  void (*store_rollout) (void *context, const rollout_t *rollout);
   /* Cancels the pending list or watch of a kind.  */
   void (*cancel) (void *context, feed_kind_t kind);
   void *context; /* first argument of the functions */
@@ -126,6 +145,16 @@
    if @error is 0.  */
 void feed_handle_store_result (feed_t *feed, int error,
                                store_revision_t revision);
+/**
+ * feed_store_rollout() - write the phase of a rollout into the store
+ *
+ * Return: 0 if a call was started, or -EBUSY: another one is pending, or the
+ * revision of the object is not known.
+ */
+int feed_store_rollout (feed_t *feed, rollout_t *rollout);
+/* Records the result of store_rollout(); see feed_handle_store_result().  */
+void feed_handle_rollout_result (feed_t *feed, int error,
+                                 store_revision_t revision);
 /* Frees a feed_member_t and its strings.  */
 void feed_member_free (gpointer member);
 
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -10,6 +10,9 @@
 const FLEET_LIMITS_MAX = 24;
 const FLEET_ENDINGS_MAX = 2;
 const FLEET_SUSPECTS_MAX = 24;
+const FLEET_ROLLOUTS_MAX = 4;
+const FLEET_COUNTS_MAX = 32;
+const FLEET_COUNT_VALUES = 4;
 
 typedef string fleet_wire_name<FLEET_NAME_MAX>;
 
@@ -107,6 +110,22 @@
   unsigned hyper born;       /* of the endpoint that is leaving */
 };
 
+/* A rollout of a new version of a service's software; see rollouts.h.  */
+struct fleet_wire_rollout
+{
+  string service<FLEET_NAME_MAX>;
+  string software<FLEET_NAME_MAX>; /* the new version */
+  hyper duration;
+  fleet_wire_revision created;
+  unsigned hyper id;
+  unsigned int phase;
+  unsigned int number;   /* of the step */
+  double share;
+  unsigned int active;
+  unsigned int first;
+  unsigned int age;      /* of the order */
+};
+
 const FLEET_PART_CONFIG = 1;
 const FLEET_PART_BACKENDS = 2;
 const FLEET_PART_MEMBERS = 4;
@@ -147,6 +166,7 @@
   fleet_wire_name out<FLEET_ZONES_MAX>;
   fleet_wire_member members<FLEET_LIST_MAX>;
   fleet_wire_limit limits<FLEET_LIST_MAX>; /* sent with the endpoints */
+  fleet_wire_rollout rollouts<FLEET_LIST_MAX>;
 };
 
 /* Sent by the reader to all members a few times a second.  */
@@ -169,6 +189,7 @@
   fleet_wire_limit limits<FLEET_LIMITS_MAX>;
   unsigned hyper refused_digest; /* of the requests that the sender refuses
                                     because endpoints have ended under them */
+  fleet_wire_rollout rollouts<FLEET_ROLLOUTS_MAX>; /* some, in turn */
 };
 
 /* Sent by each member to the reader that it hears, or to the seeds while it
@@ -221,11 +242,36 @@
   fleet_wire_suspect suspects<FLEET_SUSPECTS_MAX>;
 };
 
+/* How far an instance is with a rollout.  */
+struct fleet_wire_progress
+{
+  unsigned hyper id;     /* of the rollout */
+  unsigned int phase;
+  unsigned int old_in_flight; /* requests of the sender at old endpoints */
+};
+
+/* What an instance has counted since its start; see counts.h.  */
+struct fleet_wire_count
+{
+  unsigned hyper subject;
+  unsigned hyper item;
+  unsigned hyper values[FLEET_COUNT_VALUES];
+};
+
+/* Sent to the reader while there is something to count.  */
+struct fleet_wire_counts
+{
+  unsigned hyper start;  /* of the sender's process */
+  fleet_wire_progress progress<FLEET_ROLLOUTS_MAX>;
+  fleet_wire_count counts<FLEET_COUNTS_MAX>;
+};
+
 const FLEET_ANNOUNCE = 1;
 const FLEET_HELLO = 2;
 const FLEET_PERMIT_ASK = 3;
 const FLEET_PERMIT_REPLY = 4;
 const FLEET_SUSPECTS = 5;
+const FLEET_COUNTS = 6;
 
 union fleet_wire_body switch (unsigned int type)
 {
@@ -239,6 +285,8 @@
   fleet_wire_permit_reply permit_reply;
 case FLEET_SUSPECTS:
   fleet_wire_suspects suspects;
+case FLEET_COUNTS:
+  fleet_wire_counts counts;
 };
 
 /* May follow a message in its datagram: addresses that the receiver passes the
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -22,6 +22,9 @@
 #define FLEET_LIMITS_MAX 24
 #define FLEET_ENDINGS_MAX 2
 #define FLEET_SUSPECTS_MAX 24
+#define FLEET_ROLLOUTS_MAX 4
+#define FLEET_COUNTS_MAX 32
+#define FLEET_COUNT_VALUES 4
 
 typedef char *fleet_wire_name;
 
@@ -128,6 +131,21 @@
 	u_quad_t born;
 };
 typedef struct fleet_wire_limit fleet_wire_limit;
+
+struct fleet_wire_rollout {
+	char *service;
+	char *software;
+	quad_t duration;
+	fleet_wire_revision created;
+	u_quad_t id;
+	u_int phase;
+	u_int number;
+	double share;
+	u_int active;
+	u_int first;
+	u_int age;
+};
+typedef struct fleet_wire_rollout fleet_wire_rollout;
 #define FLEET_PART_CONFIG 1
 #define FLEET_PART_BACKENDS 2
 #define FLEET_PART_MEMBERS 4
@@ -178,6 +196,10 @@
 		u_int limits_len;
 		fleet_wire_limit *limits_val;
 	} limits;
+	struct {
+		u_int rollouts_len;
+		fleet_wire_rollout *rollouts_val;
+	} rollouts;
 };
 typedef struct fleet_wire_snapshot fleet_wire_snapshot;
 
@@ -211,6 +233,10 @@
 		fleet_wire_limit *limits_val;
 	} limits;
 	u_quad_t refused_digest;
+	struct {
+		u_int rollouts_len;
+		fleet_wire_rollout *rollouts_val;
+	} rollouts;
 };
 typedef struct fleet_wire_announce fleet_wire_announce;
 
@@ -266,11 +292,39 @@
 	} suspects;
 };
 typedef struct fleet_wire_suspects fleet_wire_suspects;
+
+struct fleet_wire_progress {
+	u_quad_t id;
+	u_int phase;
+	u_int old_in_flight;
+};
+typedef struct fleet_wire_progress fleet_wire_progress;
+
+struct fleet_wire_count {
+	u_quad_t subject;
+	u_quad_t item;
+	u_quad_t values[FLEET_COUNT_VALUES];
+};
+typedef struct fleet_wire_count fleet_wire_count;
+
+struct fleet_wire_counts {
+	u_quad_t start;
+	struct {
+		u_int progress_len;
+		fleet_wire_progress *progress_val;
+	} progress;
+	struct {
+		u_int counts_len;
+		fleet_wire_count *counts_val;
+	} counts;
+};
+typedef struct fleet_wire_counts fleet_wire_counts;
 #define FLEET_ANNOUNCE 1
 #define FLEET_HELLO 2
 #define FLEET_PERMIT_ASK 3
 #define FLEET_PERMIT_REPLY 4
 #define FLEET_SUSPECTS 5
+#define FLEET_COUNTS 6
 
 struct fleet_wire_body {
 	u_int type;
@@ -280,6 +334,7 @@
 		fleet_wire_permit_ask permit_ask;
 		fleet_wire_permit_reply permit_reply;
 		fleet_wire_suspects suspects;
+		fleet_wire_counts counts;
 	} fleet_wire_body_u;
 };
 typedef struct fleet_wire_body fleet_wire_body;
@@ -312,6 +367,7 @@
 extern  bool_t xdr_fleet_wire_config (XDR *, fleet_wire_config*);
 extern  bool_t xdr_fleet_wire_member (XDR *, fleet_wire_member*);
 extern  bool_t xdr_fleet_wire_limit (XDR *, fleet_wire_limit*);
+extern  bool_t xdr_fleet_wire_rollout (XDR *, fleet_wire_rollout*);
 extern  bool_t xdr_fleet_wire_request (XDR *, fleet_wire_request*);
 extern  bool_t xdr_fleet_wire_gone (XDR *, fleet_wire_gone*);
 extern  bool_t xdr_fleet_wire_snapshot (XDR *, fleet_wire_snapshot*);
@@ -322,6 +378,9 @@
 extern  bool_t xdr_fleet_wire_ending (XDR *, fleet_wire_ending*);
 extern  bool_t xdr_fleet_wire_suspect (XDR *, fleet_wire_suspect*);
 extern  bool_t xdr_fleet_wire_suspects (XDR *, fleet_wire_suspects*);
+extern  bool_t xdr_fleet_wire_progress (XDR *, fleet_wire_progress*);
+extern  bool_t xdr_fleet_wire_count (XDR *, fleet_wire_count*);
+extern  bool_t xdr_fleet_wire_counts (XDR *, fleet_wire_counts*);
 extern  bool_t xdr_fleet_wire_body (XDR *, fleet_wire_body*);
 extern  bool_t xdr_fleet_wire_forward (XDR *, fleet_wire_forward*);
 extern  bool_t xdr_fleet_wire_message (XDR *, fleet_wire_message*);
@@ -337,6 +396,7 @@
 extern bool_t xdr_fleet_wire_config ();
 extern bool_t xdr_fleet_wire_member ();
 extern bool_t xdr_fleet_wire_limit ();
+extern bool_t xdr_fleet_wire_rollout ();
 extern bool_t xdr_fleet_wire_request ();
 extern bool_t xdr_fleet_wire_gone ();
 extern bool_t xdr_fleet_wire_snapshot ();
@@ -347,6 +407,9 @@
 extern bool_t xdr_fleet_wire_ending ();
 extern bool_t xdr_fleet_wire_suspect ();
 extern bool_t xdr_fleet_wire_suspects ();
+extern bool_t xdr_fleet_wire_progress ();
+extern bool_t xdr_fleet_wire_count ();
+extern bool_t xdr_fleet_wire_counts ();
 extern bool_t xdr_fleet_wire_body ();
 extern bool_t xdr_fleet_wire_forward ();
 extern bool_t xdr_fleet_wire_message ();
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -324,6 +324,36 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_wire_rollout (XDR *xdrs, fleet_wire_rollout *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->duration))
+		 return FALSE;
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->created))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->share))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->active))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->first))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_request (XDR *xdrs, fleet_wire_request *objp)
 {
@@ -389,6 +419,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, FLEET_LIST_MAX,
+		sizeof (fleet_wire_rollout), (xdrproc_t) xdr_fleet_wire_rollout))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -429,6 +462,9 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->refused_digest))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, FLEET_ROLLOUTS_MAX,
+		sizeof (fleet_wire_rollout), (xdrproc_t) xdr_fleet_wire_rollout))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -523,6 +559,52 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_wire_progress (XDR *xdrs, fleet_wire_progress *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->old_in_flight))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_wire_count (XDR *xdrs, fleet_wire_count *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_u_quad_t (xdrs, &objp->subject))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->item))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->values, FLEET_COUNT_VALUES,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_wire_counts (XDR *xdrs, fleet_wire_counts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->start))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->progress.progress_val, (u_int *) &objp->progress.progress_len, FLEET_ROLLOUTS_MAX,
+		sizeof (fleet_wire_progress), (xdrproc_t) xdr_fleet_wire_progress))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, FLEET_COUNTS_MAX,
+		sizeof (fleet_wire_count), (xdrproc_t) xdr_fleet_wire_count))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_body (XDR *xdrs, fleet_wire_body *objp)
 {
@@ -551,6 +633,10 @@
 		 if (!xdr_fleet_wire_suspects (xdrs, &objp->fleet_wire_body_u.suspects))
 			 return FALSE;
 		break;
+	case FLEET_COUNTS:
+		 if (!xdr_fleet_wire_counts (xdrs, &objp->fleet_wire_body_u.counts))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -68,6 +68,7 @@
   relay->seeds = *seeds;
   relay->hooks = *hooks;
   decide_rng_seed (&relay->rng, address->sin_addr.s_addr);
+  relay->started_at = (uint64_t)g_get_real_time ();
   relay->fetch_fd = -1;
   relay->tcp_fd = -1;
   relay->fetch_buffer = g_byte_array_new ();
@@ -116,6 +117,7 @@
         || now - relay->reader->last_announcement_at > READER_LOST_MS;
 
   relay_suspects_tick (relay, now);
+  relay_counts_tick (relay, now);
   relay_serve_tick (relay, now);
   relay_fetch_tick (relay, now);
   if (!relay->reader->is_reader)
@@ -223,6 +225,9 @@
                                now);
   else if (body->type == FLEET_SUSPECTS)
     relay_handle_suspects (relay, &body->fleet_wire_body_u.suspects, now);
+  else if (body->type == FLEET_COUNTS)
+    relay_handle_counts (relay, message->sender,
+                         &body->fleet_wire_body_u.counts, now);
 }
 
 static void
@@ -394,6 +399,8 @@
                        now);
   relay_tell_missing_refused (relay, ip, wire->refused_digest,
                               relay->members->table->len, now);
+  for (u_int i = 0; i < wire->rollouts.rollouts_len; i++)
+    wire_apply_rollout (&wire->rollouts.rollouts_val[i], relay->view, now);
   /* Live endpoints may have been unable to renew their entries in the store
      while no instance could read it.  */
   if (fresh
--- a/lib/fleet/relay.h
+++ b/lib/fleet/relay.h
@@ -11,6 +11,7 @@
 #include <ev.h>
 
 #include "feed.h"
+#include "rollout_control.h"
 
 typedef struct relay relay_t;
 
@@ -19,6 +20,9 @@
 {
   /* Called when the set of live and ready instances may have changed.  */
   void (*members_changed) (void *context);
+  /* Called when another instance tells how far it is with a rollout.  */
+  void (*rollout_progress) (void *context, const char *instance,
+                            const rollout_progress_t *progress);
   void *context; /* argument of the callback */
 } relay_hooks_t;
 
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -42,6 +42,11 @@
                        lacks */
   uint32_t limits_position; /* position in the table of endpoints from which
                                the next announcement includes limits */
+  uint64_t started_at; /* identifies the start of this process in messages with
+                          counts; Unix time in us */
+  clock_ms_t counts_sent_at; /* ms; when counts were last sent */
+  uint32_t counts_sent_to;   /* address to which they were sent; network byte
+                                order */
   unsigned int sequence_number; /* number of announcements that were sent to
                                    all members so far, which also is the
                                    sequence number of the last one */
@@ -160,6 +165,17 @@
 /* Tells others of such requests where that is due.  */
 void relay_suspects_tick (relay_t *relay, clock_ms_t now);
 
+/* Adds rollouts to an announcement, in turn if there are many.  Return: their
+   number.  */
+u_int relay_add_rollouts (const relay_t *relay,
+                          fleet_wire_rollout rollouts[FLEET_ROLLOUTS_MAX],
+                          clock_ms_t now);
+/* Records what another instance has counted.  */
+void relay_handle_counts (relay_t *relay, const char *sender,
+                          const fleet_wire_counts *wire, clock_ms_t now);
+/* Sends this instance's counts to the reader where that is due.  */
+void relay_counts_tick (relay_t *relay, clock_ms_t now);
+
 /* Starts to fetch parts of the state from the instance at an address, unless a
    fetch is in progress or @now is before @relay->next_fetch_at.  @parts: bit
    mask of FLEET_PART_CONFIG, FLEET_PART_BACKENDS and FLEET_PART_MEMBERS.  */
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -146,6 +146,7 @@
                      clock_ms_t now, char *data, bool *more)
 {
   fleet_wire_change changes[FLEET_CHANGES_MAX];
+  fleet_wire_rollout rollouts[FLEET_ROLLOUTS_MAX];
   fleet_wire_message message = { .body.type = FLEET_ANNOUNCE };
   fleet_wire_announce *wire = &message.body.fleet_wire_body_u.announce;
   GByteArray *ready = members_ready_bits (relay->members);
@@ -165,6 +166,8 @@
   wire->ready.ready_val = (char *)ready->data;
   wire->refused_digest = suspects_refused_digest (relay->view->suspects);
   wire->changes.changes_val = changes;
+  wire->rollouts.rollouts_val = rollouts;
+  wire->rollouts.rollouts_len = relay_add_rollouts (relay, rollouts, now);
   if (limits != NULL)
     {
       wire->limits.limits_len = limits->len;
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -47,6 +47,8 @@
 
   view->backends = backends;
   view->suspects = suspects_new ();
+  view->rollouts = rollouts_new ();
+  view->counts = counts_new ();
   view->hooks = *hooks;
   view->out = g_ptr_array_new_with_free_func (g_free);
   view->stated_out = g_ptr_array_new_with_free_func (g_free);
@@ -70,6 +72,8 @@
   config_history_clear (&view->config_history);
   routes_free (view->routes);
   suspects_free (view->suspects);
+  rollouts_free (view->rollouts);
+  counts_free (view->counts);
   g_free (view);
 }
 
@@ -224,6 +228,12 @@
   backends_put (view->backends, entry, now);
   if (!changed)
     return;
+  if (view->has_rollouts)
+    {
+      rollouts_set_track (view->rollouts, view->backends,
+                          backends_find (view->backends, entry->id), now);
+      view->are_tracks_due = true;
+    }
   view->digest ^= entry_digest (entry);
   g_hash_table_remove (view->tombstones, entry->id);
   record_change (view, entry, entry->revision, false, now);
@@ -336,6 +346,11 @@
 view_tick (view_t *view, clock_ms_t now)
 {
   put_back_into_service (view, now);
+  if (view->are_tracks_due || rollouts_has_unordered (view->rollouts))
+    {
+      view->are_tracks_due = false;
+      rollouts_set_tracks (view->rollouts, view->backends, now);
+    }
   if (view->unlogged_updates + view->unlogged_removals == 0
       || now - view->changes_logged_at < CHANGES_LOG_INTERVAL_MS)
     return;
@@ -358,6 +373,7 @@
   if (view->has_all_backends || store_revision_is_zero (revision))
     return;
   view->has_all_backends = true;
+  rollouts_set_established (view->rollouts);
   view->history_start = revision;
   g_log_structured (
       "fleet", G_LOG_LEVEL_INFO, "MESSAGE",
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -8,6 +8,8 @@
 
 #include "backends.h"
 #include "config_change.h"
+#include "counts.h"
+#include "rollouts.h"
 #include "suspects.h"
 
 /* Limit of the number of endpoint changes in the log of changes, which is kept
@@ -45,14 +47,21 @@
   void (*routes_changed) (void *context, const routes_t *routes);
   /* Called when an endpoint was added, changed or removed.  */
   void (*backends_changed) (void *context);
+  /* Called when a rollout was ordered or has taken a step.  */
+  void (*rollouts_changed) (void *context);
   void *context; /* first argument of the callbacks */
 } view_hooks_t;
 
 typedef struct view
 {
-  backends_t *backends;            /* the endpoints */
-  suspects_t *suspects;            /* requests that may crash endpoints */
-  routes_t *routes;                /* configuration; NULL: none yet */
+  backends_t *backends; /* the endpoints */
+  suspects_t *suspects; /* requests that may crash endpoints */
+  rollouts_t *rollouts; /* rollouts of new software versions */
+  bool has_rollouts;    /* there may be such: otherwise versions of
+                           software are of no importance */
+  bool are_tracks_due;  /* the tracks of the endpoints are to be set anew */
+  counts_t *counts;     /* counts about rollouts */
+  routes_t *routes;     /* configuration; NULL: none yet */
   config_history_t config_history; /* differences between the versions before
                                       @routes */
   uint64_t config_digest;          /* config_digest() of @routes */
@@ -172,6 +181,28 @@
 void view_set_out_of_service (view_t *view, const GPtrArray *names,
                               store_revision_t revision, clock_ms_t now);
 
+/* Enables rollouts.  */
+void view_enable_rollouts (view_t *view);
+/* Adds an order that was read from the store.  @revision: of its object.
+   @stored_phase: phase that the object's status names, or
+   ROLLOUT_PHASE_COUNT.  */
+void view_put_rollout (view_t *view, const rollout_order_t *order,
+                       store_revision_t revision, rollout_phase_t stored_phase,
+                       clock_ms_t now);
+/* Cancels the running rollouts that the operator has removed: that of
+   @service or, if that is NULL, those that @orders lacks (rollout_order_t *).
+   After a restore of the store, an order may be missing for a time.  */
+void view_cancel_rollouts (view_t *view, const char *service,
+                           const GPtrArray *orders, clock_ms_t now);
+/* Takes a step of a rollout and logs it.  */
+void view_take_rollout_step (view_t *view, rollout_t *rollout,
+                             const rollout_step_t *step, const char *reason,
+                             clock_ms_t now);
+/* Records what another instance tells of a rollout; see rollouts_learn().  */
+void view_learn_rollout (view_t *view, const rollout_order_t *order,
+                         uint64_t id, const rollout_step_t *step,
+                         clock_ms_t age, clock_ms_t now);
+
 /* Whether the log of changes has all changes of the endpoints after the store
    revision @since.  False if @since is before any.  */
 bool view_has_changes_since (const view_t *view, store_revision_t since);
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -111,6 +111,46 @@
          || is_leaving_new;
 }
 
+void
+wire_from_rollout (fleet_wire_rollout *wire, const rollout_t *rollout,
+                   clock_ms_t now)
+{
+  *wire = (fleet_wire_rollout){
+    .service = rollout->service,
+    .software = rollout->version,
+    .duration = rollout->duration,
+    .created = wire_from_revision (rollout->created),
+    .id = rollout->id,
+    .phase = (u_int)rollout->step.phase,
+    .number = rollout->step.number,
+    .share = rollout->step.share,
+    .active = rollout->step.active,
+    .first = rollout->step.first,
+    .age = (u_int)CLAMP (now - rollout->started_at, 0, INT32_MAX),
+  };
+}
+
+void
+wire_apply_rollout (const fleet_wire_rollout *wire, view_t *view,
+                    clock_ms_t now)
+{
+  rollout_order_t order = { .service = wire->service,
+                            .version = wire->software,
+                            .duration = wire->duration,
+                            .created = wire_to_revision (wire->created) };
+  rollout_step_t step = { .phase = (rollout_phase_t)wire->phase,
+                          .number = wire->number,
+                          .share = wire->share,
+                          .active = wire->active,
+                          .first = wire->first };
+
+  /* This also excludes a value that is not a number.  */
+  if (!(wire->share >= 0 && wire->share <= 1))
+    return;
+  view_learn_rollout (view, &order, wire->id, &step, (clock_ms_t)wire->age,
+                      now);
+}
+
 /* Adds the limits that endpoints have stated to a snapshot.  */
 static void
 add_limits (fleet_wire_snapshot *wire, const view_t *view, clock_ms_t now)
@@ -138,6 +178,7 @@
   g_free (wire->out.out_val);
   g_free (wire->members.members_val);
   g_free (wire->limits.limits_val);
+  g_free (wire->rollouts.rollouts_val);
 }
 
 void
@@ -259,6 +300,12 @@
   wire.out.out_val = g_new0 (fleet_wire_name, view->out->len);
   for (guint i = 0; i < view->out->len; i++)
     wire.out.out_val[i] = g_ptr_array_index (view->out, i);
+  wire.rollouts.rollouts_len = (u_int)rollouts_count (view->rollouts);
+  wire.rollouts.rollouts_val
+      = g_new0 (fleet_wire_rollout, wire.rollouts.rollouts_len);
+  for (u_int i = 0; i < wire.rollouts.rollouts_len; i++)
+    wire_from_rollout (&wire.rollouts.rollouts_val[i],
+                       rollouts_get (view->rollouts, (int)i), now);
   if ((request->parts & FLEET_PART_MEMBERS) != 0)
     wire.members.members_len = members->table->len;
   wire.members.members_val = g_new0 (fleet_wire_member, members->table->len);
@@ -338,6 +385,9 @@
 
   if (wire->config.config_len > 0)
     config_error = wire_apply_config (wire->config.config_val, view);
+  /* Before the endpoints, which get requests according to their version.  */
+  for (u_int i = 0; i < wire->rollouts.rollouts_len; i++)
+    wire_apply_rollout (&wire->rollouts.rollouts_val[i], view, now);
   if ((wire->included & FLEET_PART_BACKENDS) != 0)
     apply_backends (wire, view, now);
   for (u_int i = 0; i < wire->limits.limits_len; i++)
--- a/lib/fleet/wire.h
+++ b/lib/fleet/wire.h
@@ -9,9 +9,9 @@
 #include "members.h"
 #include "view.h"
 
-/* First field of each datagram, "PRF5" in ASCII.  A datagram that begins with
+/* First field of each datagram, "PRF6" in ASCII.  A datagram that begins with
    another value is ignored.  */
-#define WIRE_MAGIC 0x50524635
+#define WIRE_MAGIC 0x50524636
 /* Length of an encoded fleet_wire_request in bytes.  */
 #define WIRE_REQUEST_BYTES 32
 
@@ -28,6 +28,13 @@
    not copied, so that @wire must outlive @entry.  */
 void wire_to_backend (const fleet_wire_backend *wire, backend_entry_t *entry);
 
+/* Sets @wire to what is known of a rollout, which must outlive it.  */
+void wire_from_rollout (fleet_wire_rollout *wire, const rollout_t *rollout,
+                        clock_ms_t now);
+/* Records what another instance tells of a rollout.  */
+void wire_apply_rollout (const fleet_wire_rollout *wire, view_t *view,
+                         clock_ms_t now);
+
 /* Sets @wire to what an endpoint has stated in its responses.  @backend must
    outlive @wire.  */
 void wire_from_limit (fleet_wire_limit *wire, const backend_t *backend,
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -27,6 +27,9 @@
    announcement from the reader for this time, lists only itself in the
    directory.  The reader is the instance that reads the store for all.  */
 #define ISOLATED_AFTER_MS 4000
+/* An instance that has received no announcement for this time gives a new
+   software version no more requests, as it would not hear that it is bad.  */
+#define ROLLOUT_SUSPEND_AFTER_MS 1500
 /* Largest number of endpoints that are probed at the same time for a
    request.  */
 #define PROBES_PER_ROUND 5
@@ -57,6 +60,9 @@
                               int events);
 static void on_routes_changed (void *context, const routes_t *routes);
 static void on_backends_changed (void *context);
+static void on_rollouts_changed (void *context);
+static void on_rollout_progress (void *context, const char *name,
+                                 const rollout_progress_t *progress);
 static void on_members_changed (void *context);
 static void on_permit_needed (void *context, backend_t *backend,
                               clock_ms_t wait_max);
@@ -82,9 +88,11 @@
   instance_t instance = { .settings = *settings, .hooks = *hooks };
   view_hooks_t view_hooks = { .routes_changed = on_routes_changed,
                               .backends_changed = on_backends_changed,
+                              .rollouts_changed = on_rollouts_changed,
                               .context = &instance };
-  relay_hooks_t relay_hooks
-      = { .members_changed = on_members_changed, .context = &instance };
+  relay_hooks_t relay_hooks = { .members_changed = on_members_changed,
+                                .rollout_progress = on_rollout_progress,
+                                .context = &instance };
   proxy_settings_t proxy_settings = { .names = settings->names,
                                       .retry_rules = settings->retry_rules,
                                       .probes_per_round = PROBES_PER_ROUND,
@@ -109,6 +117,12 @@
       = proxy_new (instance.loop, &proxy_settings, instance.backends);
   instance.view = view_new (instance.backends, &view_hooks);
   proxy_set_suspects (instance.proxy, instance.view->suspects);
+  if (settings->rollout_bounds.share_max > 0)
+    {
+      view_enable_rollouts (instance.view);
+      proxy_set_rollouts (instance.proxy, instance.view->rollouts,
+                          instance.view->counts);
+    }
   instance.members
       = members_new (settings->name, settings->data_centre,
                      settings->peer_listen_address.sin_addr.s_addr);
@@ -117,6 +131,9 @@
                             instance.members, &instance.reader);
   feed_set_bounds (instance.feed, &settings->feed_bounds);
   attach (source_context, instance.feed);
+  instance.rollout_control
+      = rollout_control_new (instance.view, instance.members, &instance.reader,
+                             instance.feed, &instance.settings.rollout_bounds);
   instance.relay
       = relay_new (instance.loop, &settings->peer_listen_address,
                    instance.view, instance.members, &instance.reader,
@@ -142,6 +159,7 @@
   server_free (instance.metrics_server);
   if (instance.relay != NULL)
     relay_free (instance.relay);
+  rollout_control_free (instance.rollout_control);
   feed_free (instance.feed);
   proxy_free (instance.proxy);
   view_free (instance.view);
@@ -231,6 +249,11 @@
   relay_set_ready (instance->relay, is_ready (instance));
   relay_tick (instance->relay, now);
   view_tick (instance->view, now);
+  rollouts_suspend (instance->view->rollouts,
+                    !instance->reader.is_reader
+                        && now - instance->reader.last_announcement_at
+                               > ROLLOUT_SUSPEND_AFTER_MS);
+  rollout_control_tick (instance->rollout_control, now);
   pause_tick (instance, now);
   stop_tick (instance, now);
   if (now - instance->settings_checked_at >= SETTINGS_CHECK_INTERVAL_MS)
@@ -271,6 +294,7 @@
   instance->settings.stop_timeout = settings.stop_timeout;
   instance->settings.addresses_ttl_max = settings.addresses_ttl_max;
   instance->settings.probes_per_s = settings.probes_per_s;
+  instance->settings.rollout_bounds = settings.rollout_bounds;
   feed_set_bounds (instance->feed, &settings.feed_bounds);
   proxy_set_retry_rules (instance->proxy, &settings.retry_rules);
   proxy_set_probe_limit (instance->proxy, settings.probes_per_s);
@@ -304,6 +328,25 @@
     relay_schedule_announcement (instance->relay);
 }
 
+static void
+on_rollouts_changed (void *context)
+{
+  const instance_t *instance = context;
+
+  if (instance->relay != NULL)
+    relay_schedule_announcement (instance->relay);
+}
+
+static void
+on_rollout_progress (void *context, const char *name,
+                     const rollout_progress_t *progress)
+{
+  const instance_t *instance = context;
+
+  rollout_control_learn_progress (instance->rollout_control, name, progress,
+                                  clock_now ());
+}
+
 static void
 on_members_changed (void *context)
 {
--- a/lib/instance/instance_private.h
+++ b/lib/instance/instance_private.h
@@ -15,6 +15,7 @@
   reader_t reader;
   feed_t *feed;
   relay_t *relay;
+  rollout_control_t *rollout_control;
   server_t *client_server;
   server_t *ready_server;
   server_t *addresses_server;
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -114,14 +114,15 @@
   for (guint i = 0; i < routes->services->len; i++)
     {
       const service_rules_t *rules = g_ptr_array_index (routes->services, i);
-      service_t *service = backends_service_get (
-          proxy->backends,
-          backends_ensure_service (proxy->backends, rules->name));
+      service_index_t index
+          = backends_ensure_service (proxy->backends, rules->name);
+      service_t *service = backends_service_get (proxy->backends, index);
 
       g_free (service->health_path);
       service->health_path = g_strdup (rules->health_path);
       service->connections_max = rules->connections_max;
       service->cold_per_s = rules->cold_per_s;
+      backends_sync_canary (proxy->backends, index);
     }
   proxy->least_urgent_priority = 0;
   for (guint i = 0; i < routes->routes->len; i++)
@@ -155,6 +156,13 @@
   proxy->suspects = suspects;
 }
 
+void
+proxy_set_rollouts (proxy_t *proxy, rollouts_t *rollouts, counts_t *counts)
+{
+  proxy->rollouts = rollouts;
+  proxy->counts = counts;
+}
+
 void
 proxy_set_probe_limit (proxy_t *proxy, double probes_per_s)
 {
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -8,7 +8,9 @@
 #include <ev.h>
 
 #include "backends.h"
+#include "counts.h"
 #include "repeats.h"
+#include "rollouts.h"
 #include "routes.h"
 #include "server.h"
 #include "suspects.h"
@@ -79,6 +81,10 @@
 /* Sets the table of requests that may crash endpoints; it must outlive the
    proxy's use.  Without one, no request is suspected.  */
 void proxy_set_suspects (proxy_t *proxy, suspects_t *suspects);
+/* Sets the tables of rollouts and of the counts about them; they must outlive
+   the proxy's use.  Without them, endpoints are not told apart by version.  */
+void proxy_set_rollouts (proxy_t *proxy, rollouts_t *rollouts,
+                         counts_t *counts);
 /* Replaces the rules of the retry budget.  */
 void proxy_set_retry_rules (proxy_t *proxy, const retry_budget_rules_t *rules);
 /* Holds requests, or ends that.  While requests are held, no attempt starts;
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -37,6 +37,8 @@
                             of all responses together */
   suspects_t *suspects;  /* requests that may crash endpoints; NULL: none are
                             suspected */
+  rollouts_t *rollouts;  /* NULL: there are none */
+  counts_t *counts;      /* counts about rollouts; NULL: as @rollouts */
   GArray *accusations;   /* requests whose endpoints may have ended; see
                             suspicion.c */
   int instance_count;    /* number of known instances, at least 1 */
@@ -72,7 +74,7 @@
   caller_age_t caller_age; /* recognises clients' retries by their timeouts */
 } route_state_t;
 
-/* State of the proxy for one service.  */
+/* State of the proxy for one service or canary pool.  */
 typedef struct service_state
 {
   proxy_t *proxy;
@@ -205,6 +207,8 @@
                         sent */
   route_state_t *route_state;
   service_index_t service; /* negative before the request is routed */
+  service_index_t pool;    /* service whose endpoints it waits for: @service,
+                              or its canary pool */
   clock_ms_t arrived_at;   /* time at which the request was read to its end */
   admission_request_t admission;
   clock_ms_t client_deadline; /* time at which the client stops waiting */
@@ -489,12 +493,34 @@
 /* Sends an endpoint's response to the client.  The contents of @response are
    moved out of it, so that it is empty afterwards.  */
 void request_deliver (request_t *request, response_t *response);
+/* Puts a request into the queue of its pool, where it waits for an endpoint.
+ */
+void request_enqueue (request_t *request);
+/* Takes it out of the queue, if it is in it.  */
+void request_dequeue (request_t *request);
 /* Frees a request, and closes the connections of its attempts in flight.  */
 void request_free (request_t *request);
 /* Closes the connections of all attempts in flight, except for @except, which
    may be NULL.  */
 void request_cancel_uplinks (request_t *request, uplink_t *except);
 
+/* ---- canary.c ---- */
+
+/* Decides whether a request that was just routed goes to the canary pool of
+   its service, and sets its @pool.  */
+void canary_select_pool (request_t *request);
+/* Lets the requests that wait for a canary pool without room wait for the
+   endpoints of their service instead.  */
+void canary_leave_pool (service_state_t *state);
+/**
+ * canary_count_attempt() - count the end of an attempt for the rollout of its
+ * service, if there is one
+ * @status: of the response; 0: the attempt has ended without one, and counts
+ *   only if it has taken too long
+ */
+void canary_count_attempt (const request_t *request, const uplink_t *uplink,
+                           int status);
+
 /* ---- decision_log.c ---- */
 
 /**
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -48,8 +48,6 @@
 static void detach_uplink (request_t *request, const uplink_t *uplink);
 static bool is_too_late (request_t *request);
 static void route_request (request_t *request);
-static void enqueue_request (request_t *request);
-static void dequeue_request (request_t *request);
 static void start_hedge_timer (request_t *request, clock_ms_t pause);
 static void schedule_hedge (request_t *request, const uplink_t *uplink);
 static bool reserve_retry (request_t *request, attempt_failure_t failure);
@@ -150,6 +148,7 @@
   request->trail = g_string_new (NULL);
   request->link.data = request;
   request->service = -1;
+  request->pool = -1;
   ev_init (&request->deadline_timer, on_deadline);
   ev_init (&request->hedge_timer, on_hedge_timer);
   request->deadline_timer.data = request;
@@ -231,6 +230,7 @@
     part = route_split_next (&request->route_state->split, route, &proxy->rng);
   request->service
       = backends_ensure_service (proxy->backends, route->parts[part].service);
+  request->pool = request->service;
   request->admission.urgent = route->priority < proxy->least_urgent_priority;
   set_deadlines (request, route);
   request->admission.service_time_ms = estimate_service_time (
@@ -259,17 +259,15 @@
           / 1000.0,
       0);
   ev_timer_start (proxy->loop, &request->deadline_timer);
-  enqueue_request (request);
+  canary_select_pool (request);
+  request_enqueue (request);
   probe_round_start (request);
 }
 
-/* Puts the request into its service's queue of requests that wait for an
-   endpoint.  */
-static void
-enqueue_request (request_t *request)
+void
+request_enqueue (request_t *request)
 {
-  service_state_t *state
-      = service_state_get (request->proxy, request->service);
+  service_state_t *state = service_state_get (request->proxy, request->pool);
 
   request->state = REQUEST_WAITING;
   request->marked_for_refusal = false;
@@ -278,12 +276,12 @@
   request->is_queued = true;
 }
 
-static void
-dequeue_request (request_t *request)
+void
+request_dequeue (request_t *request)
 {
   if (request->is_queued)
     g_queue_unlink (
-        &service_state_get (request->proxy, request->service)->waiting,
+        &service_state_get (request->proxy, request->pool)->waiting,
         &request->link);
   request->is_queued = false;
 }
@@ -373,7 +371,7 @@
                                  (now - request->arrived_at) * 1000);
   request->tried[request->n_tried++] = uplink->backend;
   request->uplinks[request->n_uplinks++] = uplink;
-  dequeue_request (request);
+  request_dequeue (request);
   request->state = REQUEST_SENT;
   uplink->round = NULL;
   uplink->request = request;
@@ -437,6 +435,7 @@
 
       if (uplink == except)
         continue;
+      canary_count_attempt (request, uplink, 0);
       detach_uplink (request, uplink);
       uplink_close (uplink);
     }
@@ -494,7 +493,9 @@
       telemetry_counter_increment (TELEMETRY_RETRIES, 0);
       probe_round_cancel_hedge (request);
       request->admission.waiting_since = clock_now ();
-      enqueue_request (request);
+      /* The new version of a rollout gets no retries.  */
+      request->pool = request->service;
+      request_enqueue (request);
       probe_round_start (request);
     }
   else if (request->has_error_response)
@@ -540,6 +541,7 @@
       uplink_release (uplink);
       return;
     }
+  canary_count_attempt (request, uplink, response->status);
   if (!succeeded && request->idempotent && request->state != REQUEST_STREAMING)
     {
       if (!request->has_error_response)
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -27,7 +27,7 @@
   if (request->is_queued && request->state == REQUEST_UNROUTED)
     g_queue_unlink (&proxy->unrouted, &request->link);
   else if (request->is_queued)
-    g_queue_unlink (&service_state_get (proxy, request->service)->waiting,
+    g_queue_unlink (&service_state_get (proxy, request->pool)->waiting,
                     &request->link);
   request_cancel_uplinks (request, NULL);
   if (request->exchange != NULL)
--- a/lib/proxy/round.c
+++ b/lib/proxy/round.c
@@ -60,14 +60,14 @@
 {
   proxy_t *proxy = request->proxy;
   choose_criteria_t criteria
-      = { .service = request->service,
+      = { .service = request->pool,
           .excluded = request->tried,
           .n_excluded = request->n_tried,
           .count = proxy->settings.probes_per_round,
           .remote = request->bulk ? 0 : REMOTE_PROBES_FIRST };
   probe_round_t *round = g_new0 (probe_round_t, 1);
 
-  permits_ask (service_state_get (proxy, request->service), true);
+  permits_ask (service_state_get (proxy, request->pool), true);
   start_probes (proxy, &criteria, round);
 }
 
@@ -480,6 +480,7 @@
   if (round->is_followup)
     state->followup_round_active = false;
   free_round (round);
+  canary_leave_pool (state);
   refuse_marked_requests (state);
   permits_ask (state, false);
   schedule_next_round (state);
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -73,8 +73,12 @@
         "out_of_time",      "not_run",         "suspect",     "stopping",
         "timeout",          "broken",          "cut",         NULL };
 static const char *const obstacles[]
-    = { "draining", "leaving", "declined", "data_centre_out",
-        "cold",     "limited", NULL };
+    = { "draining",        "leaving", "version", "declined",
+        "data_centre_out", "cold",    "limited", NULL };
+static const char *const rollout_phases[]
+    = { "canary",      "ramp",      "promoted", "cancelled",
+        "rolled_back", "completed", NULL };
+static const char *const canary_results[] = { "sent", "no_room", NULL };
 static const char *const older_announcements[]
     = { "unused", "newer_config", NULL };
 static const char *const reader_changes[] = { "took_over", "gave_up", NULL };
@@ -190,6 +194,14 @@
   = { "peridot_withheld_total",
       "Endpoints that a round of probes left out, by the reason.", "reason",
       obstacles },
+  [TELEMETRY_ROLLOUT_STEPS] = { "peridot_rollout_steps_total",
+                                "Steps of rollouts that were taken, by phase.",
+                                "phase", rollout_phases },
+  [TELEMETRY_CANARY_REQUESTS]
+  = { "peridot_canary_requests_total",
+      "Requests that a rollout gives to the new version: sent there, or to "
+      "the old one as the new one had no room.",
+      "result", canary_results },
   [TELEMETRY_SUSPECTS]
   = { "peridot_suspects_total",
       "Changes of suspicions that a request crashes endpoints.", "change",
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -126,6 +126,11 @@
   /* 0 an endpoint has ended under a request, 1 a request suspected of that was
      answered, 2 another instance told of either: changes of suspicions */
   TELEMETRY_SUSPECTS,
+  /* rollout_phase_t: steps of rollouts that this instance has taken */
+  TELEMETRY_ROLLOUT_STEPS,
+  /* 0 sent to the new version, 1 sent to the old one as the new one had no
+     room: requests that a rollout gives to the new version */
+  TELEMETRY_CANARY_REQUESTS,
   /* choose_obstacle_t less 1: endpoints that a round of probes left out */
   TELEMETRY_WITHHELD,
   TELEMETRY_COUNTER_COUNT /* number of families */
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -93,8 +93,9 @@
 static void
 fixture_start (fixture_t *fixture)
 {
-  view_hooks_t hooks
-      = { .routes_changed = ignore_routes, .backends_changed = ignore };
+  view_hooks_t hooks = { .routes_changed = ignore_routes,
+                         .backends_changed = ignore,
+                         .rollouts_changed = ignore };
   feed_source_t source = { .list = on_list,
                            .watch = on_watch,
                            .store_members = on_store,
@@ -105,6 +106,7 @@
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
   fixture->backends = backends_new ("front-1", "a");
   fixture->view = view_new (fixture->backends, &hooks);
+  view_enable_rollouts (fixture->view);
   fixture->members = members_new ("front-1", "a", 1);
   reader_init (&fixture->reader, false, clock_now () - 10000);
   fixture->feed = feed_new (fixture->loop, &source, fixture->view,
