--- a/lib/balance/rollouts.c
+++ b/lib/balance/rollouts.c
@@ -144,6 +144,7 @@
     .version = g_strdup (order->version),
     .id = id,
     .created = order->created,
+    .ordered = order->revision,
     .duration = order->duration,
     .started_at = started_at,
     .stepped_at = started_at,
@@ -172,7 +173,7 @@
         rollout->created = order->created;
       return rollout;
     }
-  else if (store_revision_compare (rollout->created, order->created) >= 0)
+  else if (store_revision_compare (rollout->ordered, order->revision) >= 0)
     return rollout;
   *is_new = true;
   begin (rollout, order, id, started_at);
@@ -184,7 +185,7 @@
               clock_ms_t now)
 {
   uint64_t id = XXH64 (order->service, strlen (order->service),
-                       order->created.era ^ (order->created.number << 16));
+                       order->revision.era ^ (order->revision.number << 16));
   bool is_new;
 
   id = XXH64 (order->version, strlen (order->version), id);
@@ -210,6 +211,12 @@
   if (!is_same_order (rollout, order))
     return false;
   rollout->started_at = MIN (rollout->started_at, now - age);
+  /* Two instances may have read the order at different revisions.  */
+  if (store_revision_compare (order->revision, rollout->ordered) < 0)
+    {
+      rollout->ordered = order->revision;
+      rollout->id = id;
+    }
   if (!is_new && !is_later_step (step, &rollout->step))
     return false;
   rollout->step = *step;
--- a/lib/balance/rollouts.h
+++ b/lib/balance/rollouts.h
@@ -37,9 +37,11 @@
 typedef struct rollout_order
 {
   const char *service;
-  const char *version;      /* of the new software */
-  clock_ms_t duration;      /* ms from the order until it should be done */
-  store_revision_t created; /* store revision at which it was made */
+  const char *version;       /* of the new software */
+  clock_ms_t duration;       /* ms from the order until it should be done */
+  store_revision_t created;  /* store revision at which its object was made */
+  store_revision_t revision; /* of the object when the order was read; of two
+                                orders the one with the later one holds */
 } rollout_order_t;
 
 /* What is to be done with requests.  */
@@ -71,6 +73,7 @@
   char *version;
   uint64_t id; /* the same at all instances; subject of the counts */
   store_revision_t created;
+  store_revision_t ordered; /* of the object when the order was first read */
   clock_ms_t duration;
   clock_ms_t started_at; /* ms; when the order was first seen by any
                             instance */
@@ -104,9 +107,9 @@
 /**
  * rollouts_put() - add an order that was read from the store
  *
- * An order for the same service and version is the same one, unless both were
- * made in the same era of the store at different revisions.  A later order for
- * the service replaces the one before.
+ * An order for the same service and version is the same one, unless its object
+ * was made anew in the same era of the store.  A later order for the service
+ * replaces the one before.
  *
  * Return: the rollout of the service, which is that of another order if that
  * is newer.
--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -95,7 +95,7 @@
 static void stop_reading (feed_t *feed);
 static void look_for_order (feed_t *feed, clock_ms_t now);
 static void drop_rollout_list (feed_t *feed);
-static rollout_order_t make_order (const feed_rollout_t *rollout);
+static rollout_order_t make_order (const feed_item_t *item);
 static void apply_rollouts (feed_t *feed, const GPtrArray *items,
                             clock_ms_t now);
 static void store_members (feed_t *feed, clock_ms_t now);
@@ -635,20 +635,22 @@
     view_put_backend (feed->view, item->backend, now);
   else if (kind == FEED_ROLLOUTS && item->rollout != NULL)
     {
-      rollout_order_t order = make_order (item->rollout);
+      rollout_order_t order = make_order (item);
 
-      view_put_rollout (feed->view, &order, item->revision,
-                        item->rollout->stored_phase, now);
+      view_put_rollout (feed->view, &order, item->rollout->stored_phase, now);
     }
 }
 
 static rollout_order_t
-make_order (const feed_rollout_t *rollout)
+make_order (const feed_item_t *item)
 {
+  const feed_rollout_t *rollout = item->rollout;
+
   return (rollout_order_t){ .service = rollout->service,
                             .version = rollout->version,
                             .duration = rollout->duration,
-                            .created = rollout->created };
+                            .created = rollout->created,
+                            .revision = item->revision };
 }
 
 /* Applies a complete list of the orders.  */
@@ -664,7 +666,7 @@
 
       if (item->rollout == NULL)
         continue;
-      order = make_order (item->rollout);
+      order = make_order (item);
       apply_item (feed, FEED_ROLLOUTS, item, now);
       g_ptr_array_add (orders, g_memdup2 (&order, sizeof order));
     }
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -117,6 +117,7 @@
   string software<FLEET_NAME_MAX>; /* the new version */
   hyper duration;
   fleet_wire_revision created;
+  fleet_wire_revision ordered;
   unsigned hyper id;
   unsigned int phase;
   unsigned int number;   /* of the step */
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -137,6 +137,7 @@
 	char *software;
 	quad_t duration;
 	fleet_wire_revision created;
+	fleet_wire_revision ordered;
 	u_quad_t id;
 	u_int phase;
 	u_int number;
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -337,6 +337,8 @@
 		 return FALSE;
 	 if (!xdr_fleet_wire_revision (xdrs, &objp->created))
 		 return FALSE;
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->ordered))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->phase))
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -183,12 +183,10 @@
 
 /* Enables rollouts.  */
 void view_enable_rollouts (view_t *view);
-/* Adds an order that was read from the store.  @revision: of its object.
-   @stored_phase: phase that the object's status names, or
-   ROLLOUT_PHASE_COUNT.  */
+/* Adds an order that was read from the store.  @stored_phase: phase that the
+   object's status names, or ROLLOUT_PHASE_COUNT.  */
 void view_put_rollout (view_t *view, const rollout_order_t *order,
-                       store_revision_t revision, rollout_phase_t stored_phase,
-                       clock_ms_t now);
+                       rollout_phase_t stored_phase, clock_ms_t now);
 /* Cancels the running rollouts that the operator has removed: that of
    @service or, if that is NULL, those that @orders lacks (rollout_order_t *).
    After a restore of the store, an order may be missing for a time.  */
--- a/lib/fleet/view_rollouts.c
+++ b/lib/fleet/view_rollouts.c
@@ -53,8 +53,7 @@
 
 void
 view_put_rollout (view_t *view, const rollout_order_t *order,
-                  store_revision_t revision, rollout_phase_t stored_phase,
-                  clock_ms_t now)
+                  rollout_phase_t stored_phase, clock_ms_t now)
 {
   const rollout_t *known = rollouts_find (view->rollouts, order->service);
   uint64_t known_id = known != NULL ? known->id : 0;
@@ -71,7 +70,7 @@
       apply_step (view, rollout, NULL, now);
     }
   rollout->duration = order->duration;
-  rollout->revision = revision;
+  rollout->revision = order->revision;
   rollout->stored_phase = stored_phase;
   /* What the store says of the end of a rollout holds: the platform has acted
      on it.  */
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -142,20 +142,35 @@
         # Notified when a watch of the kind begins.
         self.watch_began = collections.defaultdict(asyncio.Condition)
         self.rng = random.Random(1)
+        # Called with kind, name and status when a status has changed.
+        self.status_written = lambda *_: None
 
     async def put(self, kind, name, spec):
         old = self.objects[kind].get(name)
         if old is not None and old["spec"] == spec:
             return old
         self.revision += 1
+        created = self.revision if old is None else old["metadata"]["created"]
         obj = {"metadata": {"name": name, "revision": self.revision,
-                            "created": 1, "finalizers": [],
+                            "created": created, "finalizers": [],
                             "deleting": False},
-               "spec": spec, "status": None}
+               "spec": spec, "status": None if old is None else old["status"]}
         self.objects[kind][name] = obj
         await self.append_event(kind, obj, False)
         return obj
 
+    async def put_status(self, kind, name, status):
+        old = self.objects[kind][name]
+        if old["status"] == status:
+            return old
+        self.revision += 1
+        obj = dict(old, status=status, metadata=dict(
+            old["metadata"], revision=self.revision))
+        self.objects[kind][name] = obj
+        self.status_written(kind, name, status)
+        await self.append_event(kind, obj, False)
+        return obj
+
     async def remove(self, kind, name):
         obj = self.objects[kind].pop(name, None)
         if obj is not None:
@@ -271,6 +286,8 @@
             if expected_revision is not None and expected_revision \
                     != old["metadata"]["revision"]:
                 return 409, old
+        if parts[3:] == ["status"]:
+            return 200, await self.put_status(kind, name, sent["status"])
         return 200, await self.put(kind, name, sent["spec"])
 
     async def watch(self, kind, after, wait_ms):
@@ -339,6 +356,7 @@
         self.slots = options.get("slots", 3)
         self.queue = options.get("queue", 6)
         self.service_time_s = options.get("work", 0.02)
+        self.version = options.get("version", "v1")
         self.size = options.get("size", 400)
         self.slowdown_percent = 100
         self.reports_load = True
@@ -384,7 +402,7 @@
         if self.site.store.mode is None:
             await self.site.store.put("servers", self.name, {
                 "service": self.service, "zone": self.zone,
-                "address": "%s:%d" % self.address, "version": "v1",
+                "address": "%s:%d" % self.address, "version": self.version,
                 "slots": self.slots, "state": self.state,
                 "born": self.started_at_ms,
                 "cold-remaining-s": round(cold, 3),
@@ -587,7 +605,7 @@
             "limits": {"cpu-share": 1.0, "link-mbps": 1000.0},
             "bounds": {"retry-budget-ratio": 0.2, "retry-budget-slack": 56,
                        "retry-window-s": 10, "grace-s": 6, "ttl_max_s": 5,
-                       "probes-per-s": 60}}
+                       "probes-per-s": 60, **self.site.bounds}}
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
 
@@ -680,9 +698,12 @@
         self.next_id = 0
         self.version = 0
         self.services = {"file": ("files",)}
+        # Bounds in the instances' settings beside the usual ones.
+        self.bounds = {}
 
     async def start(self, instances=3, zones=("a", "b"), endpoints=None,
-                    prepare=None):
+                    prepare=None, bounds=None):
+        self.bounds = bounds or {}
         self.store_server = await asyncio.start_server(
             self.store.serve, "127.0.0.1", 0)
         port = self.store_server.sockets[0].getsockname()[1]
--- a/test/unit/rollouts.c
+++ b/test/unit/rollouts.c
@@ -34,7 +34,8 @@
   return (rollout_order_t){ .service = "booking",
                             .version = version,
                             .duration = 10000,
-                            .created = { .era = era, .number = created } };
+                            .created = { .era = era, .number = created },
+                            .revision = { .era = era, .number = created } };
 }
 
 static backend_t *
@@ -101,6 +102,7 @@
   rollout_order_t second = order_of ("v3", 1, 20);
   rollout_order_t again = order_of ("v2", 1, 30);
   rollout_order_t restored = order_of ("v2", 2, 5);
+  rollout_order_t edited = order_of ("v4", 1, 30);
   rollout_t *rollout;
   uint64_t id;
 
@@ -117,10 +119,20 @@
   g_assert_cmpstr (rollout->version, ==, "v2");
   g_assert_cmpint (rollout->step.phase, ==, ROLLOUT_CANARY);
   id = rollout->id;
+  /* The status was written meanwhile.  */
+  again.revision.number = 35;
+  rollout = rollouts_put (fixture.rollouts, &again, 0);
+  g_assert_cmpuint (rollout->id, ==, id);
   take (&fixture, rollout, ROLLOUT_ROLLED_BACK, 0);
   rollout = rollouts_put (fixture.rollouts, &restored, 0);
   g_assert_cmpuint (rollout->id, ==, id);
   g_assert_cmpint (rollout->step.phase, ==, ROLLOUT_ROLLED_BACK);
+  /* The object of the order may be changed to name another version.  */
+  edited.created.era = 2;
+  edited.revision = (store_revision_t){ .era = 2, .number = 40 };
+  rollout = rollouts_put (fixture.rollouts, &edited, 0);
+  g_assert_cmpstr (rollout->version, ==, "v4");
+  g_assert_cmpint (rollout->step.phase, ==, ROLLOUT_CANARY);
   g_assert_cmpint (rollouts_count (fixture.rollouts), ==, 1);
   fixture_end (&fixture);
 }
