Keys of tenants: who may send requests, and the tenant's name for endpoints

Cause: nothing knew keys.

Change: tenants are a third kind of rows of the configuration, so that a key that is added or taken away travels and takes effect like a changed route. A request needs a key of a tenant unless its route is public; without one it gets 401. The key and a tenant's name that the client states itself are not passed on; the endpoint gets the name of the key's tenant. A tenant's priority goes before the route's.

--- a/lib/balance/routes.c
+++ b/lib/balance/routes.c
@@ -1,5 +1,6 @@
 #include "routes.h"
 
+#include <errno.h>
 #include <string.h>
 
 /* Largest number of positions among which the start of a round-robin is
@@ -21,6 +22,8 @@
   routes->version = version;
   routes->routes = g_ptr_array_new_with_free_func (route_free);
   routes->services = g_ptr_array_new_with_free_func (service_rules_free);
+  routes->tenants = g_ptr_array_new_with_free_func (tenant_free);
+  routes->by_key = g_hash_table_new (g_str_hash, g_str_equal);
   return routes;
 }
 
@@ -31,6 +34,8 @@
     return;
   g_ptr_array_free (routes->routes, TRUE);
   g_ptr_array_free (routes->services, TRUE);
+  g_hash_table_destroy (routes->by_key);
+  g_ptr_array_free (routes->tenants, TRUE);
   g_free (routes);
 }
 
@@ -94,6 +99,12 @@
   g_ptr_array_add (routes->services, rules);
 }
 
+void
+routes_add_tenant (routes_t *routes, tenant_t *tenant)
+{
+  g_ptr_array_add (routes->tenants, tenant);
+}
+
 static gint
 compare_prefix (gconstpointer a, gconstpointer b)
 {
@@ -105,10 +116,34 @@
   return (left_length < right_length) - (left_length > right_length);
 }
 
-void
-routes_sort (routes_t *routes)
+int
+routes_index (routes_t *routes)
 {
+  int result = 0;
+
   g_ptr_array_sort (routes->routes, compare_prefix);
+  for (guint i = 0; i < routes->tenants->len; i++)
+    {
+      tenant_t *tenant = g_ptr_array_index (routes->tenants, i);
+
+      for (guint j = 0; j < tenant->keys->len; j++)
+        {
+          char *key = g_ptr_array_index (tenant->keys, j);
+          const tenant_t *other = g_hash_table_lookup (routes->by_key, key);
+
+          if (other == NULL)
+            g_hash_table_insert (routes->by_key, key, tenant);
+          else if (other != tenant)
+            result = -EEXIST;
+        }
+    }
+  return result;
+}
+
+const tenant_t *
+routes_find_tenant (const routes_t *routes, const char *key)
+{
+  return g_hash_table_lookup (routes->by_key, key);
 }
 
 const route_t *
--- a/lib/balance/routes.h
+++ b/lib/balance/routes.h
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "decide.h"
+#include "tenants.h"
 
 /* Largest number of services among which a route's requests are divided.  */
 #define ROUTE_PARTS_MAX 8
@@ -38,6 +39,7 @@
   int priority;       /* 0: highest */
   int endpoints_max;  /* largest number of endpoints to which one request is
                          sent */
+  bool is_public;     /* requests need no key of a tenant */
   int n_parts;
   route_part_t parts[ROUTE_PARTS_MAX];
 } route_t;
@@ -70,6 +72,10 @@
   uint64_t version;    /* version of the configuration */
   GPtrArray *routes;   /* route_t *, longest prefix first */
   GPtrArray *services; /* service_rules_t * */
+  bool requires_key;   /* requests need a key of a tenant, except on public
+                          routes */
+  GPtrArray *tenants;  /* tenant_t * */
+  GHashTable *by_key;  /* key to tenant_t *; set by routes_index() */
   client_limits_t limits;
 } routes_t;
 
@@ -82,15 +88,24 @@
 service_rules_t *service_rules_copy (const service_rules_t *rules);
 void service_rules_free (gpointer rules);
 
-/* routes_add() and routes_add_service() take ownership of @route and @rules,
-   which must be allocated with g_new0(), and their strings with
-   g_strdup().  */
+/* These take ownership of @route, @rules and @tenant.  @route and @rules must
+   be allocated with g_new0(), and their strings with g_strdup().  */
 void routes_add (routes_t *routes, route_t *route);
 void routes_add_service (routes_t *routes, service_rules_t *rules);
+void routes_add_tenant (routes_t *routes, tenant_t *tenant);
 
-/* Sorts the routes for routes_find(); has to be called once after the last
-   routes_add().  */
-void routes_sort (routes_t *routes);
+/**
+ * routes_index() - prepare the routes and tenants for routes_find() and
+ * routes_find_tenant()
+ *
+ * Has to be called once after the last of the functions above.
+ *
+ * Return: 0, or -EEXIST if two tenants have the same key.
+ */
+int routes_index (routes_t *routes);
+
+/* Returns the tenant that has a key, or NULL.  */
+const tenant_t *routes_find_tenant (const routes_t *routes, const char *key);
 
 /**
  * routes_find() - find the route with the longest prefix of the path
--- a/lib/fleet/config_change.h
+++ b/lib/fleet/config_change.h
@@ -2,9 +2,9 @@
 #define PERIDOT_FLEET_CONFIG_CHANGE_H
 
 /* Differences between versions of the configuration.  An instance is sent only
-   the rows (routes and services) that have changed since its own version, and
-   checks the result against the sender's digest, so that a version takes
-   effect whole or not at all.  */
+   the rows (routes, services and tenants) that have changed since its own
+   version, and checks the result against the sender's digest, so that a
+   version takes effect whole or not at all.  */
 
 #include "routes.h"
 
@@ -20,12 +20,15 @@
   uint64_t version; /* version that results */
   uint64_t digest;  /* config_digest() of the resulting version */
   client_limits_t limits;
+  bool requires_key; /* see routes_t */
   /* Added and changed rows.  Freed with the change only if it owns them.  */
   GPtrArray *routes;   /* route_t * */
   GPtrArray *services; /* service_rules_t * */
+  GPtrArray *tenants;  /* tenant_t * */
   /* Names of removed rows.  */
   GPtrArray *removed_routes;   /* char *, owned */
   GPtrArray *removed_services; /* char *, owned */
+  GPtrArray *removed_tenants;  /* char *, owned */
 } config_change_t;
 
 /* Differences between consecutive versions: the names of the rows that were
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -11,6 +11,7 @@
 const FLEET_ENDINGS_MAX = 2;
 const FLEET_SUSPECTS_MAX = 24;
 const FLEET_ROLLOUTS_MAX = 4;
+const FLEET_KEYS_MAX = 64;
 const FLEET_COUNTS_MAX = 32;
 const FLEET_COUNT_VALUES = 4;
 
@@ -63,6 +64,7 @@
   hyper target;
   int priority;
   int endpoints_max;
+  bool is_public;
   fleet_wire_part parts<FLEET_PARTS_MAX>;
 };
 
@@ -74,6 +76,15 @@
   double cold_per_s;
 };
 
+struct fleet_wire_tenant
+{
+  string name<FLEET_NAME_MAX>;
+  int priority;
+  double rate_per_s;
+  double burst;
+  fleet_wire_name keys<FLEET_KEYS_MAX>;
+};
+
 /* A version of the configuration, or what has changed since an older one.  */
 struct fleet_wire_config
 {
@@ -84,10 +95,13 @@
   hyper body_bytes;
   hyper header_timeout;
   hyper idle_timeout;
+  bool requires_key;
   fleet_wire_route routes<FLEET_LIST_MAX>;
   fleet_wire_service services<FLEET_LIST_MAX>;
   fleet_wire_name removed_routes<FLEET_LIST_MAX>;
   fleet_wire_name removed_services<FLEET_LIST_MAX>;
+  fleet_wire_tenant tenants<FLEET_LIST_MAX>;
+  fleet_wire_name removed_tenants<FLEET_LIST_MAX>;
 };
 
 struct fleet_wire_member
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -23,6 +23,7 @@
 #define FLEET_ENDINGS_MAX 2
 #define FLEET_SUSPECTS_MAX 24
 #define FLEET_ROLLOUTS_MAX 4
+#define FLEET_KEYS_MAX 64
 #define FLEET_COUNTS_MAX 32
 #define FLEET_COUNT_VALUES 4
 
@@ -72,6 +73,7 @@
 	quad_t target;
 	int priority;
 	int endpoints_max;
+	bool_t is_public;
 	struct {
 		u_int parts_len;
 		fleet_wire_part *parts_val;
@@ -87,6 +89,18 @@
 };
 typedef struct fleet_wire_service fleet_wire_service;
 
+struct fleet_wire_tenant {
+	char *name;
+	int priority;
+	double rate_per_s;
+	double burst;
+	struct {
+		u_int keys_len;
+		fleet_wire_name *keys_val;
+	} keys;
+};
+typedef struct fleet_wire_tenant fleet_wire_tenant;
+
 struct fleet_wire_config {
 	u_quad_t number;
 	u_quad_t base;
@@ -95,6 +109,7 @@
 	quad_t body_bytes;
 	quad_t header_timeout;
 	quad_t idle_timeout;
+	bool_t requires_key;
 	struct {
 		u_int routes_len;
 		fleet_wire_route *routes_val;
@@ -111,6 +126,14 @@
 		u_int removed_services_len;
 		fleet_wire_name *removed_services_val;
 	} removed_services;
+	struct {
+		u_int tenants_len;
+		fleet_wire_tenant *tenants_val;
+	} tenants;
+	struct {
+		u_int removed_tenants_len;
+		fleet_wire_name *removed_tenants_val;
+	} removed_tenants;
 };
 typedef struct fleet_wire_config fleet_wire_config;
 
@@ -365,6 +388,7 @@
 extern  bool_t xdr_fleet_wire_part (XDR *, fleet_wire_part*);
 extern  bool_t xdr_fleet_wire_route (XDR *, fleet_wire_route*);
 extern  bool_t xdr_fleet_wire_service (XDR *, fleet_wire_service*);
+extern  bool_t xdr_fleet_wire_tenant (XDR *, fleet_wire_tenant*);
 extern  bool_t xdr_fleet_wire_config (XDR *, fleet_wire_config*);
 extern  bool_t xdr_fleet_wire_member (XDR *, fleet_wire_member*);
 extern  bool_t xdr_fleet_wire_limit (XDR *, fleet_wire_limit*);
@@ -394,6 +418,7 @@
 extern bool_t xdr_fleet_wire_part ();
 extern bool_t xdr_fleet_wire_route ();
 extern bool_t xdr_fleet_wire_service ();
+extern bool_t xdr_fleet_wire_tenant ();
 extern bool_t xdr_fleet_wire_config ();
 extern bool_t xdr_fleet_wire_member ();
 extern bool_t xdr_fleet_wire_limit ();
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -163,6 +163,75 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->host, 512))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->prefix, 4096))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->idempotent))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->bulk))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->timeout))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->target))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->endpoints_max))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_public))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_LONG(buf, objp->priority);
+		IXDR_PUT_LONG(buf, objp->endpoints_max);
+		IXDR_PUT_BOOL(buf, objp->is_public);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_PARTS_MAX,
+			sizeof (fleet_wire_part), (xdrproc_t) xdr_fleet_wire_part))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->host, 512))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->prefix, 4096))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->idempotent))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->bulk))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->timeout))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->target))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->endpoints_max))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_public))
+				 return FALSE;
+
+		} else {
+		objp->priority = IXDR_GET_LONG(buf);
+		objp->endpoints_max = IXDR_GET_LONG(buf);
+		objp->is_public = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_PARTS_MAX,
+			sizeof (fleet_wire_part), (xdrproc_t) xdr_fleet_wire_part))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->host, 512))
@@ -181,6 +250,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->endpoints_max))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_public))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_PARTS_MAX,
 		sizeof (fleet_wire_part), (xdrproc_t) xdr_fleet_wire_part))
 		 return FALSE;
@@ -203,6 +274,25 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_wire_tenant (XDR *xdrs, fleet_wire_tenant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->rate_per_s))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->burst))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, FLEET_KEYS_MAX,
+		sizeof (fleet_wire_name), (xdrproc_t) xdr_fleet_wire_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_config (XDR *xdrs, fleet_wire_config *objp)
 {
@@ -222,6 +312,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->idle_timeout))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->requires_key))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_route), (xdrproc_t) xdr_fleet_wire_route))
 		 return FALSE;
@@ -234,6 +326,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->removed_services.removed_services_val, (u_int *) &objp->removed_services.removed_services_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_name), (xdrproc_t) xdr_fleet_wire_name))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tenants.tenants_val, (u_int *) &objp->tenants.tenants_len, FLEET_LIST_MAX,
+		sizeof (fleet_wire_tenant), (xdrproc_t) xdr_fleet_wire_tenant))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->removed_tenants.removed_tenants_val, (u_int *) &objp->removed_tenants.removed_tenants_len, FLEET_LIST_MAX,
+		sizeof (fleet_wire_name), (xdrproc_t) xdr_fleet_wire_name))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/lib/fleet/wire_config.c
+++ b/lib/fleet/wire_config.c
@@ -4,6 +4,7 @@
 
 static void to_wire_route (fleet_wire_route *wire, const route_t *route);
 static route_t *from_wire_route (const fleet_wire_route *wire);
+static tenant_t *from_wire_tenant (const fleet_wire_tenant *wire);
 static void add_names (GPtrArray *names, const fleet_wire_name *wire,
                        u_int count);
 
@@ -20,6 +21,7 @@
     .target = route->target,
     .priority = route->priority,
     .endpoints_max = route->endpoints_max,
+    .is_public = route->is_public,
   };
   wire->parts.parts_len = (u_int)route->n_parts;
   wire->parts.parts_val = g_new0 (fleet_wire_part, (gsize)route->n_parts);
@@ -42,6 +44,7 @@
     .body_bytes = change->limits.body_bytes,
     .header_timeout = change->limits.header_timeout,
     .idle_timeout = change->limits.idle_timeout,
+    .requires_key = change->requires_key,
   };
   wire->routes.routes_len = change->routes->len;
   wire->routes.routes_val = g_new0 (fleet_wire_route, change->routes->len);
@@ -67,6 +70,23 @@
   wire->removed_services.removed_services_len = change->removed_services->len;
   wire->removed_services.removed_services_val
       = (fleet_wire_name *)(void *)change->removed_services->pdata;
+  wire->removed_tenants.removed_tenants_len = change->removed_tenants->len;
+  wire->removed_tenants.removed_tenants_val
+      = (fleet_wire_name *)(void *)change->removed_tenants->pdata;
+  wire->tenants.tenants_len = change->tenants->len;
+  wire->tenants.tenants_val = g_new0 (fleet_wire_tenant, change->tenants->len);
+  for (guint i = 0; i < change->tenants->len; i++)
+    {
+      const tenant_t *tenant = g_ptr_array_index (change->tenants, i);
+      fleet_wire_tenant *to = &wire->tenants.tenants_val[i];
+
+      *to = (fleet_wire_tenant){ .name = tenant->name,
+                                 .priority = tenant->priority,
+                                 .rate_per_s = tenant->rate_per_s,
+                                 .burst = tenant->burst };
+      to->keys.keys_len = tenant->keys->len;
+      to->keys.keys_val = (fleet_wire_name *)(void *)tenant->keys->pdata;
+    }
   return wire;
 }
 
@@ -77,6 +97,7 @@
     g_free (wire->routes.routes_val[i].parts.parts_val);
   g_free (wire->routes.routes_val);
   g_free (wire->services.services_val);
+  g_free (wire->tenants.tenants_val);
   g_free (wire);
 }
 
@@ -94,6 +115,7 @@
   route->target = wire->target;
   route->priority = wire->priority;
   route->endpoints_max = wire->endpoints_max;
+  route->is_public = wire->is_public != 0;
   route->n_parts = MIN ((int)wire->parts.parts_len, ROUTE_PARTS_MAX);
   for (int i = 0; i < route->n_parts; i++)
     {
@@ -103,6 +125,19 @@
   return route;
 }
 
+static tenant_t *
+from_wire_tenant (const fleet_wire_tenant *wire)
+{
+  tenant_t *tenant = tenant_new (wire->name);
+
+  tenant->priority = wire->priority;
+  tenant->rate_per_s = wire->rate_per_s;
+  tenant->burst = wire->burst;
+  for (u_int i = 0; i < wire->keys.keys_len; i++)
+    g_ptr_array_add (tenant->keys, g_strdup (wire->keys.keys_val[i]));
+  return tenant;
+}
+
 static void
 add_names (GPtrArray *names, const fleet_wire_name *wire, u_int count)
 {
@@ -118,6 +153,7 @@
   change->version = wire->number;
   change->base = wire->base;
   change->digest = wire->digest;
+  change->requires_key = wire->requires_key != 0;
   change->limits = (client_limits_t){ .header_bytes = wire->header_bytes,
                                       .body_bytes = wire->body_bytes,
                                       .header_timeout = wire->header_timeout,
@@ -141,6 +177,12 @@
   add_names (change->removed_services,
              wire->removed_services.removed_services_val,
              wire->removed_services.removed_services_len);
+  for (u_int i = 0; i < wire->tenants.tenants_len; i++)
+    g_ptr_array_add (change->tenants,
+                     from_wire_tenant (&wire->tenants.tenants_val[i]));
+  add_names (change->removed_tenants,
+             wire->removed_tenants.removed_tenants_val,
+             wire->removed_tenants.removed_tenants_len);
   return change;
 }
 
--- a/lib/proxy/fields.c
+++ b/lib/proxy/fields.c
@@ -55,7 +55,8 @@
 
 void
 fields_append_for_endpoint (const proxy_header_names_t *names,
-                            const exchange_t *exchange, GString *fields)
+                            const exchange_t *exchange, bool requires_key,
+                            const char *tenant, GString *fields)
 {
   const char *connection = exchange_header_value (exchange, "Connection");
 
@@ -66,10 +67,15 @@
 
       if (fields_is_hop_by_hop (name) || is_listed (connection, name)
           || g_ascii_strcasecmp (name, names->time_left) == 0
-          || g_ascii_strcasecmp (name, names->expected_endpoint) == 0)
+          || g_ascii_strcasecmp (name, names->expected_endpoint) == 0
+          || (requires_key
+              && (g_ascii_strcasecmp (name, "Authorization") == 0
+                  || g_ascii_strcasecmp (name, names->tenant) == 0)))
         continue;
       g_string_append_printf (fields, "%s: %s\r\n", name, value);
     }
+  if (tenant != NULL)
+    g_string_append_printf (fields, "%s: %s\r\n", names->tenant, tenant);
   /* The endpoint needs Content-Length to find the end of a body.  A request
      without a body states a length of 0 if its method usually has a body,
      because without the field it would be unclear whether a body follows.  */
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -132,6 +132,13 @@
       proxy->least_urgent_priority
           = MAX (proxy->least_urgent_priority, route->priority);
     }
+  for (guint i = 0; i < routes->tenants->len; i++)
+    {
+      const tenant_t *tenant = g_ptr_array_index (routes->tenants, i);
+
+      proxy->least_urgent_priority
+          = MAX (proxy->least_urgent_priority, tenant->priority);
+    }
   if (!proxy->is_holding)
     request_route_all_unrouted (proxy);
 }
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -37,6 +37,7 @@
   const char *cold_left; /* remaining warm-up time of the endpoint that
                             responds, in ms */
   const char *leaving;   /* "1": the endpoint that responds is leaving */
+  const char *tenant;    /* name of the tenant that sends the request */
   const char *rate_limit; /* requests per second that the endpoint that
                              responds takes from all instances together; see
                              rate_limit_parse() */
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -268,10 +268,16 @@
 
 /* ---- fields.c ---- */
 
-/* Appends those header fields of the client's request that are forwarded to
-   the endpoint.  */
+/**
+ * fields_append_for_endpoint() - append those header fields of the client's
+ * request that are forwarded to the endpoint
+ * @requires_key: whether clients identify themselves by keys, which are not
+ *   forwarded; nor is a name of a tenant that the client states itself
+ * @tenant: name of the client's tenant, or NULL
+ */
 void fields_append_for_endpoint (const proxy_header_names_t *names,
-                                 const exchange_t *exchange, GString *fields);
+                                 const exchange_t *exchange, bool requires_key,
+                                 const char *tenant, GString *fields);
 /* Whether a header field is hop-by-hop, that is, not forwarded because it only
    concerns one connection.  Content-Length counts as hop-by-hop, because the
    proxy states the length of each message that it sends itself.  */
@@ -504,6 +510,18 @@
    may be NULL.  */
 void request_cancel_uplinks (request_t *request, uplink_t *except);
 
+/* ---- tenancy.c ---- */
+
+/**
+ * tenancy_find() - find the tenant whose key a request has
+ * @tenant: out: NULL if the request needs no key and has none of a tenant
+ *
+ * Return: 0, or -EACCES if the request needs a key and has none of a tenant,
+ * or several.
+ */
+int tenancy_find (const proxy_t *proxy, const exchange_t *exchange,
+                  const route_t *route, const tenant_t **tenant);
+
 /* ---- canary.c ---- */
 
 /* Decides whether a request that was just routed goes to the canary pool of
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -47,6 +47,7 @@
 static void record_attempt_durations (request_t *request);
 static void detach_uplink (request_t *request, const uplink_t *uplink);
 static bool is_too_late (request_t *request);
+static int get_priority (const route_t *route, const tenant_t *tenant);
 static void route_request (request_t *request);
 static void start_hedge_timer (request_t *request, clock_ms_t pause);
 static void schedule_hedge (request_t *request, const uplink_t *uplink);
@@ -207,12 +208,21 @@
   return false;
 }
 
+/* The priority of a tenant goes before that of the route.  */
+static int
+get_priority (const route_t *route, const tenant_t *tenant)
+{
+  return tenant != NULL && tenant->priority >= 0 ? tenant->priority
+                                                 : route->priority;
+}
+
 static void
 route_request (request_t *request)
 {
   proxy_t *proxy = request->proxy;
   exchange_t *exchange = request->exchange;
   const route_t *route = find_route (proxy, exchange);
+  const tenant_t *tenant;
   int part = 0;
 
   if (route == NULL)
@@ -222,6 +232,11 @@
     }
   g_free (request->route);
   request->route = g_strdup (route->name);
+  if (tenancy_find (proxy, exchange, route, &tenant) != 0)
+    {
+      request_fail (request, TELEMETRY_OUTCOME_UNAUTHORIZED, NULL);
+      return;
+    }
   request->idempotent = route->idempotent;
   request->bulk = route->bulk;
   request->endpoints_max = CLAMP (route->endpoints_max, 1, ATTEMPTS_MAX);
@@ -231,7 +246,8 @@
   request->service
       = backends_ensure_service (proxy->backends, route->parts[part].service);
   request->pool = request->service;
-  request->admission.urgent = route->priority < proxy->least_urgent_priority;
+  request->admission.urgent
+      = get_priority (route, tenant) < proxy->least_urgent_priority;
   set_deadlines (request, route);
   request->admission.service_time_ms = estimate_service_time (
       &request->route_state->service_time, request->admission.target);
@@ -248,8 +264,9 @@
       request_refuse (request, TELEMETRY_OUTCOME_SUSPECT, why);
       return;
     }
-  fields_append_for_endpoint (&proxy->settings.names, exchange,
-                              request->fields);
+  fields_append_for_endpoint (
+      &proxy->settings.names, exchange, proxy->routes->requires_key,
+      tenant != NULL ? tenant->name : NULL, request->fields);
   retry_budget_add_first (
       &service_state_get (proxy, request->service)->retry_budget,
       &proxy->settings.retry_rules, clock_now ());
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -158,6 +158,9 @@
                                      : telemetry_outcome_name (outcome));
   if (outcome == TELEMETRY_OUTCOME_NO_ROUTE)
     respond_and_free (request, 404, "Not Found", NULL, "no route\n");
+  else if (outcome == TELEMETRY_OUTCOME_UNAUTHORIZED)
+    respond_and_free (request, 401, "Unauthorized",
+                      "WWW-Authenticate: Bearer\r\n", "unknown key\n");
   else if (outcome == TELEMETRY_OUTCOME_TIMEOUT)
     respond_and_free (request, 504, "Gateway Timeout", NULL,
                       "no answer in time; may have run\n");
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -67,11 +67,23 @@
 static const char *const store_call_results[]
     = { "ok", "conflict", "failed", NULL };
 
-static const char *const outcomes[]
-    = { "answered",         "endpoint_failed", "caller_left", "no_route",
-        "no_configuration", "no_endpoint",     "full",        "limited",
-        "out_of_time",      "not_run",         "suspect",     "stopping",
-        "timeout",          "broken",          "cut",         NULL };
+static const char *const outcomes[] = { "answered",
+                                        "endpoint_failed",
+                                        "caller_left",
+                                        "no_route",
+                                        "unauthorized",
+                                        "no_configuration",
+                                        "no_endpoint",
+                                        "full",
+                                        "limited",
+                                        "out_of_time",
+                                        "not_run",
+                                        "suspect",
+                                        "stopping",
+                                        "timeout",
+                                        "broken",
+                                        "cut",
+                                        NULL };
 static const char *const obstacles[]
     = { "draining",        "leaving", "version", "declined",
         "data_centre_out", "cold",    "limited", NULL };
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -144,6 +144,7 @@
                                         response */
   TELEMETRY_OUTCOME_CALLER_LEFT,     /* the client disconnected */
   TELEMETRY_OUTCOME_NO_ROUTE,
+  TELEMETRY_OUTCOME_UNAUTHORIZED, /* it has no key of a tenant */
   /* With the outcomes from here to TELEMETRY_OUTCOME_STOPPING, the request was
      refused and not executed.  */
   TELEMETRY_OUTCOME_NO_CONFIGURATION,
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -33,7 +33,7 @@
 
   routes_add (routes, new_route ("short", "/a/"));
   routes_add (routes, new_route ("long", "/a/b/"));
-  routes_sort (routes);
+  g_assert_cmpint (routes_index (routes), ==, 0);
   g_assert_cmpstr (routes_find (routes, "here.example", "/a/b/c")->name, ==,
                    "long");
   g_assert_cmpstr (routes_find (routes, "HERE.example", "/a/c")->name, ==,
--- a/test/unit/fleet_config.c
+++ b/test/unit/fleet_config.c
@@ -39,7 +39,7 @@
   rules->name = g_strdup ("slots");
   rules->health_path = g_strdup ("/healthz");
   routes_add_service (routes, rules);
-  routes_sort (routes);
+  g_assert_cmpint (routes_index (routes), ==, 0);
   return routes;
 }
 
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -586,7 +586,7 @@
           = (route_part_t){ .service = g_strdup ("slots"), .weight = 1 };
       routes_add (routes, route);
     }
-  routes_sort (routes);
+  g_assert_cmpint (routes_index (routes), ==, 0);
   return routes;
 }
 
