Allowances of tenants, kept by one instance for each tenant

Change: the keeper of a tenant, an instance by rendezvous hashing, has a token bucket. Other instances ask it for a token for each request, for some in advance where they have many, and give unused ones back; a request without a token is refused at once with 429 and a time that grows with the excess. A token of a request that was not sent to an endpoint is used for another one.

Ruled out: shares of 135 instances (two requests a second of the largest tenant each, none of small ones), and fractions announced by the reader: with the time that reports and announcements take, a tenant at 4.7 times its limit gets 2.5 times its usual second beyond it, where a window of 5 s allows one.

--- a/lib/balance/routes.c
+++ b/lib/balance/routes.c
@@ -24,6 +24,7 @@
   routes->services = g_ptr_array_new_with_free_func (service_rules_free);
   routes->tenants = g_ptr_array_new_with_free_func (tenant_free);
   routes->by_key = g_hash_table_new (g_str_hash, g_str_equal);
+  routes->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   return routes;
 }
 
@@ -35,6 +36,7 @@
   g_ptr_array_free (routes->routes, TRUE);
   g_ptr_array_free (routes->services, TRUE);
   g_hash_table_destroy (routes->by_key);
+  g_hash_table_destroy (routes->by_name);
   g_ptr_array_free (routes->tenants, TRUE);
   g_free (routes);
 }
@@ -126,6 +128,7 @@
     {
       tenant_t *tenant = g_ptr_array_index (routes->tenants, i);
 
+      g_hash_table_insert (routes->by_name, tenant->name, tenant);
       for (guint j = 0; j < tenant->keys->len; j++)
         {
           char *key = g_ptr_array_index (tenant->keys, j);
@@ -140,6 +143,12 @@
   return result;
 }
 
+const tenant_t *
+routes_get_tenant (const routes_t *routes, const char *name)
+{
+  return g_hash_table_lookup (routes->by_name, name);
+}
+
 const tenant_t *
 routes_find_tenant (const routes_t *routes, const char *key)
 {
--- a/lib/balance/routes.h
+++ b/lib/balance/routes.h
@@ -75,7 +75,9 @@
   bool requires_key;   /* requests need a key of a tenant, except on public
                           routes */
   GPtrArray *tenants;  /* tenant_t * */
-  GHashTable *by_key;  /* key to tenant_t *; set by routes_index() */
+  /* Set by routes_index(): keys and names of tenants to tenant_t *.  */
+  GHashTable *by_key;
+  GHashTable *by_name;
   client_limits_t limits;
 } routes_t;
 
@@ -104,6 +106,8 @@
  */
 int routes_index (routes_t *routes);
 
+/* Returns the tenant with a name, or NULL.  */
+const tenant_t *routes_get_tenant (const routes_t *routes, const char *name);
 /* Returns the tenant that has a key, or NULL.  */
 const tenant_t *routes_find_tenant (const routes_t *routes, const char *key);
 
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -281,12 +281,32 @@
   fleet_wire_count counts<FLEET_COUNTS_MAX>;
 };
 
+/* Asks the keeper of a tenant's allowance for tokens; see allowance.h.  */
+struct fleet_wire_allowance_ask
+{
+  string tenant<FLEET_NAME_MAX>;
+  hyper asked_at;          /* on the sender's clock; returned in the reply */
+  unsigned int wanted;
+  unsigned int unused;     /* tokens that are given back */
+  unsigned int asker;      /* address of the sender */
+};
+
+struct fleet_wire_allowance_reply
+{
+  string tenant<FLEET_NAME_MAX>;
+  hyper asked_at;
+  unsigned int granted;
+  unsigned int wait;       /* after which a refused client may come back */
+};
+
 const FLEET_ANNOUNCE = 1;
 const FLEET_HELLO = 2;
 const FLEET_PERMIT_ASK = 3;
 const FLEET_PERMIT_REPLY = 4;
 const FLEET_SUSPECTS = 5;
 const FLEET_COUNTS = 6;
+const FLEET_ALLOWANCE_ASK = 7;
+const FLEET_ALLOWANCE_REPLY = 8;
 
 union fleet_wire_body switch (unsigned int type)
 {
@@ -302,6 +322,10 @@
   fleet_wire_suspects suspects;
 case FLEET_COUNTS:
   fleet_wire_counts counts;
+case FLEET_ALLOWANCE_ASK:
+  fleet_wire_allowance_ask allowance_ask;
+case FLEET_ALLOWANCE_REPLY:
+  fleet_wire_allowance_reply allowance_reply;
 };
 
 /* May follow a message in its datagram: addresses that the receiver passes the
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -343,12 +343,31 @@
 	} counts;
 };
 typedef struct fleet_wire_counts fleet_wire_counts;
+
+struct fleet_wire_allowance_ask {
+	char *tenant;
+	quad_t asked_at;
+	u_int wanted;
+	u_int unused;
+	u_int asker;
+};
+typedef struct fleet_wire_allowance_ask fleet_wire_allowance_ask;
+
+struct fleet_wire_allowance_reply {
+	char *tenant;
+	quad_t asked_at;
+	u_int granted;
+	u_int wait;
+};
+typedef struct fleet_wire_allowance_reply fleet_wire_allowance_reply;
 #define FLEET_ANNOUNCE 1
 #define FLEET_HELLO 2
 #define FLEET_PERMIT_ASK 3
 #define FLEET_PERMIT_REPLY 4
 #define FLEET_SUSPECTS 5
 #define FLEET_COUNTS 6
+#define FLEET_ALLOWANCE_ASK 7
+#define FLEET_ALLOWANCE_REPLY 8
 
 struct fleet_wire_body {
 	u_int type;
@@ -359,6 +378,8 @@
 		fleet_wire_permit_reply permit_reply;
 		fleet_wire_suspects suspects;
 		fleet_wire_counts counts;
+		fleet_wire_allowance_ask allowance_ask;
+		fleet_wire_allowance_reply allowance_reply;
 	} fleet_wire_body_u;
 };
 typedef struct fleet_wire_body fleet_wire_body;
@@ -406,6 +427,8 @@
 extern  bool_t xdr_fleet_wire_progress (XDR *, fleet_wire_progress*);
 extern  bool_t xdr_fleet_wire_count (XDR *, fleet_wire_count*);
 extern  bool_t xdr_fleet_wire_counts (XDR *, fleet_wire_counts*);
+extern  bool_t xdr_fleet_wire_allowance_ask (XDR *, fleet_wire_allowance_ask*);
+extern  bool_t xdr_fleet_wire_allowance_reply (XDR *, fleet_wire_allowance_reply*);
 extern  bool_t xdr_fleet_wire_body (XDR *, fleet_wire_body*);
 extern  bool_t xdr_fleet_wire_forward (XDR *, fleet_wire_forward*);
 extern  bool_t xdr_fleet_wire_message (XDR *, fleet_wire_message*);
@@ -436,6 +459,8 @@
 extern bool_t xdr_fleet_wire_progress ();
 extern bool_t xdr_fleet_wire_count ();
 extern bool_t xdr_fleet_wire_counts ();
+extern bool_t xdr_fleet_wire_allowance_ask ();
+extern bool_t xdr_fleet_wire_allowance_reply ();
 extern bool_t xdr_fleet_wire_body ();
 extern bool_t xdr_fleet_wire_forward ();
 extern bool_t xdr_fleet_wire_message ();
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -705,6 +705,40 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_wire_allowance_ask (XDR *xdrs, fleet_wire_allowance_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->asked_at))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wanted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unused))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->asker))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_wire_allowance_reply (XDR *xdrs, fleet_wire_allowance_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->asked_at))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_body (XDR *xdrs, fleet_wire_body *objp)
 {
@@ -737,6 +771,14 @@
 		 if (!xdr_fleet_wire_counts (xdrs, &objp->fleet_wire_body_u.counts))
 			 return FALSE;
 		break;
+	case FLEET_ALLOWANCE_ASK:
+		 if (!xdr_fleet_wire_allowance_ask (xdrs, &objp->fleet_wire_body_u.allowance_ask))
+			 return FALSE;
+		break;
+	case FLEET_ALLOWANCE_REPLY:
+		 if (!xdr_fleet_wire_allowance_reply (xdrs, &objp->fleet_wire_body_u.allowance_reply))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -225,6 +225,12 @@
                                now);
   else if (body->type == FLEET_SUSPECTS)
     relay_handle_suspects (relay, &body->fleet_wire_body_u.suspects, now);
+  else if (body->type == FLEET_ALLOWANCE_ASK)
+    relay_handle_allowance_ask (relay, &body->fleet_wire_body_u.allowance_ask,
+                                now);
+  else if (body->type == FLEET_ALLOWANCE_REPLY)
+    relay_handle_allowance_reply (
+        relay, &body->fleet_wire_body_u.allowance_reply, now);
   else if (body->type == FLEET_COUNTS)
     relay_handle_counts (relay, message->sender,
                          &body->fleet_wire_body_u.counts, now);
--- a/lib/fleet/relay.h
+++ b/lib/fleet/relay.h
@@ -23,7 +23,11 @@
   /* Called when another instance tells how far it is with a rollout.  */
   void (*rollout_progress) (void *context, const char *instance,
                             const rollout_progress_t *progress);
-  void *context; /* argument of the callback */
+  /* Called when the keeper of a tenant's allowance has replied.  @wait: see
+     allowance_reply_t.  */
+  void (*allowance_replied) (void *context, const char *tenant,
+                             clock_ms_t wait);
+  void *context; /* argument of the callbacks */
 } relay_hooks_t;
 
 /* Limit of the number of seeds (see relay_seeds_t); further ones in the
@@ -68,6 +72,10 @@
    rate_limit_ask() must have been called.  */
 void relay_ask_permit (relay_t *relay, backend_t *backend,
                        clock_ms_t wait_max);
+/* Asks the keeper of a tenant's allowance for tokens for @n_waiting requests.
+   The reply may come before the function returns.  */
+void relay_ask_allowance (relay_t *relay, const tenant_t *tenant,
+                          uint32_t n_waiting);
 /* Tells other instances of a limit that an endpoint has stated.  */
 void relay_tell_limits (relay_t *relay);
 
--- a/lib/fleet/relay_permit.c
+++ b/lib/fleet/relay_permit.c
@@ -17,19 +17,13 @@
    learnt of the same instances.  */
 #define NOT_KEEPER_RETRY_MS 100
 
-static const member_t *find_keeper (const members_t *members,
-                                    const char *endpoint);
 static bool append_limit (GArray *limits, const backend_t *backend,
                           size_t *bytes_left, clock_ms_t now);
 static bool is_recent (const backend_t *backend, bool only_own,
                        clock_ms_t now);
-static void send_message (relay_t *relay, uint32_t ip,
-                          fleet_wire_message *message);
 
-/* Returns the instance that issues the permits for an endpoint: the ready one
-   with the highest weight in rendezvous hashing.  NULL: none is ready.  */
-static const member_t *
-find_keeper (const members_t *members, const char *endpoint)
+const member_t *
+relay_find_keeper (const members_t *members, const char *name)
 {
   const member_t *keeper = NULL;
   uint32_t highest = 0;
@@ -41,7 +35,7 @@
 
       if (!member->ready)
         continue;
-      weight = backends_rendezvous_weight (member->name, endpoint);
+      weight = backends_rendezvous_weight (member->name, name);
       if (keeper == NULL || weight > highest)
         {
           keeper = member;
@@ -149,8 +143,8 @@
   relay_send_hello (relay, reader->ip);
 }
 
-static void
-send_message (relay_t *relay, uint32_t ip, fleet_wire_message *message)
+void
+relay_send_message (relay_t *relay, uint32_t ip, fleet_wire_message *message)
 {
   char data[RELAY_DATAGRAM_MAX_BYTES];
   size_t length = relay_encode_message (relay, message, data, sizeof data);
@@ -164,7 +158,8 @@
 {
   clock_ms_t now = clock_now ();
   clock_ms_t asked_at = backend->rate_limit.asked_at;
-  const member_t *keeper = find_keeper (relay->members, backend->entry.id);
+  const member_t *keeper
+      = relay_find_keeper (relay->members, backend->entry.id);
   fleet_wire_message message = { .body.type = FLEET_PERMIT_ASK };
   fleet_wire_permit_ask *wire = &message.body.fleet_wire_body_u.permit_ask;
 
@@ -184,7 +179,7 @@
   wire->asked_at = asked_at;
   wire->wait_max = (u_int)MAX (wait_max, 0);
   wire->asker = ntohl (relay->members->own->ip);
-  send_message (relay, keeper->ip, &message);
+  relay_send_message (relay, keeper->ip, &message);
 }
 
 void
@@ -201,7 +196,8 @@
   reply->wait = NOT_KEEPER_RETRY_MS;
   relay_handle_limits (relay, &wire->limit, 1, now);
   if (backend != NULL
-      && find_keeper (relay->members, wire->limit.id) == relay->members->own)
+      && relay_find_keeper (relay->members, wire->limit.id)
+             == relay->members->own)
     {
       rate_limit_reply_t issued = rate_limit_issue (
           &backend->rate_limit, MIN (wire->wait_max, INT32_MAX), now);
@@ -209,7 +205,7 @@
       reply->is_issued = issued.is_issued;
       reply->wait = (u_int)MIN (issued.wait, INT32_MAX);
     }
-  send_message (relay, htonl (wire->asker), &message);
+  relay_send_message (relay, htonl (wire->asker), &message);
 }
 
 void
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -153,6 +153,21 @@
                                 const fleet_wire_permit_reply *wire,
                                 clock_ms_t now);
 
+/* Returns the instance that keeps the state of something named @name for all:
+   the ready one with the highest weight in rendezvous hashing.  NULL: none is
+   ready.  */
+const member_t *relay_find_keeper (const members_t *members, const char *name);
+/* Sends a message to the instance at an address.  */
+void relay_send_message (relay_t *relay, uint32_t ip,
+                         fleet_wire_message *message);
+/* Grants or refuses tokens as the keeper of a tenant's allowance.  */
+void relay_handle_allowance_ask (relay_t *relay,
+                                 const fleet_wire_allowance_ask *wire,
+                                 clock_ms_t now);
+void relay_handle_allowance_reply (relay_t *relay,
+                                   const fleet_wire_allowance_reply *wire,
+                                   clock_ms_t now);
+
 /* Records what another instance has told of requests that may crash
    endpoints.  */
 void relay_handle_suspects (relay_t *relay, const fleet_wire_suspects *wire,
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -49,6 +49,7 @@
   view->suspects = suspects_new ();
   view->rollouts = rollouts_new ();
   view->counts = counts_new ();
+  view->allowances = allowances_new ();
   view->hooks = *hooks;
   view->out = g_ptr_array_new_with_free_func (g_free);
   view->stated_out = g_ptr_array_new_with_free_func (g_free);
@@ -74,6 +75,7 @@
   suspects_free (view->suspects);
   rollouts_free (view->rollouts);
   counts_free (view->counts);
+  allowances_free (view->allowances);
   g_free (view);
 }
 
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -6,6 +6,7 @@
    by messages of other instances.  An endpoint's entry of a newer store
    revision replaces an older one, in whatever order they arrive.  */
 
+#include "allowance.h"
 #include "backends.h"
 #include "config_change.h"
 #include "counts.h"
@@ -61,7 +62,8 @@
                            software are of no importance */
   bool are_tracks_due;  /* the tracks of the endpoints are to be set anew */
   counts_t *counts;     /* counts about rollouts */
-  routes_t *routes;     /* configuration; NULL: none yet */
+  allowances_t *allowances;        /* of tenants */
+  routes_t *routes;                /* configuration; NULL: none yet */
   config_history_t config_history; /* differences between the versions before
                                       @routes */
   uint64_t config_digest;          /* config_digest() of @routes */
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -60,6 +60,10 @@
                               int events);
 static void on_routes_changed (void *context, const routes_t *routes);
 static void on_backends_changed (void *context);
+static void on_allowance_needed (void *context, const tenant_t *tenant,
+                                 uint32_t n_waiting);
+static void on_allowance_replied (void *context, const char *tenant,
+                                  clock_ms_t wait);
 static void on_rollouts_changed (void *context);
 static void on_rollout_progress (void *context, const char *name,
                                  const rollout_progress_t *progress);
@@ -92,6 +96,7 @@
                               .context = &instance };
   relay_hooks_t relay_hooks = { .members_changed = on_members_changed,
                                 .rollout_progress = on_rollout_progress,
+                                .allowance_replied = on_allowance_replied,
                                 .context = &instance };
   proxy_settings_t proxy_settings = { .names = settings->names,
                                       .retry_rules = settings->retry_rules,
@@ -104,6 +109,7 @@
                                       .ask_permit = on_permit_needed,
                                       .limit_changed = on_limit_changed,
                                       .suspect_changed = on_suspect_changed,
+                                      .ask_allowance = on_allowance_needed,
                                       .context = &instance };
   feed_source_t source;
   int result;
@@ -117,6 +123,7 @@
       = proxy_new (instance.loop, &proxy_settings, instance.backends);
   instance.view = view_new (instance.backends, &view_hooks);
   proxy_set_suspects (instance.proxy, instance.view->suspects);
+  proxy_set_allowances (instance.proxy, instance.view->allowances);
   if (settings->rollout_bounds.share_max > 0)
     {
       view_enable_rollouts (instance.view);
@@ -328,6 +335,22 @@
     relay_schedule_announcement (instance->relay);
 }
 
+static void
+on_allowance_needed (void *context, const tenant_t *tenant, uint32_t n_waiting)
+{
+  const instance_t *instance = context;
+
+  relay_ask_allowance (instance->relay, tenant, n_waiting);
+}
+
+static void
+on_allowance_replied (void *context, const char *tenant, clock_ms_t wait)
+{
+  const instance_t *instance = context;
+
+  proxy_handle_allowance (instance->proxy, tenant, wait);
+}
+
 static void
 on_rollouts_changed (void *context)
 {
@@ -366,6 +389,7 @@
     }
   proxy_set_instance_count (instance->proxy, count);
   backends_set_instances (instance->backends, names, count);
+  allowances_handle_members_change (instance->view->allowances);
   telemetry_gauge_set (TELEMETRY_MEMBERS_HEARD, members_count_ready (members));
   g_free (names);
 }
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -34,6 +34,8 @@
   proxy->route_states
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   proxy->instance_count = 1;
+  proxy->queues = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         tenancy_free_queue);
   proxy->log_lines_left = settings->log_lines_per_s;
   decide_rng_seed (&proxy->rng, (uint64_t)g_get_monotonic_time ()
                                     ^ (uint64_t)(uintptr_t)proxy);
@@ -57,6 +59,7 @@
   g_ptr_array_free (proxy->uplinks, TRUE);
   g_array_unref (proxy->accusations);
   g_hash_table_destroy (proxy->route_states);
+  g_hash_table_destroy (proxy->queues);
   for (int i = 0; i < backends_service_count (proxy->backends); i++)
     {
       service_t *service = backends_service_get (proxy->backends, i);
@@ -163,6 +166,12 @@
   proxy->suspects = suspects;
 }
 
+void
+proxy_set_allowances (proxy_t *proxy, allowances_t *allowances)
+{
+  proxy->allowances = allowances;
+}
+
 void
 proxy_set_rollouts (proxy_t *proxy, rollouts_t *rollouts, counts_t *counts)
 {
@@ -220,6 +229,7 @@
     }
   while (proxy->unrouted.head != NULL)
     request_end_unfinished (proxy->unrouted.head->data);
+  tenancy_end_requests (proxy);
 }
 
 void
@@ -248,6 +258,7 @@
   (void)loop;
   (void)events;
   pools_close_expired (proxy, clock_now ());
+  tenancy_drop_idle (proxy);
   count_limited_endpoints (proxy);
   suspicion_expire (proxy, clock_now ());
   proxy->log_lines_left
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -37,11 +37,14 @@
                             of all responses together */
   suspects_t *suspects;  /* requests that may crash endpoints; NULL: none are
                             suspected */
-  rollouts_t *rollouts;  /* NULL: there are none */
-  counts_t *counts;      /* counts about rollouts; NULL: as @rollouts */
-  GArray *accusations;   /* requests whose endpoints may have ended; see
-                            suspicion.c */
-  int instance_count;    /* number of known instances, at least 1 */
+  allowances_t *allowances; /* of tenants; NULL: none are kept */
+  GHashTable *queues;   /* names of tenants to their queues of requests that
+                           wait for a token; see tenancy.c */
+  rollouts_t *rollouts; /* NULL: there are none */
+  counts_t *counts;     /* counts about rollouts; NULL: as @rollouts */
+  GArray *accusations;  /* requests whose endpoints may have ended; see
+                           suspicion.c */
+  int instance_count;   /* number of known instances, at least 1 */
   int in_flight;    /* number of clients' requests that are not answered yet */
   bool is_holding;  /* no attempt starts; see proxy_hold() */
   bool is_stopping; /* proxy_stop() was called, with these: */
@@ -201,6 +204,8 @@
   GString *fields; /* header fields to be forwarded to the endpoint, each ended
                       by CR LF */
   GString *trail;  /* decisions on the request so far, for the log */
+  char *tenant;    /* name of the tenant whose allowance it uses; NULL: none */
+  bool has_token;  /* it uses a token of that which can be given back */
   bool idempotent; /* the request may be run more than once */
   bool bulk;       /* responses of the request's route are large */
   int endpoints_max; /* largest number of endpoints to which the request may be
@@ -235,8 +240,9 @@
                               the time to the response deadline, and while
                               streaming the time to @client_deadline */
   ev_timer hedge_timer;    /* starts a round of probes for a hedged attempt */
-  GList link; /* element of the proxy's @unrouted or the service's @waiting */
-  bool is_queued; /* @link is in @unrouted or @waiting */
+  GList link;              /* element of @queue */
+  GQueue *queue; /* the proxy's @unrouted, the pool's @waiting or that of a
+                    tenant in which the request waits; NULL: none */
 };
 
 /* Probes that are sent together, either for all requests that wait for an
@@ -499,6 +505,8 @@
 /* Sends an endpoint's response to the client.  The contents of @response are
    moved out of it, so that it is empty afterwards.  */
 void request_deliver (request_t *request, response_t *response);
+/* Lets a request that was routed and admitted look for an endpoint.  */
+void request_admit (request_t *request);
 /* Puts a request into the queue of its pool, where it waits for an endpoint.
  */
 void request_enqueue (request_t *request);
@@ -522,6 +530,22 @@
 int tenancy_find (const proxy_t *proxy, const exchange_t *exchange,
                   const route_t *route, const tenant_t **tenant);
 
+/**
+ * tenancy_admit() - admit a request by the allowance of its tenant
+ * @tenant: NULL: the request has none
+ *
+ * Return: true if the request may go on.  Otherwise it waits for a token, or
+ * was refused and freed.  When it gets one, request_admit() is called.
+ */
+bool tenancy_admit (request_t *request, const tenant_t *tenant);
+/* Gives back the token of a request that ends without an attempt.  */
+void tenancy_release_token (request_t *request);
+void tenancy_free_queue (gpointer queue);
+/* Ends all requests that wait for a token.  */
+void tenancy_end_requests (proxy_t *proxy);
+/* Forgets the queues of tenants that have no waiting request.  */
+void tenancy_drop_idle (proxy_t *proxy);
+
 /* ---- canary.c ---- */
 
 /* Decides whether a request that was just routed goes to the canary pool of
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -164,8 +164,8 @@
     {
       /* The instance has just started and gets its configuration soon, or was
          paused and hears soon what has changed, so the request waits.  */
-      g_queue_push_tail_link (&proxy->unrouted, &request->link);
-      request->is_queued = true;
+      request->queue = &proxy->unrouted;
+      g_queue_push_tail_link (request->queue, &request->link);
       ev_timer_set (&request->deadline_timer, UNROUTED_WAIT_MAX_MS / 1000.0,
                     0);
       ev_timer_start (proxy->loop, &request->deadline_timer);
@@ -181,8 +181,7 @@
     {
       request_t *request = proxy->unrouted.head->data;
 
-      g_queue_unlink (&proxy->unrouted, &request->link);
-      request->is_queued = false;
+      request_dequeue (request);
       ev_timer_stop (proxy->loop, &request->deadline_timer);
       route_request (request);
     }
@@ -267,15 +266,24 @@
   fields_append_for_endpoint (
       &proxy->settings.names, exchange, proxy->routes->requires_key,
       tenant != NULL ? tenant->name : NULL, request->fields);
-  retry_budget_add_first (
-      &service_state_get (proxy, request->service)->retry_budget,
-      &proxy->settings.retry_rules, clock_now ());
   ev_timer_set (
       &request->deadline_timer,
       (double)MAX (request->admission.response_deadline - clock_now (), 0)
           / 1000.0,
       0);
   ev_timer_start (proxy->loop, &request->deadline_timer);
+  if (tenancy_admit (request, tenant))
+    request_admit (request);
+}
+
+void
+request_admit (request_t *request)
+{
+  proxy_t *proxy = request->proxy;
+
+  retry_budget_add_first (
+      &service_state_get (proxy, request->service)->retry_budget,
+      &proxy->settings.retry_rules, clock_now ());
   canary_select_pool (request);
   request_enqueue (request);
   probe_round_start (request);
@@ -288,19 +296,18 @@
 
   request->state = REQUEST_WAITING;
   request->marked_for_refusal = false;
-  if (!request->is_queued)
-    g_queue_push_tail_link (&state->waiting, &request->link);
-  request->is_queued = true;
+  if (request->queue != NULL)
+    return;
+  request->queue = &state->waiting;
+  g_queue_push_tail_link (request->queue, &request->link);
 }
 
 void
 request_dequeue (request_t *request)
 {
-  if (request->is_queued)
-    g_queue_unlink (
-        &service_state_get (request->proxy, request->pool)->waiting,
-        &request->link);
-  request->is_queued = false;
+  if (request->queue != NULL)
+    g_queue_unlink (request->queue, &request->link);
+  request->queue = NULL;
 }
 
 /* Schedules a round of probes for a hedged attempt.  @pause: ms until the
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -24,11 +24,8 @@
   ev_timer_stop (proxy->loop, &request->deadline_timer);
   ev_timer_stop (proxy->loop, &request->hedge_timer);
   probe_round_cancel_hedge (request);
-  if (request->is_queued && request->state == REQUEST_UNROUTED)
-    g_queue_unlink (&proxy->unrouted, &request->link);
-  else if (request->is_queued)
-    g_queue_unlink (&service_state_get (proxy, request->pool)->waiting,
-                    &request->link);
+  request_dequeue (request);
+  tenancy_release_token (request);
   request_cancel_uplinks (request, NULL);
   if (request->exchange != NULL)
     {
@@ -41,6 +38,7 @@
   g_string_free (request->trail, TRUE);
   g_free (request->id);
   g_free (request->route);
+  g_free (request->tenant);
   g_free (request);
 }
 
@@ -110,7 +108,8 @@
     return 0;
   if (request->service < 0)
     return RETRY_AFTER_UNROUTED_MS;
-  if (outcome == TELEMETRY_OUTCOME_LIMITED)
+  if (outcome == TELEMETRY_OUTCOME_LIMITED
+      || outcome == TELEMETRY_OUTCOME_ALLOWANCE)
     return request->retry_after;
   return admission_retry_after_ms (outcome == TELEMETRY_OUTCOME_NOT_RUN,
                                    request->admission.service_time_ms,
@@ -144,8 +143,12 @@
                                      : telemetry_outcome_name (outcome));
   (void)g_snprintf (fields, sizeof fields, "Retry-After: %d.%03d\r\n",
                     (int)(delay / 1000), (int)(delay % 1000));
-  respond_and_free (request, 503, "Service Unavailable", fields,
-                    "has not run; try again\n");
+  if (outcome == TELEMETRY_OUTCOME_ALLOWANCE)
+    respond_and_free (request, 429, "Too Many Requests", fields,
+                      "allowance used up; has not run\n");
+  else
+    respond_and_free (request, 503, "Service Unavailable", fields,
+                      "has not run; try again\n");
 }
 
 void
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -67,29 +67,24 @@
 static const char *const store_call_results[]
     = { "ok", "conflict", "failed", NULL };
 
-static const char *const outcomes[] = { "answered",
-                                        "endpoint_failed",
-                                        "caller_left",
-                                        "no_route",
-                                        "unauthorized",
-                                        "no_configuration",
-                                        "no_endpoint",
-                                        "full",
-                                        "limited",
-                                        "out_of_time",
-                                        "not_run",
-                                        "suspect",
-                                        "stopping",
-                                        "timeout",
-                                        "broken",
-                                        "cut",
-                                        NULL };
+static const char *const outcomes[] = { "answered",     "endpoint_failed",
+                                        "caller_left",  "no_route",
+                                        "unauthorized", "no_configuration",
+                                        "no_endpoint",  "full",
+                                        "allowance",    "limited",
+                                        "out_of_time",  "not_run",
+                                        "suspect",      "stopping",
+                                        "timeout",      "broken",
+                                        "cut",          NULL };
 static const char *const obstacles[]
     = { "draining",        "leaving", "version", "declined",
         "data_centre_out", "cold",    "limited", NULL };
 static const char *const rollout_phases[]
     = { "canary",      "ramp",      "promoted", "cancelled",
         "rolled_back", "completed", NULL };
+static const char *const allowance_tokens[] = { "granted", "refused", NULL };
+static const char *const allowance_results[]
+    = { "admitted", "alone", "refused", NULL };
 static const char *const canary_results[] = { "sent", "no_room", NULL };
 static const char *const older_announcements[]
     = { "unused", "newer_config", NULL };
@@ -206,6 +201,15 @@
   = { "peridot_withheld_total",
       "Endpoints that a round of probes left out, by the reason.", "reason",
       obstacles },
+  [TELEMETRY_ALLOWANCE_TOKENS]
+  = { "peridot_allowance_tokens_total",
+      "Tokens of tenants' allowances for which this instance was asked.",
+      "result", allowance_tokens },
+  [TELEMETRY_ALLOWANCE_REQUESTS]
+  = { "peridot_allowance_requests_total",
+      "Requests of tenants with an allowance: admitted, admitted without a "
+      "reply of the keeper, or refused.",
+      "result", allowance_results },
   [TELEMETRY_ROLLOUT_STEPS] = { "peridot_rollout_steps_total",
                                 "Steps of rollouts that were taken, by phase.",
                                 "phase", rollout_phases },
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -131,6 +131,11 @@
   /* 0 sent to the new version, 1 sent to the old one as the new one had no
      room: requests that a rollout gives to the new version */
   TELEMETRY_CANARY_REQUESTS,
+  /* 0 granted, 1 refused: tokens of tenants' allowances, at their keeper */
+  TELEMETRY_ALLOWANCE_TOKENS,
+  /* 0 admitted by the keeper, 1 admitted without its reply, 2 refused:
+     requests of tenants with an allowance */
+  TELEMETRY_ALLOWANCE_REQUESTS,
   /* choose_obstacle_t less 1: endpoints that a round of probes left out */
   TELEMETRY_WITHHELD,
   TELEMETRY_COUNTER_COUNT /* number of families */
@@ -150,6 +155,7 @@
   TELEMETRY_OUTCOME_NO_CONFIGURATION,
   TELEMETRY_OUTCOME_NO_ENDPOINT,
   TELEMETRY_OUTCOME_FULL,        /* no endpoint had free capacity */
+  TELEMETRY_OUTCOME_ALLOWANCE,   /* its tenant's allowance was used up */
   TELEMETRY_OUTCOME_LIMITED,     /* the limits that the endpoints state were
                                     used up */
   TELEMETRY_OUTCOME_OUT_OF_TIME, /* no endpoint could respond in time */
