Allowances: urgent requests first, room for chance, few tokens for new keepers

Cause: requests of tenants within their limit were refused when they came in bursts by chance, and the last tokens of a tenant beyond its limit went to whichever request came first.

Change: a question names the wanted tokens by the rank of their routes, and each rank leaves 150 ms of the rate for the more urgent ones. Half of the overshoot and slack that the settings state is used. The rest covers new keepers, which start with 150 ms of the rate and the slack, and instances without a reply. Tokens are not asked for in advance any more: requests that arrive during a question share the next one, which bounds the messages as well.

--- a/lib/balance/allowance.c
+++ b/lib/balance/allowance.c
@@ -2,15 +2,17 @@
 
 #include <math.h>
 
-/* Time over which rates are averaged.  */
-#define RATE_WINDOW_MS 1000.0
-/* An instance asks for the requests that it expects in this time.  */
-#define ADVANCE_MS 100.0
-/* Part of a full bucket that a new keeper starts with: the one before it may
-   have granted the rest.  */
-#define START_PART 0.5
-/* Depth of a bucket, as a time of the rate, if the burst is smaller.  */
-#define DEPTH_MIN_S 0.1
+/* Time over which the demand is averaged.  */
+#define DEMAND_WINDOW_MS 1000.0
+/* What a new keeper starts with, as a time of the tenant's rate, besides the
+   slack that the bounds allow.  */
+#define START_S 0.15
+/* Part of what the bounds allow in addition that is used.  The rest is left
+   for times with two keepers, or without replies.  */
+#define BOUNDS_PART 0.5
+/* Tokens that each rank leaves for the more urgent ones, as a time of the
+   tenant's rate.  */
+#define RESERVE_S 0.15
 /* Depth of the bucket of an instance that goes on alone, in tokens.  */
 #define ALONE_DEPTH 1.0
 /* Shortest and longest time after which a refused client is told to come
@@ -23,11 +25,11 @@
   GHashTable *by_tenant; /* name to allowance_t * */
 };
 
-static double average_rate (double rate, clock_ms_t last, double n,
-                            clock_ms_t now);
 static void fill (token_bucket_t *bucket, double rate, double depth,
                   double start, clock_ms_t now);
-static void expire_tokens (allowance_t *allowance, clock_ms_t now);
+static uint32_t take (token_bucket_t *bucket, double reserve, uint32_t wanted);
+static void observe_demand (allowance_t *allowance, double wanted,
+                            clock_ms_t now);
 
 allowances_t *
 allowances_new (void)
@@ -61,27 +63,16 @@
 }
 
 void
-allowances_handle_members_change (allowances_t *allowances)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, allowances->by_tenant);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((allowance_t *)value)->bucket.level *= START_PART;
-}
-
-/* Returns a rate after @n events at @now.  */
-static double
-average_rate (double rate, clock_ms_t last, double n, clock_ms_t now)
+allowance_set_keeper (allowance_t *allowance, uint32_t ip, uint64_t version)
 {
-  double kept = last == 0 ? 0 : exp (-(double)(now - last) / RATE_WINDOW_MS);
-
-  return rate * kept + n * 1000.0 / RATE_WINDOW_MS;
+  if (ip == 0 && allowance->keeper_ip != 0)
+    allowance->bucket.filled_at = 0;
+  allowance->keeper_ip = ip;
+  allowance->keeper_version = version;
 }
 
 /* Adds the tokens of the time since the last call.  @start: tokens of a bucket
-   that has never been filled.  */
+   that has not been filled yet.  */
 static void
 fill (token_bucket_t *bucket, double rate, double depth, double start,
       clock_ms_t now)
@@ -94,40 +85,21 @@
   bucket->filled_at = now;
 }
 
-void
-allowance_add_request (allowance_t *allowance, clock_ms_t now)
+/* Takes as many tokens as are wanted, but leaves @reserve.  */
+static uint32_t
+take (token_bucket_t *bucket, double reserve, uint32_t wanted)
 {
-  allowance->requests_per_s = average_rate (allowance->requests_per_s,
-                                            allowance->requested_at, 1.0, now);
-  allowance->requested_at = now;
-}
+  uint32_t taken
+      = (uint32_t)CLAMP (floor (bucket->level - reserve), 0, (double)wanted);
 
-static void
-expire_tokens (allowance_t *allowance, clock_ms_t now)
-{
-  if (now < allowance->tokens_until)
-    return;
-  allowance->unused += allowance->tokens;
-  allowance->tokens = 0;
-}
-
-bool
-allowance_take (allowance_t *allowance, clock_ms_t now)
-{
-  expire_tokens (allowance, now);
-  if (allowance->tokens == 0)
-    return false;
-  allowance->tokens--;
-  return true;
+  bucket->level -= taken;
+  return taken;
 }
 
 void
-allowance_put_back (allowance_t *allowance, clock_ms_t now)
+allowance_put_back (allowance_t *allowance)
 {
-  expire_tokens (allowance, now);
-  allowance->tokens++;
-  allowance->tokens_until
-      = MAX (allowance->tokens_until, now + ALLOWANCE_TOKEN_MS);
+  allowance->unused++;
 }
 
 bool
@@ -136,65 +108,64 @@
 {
   fill (&allowance->alone, tenant->rate_per_s / instances, ALONE_DEPTH,
         ALONE_DEPTH, now);
-  if (allowance->alone.level < 1.0)
-    return false;
-  allowance->alone.level -= 1.0;
-  return true;
+  return take (&allowance->alone, 0, 1) == 1;
 }
 
-allowance_ask_t
-allowance_begin_ask (allowance_t *allowance, uint32_t n_waiting,
+void
+allowance_begin_ask (allowance_t *allowance, allowance_ask_t *ask,
                      clock_ms_t now)
 {
-  allowance_ask_t ask;
-
-  expire_tokens (allowance, now);
-  ask = (allowance_ask_t){
-    .wanted
-    = n_waiting + (uint32_t)(allowance->requests_per_s * ADVANCE_MS / 1000.0),
-    .unused = allowance->unused,
-  };
+  ask->unused = allowance->unused;
   allowance->unused = 0;
   allowance->asked_at = now;
-  return ask;
 }
 
 bool
-allowance_handle_reply (allowance_t *allowance, const allowance_reply_t *reply,
-                        clock_ms_t asked_at, clock_ms_t now)
+allowance_end_ask (allowance_t *allowance, clock_ms_t asked_at, clock_ms_t now)
 {
-  if (allowance->asked_at != asked_at || asked_at == 0
+  if (asked_at == 0 || allowance->asked_at != asked_at
       || now - asked_at > ALLOWANCE_REPLY_TIMEOUT_MS)
     return false;
   allowance->asked_at = 0;
-  expire_tokens (allowance, now);
-  allowance->tokens += reply->granted;
-  allowance->tokens_until = now + ALLOWANCE_TOKEN_MS;
   return true;
 }
 
+static void
+observe_demand (allowance_t *allowance, double wanted, clock_ms_t now)
+{
+  double kept
+      = allowance->demanded_at == 0
+            ? 0
+            : exp (-(double)(now - allowance->demanded_at) / DEMAND_WINDOW_MS);
+
+  allowance->demand_per_s
+      = allowance->demand_per_s * kept + wanted * 1000.0 / DEMAND_WINDOW_MS;
+  allowance->demanded_at = now;
+}
+
 allowance_reply_t
 allowance_grant (allowance_t *allowance, const tenant_t *tenant,
-                 const allowance_ask_t *ask, clock_ms_t now)
+                 const allowance_bounds_t *bounds, const allowance_ask_t *ask,
+                 clock_ms_t now)
 {
+  double factor = 1.0 + bounds->overshoot * BOUNDS_PART;
+  double rate = tenant->rate_per_s * factor;
   double depth
-      = MAX (MAX (tenant->burst, tenant->rate_per_s * DEPTH_MIN_S), 1.0);
+      = MAX (tenant->burst * factor + bounds->slack * BOUNDS_PART, 1.0);
+  double reserve = MIN (rate * RESERVE_S, depth / ALLOWANCE_RANKS);
   allowance_reply_t reply = { 0 };
+  double wanted = 0;
 
-  fill (&allowance->bucket, tenant->rate_per_s, depth, depth * START_PART,
-        now);
+  fill (&allowance->bucket, rate, depth,
+        rate * START_S + bounds->slack * BOUNDS_PART, now);
   allowance->bucket.level = MIN (allowance->bucket.level + ask->unused, depth);
-  allowance->demand_per_s
-      = average_rate (allowance->demand_per_s, allowance->demanded_at,
-                      (double)ask->wanted, now);
-  allowance->demanded_at = now;
-  reply.granted
-      = (uint32_t)CLAMP (allowance->bucket.level, 0, (double)ask->wanted);
-  allowance->bucket.level -= reply.granted;
-  allowance->granted += reply.granted;
-  allowance->refused += ask->wanted - reply.granted;
-  if (reply.granted == ask->wanted)
-    return reply;
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    {
+      reply.granted[i]
+          = take (&allowance->bucket, i * reserve, ask->wanted[i]);
+      wanted += ask->wanted[i];
+    }
+  observe_demand (allowance, wanted, now);
   /* The more is wanted beyond the rate, the later clients may come back.  */
   reply.wait = (clock_ms_t)CLAMP (
       1000.0 * (allowance->demand_per_s / tenant->rate_per_s - 1.0),
--- a/lib/balance/allowance.h
+++ b/lib/balance/allowance.h
@@ -4,19 +4,28 @@
 /* Allowances: the requests that a tenant may send to all instances together.
 
    One instance, the keeper of the tenant, has a token bucket for it.  Another
-   instance asks the keeper for a token for each request, and for some in
-   advance where it has many requests of the tenant, so that the number of
-   messages is bounded.  Tokens in advance that it does not use it gives back.
-   An instance that gets no reply has a small bucket of its own.  This module
-   uses no network.  */
+   instance asks the keeper for a token for each request; requests that arrive
+   while a question is on its way share the next one.  When tokens are short,
+   the last ones are kept for urgent requests.  An instance that gets no reply
+   has a small bucket of its own.  This module uses no network.  */
+
+#include <stdint.h>
 
 #include "clock.h"
 #include "tenants.h"
 
 /* An instance that got no reply from the keeper by then goes on alone.  */
 #define ALLOWANCE_REPLY_TIMEOUT_MS 60
-/* Time for which a token can be used.  */
-#define ALLOWANCE_TOKEN_MS 300
+/* Number of ranks of urgency; requests of rank 0 are the most urgent.  */
+#define ALLOWANCE_RANKS 3
+
+/* How much more than its allowance a tenant may get.  The settings state it;
+   half of it is used, for requests that come in bursts by chance.  */
+typedef struct allowance_bounds
+{
+  double overshoot; /* part of the rate and the burst */
+  double slack;     /* requests in addition */
+} allowance_bounds_t;
 
 /* Token bucket.  */
 typedef struct token_bucket
@@ -29,20 +38,18 @@
 typedef struct allowance
 {
   /* As an instance that has requests of the tenant.  */
-  double requests_per_s;   /* rate of these requests (EWMA) */
-  clock_ms_t requested_at; /* time of the last one; 0: none */
-  uint32_t tokens;         /* that can be used until @tokens_until */
-  clock_ms_t tokens_until;
   uint32_t unused;      /* tokens to be given back */
   clock_ms_t asked_at;  /* time of the question that has no reply yet; 0:
                            none */
   token_bucket_t alone; /* for times without replies of the keeper */
+  uint32_t keeper_ip;   /* address of the keeper in network byte order; 0: this
+                           instance */
+  uint64_t keeper_version; /* of the set of instances by which the keeper was
+                              found; 0: it was not yet */
   /* As the keeper.  */
   token_bucket_t bucket;
   double demand_per_s; /* rate of the tokens that are wanted (EWMA) */
   clock_ms_t demanded_at;
-  uint64_t granted; /* number of tokens granted so far */
-  uint64_t refused; /* number of tokens not granted so far */
 } allowance_t;
 
 typedef struct allowances allowances_t;
@@ -52,17 +59,13 @@
 /* Returns the state of a tenant, which is added if there is none.  */
 allowance_t *allowances_get (allowances_t *allowances, const char *tenant);
 
-/* Reduces the buckets after the set of instances has changed: another instance
-   may have been the keeper of some tenants, and has granted tokens of which
-   this one does not know.  */
-void allowances_handle_members_change (allowances_t *allowances);
+/* Records the keeper of the tenant.  A new keeper starts with few tokens, as
+   the one before it has granted tokens of which this one does not know.  */
+void allowance_set_keeper (allowance_t *allowance, uint32_t ip,
+                           uint64_t version);
 
-/* Records that a request has arrived.  */
-void allowance_add_request (allowance_t *allowance, clock_ms_t now);
-/* Uses a token.  Return: whether there was one.  */
-bool allowance_take (allowance_t *allowance, clock_ms_t now);
 /* Gives back the token of a request that was not sent to an endpoint.  */
-void allowance_put_back (allowance_t *allowance, clock_ms_t now);
+void allowance_put_back (allowance_t *allowance);
 /* Uses a token of the bucket for times without replies of the keeper.
    @instances: number of instances, which share the tenant's rate then.  */
 bool allowance_take_alone (allowance_t *allowance, const tenant_t *tenant,
@@ -71,35 +74,32 @@
 /* A question to the keeper.  */
 typedef struct allowance_ask
 {
-  uint32_t wanted; /* tokens */
-  uint32_t unused; /* tokens that are given back */
+  uint32_t wanted[ALLOWANCE_RANKS]; /* tokens, by rank of the requests */
+  uint32_t unused;                  /* tokens that are given back */
 } allowance_ask_t;
 
-/**
- * allowance_begin_ask() - begin a question to the keeper
- * @n_waiting: number of requests that wait for a token
- */
-allowance_ask_t allowance_begin_ask (allowance_t *allowance,
-                                     uint32_t n_waiting, clock_ms_t now);
+/* Begins a question to the keeper.  @ask: in: @wanted; out: @unused.  */
+void allowance_begin_ask (allowance_t *allowance, allowance_ask_t *ask,
+                          clock_ms_t now);
 
 /* The keeper's reply.  */
 typedef struct allowance_reply
 {
-  uint32_t granted; /* tokens */
-  clock_ms_t wait;  /* ms after which a client that gets none may come back; 0:
-                       all that was wanted was granted */
+  uint32_t granted[ALLOWANCE_RANKS]; /* tokens, by rank */
+  clock_ms_t wait; /* ms after which a client that gets none may come back */
 } allowance_reply_t;
 
-/* Records the reply to the question of @asked_at.  Return: false if it is too
-   late or belongs to another one, and is ignored.  */
-bool allowance_handle_reply (allowance_t *allowance,
-                             const allowance_reply_t *reply,
-                             clock_ms_t asked_at, clock_ms_t now);
+/* Records that the reply to the question of @asked_at has come.  Return: false
+   if it is too late or belongs to another question, and is to be ignored.  */
+bool allowance_end_ask (allowance_t *allowance, clock_ms_t asked_at,
+                        clock_ms_t now);
 
 /* Decides, as the keeper, on a question.  In any time t the tenant gets at
-   most t times its rate and its burst.  */
+   most t times its rate and its burst, each with half of what @bounds allow in
+   addition.  */
 allowance_reply_t allowance_grant (allowance_t *allowance,
                                    const tenant_t *tenant,
+                                   const allowance_bounds_t *bounds,
                                    const allowance_ask_t *ask, clock_ms_t now);
 
 #endif
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -12,6 +12,7 @@
 const FLEET_SUSPECTS_MAX = 24;
 const FLEET_ROLLOUTS_MAX = 4;
 const FLEET_KEYS_MAX = 64;
+const FLEET_RANKS = 3;
 const FLEET_COUNTS_MAX = 32;
 const FLEET_COUNT_VALUES = 4;
 
@@ -286,7 +287,7 @@
 {
   string tenant<FLEET_NAME_MAX>;
   hyper asked_at;          /* on the sender's clock; returned in the reply */
-  unsigned int wanted;
+  unsigned int wanted[FLEET_RANKS]; /* tokens, by rank of the requests */
   unsigned int unused;     /* tokens that are given back */
   unsigned int asker;      /* address of the sender */
 };
@@ -295,7 +296,7 @@
 {
   string tenant<FLEET_NAME_MAX>;
   hyper asked_at;
-  unsigned int granted;
+  unsigned int granted[FLEET_RANKS];
   unsigned int wait;       /* after which a refused client may come back */
 };
 
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -24,6 +24,7 @@
 #define FLEET_SUSPECTS_MAX 24
 #define FLEET_ROLLOUTS_MAX 4
 #define FLEET_KEYS_MAX 64
+#define FLEET_RANKS 3
 #define FLEET_COUNTS_MAX 32
 #define FLEET_COUNT_VALUES 4
 
@@ -347,7 +348,7 @@
 struct fleet_wire_allowance_ask {
 	char *tenant;
 	quad_t asked_at;
-	u_int wanted;
+	u_int wanted[FLEET_RANKS];
 	u_int unused;
 	u_int asker;
 };
@@ -356,7 +357,7 @@
 struct fleet_wire_allowance_reply {
 	char *tenant;
 	quad_t asked_at;
-	u_int granted;
+	u_int granted[FLEET_RANKS];
 	u_int wait;
 };
 typedef struct fleet_wire_allowance_reply fleet_wire_allowance_reply;
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -710,11 +710,70 @@
 {
 	register int32_t *buf;
 
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->asked_at))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (2 +  FLEET_RANKS )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->wanted, FLEET_RANKS,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->unused))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->asker))
+				 return FALSE;
+		} else {
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->wanted;
+					i < FLEET_RANKS; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+			IXDR_PUT_U_LONG(buf, objp->unused);
+			IXDR_PUT_U_LONG(buf, objp->asker);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->asked_at))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (2 +  FLEET_RANKS )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->wanted, FLEET_RANKS,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->unused))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->asker))
+				 return FALSE;
+		} else {
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->wanted;
+					i < FLEET_RANKS; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+			objp->unused = IXDR_GET_U_LONG(buf);
+			objp->asker = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->asked_at))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->wanted))
+	 if (!xdr_vector (xdrs, (char *)objp->wanted, FLEET_RANKS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->unused))
 		 return FALSE;
@@ -728,11 +787,64 @@
 {
 	register int32_t *buf;
 
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->asked_at))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (1 +  FLEET_RANKS )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->granted, FLEET_RANKS,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait))
+				 return FALSE;
+		} else {
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->granted;
+					i < FLEET_RANKS; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+			IXDR_PUT_U_LONG(buf, objp->wait);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->asked_at))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (1 +  FLEET_RANKS )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->granted, FLEET_RANKS,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait))
+				 return FALSE;
+		} else {
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->granted;
+					i < FLEET_RANKS; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+			objp->wait = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->asked_at))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->granted))
+	 if (!xdr_vector (xdrs, (char *)objp->granted, FLEET_RANKS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait))
 		 return FALSE;
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -69,6 +69,7 @@
   relay->hooks = *hooks;
   decide_rng_seed (&relay->rng, address->sin_addr.s_addr);
   relay->started_at = (uint64_t)g_get_real_time ();
+  relay->members_version = 1;
   relay->fetch_fd = -1;
   relay->tcp_fd = -1;
   relay->fetch_buffer = g_byte_array_new ();
--- a/lib/fleet/relay.h
+++ b/lib/fleet/relay.h
@@ -23,10 +23,9 @@
   /* Called when another instance tells how far it is with a rollout.  */
   void (*rollout_progress) (void *context, const char *instance,
                             const rollout_progress_t *progress);
-  /* Called when the keeper of a tenant's allowance has replied.  @wait: see
-     allowance_reply_t.  */
+  /* Called when the keeper of a tenant's allowance has replied.  */
   void (*allowance_replied) (void *context, const char *tenant,
-                             clock_ms_t wait);
+                             const allowance_reply_t *reply);
   void *context; /* argument of the callbacks */
 } relay_hooks_t;
 
@@ -72,10 +71,14 @@
    rate_limit_ask() must have been called.  */
 void relay_ask_permit (relay_t *relay, backend_t *backend,
                        clock_ms_t wait_max);
-/* Asks the keeper of a tenant's allowance for tokens for @n_waiting requests.
-   The reply may come before the function returns.  */
-void relay_ask_allowance (relay_t *relay, const tenant_t *tenant,
-                          uint32_t n_waiting);
+/* Asks the keeper of a tenant's allowance for tokens.  The reply may come
+   before the function returns.  @ask: in: @wanted.  */
+void relay_ask_allowance (relay_t *relay, const char *tenant,
+                          allowance_ask_t *ask);
+void relay_set_allowance_bounds (relay_t *relay,
+                                 const allowance_bounds_t *bounds);
+/* Must be called when the set of ready instances may have changed.  */
+void relay_handle_members_change (relay_t *relay);
 /* Tells other instances of a limit that an endpoint has stated.  */
 void relay_tell_limits (relay_t *relay);
 
--- a/lib/fleet/relay_allowance.c
+++ b/lib/fleet/relay_allowance.c
@@ -7,8 +7,17 @@
 
 #include "telemetry.h"
 
+/* Time after which the client of a tenant that the keeper does not know may
+   come back: by then the keeper has the configuration, too.  */
+#define UNKNOWN_TENANT_WAIT_MS 300
+
+_Static_assert(FLEET_RANKS == ALLOWANCE_RANKS,
+               "messages must hold the ranks of requests");
+
 static allowance_reply_t grant (relay_t *relay, const char *name,
                                 const allowance_ask_t *ask, clock_ms_t now);
+static uint32_t find_keeper_ip (relay_t *relay, const char *tenant,
+                                allowance_t *allowance);
 static void handle_reply (relay_t *relay, const char *name,
                           const allowance_reply_t *reply, clock_ms_t asked_at,
                           clock_ms_t now);
@@ -22,49 +31,67 @@
   const tenant_t *tenant = relay->view->routes != NULL
                                ? routes_get_tenant (relay->view->routes, name)
                                : NULL;
-  allowance_reply_t reply = { .wait = ALLOWANCE_TOKEN_MS };
+  allowance_reply_t reply = { .wait = UNKNOWN_TENANT_WAIT_MS };
 
   if (tenant == NULL)
     return reply;
   if (!tenant_is_limited (tenant))
+    for (int i = 0; i < ALLOWANCE_RANKS; i++)
+      reply.granted[i] = ask->wanted[i];
+  else
+    reply = allowance_grant (allowances_get (relay->view->allowances, name),
+                             tenant, &relay->allowance_bounds, ask, now);
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
     {
-      reply.granted = ask->wanted;
-      return reply;
+      telemetry_counter_add (TELEMETRY_ALLOWANCE_TOKENS, 0, reply.granted[i]);
+      telemetry_counter_add (TELEMETRY_ALLOWANCE_TOKENS, 1,
+                             ask->wanted[i] - reply.granted[i]);
     }
-  reply = allowance_grant (allowances_get (relay->view->allowances, name),
-                           tenant, ask, now);
-  telemetry_counter_add (TELEMETRY_ALLOWANCE_TOKENS, 0, reply.granted);
-  telemetry_counter_add (TELEMETRY_ALLOWANCE_TOKENS, 1,
-                         ask->wanted - reply.granted);
   return reply;
 }
 
+/* Returns the address of the tenant's keeper, or 0 if it is this instance.  */
+static uint32_t
+find_keeper_ip (relay_t *relay, const char *tenant, allowance_t *allowance)
+{
+  const member_t *keeper;
+
+  if (allowance->keeper_version != relay->members_version)
+    {
+      keeper = relay_find_keeper (relay->members, tenant);
+      allowance_set_keeper (
+          allowance,
+          keeper == NULL || keeper == relay->members->own ? 0 : keeper->ip,
+          relay->members_version);
+    }
+  return allowance->keeper_ip;
+}
+
 void
-relay_ask_allowance (relay_t *relay, const tenant_t *tenant,
-                     uint32_t n_waiting)
+relay_ask_allowance (relay_t *relay, const char *tenant, allowance_ask_t *ask)
 {
   clock_ms_t now = clock_now ();
-  allowance_t *allowance
-      = allowances_get (relay->view->allowances, tenant->name);
-  const member_t *keeper = relay_find_keeper (relay->members, tenant->name);
+  allowance_t *allowance = allowances_get (relay->view->allowances, tenant);
+  uint32_t keeper_ip = find_keeper_ip (relay, tenant, allowance);
   fleet_wire_message message = { .body.type = FLEET_ALLOWANCE_ASK };
   fleet_wire_allowance_ask *wire
       = &message.body.fleet_wire_body_u.allowance_ask;
-  allowance_ask_t ask = allowance_begin_ask (allowance, n_waiting, now);
 
-  if (keeper == NULL || keeper == relay->members->own)
+  allowance_begin_ask (allowance, ask, now);
+  if (keeper_ip == 0)
     {
-      allowance_reply_t reply = grant (relay, tenant->name, &ask, now);
+      allowance_reply_t reply = grant (relay, tenant, ask, now);
 
-      handle_reply (relay, tenant->name, &reply, now, now);
+      handle_reply (relay, tenant, &reply, now, now);
       return;
     }
-  wire->tenant = tenant->name;
+  wire->tenant = (char *)tenant;
   wire->asked_at = now;
-  wire->wanted = ask.wanted;
-  wire->unused = ask.unused;
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    wire->wanted[i] = ask->wanted[i];
+  wire->unused = ask->unused;
   wire->asker = ntohl (relay->members->own->ip);
-  relay_send_message (relay, keeper->ip, &message);
+  relay_send_message (relay, keeper_ip, &message);
 }
 
 void
@@ -72,15 +99,20 @@
                             const fleet_wire_allowance_ask *wire,
                             clock_ms_t now)
 {
-  allowance_ask_t ask = { .wanted = wire->wanted, .unused = wire->unused };
-  allowance_reply_t reply = grant (relay, wire->tenant, &ask, now);
   fleet_wire_message message = { .body.type = FLEET_ALLOWANCE_REPLY };
+  fleet_wire_allowance_reply *to
+      = &message.body.fleet_wire_body_u.allowance_reply;
+  allowance_ask_t ask = { .unused = wire->unused };
+  allowance_reply_t reply;
 
-  message.body.fleet_wire_body_u.allowance_reply
-      = (fleet_wire_allowance_reply){ .tenant = wire->tenant,
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    ask.wanted[i] = wire->wanted[i];
+  reply = grant (relay, wire->tenant, &ask, now);
+  *to = (fleet_wire_allowance_reply){ .tenant = wire->tenant,
                                       .asked_at = wire->asked_at,
-                                      .granted = reply.granted,
                                       .wait = (u_int)reply.wait };
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    to->granted[i] = reply.granted[i];
   relay_send_message (relay, htonl (wire->asker), &message);
 }
 
@@ -90,8 +122,8 @@
 {
   allowance_t *allowance = allowances_get (relay->view->allowances, name);
 
-  if (allowance_handle_reply (allowance, reply, asked_at, now))
-    relay->hooks.allowance_replied (relay->hooks.context, name, reply->wait);
+  if (allowance_end_ask (allowance, asked_at, now))
+    relay->hooks.allowance_replied (relay->hooks.context, name, reply);
 }
 
 void
@@ -99,11 +131,24 @@
                               const fleet_wire_allowance_reply *wire,
                               clock_ms_t now)
 {
-  allowance_reply_t reply
-      = { .granted = wire->granted, .wait = MIN (wire->wait, INT32_MAX) };
+  allowance_reply_t reply = { .wait = MIN (wire->wait, INT32_MAX) };
 
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    reply.granted[i] = wire->granted[i];
   /* A message may name a tenant that this instance does not know.  */
   if (relay->view->routes != NULL
       && routes_get_tenant (relay->view->routes, wire->tenant) != NULL)
     handle_reply (relay, wire->tenant, &reply, wire->asked_at, now);
 }
+
+void
+relay_set_allowance_bounds (relay_t *relay, const allowance_bounds_t *bounds)
+{
+  relay->allowance_bounds = *bounds;
+}
+
+void
+relay_handle_members_change (relay_t *relay)
+{
+  relay->members_version++;
+}
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -42,6 +42,9 @@
                        lacks */
   uint32_t limits_position; /* position in the table of endpoints from which
                                the next announcement includes limits */
+  allowance_bounds_t allowance_bounds;
+  uint64_t members_version; /* changes when the set of ready instances may have
+                               changed; never 0 */
   uint64_t started_at; /* identifies the start of this process in messages with
                           counts; Unix time in us */
   clock_ms_t counts_sent_at; /* ms; when counts were last sent */
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -60,10 +60,10 @@
                               int events);
 static void on_routes_changed (void *context, const routes_t *routes);
 static void on_backends_changed (void *context);
-static void on_allowance_needed (void *context, const tenant_t *tenant,
-                                 uint32_t n_waiting);
+static void on_allowance_needed (void *context, const char *tenant,
+                                 allowance_ask_t *ask);
 static void on_allowance_replied (void *context, const char *tenant,
-                                  clock_ms_t wait);
+                                  const allowance_reply_t *reply);
 static void on_rollouts_changed (void *context);
 static void on_rollout_progress (void *context, const char *name,
                                  const rollout_progress_t *progress);
@@ -145,6 +145,8 @@
       = relay_new (instance.loop, &settings->peer_listen_address,
                    instance.view, instance.members, &instance.reader,
                    instance.feed, &settings->seeds, &relay_hooks, &result);
+  if (result == 0)
+    relay_set_allowance_bounds (instance.relay, &settings->allowance_bounds);
   if (result == 0)
     result = open_servers (&instance);
   if (result == 0)
@@ -302,6 +304,7 @@
   instance->settings.addresses_ttl_max = settings.addresses_ttl_max;
   instance->settings.probes_per_s = settings.probes_per_s;
   instance->settings.rollout_bounds = settings.rollout_bounds;
+  relay_set_allowance_bounds (instance->relay, &settings.allowance_bounds);
   feed_set_bounds (instance->feed, &settings.feed_bounds);
   proxy_set_retry_rules (instance->proxy, &settings.retry_rules);
   proxy_set_probe_limit (instance->proxy, settings.probes_per_s);
@@ -336,19 +339,20 @@
 }
 
 static void
-on_allowance_needed (void *context, const tenant_t *tenant, uint32_t n_waiting)
+on_allowance_needed (void *context, const char *tenant, allowance_ask_t *ask)
 {
   const instance_t *instance = context;
 
-  relay_ask_allowance (instance->relay, tenant, n_waiting);
+  relay_ask_allowance (instance->relay, tenant, ask);
 }
 
 static void
-on_allowance_replied (void *context, const char *tenant, clock_ms_t wait)
+on_allowance_replied (void *context, const char *tenant,
+                      const allowance_reply_t *reply)
 {
   const instance_t *instance = context;
 
-  proxy_handle_allowance (instance->proxy, tenant, wait);
+  proxy_handle_allowance (instance->proxy, tenant, reply);
 }
 
 static void
@@ -389,7 +393,7 @@
     }
   proxy_set_instance_count (instance->proxy, count);
   backends_set_instances (instance->backends, names, count);
-  allowances_handle_members_change (instance->view->allowances);
+  relay_handle_members_change (instance->relay);
   telemetry_gauge_set (TELEMETRY_MEMBERS_HEARD, members_count_ready (members));
   g_free (names);
 }
--- a/lib/instance/instance.h
+++ b/lib/instance/instance.h
@@ -36,6 +36,7 @@
                               by SIGKILL */
   clock_ms_t addresses_ttl_max; /* longest time for which clients may cache the
                                    list of instances, in ms */
+  allowance_bounds_t allowance_bounds; /* of tenants' allowances */
   rollout_bounds_t rollout_bounds; /* of rollouts of new software versions */
   proxy_header_names_t names;      /* names of the proxy's header fields */
 } instance_settings_t;
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -142,6 +142,7 @@
       proxy->least_urgent_priority
           = MAX (proxy->least_urgent_priority, tenant->priority);
     }
+  tenancy_rank_routes (proxy, routes);
   if (!proxy->is_holding)
     request_route_all_unrouted (proxy);
 }
--- a/lib/proxy/proxy.h
+++ b/lib/proxy/proxy.h
@@ -67,10 +67,10 @@
   /* Called when an endpoint has ended under a request, or a request that was
      suspected of that was answered; may be NULL.  */
   void (*suspect_changed) (void *context, suspect_t *suspect);
-  /* Asks for tokens of a tenant's allowance for @n_waiting requests;
-     proxy_handle_allowance() has to be called when the reply has come.  */
-  void (*ask_allowance) (void *context, const tenant_t *tenant,
-                         uint32_t n_waiting);
+  /* Asks for tokens of a tenant's allowance; proxy_handle_allowance() has to
+     be called when the reply has come.  @ask: @wanted is set.  */
+  void (*ask_allowance) (void *context, const char *tenant,
+                         allowance_ask_t *ask);
   void *context; /* first argument of the callbacks */
 } proxy_settings_t;
 
@@ -90,11 +90,10 @@
 /* Sets the table of tenants' allowances, which must outlive the proxy's use.
    Without one, no allowance is kept.  */
 void proxy_set_allowances (proxy_t *proxy, allowances_t *allowances);
-/* Lets the requests go on that wait for tokens of a tenant's allowance, as far
-   as there are some now.  @wait: see allowance_reply_t; the others are refused
-   or, if it is 0, asked for.  */
+/* Lets the requests go on for which tokens of a tenant's allowance were
+   granted, and refuses the others that were asked for.  */
 void proxy_handle_allowance (proxy_t *proxy, const char *tenant,
-                             clock_ms_t wait);
+                             const allowance_reply_t *reply);
 /* Sets the tables of rollouts and of the counts about them; they must outlive
    the proxy's use.  Without them, endpoints are not told apart by version.  */
 void proxy_set_rollouts (proxy_t *proxy, rollouts_t *rollouts,
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -48,10 +48,12 @@
   int in_flight;    /* number of clients' requests that are not answered yet */
   bool is_holding;  /* no attempt starts; see proxy_hold() */
   bool is_stopping; /* proxy_stop() was called, with these: */
-  clock_ms_t refuse_from;    /* ms; new requests are refused from then on */
-  clock_ms_t answer_by;      /* ms; new requests that may not have their
-                                response by then are refused, too */
-  probing_t probing;         /* limits the rate of probes */
+  clock_ms_t refuse_from; /* ms; new requests are refused from then on */
+  clock_ms_t answer_by;   /* ms; new requests that may not have their
+                             response by then are refused, too */
+  probing_t probing;      /* limits the rate of probes */
+  int route_priorities[ALLOWANCE_RANKS]; /* the lowest values of the routes'
+                                            priorities, in ascending order */
   int least_urgent_priority; /* largest priority value of all routes; 0 is the
                                 most urgent */
   uint32_t log_lines_left;   /* log lines that may be written now (tokens of a
@@ -205,6 +207,7 @@
                       by CR LF */
   GString *trail;  /* decisions on the request so far, for the log */
   char *tenant;    /* name of the tenant whose allowance it uses; NULL: none */
+  int rank;        /* of its urgency in that; 0 is the most urgent */
   bool has_token;  /* it uses a token of that which can be given back */
   bool idempotent; /* the request may be run more than once */
   bool bulk;       /* responses of the request's route are large */
@@ -532,12 +535,16 @@
 
 /**
  * tenancy_admit() - admit a request by the allowance of its tenant
+ * @route: its route
  * @tenant: NULL: the request has none
  *
  * Return: true if the request may go on.  Otherwise it waits for a token, or
  * was refused and freed.  When it gets one, request_admit() is called.
  */
-bool tenancy_admit (request_t *request, const tenant_t *tenant);
+bool tenancy_admit (request_t *request, const route_t *route,
+                    const tenant_t *tenant);
+/* Ranks the routes by their priorities.  */
+void tenancy_rank_routes (proxy_t *proxy, const routes_t *routes);
 /* Gives back the token of a request that ends without an attempt.  */
 void tenancy_release_token (request_t *request);
 void tenancy_free_queue (gpointer queue);
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -272,7 +272,7 @@
           / 1000.0,
       0);
   ev_timer_start (proxy->loop, &request->deadline_timer);
-  if (tenancy_admit (request, tenant))
+  if (tenancy_admit (request, route, tenant))
     request_admit (request);
 }
 
--- a/lib/proxy/tenancy.c
+++ b/lib/proxy/tenancy.c
@@ -4,21 +4,31 @@
 #include "proxy_private.h"
 
 #include <errno.h>
+#include <limits.h>
+
+/* Time after which the clients of a tenant whose keeper does not reply may
+   come back.  */
+#define NO_KEEPER_WAIT_MS 300
 
 /* Requests of a tenant that wait for a token of its allowance.  */
 typedef struct token_queue
 {
   proxy_t *proxy;
   char *tenant;
-  GQueue waiting; /* request_t * */
-  ev_timer timer; /* ends the wait for the keeper's reply */
+  GQueue waiting[ALLOWANCE_RANKS]; /* request_t *, by rank */
+  uint32_t asked[ALLOWANCE_RANKS]; /* tokens of the question that has no reply
+                                      yet */
+  ev_timer timer;                  /* ends the wait for the keeper's reply */
 } token_queue_t;
 
 static token_queue_t *get_queue (proxy_t *proxy, const char *tenant);
+static bool is_empty (const token_queue_t *queue);
+static int find_rank (const proxy_t *proxy, const route_t *route);
 static void ask (token_queue_t *queue);
 static void on_reply_timeout (struct ev_loop *loop, ev_timer *watcher,
                               int events);
-static void let_first_go_on (token_queue_t *queue, bool by_keeper);
+static void let_first_go_on (token_queue_t *queue, int rank, bool by_keeper);
+static void refuse_first (token_queue_t *queue, int rank, clock_ms_t wait);
 static void refuse_all (token_queue_t *queue, clock_ms_t wait);
 /* Returns the only Authorization field of a request, or NULL.  */
 static const char *find_authorization (const exchange_t *exchange);
@@ -69,9 +79,7 @@
   queue = g_new0 (token_queue_t, 1);
   queue->proxy = proxy;
   queue->tenant = g_strdup (tenant);
-  g_queue_init (&queue->waiting);
-  ev_timer_init (&queue->timer, on_reply_timeout,
-                 ALLOWANCE_REPLY_TIMEOUT_MS / 1000.0, 0);
+  ev_init (&queue->timer, on_reply_timeout);
   queue->timer.data = queue;
   g_hash_table_insert (proxy->queues, g_strdup (tenant), queue);
   return queue;
@@ -87,32 +95,63 @@
   g_free (queue);
 }
 
+static bool
+is_empty (const token_queue_t *queue)
+{
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    if (queue->waiting[i].length > 0)
+      return false;
+  return true;
+}
+
+void
+tenancy_rank_routes (proxy_t *proxy, const routes_t *routes)
+{
+  int *priorities = proxy->route_priorities;
+
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    {
+      priorities[i] = INT_MAX;
+      for (guint j = 0; j < routes->routes->len; j++)
+        {
+          const route_t *route = g_ptr_array_index (routes->routes, j);
+
+          if (i == 0 || route->priority > priorities[i - 1])
+            priorities[i] = MIN (priorities[i], route->priority);
+        }
+    }
+}
+
+/* Returns the rank of a route's requests among those of their tenant.  */
+static int
+find_rank (const proxy_t *proxy, const route_t *route)
+{
+  int rank = 0;
+
+  while (rank < ALLOWANCE_RANKS - 1
+         && route->priority > proxy->route_priorities[rank])
+    rank++;
+  return rank;
+}
+
 bool
-tenancy_admit (request_t *request, const tenant_t *tenant)
+tenancy_admit (request_t *request, const route_t *route,
+               const tenant_t *tenant)
 {
   proxy_t *proxy = request->proxy;
-  allowance_t *allowance;
   token_queue_t *queue;
-  clock_ms_t now = clock_now ();
 
   if (tenant == NULL || proxy->allowances == NULL
       || !tenant_is_limited (tenant))
     return true;
-  allowance = allowances_get (proxy->allowances, tenant->name);
-  allowance_add_request (allowance, now);
   request->tenant = g_strdup (tenant->name);
-  if (allowance_take (allowance, now))
-    {
-      telemetry_counter_increment (TELEMETRY_ALLOWANCE_REQUESTS, 0);
-      request->has_token = true;
-      return true;
-    }
+  request->rank = find_rank (proxy, route);
   queue = get_queue (proxy, tenant->name);
-  request->queue = &queue->waiting;
+  request->queue = &queue->waiting[request->rank];
   g_queue_push_tail_link (request->queue, &request->link);
   /* Requests that arrive before the reply are asked for with the next
      question.  */
-  if (allowance->asked_at == 0)
+  if (allowances_get (proxy->allowances, tenant->name)->asked_at == 0)
     ask (queue);
   return false;
 }
@@ -123,26 +162,25 @@
 ask (token_queue_t *queue)
 {
   proxy_t *proxy = queue->proxy;
-  const tenant_t *tenant = routes_get_tenant (proxy->routes, queue->tenant);
+  allowance_ask_t question = { 0 };
 
-  /* The tenant has just been removed from the configuration.  */
-  if (tenant == NULL)
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
     {
-      refuse_all (queue, 0);
-      return;
+      question.wanted[i] = queue->waiting[i].length;
+      queue->asked[i] = question.wanted[i];
     }
   ev_timer_stop (proxy->loop, &queue->timer);
   ev_timer_set (&queue->timer, ALLOWANCE_REPLY_TIMEOUT_MS / 1000.0, 0);
   ev_timer_start (proxy->loop, &queue->timer);
-  proxy->settings.ask_allowance (proxy->settings.context, tenant,
-                                 queue->waiting.length);
+  proxy->settings.ask_allowance (proxy->settings.context, queue->tenant,
+                                 &question);
 }
 
-/* Lets the request that waits longest look for an endpoint.  */
+/* Lets the request of a rank that waits longest look for an endpoint.  */
 static void
-let_first_go_on (token_queue_t *queue, bool by_keeper)
+let_first_go_on (token_queue_t *queue, int rank, bool by_keeper)
 {
-  request_t *request = queue->waiting.head->data;
+  request_t *request = queue->waiting[rank].head->data;
 
   telemetry_counter_increment (TELEMETRY_ALLOWANCE_REQUESTS,
                                by_keeper ? 0 : 1);
@@ -151,24 +189,30 @@
   request_admit (request);
 }
 
+static void
+refuse_first (token_queue_t *queue, int rank, clock_ms_t wait)
+{
+  request_t *request = queue->waiting[rank].head->data;
+
+  telemetry_counter_increment (TELEMETRY_ALLOWANCE_REQUESTS, 2);
+  /* Clients that were refused together come back one after the other.  */
+  request->retry_after = wait / 2
+                         + (clock_ms_t)decide_rng_below (
+                             &queue->proxy->rng, (uint32_t)MAX (wait, 1));
+  request_refuse (request, TELEMETRY_OUTCOME_ALLOWANCE, queue->tenant);
+}
+
 static void
 refuse_all (token_queue_t *queue, clock_ms_t wait)
 {
-  while (queue->waiting.head != NULL)
-    {
-      request_t *request = queue->waiting.head->data;
-
-      telemetry_counter_increment (TELEMETRY_ALLOWANCE_REQUESTS, 2);
-      /* Clients that were refused together come back one after the other.  */
-      request->retry_after = wait / 2
-                             + (clock_ms_t)decide_rng_below (
-                                 &queue->proxy->rng, (uint32_t)MAX (wait, 1));
-      request_refuse (request, TELEMETRY_OUTCOME_ALLOWANCE, queue->tenant);
-    }
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    while (queue->waiting[i].head != NULL)
+      refuse_first (queue, i, wait);
 }
 
 void
-proxy_handle_allowance (proxy_t *proxy, const char *tenant, clock_ms_t wait)
+proxy_handle_allowance (proxy_t *proxy, const char *tenant,
+                        const allowance_reply_t *reply)
 {
   token_queue_t *queue = g_hash_table_lookup (proxy->queues, tenant);
   allowance_t *allowance = allowances_get (proxy->allowances, tenant);
@@ -176,13 +220,23 @@
   if (queue == NULL)
     return;
   ev_timer_stop (proxy->loop, &queue->timer);
-  while (queue->waiting.head != NULL
-         && allowance_take (allowance, clock_now ()))
-    let_first_go_on (queue, true);
-  if (wait > 0)
-    refuse_all (queue, wait);
+  for (int i = 0; i < ALLOWANCE_RANKS; i++)
+    {
+      uint32_t asked = queue->asked[i];
+      uint32_t granted = MIN (reply->granted[i], asked);
+
+      queue->asked[i] = 0;
+      for (uint32_t j = 0; j < granted; j++)
+        if (queue->waiting[i].head != NULL)
+          let_first_go_on (queue, i, true);
+        else
+          allowance_put_back (allowance);
+      for (uint32_t j = granted; j < asked; j++)
+        if (queue->waiting[i].head != NULL)
+          refuse_first (queue, i, reply->wait);
+    }
   /* These have arrived since the question.  */
-  else if (queue->waiting.head != NULL)
+  if (!is_empty (queue) && allowance->asked_at == 0)
     ask (queue);
 }
 
@@ -198,11 +252,12 @@
   (void)loop;
   (void)events;
   allowance->asked_at = 0;
-  while (tenant != NULL && queue->waiting.head != NULL
-         && allowance_take_alone (allowance, tenant, proxy->instance_count,
-                                  clock_now ()))
-    let_first_go_on (queue, false);
-  refuse_all (queue, ALLOWANCE_TOKEN_MS);
+  for (int i = 0; tenant != NULL && i < ALLOWANCE_RANKS; i++)
+    while (queue->waiting[i].head != NULL
+           && allowance_take_alone (allowance, tenant, proxy->instance_count,
+                                    clock_now ()))
+      let_first_go_on (queue, i, false);
+  refuse_all (queue, NO_KEEPER_WAIT_MS);
 }
 
 void
@@ -211,8 +266,7 @@
   proxy_t *proxy = request->proxy;
 
   if (request->has_token && request->n_tried == 0)
-    allowance_put_back (allowances_get (proxy->allowances, request->tenant),
-                        clock_now ());
+    allowance_put_back (allowances_get (proxy->allowances, request->tenant));
   request->has_token = false;
 }
 
@@ -227,8 +281,9 @@
     {
       token_queue_t *queue = value;
 
-      while (queue->waiting.head != NULL)
-        request_end_unfinished (queue->waiting.head->data);
+      for (int i = 0; i < ALLOWANCE_RANKS; i++)
+        while (queue->waiting[i].head != NULL)
+          request_end_unfinished (queue->waiting[i].head->data);
     }
 }
 
@@ -240,6 +295,6 @@
 
   g_hash_table_iter_init (&iter, proxy->queues);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((token_queue_t *)value)->waiting.length == 0)
+    if (is_empty (value) && !ev_is_active (&((token_queue_t *)value)->timer))
       g_hash_table_iter_remove (&iter);
 }
