Allowances: an instance without a keeper goes on alone for 500 ms at a time

Cause: an instance that is cut off waited 60 ms for each question and had its share of the rate, nothing for small tenants. Change: after a question without a reply it uses a bucket of its own for 500 ms, at least one request in 5 s for each tenant, and a keeper grants only the part of the rate that belongs to instances that are heard.

--- a/lib/balance/allowance.c
+++ b/lib/balance/allowance.c
@@ -13,8 +13,14 @@
 /* Tokens that each rank leaves for the more urgent ones, as a time of the
    tenant's rate.  */
 #define RESERVE_S 0.15
-/* Depth of the bucket of an instance that goes on alone, in tokens.  */
-#define ALONE_DEPTH 1.0
+/* Depth of the bucket of an instance that goes on alone, as a time of its
+   rate, and its least rate.  A share of a small tenant's rate is less than a
+   request in many seconds, so that nearly all of its requests would be refused
+   there.  */
+#define ALONE_DEPTH_S 0.5
+#define ALONE_RATE_MIN 0.2
+/* Time for which an instance goes on alone before it asks again.  */
+#define ALONE_MS 500
 /* Shortest and longest time after which a refused client is told to come
    back.  */
 #define WAIT_MIN_MS 50.0
@@ -102,12 +108,27 @@
   allowance->unused++;
 }
 
+void
+allowance_handle_timeout (allowance_t *allowance, clock_ms_t now)
+{
+  allowance->asked_at = 0;
+  allowance->alone_until = now + ALONE_MS;
+}
+
+bool
+allowance_is_alone (const allowance_t *allowance, clock_ms_t now)
+{
+  return now < allowance->alone_until;
+}
+
 bool
 allowance_take_alone (allowance_t *allowance, const tenant_t *tenant,
                       int instances, clock_ms_t now)
 {
-  fill (&allowance->alone, tenant->rate_per_s / instances, ALONE_DEPTH,
-        ALONE_DEPTH, now);
+  double rate = MAX (tenant->rate_per_s / instances, ALONE_RATE_MIN);
+  double depth = MAX (rate * ALONE_DEPTH_S, 1.0);
+
+  fill (&allowance->alone, rate, depth, depth, now);
   return take (&allowance->alone, 0, 1) == 1;
 }
 
@@ -145,11 +166,11 @@
 
 allowance_reply_t
 allowance_grant (allowance_t *allowance, const tenant_t *tenant,
-                 const allowance_bounds_t *bounds, const allowance_ask_t *ask,
-                 clock_ms_t now)
+                 const allowance_bounds_t *bounds, double heard_share,
+                 const allowance_ask_t *ask, clock_ms_t now)
 {
   double factor = 1.0 + bounds->overshoot * BOUNDS_PART;
-  double rate = tenant->rate_per_s * factor;
+  double rate = tenant->rate_per_s * factor * heard_share;
   double depth
       = MAX (tenant->burst * factor + bounds->slack * BOUNDS_PART, 1.0);
   double reserve = MIN (rate * RESERVE_S, depth / ALLOWANCE_RANKS);
--- a/lib/balance/allowance.h
+++ b/lib/balance/allowance.h
@@ -38,12 +38,14 @@
 typedef struct allowance
 {
   /* As an instance that has requests of the tenant.  */
-  uint32_t unused;      /* tokens to be given back */
-  clock_ms_t asked_at;  /* time of the question that has no reply yet; 0:
-                           none */
-  token_bucket_t alone; /* for times without replies of the keeper */
-  uint32_t keeper_ip;   /* address of the keeper in network byte order; 0: this
-                           instance */
+  uint32_t unused;        /* tokens to be given back */
+  clock_ms_t asked_at;    /* time of the question that has no reply yet; 0:
+                             none */
+  token_bucket_t alone;   /* for times without replies of the keeper */
+  clock_ms_t alone_until; /* the keeper has not replied and is not asked before
+                             this time */
+  uint32_t keeper_ip; /* address of the keeper in network byte order; 0: this
+                         instance */
   uint64_t keeper_version; /* of the set of instances by which the keeper was
                               found; 0: it was not yet */
   /* As the keeper.  */
@@ -66,8 +68,13 @@
 
 /* Gives back the token of a request that was not sent to an endpoint.  */
 void allowance_put_back (allowance_t *allowance);
-/* Uses a token of the bucket for times without replies of the keeper.
-   @instances: number of instances, which share the tenant's rate then.  */
+/* Records that the keeper has not replied.  */
+void allowance_handle_timeout (allowance_t *allowance, clock_ms_t now);
+/* Whether this instance goes on alone now.  */
+bool allowance_is_alone (const allowance_t *allowance, clock_ms_t now);
+/* Uses a token of the bucket for times without replies of the keeper, which
+   has this instance's share of the tenant's rate, or a little more if that is
+   small.  @instances: number of instances, which share the rate then.  */
 bool allowance_take_alone (allowance_t *allowance, const tenant_t *tenant,
                            int instances, clock_ms_t now);
 
@@ -94,12 +101,18 @@
 bool allowance_end_ask (allowance_t *allowance, clock_ms_t asked_at,
                         clock_ms_t now);
 
-/* Decides, as the keeper, on a question.  In any time t the tenant gets at
-   most t times its rate and its burst, each with half of what @bounds allow in
-   addition.  */
+/**
+ * allowance_grant() - decide, as the keeper, on a question
+ * @heard_share: share of the known instances that are heard.  The others may
+ *   be alive and use their shares of the rate.
+ *
+ * In any time t the tenant gets at most t times its rate and its burst, each
+ * with half of what @bounds allow in addition.
+ */
 allowance_reply_t allowance_grant (allowance_t *allowance,
                                    const tenant_t *tenant,
                                    const allowance_bounds_t *bounds,
+                                   double heard_share,
                                    const allowance_ask_t *ask, clock_ms_t now);
 
 #endif
--- a/lib/fleet/relay_allowance.c
+++ b/lib/fleet/relay_allowance.c
@@ -40,7 +40,10 @@
       reply.granted[i] = ask->wanted[i];
   else
     reply = allowance_grant (allowances_get (relay->view->allowances, name),
-                             tenant, &relay->allowance_bounds, ask, now);
+                             tenant, &relay->allowance_bounds,
+                             (double)members_count_ready (relay->members)
+                                 / (double)relay->members->table->len,
+                             ask, now);
   for (int i = 0; i < ALLOWANCE_RANKS; i++)
     {
       telemetry_counter_add (TELEMETRY_ALLOWANCE_TOKENS, 0, reply.granted[i]);
--- a/lib/proxy/tenancy.c
+++ b/lib/proxy/tenancy.c
@@ -25,6 +25,7 @@
 static bool is_empty (const token_queue_t *queue);
 static int find_rank (const proxy_t *proxy, const route_t *route);
 static void ask (token_queue_t *queue);
+static void go_on_alone (token_queue_t *queue);
 static void on_reply_timeout (struct ev_loop *loop, ev_timer *watcher,
                               int events);
 static void let_first_go_on (token_queue_t *queue, int rank, bool by_keeper);
@@ -139,19 +140,23 @@
                const tenant_t *tenant)
 {
   proxy_t *proxy = request->proxy;
+  allowance_t *allowance;
   token_queue_t *queue;
 
   if (tenant == NULL || proxy->allowances == NULL
       || !tenant_is_limited (tenant))
     return true;
+  allowance = allowances_get (proxy->allowances, tenant->name);
   request->tenant = g_strdup (tenant->name);
   request->rank = find_rank (proxy, route);
   queue = get_queue (proxy, tenant->name);
   request->queue = &queue->waiting[request->rank];
   g_queue_push_tail_link (request->queue, &request->link);
+  if (allowance_is_alone (allowance, clock_now ()))
+    go_on_alone (queue);
   /* Requests that arrive before the reply are asked for with the next
      question.  */
-  if (allowances_get (proxy->allowances, tenant->name)->asked_at == 0)
+  else if (allowance->asked_at == 0)
     ask (queue);
   return false;
 }
@@ -240,18 +245,15 @@
     ask (queue);
 }
 
-/* The keeper has not replied: it has ended, or one of the two is cut off.  */
+/* Admits the requests that wait by this instance's share of the rate, and
+   refuses the others.  */
 static void
-on_reply_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+go_on_alone (token_queue_t *queue)
 {
-  token_queue_t *queue = watcher->data;
   proxy_t *proxy = queue->proxy;
   allowance_t *allowance = allowances_get (proxy->allowances, queue->tenant);
   const tenant_t *tenant = routes_get_tenant (proxy->routes, queue->tenant);
 
-  (void)loop;
-  (void)events;
-  allowance->asked_at = 0;
   for (int i = 0; tenant != NULL && i < ALLOWANCE_RANKS; i++)
     while (queue->waiting[i].head != NULL
            && allowance_take_alone (allowance, tenant, proxy->instance_count,
@@ -260,6 +262,19 @@
   refuse_all (queue, NO_KEEPER_WAIT_MS);
 }
 
+/* The keeper has not replied: it has ended, or one of the two is cut off.  */
+static void
+on_reply_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  token_queue_t *queue = watcher->data;
+
+  (void)loop;
+  (void)events;
+  allowance_handle_timeout (
+      allowances_get (queue->proxy->allowances, queue->tenant), clock_now ());
+  go_on_alone (queue);
+}
+
 void
 tenancy_release_token (request_t *request)
 {
