Replace a reader that cannot read sooner; smaller subsets of endpoints

Change: a reader whose last read has failed says so, and others then take over after 100 ms and their turn. Test red before: reader_that_cannot_read_says_so.

Second cause: an instance with five requests a second dealt with 44 endpoints of each service, so that connections closed before they were used again. Change: 12 endpoints of the own data centre and 6 of others.

--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -17,10 +17,10 @@
 #define GOOD_ENOUGH_FACTOR 1.05
 /* Largest number of endpoints in this instance's data centre that the instance
    uses for one service (deterministic subsetting).  */
-#define LOCAL_SUBSET_MAX 32
+#define LOCAL_SUBSET_MAX 12
 /* Largest number of endpoints in all other data centres together that this
    instance uses for one service.  */
-#define REMOTE_SUBSET_MAX 12
+#define REMOTE_SUBSET_MAX 6
 
 /* Largest number of endpoints for which this instance has a permit among those
    that are probed together.  */
--- a/lib/fleet/reader.c
+++ b/lib/fleet/reader.c
@@ -7,6 +7,9 @@
    begin to take over.  As the reader sends an announcement four times a
    second, at least two in a row must be lost before that happens.  */
 #define READER_TIMEOUT_MS 600
+/* The same after an announcement that says that the last read has failed.  The
+   reader may succeed at its next attempt, which is no sooner.  */
+#define READER_STALE_TIMEOUT_MS 100
 /* Delay between the takeover attempts of instances of consecutive ranks.  It
    is longer than a read and the announcement that follows, so that the next
    instance learns of a successful attempt before it makes its own.  */
@@ -69,7 +72,12 @@
   reader->last_reader_weak = other->weak;
   g_strlcpy (reader->last_reader, other->name, sizeof reader->last_reader);
   if (other->fresh)
-    reader->last_fresh_at = now;
+    {
+      reader->last_fresh_at = now;
+      reader->stale_since = 0;
+    }
+  else if (reader->stale_since == 0)
+    reader->stale_since = now;
   if (!reader->is_reader)
     return false;
   if (reader_is_fresh (reader, now) != other->fresh)
@@ -110,6 +118,10 @@
            >= PREEMPT_DELAY_MS + (clock_ms_t)rank * READER_RANK_DELAY_MS;
   if (reader->weak)
     rank += WEAK_EXTRA_RANKS;
+  if (reader->stale_since != 0
+      && now - reader->stale_since
+             >= READER_STALE_TIMEOUT_MS + rank * rank_delay)
+    return true;
   return now - silent_since >= timeout + rank * rank_delay;
 }
 
@@ -117,6 +129,7 @@
 reader_handle_read_result (reader_t *reader, bool ok, int instances,
                            clock_ms_t now)
 {
+  reader->has_failed = !ok && reader->is_reader;
   if (!ok)
     {
       clock_ms_t retry_delay
@@ -131,16 +144,17 @@
   reader->last_read_at = now;
   if (reader->is_reader
       || (now - reader->last_fresh_at < READER_TIMEOUT_MS
-          && !can_preempt (reader, now)))
+          && reader->stale_since == 0 && !can_preempt (reader, now)))
     return false;
   reader->is_reader = true;
+  reader->stale_since = 0;
   return true;
 }
 
 bool
 reader_is_fresh (const reader_t *reader, clock_ms_t now)
 {
-  return reader->last_read_at != 0
+  return reader->last_read_at != 0 && !reader->has_failed
          && now - reader->last_read_at < READER_FRESH_MS;
 }
 
--- a/lib/fleet/reader.h
+++ b/lib/fleet/reader.h
@@ -27,14 +27,20 @@
                               success; 0: never */
   clock_ms_t next_try_at;  /* ms; time before which this instance does not try
                               to take over, because its last read failed */
-  bool has_heard_reader;   /* an announcement was received since this instance
-                              started */
-  bool last_reader_weak;   /* @last_reader is weak */
-  clock_ms_t weak_since; /* ms; if @last_reader is weak, when the first of its
-                            consecutive announcements was received */
-  bool weak;             /* this instance is weak */
-  char last_reader[128]; /* name of the reader whose announcement was received
-                            last */
+  bool has_failed;        /* this instance is the reader, and its last read has
+                             failed */
+  clock_ms_t stale_since; /* ms; when the first of the consecutive
+                             announcements was received in which the reader
+                             says that its last read is not recent or has
+                             failed; 0: the last one says that it is fresh */
+  bool has_heard_reader;  /* an announcement was received since this instance
+                             started */
+  bool last_reader_weak;  /* @last_reader is weak */
+  clock_ms_t weak_since;  /* ms; if @last_reader is weak, when the first of its
+                             consecutive announcements was received */
+  bool weak;              /* this instance is weak */
+  char last_reader[128];  /* name of the reader whose announcement was received
+                             last */
 } reader_t;
 
 /* Sets @reader to the state of an instance that has just started.  @weak:
@@ -78,8 +84,8 @@
 bool reader_is_after_outage (const reader_t *reader, bool has_backends,
                              clock_ms_t now);
 
-/* Whether the last successful read by this instance is recent enough to be
-   announced as fresh.  */
+/* Whether the last read by this instance was successful and recent enough to
+   be announced as fresh.  */
 bool reader_is_fresh (const reader_t *reader, clock_ms_t now);
 
 #endif
--- a/test/unit/fleet_reader.c
+++ b/test/unit/fleet_reader.c
@@ -218,6 +218,32 @@
     }
 }
 
+/* Guards against a new configuration that is in force too late because the
+   reader, which the store turns away, is taken for a fresh one for long: the
+   store refuses the calls of the reader and of those that would take over
+   first, at each moment between two reads.  Of the 2.5 s in which a
+   configuration must be in force, a second is left for the others.  */
+static void
+reader_that_cannot_read_says_so (void)
+{
+  for (int offset_ms = 0; offset_ms < READ_INTERVAL_MS; offset_ms += STEP_MS)
+    {
+      fixture_t fixture;
+
+      fixture_start (&fixture, 24);
+      run_for (&fixture, 3000 + offset_ms);
+      for (int i = 0; i < fixture.count; i++)
+        fixture.instances[i].refused
+            = i < 4 || fixture.instances[i].reader.is_reader;
+      for (int i = 0; i < 300; i++)
+        {
+          run_for (&fixture, STEP_MS);
+          g_assert_cmpint (get_greatest_age (&fixture), <, 1500);
+        }
+      g_assert_cmpint (count_readers (&fixture), ==, 1);
+    }
+}
+
 /* Guards against outdated state in an instance that is partitioned from the
    others and keeps waiting for the reader's announcements.  */
 static void
@@ -315,6 +341,8 @@
                    killed_reader_is_replaced);
   g_test_add_func ("/reader/refused_reader_is_replaced",
                    refused_reader_is_replaced);
+  g_test_add_func ("/reader/reader_that_cannot_read_says_so",
+                   reader_that_cannot_read_says_so);
   g_test_add_func ("/reader/cut_off_instance_reads",
                    partitioned_instance_reads);
   g_test_add_func ("/reader/small_reader_is_relieved",
