--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -514,6 +514,7 @@
         async with self.slot_semaphore:
             self.waiting -= 1
             self.running += 1
+            self.site.seen_fields[request_id] = fields
             self.site.check_execution(self, request_id, method, target, body)
             try:
                 await asyncio.sleep(
@@ -698,6 +699,10 @@
         self.next_id = 0
         self.version = 0
         self.services = {"file": ("files",)}
+        # Header fields with which an endpoint got a request, by its ID.
+        self.seen_fields = {}
+        # Tenants of the configuration; None: requests need no key.
+        self.tenants = None
         # Bounds in the instances' settings beside the usual ones.
         self.bounds = {}
 
@@ -756,6 +761,7 @@
             "version": self.version,
             "routes": {k: v for k, v in routes.items() if v is not None},
             "services": {"slots": service, "files": service},
+            **({} if self.tenants is None else {"tenants": self.tenants}),
             "limits": {"max-header-bytes": 16384,
                        "max-body-bytes": 1048576, "header-timeout-s": 3,
                        "idle-timeout-s": 15}})
@@ -893,29 +899,32 @@
                 busiest, max_calls = instance, calls
         return busiest
 
-    async def ask(self, instance, target):
-        """Returns the status of a GET request to an instance."""
+    async def ask(self, instance, target, fields=()):
+        """Returns the status of a GET request to an instance.  fields: lines of
+        further header fields."""
         self.next_id += 1
         request_id = f"s{self.next_id}"
         self.sent[request_id] = ("GET", target, b"")
         reader, writer = await asyncio.open_connection(instance.ip, FRONT)
         try:
-            writer.write(message(
+            head = message(
                 f"GET {target} HTTP/1.1",
                 {"Host": "here.example", ATTEMPT_ID: request_id,
-                 DEADLINE_MS: "1000"}))
+                 DEADLINE_MS: "1000"})
+            lines = "".join(line + "\r\n" for line in fields).encode()
+            writer.write(head[:-2] + lines + b"\r\n")
             start_line, _, _ = await read_message(reader)
             return int(start_line.split(" ")[1])
         finally:
             writer.transport.abort()
 
-    async def all_return_status(self, target, wanted, timeout_s):
+    async def all_return_status(self, target, wanted, timeout_s, fields=()):
         """Whether each instance responds with the wanted status in time."""
         until = time.monotonic() + timeout_s
         pending = list(self.instances)
         while pending and time.monotonic() < until:
             for instance in list(pending):
-                if await self.ask(instance, target) == wanted:
+                if await self.ask(instance, target, fields) == wanted:
                     pending.remove(instance)
             await asyncio.sleep(0.05)
         return not pending
--- a/test/unit/fleet_config.c
+++ b/test/unit/fleet_config.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <glib.h>
 
+#include "tenants.h"
 #include "view.h"
 #include "wire.h"
 
@@ -27,7 +28,21 @@
   routes_add (routes, route);
 }
 
-/* Returns a version with the routes from @first to @last (exclusive).  */
+/* Adds a tenant with a key, which has its number, and a rate.  */
+static void
+add_tenant (routes_t *routes, int number, clock_ms_t rate)
+{
+  g_autofree char *name = g_strdup_printf ("tenant-%d", number);
+  tenant_t *tenant = tenant_new (name);
+
+  g_ptr_array_add (tenant->keys, g_strdup_printf ("key-%d", number));
+  tenant->rate_per_s = (double)rate;
+  tenant->burst = 2.5;
+  routes_add_tenant (routes, tenant);
+}
+
+/* Returns a version with the routes and tenants from @first to @last
+ * (exclusive).  */
 static routes_t *
 make_version (uint64_t version, int first, int last, clock_ms_t timeout)
 {
@@ -36,6 +51,9 @@
 
   for (int i = first; i < last; i++)
     add_route (routes, i, timeout);
+  for (int i = first; i < last; i++)
+    add_tenant (routes, i, timeout);
+  routes->requires_key = true;
   rules->name = g_strdup ("slots");
   rules->health_path = g_strdup ("/healthz");
   routes_add_service (routes, rules);
@@ -69,6 +87,10 @@
       g_assert_cmpuint (config_digest (result), ==, config_digest (last));
       g_assert_cmpuint (result->routes->len, ==, 5);
       g_assert_null (routes_find (result, "here.example", "/r0/x"));
+      g_assert_true (result->requires_key);
+      g_assert_null (routes_find_tenant (result, "key-0"));
+      g_assert_cmpfloat (routes_find_tenant (result, "key-5")->rate_per_s, ==,
+                         900.0);
       routes_free (result);
       config_change_free (change);
     }
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -388,6 +388,136 @@
     }
 }
 
+/* Returns the configuration with tenants, or NULL if it is rejected.  */
+static routes_t *
+decode_tenants_of (const char *tenants)
+{
+  g_autofree char *route
+      = g_strdup_printf ("{\"host\":\"h\",\"path-prefix\":\"/a/\","
+                         "\"kind\":\"safe\",\"service\":\"s\"}},"
+                         "\"tenants\":{%s},\"more\":{\"x\":1",
+                         tenants);
+
+  return decode_config (route);
+}
+
+/* Guards against tenants that share a key, or whose limits or names a faulty
+   writer has spoilt: the version before stays in force.  */
+static void
+invalid_tenants_are_rejected (void)
+{
+  static const char *const invalid[] = {
+    "\"t\":{}",
+    "\"t\":{\"api-keys\":\"k\"}",
+    "\"t\":{\"api-keys\":[1]}",
+    "\"t\":{\"api-keys\":[\"\"]}",
+    "\"t\":{\"api-keys\":[\"k\"],\"rate-per-s\":-1}",
+    "\"t\":{\"api-keys\":[\"k\"],\"burst\":\"x\"}",
+    "\"t\\r\\nX: y\":{\"api-keys\":[\"k\"]}",
+    "\"t\":{\"api-keys\":[\"k\"]},\"u\":{\"api-keys\":[\"k\"]}",
+  };
+  routes_t *routes = decode_tenants_of (
+      "\"t\":{\"api-keys\":[\"k\",\"l\"],\"priority\":2,"
+      "\"rate-per-s\":0.5,\"burst\":3},\"u\":{\"api-keys\":[]}");
+  const tenant_t *tenant;
+
+  g_assert_nonnull (routes);
+  g_assert_true (routes->requires_key);
+  tenant = routes_find_tenant (routes, "l");
+  g_assert_nonnull (tenant);
+  g_assert_cmpstr (tenant->name, ==, "t");
+  g_assert_cmpint (tenant->priority, ==, 2);
+  g_assert_cmpfloat (tenant->rate_per_s, ==, 0.5);
+  g_assert_null (routes_find_tenant (routes, "K"));
+  g_assert_cmpint (routes_get_tenant (routes, "u")->priority, ==, -1);
+  routes_free (routes);
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
+    g_assert_null (decode_tenants_of (invalid[i]));
+}
+
+/* Guards against a configuration with very many tenants that is rejected or
+   takes long.  */
+static void
+many_tenants_are_read (void)
+{
+  GString *text = g_string_new (NULL);
+  routes_t *routes;
+
+  for (int i = 0; i < 10000; i++)
+    g_string_append_printf (text, "%s\"t%d\":{\"api-keys\":[\"k%d\"]}",
+                            i > 0 ? "," : "", i, i);
+  routes = decode_tenants_of (text->str);
+  g_assert_nonnull (routes);
+  g_assert_cmpuint (routes->tenants->len, ==, 10000);
+  g_assert_cmpstr (routes_find_tenant (routes, "k9999")->name, ==, "t9999");
+  routes_free (routes);
+  g_string_free (text, TRUE);
+}
+
+/* Returns the rollout that an object is decoded to, to be freed with
+   feed_item_free() of @item; NULL: the object is skipped.  */
+static feed_rollout_t *
+decode_order (const char *spec, const char *status, feed_response_t *response)
+{
+  g_autofree char *item = g_strdup_printf (
+      "{\"metadata\":{\"name\":\"s\",\"revision\":7,\"created\":3},"
+      "\"spec\":%s,\"status\":%s}",
+      spec, status);
+
+  g_assert_cmpint (decode (FEED_ROLLOUTS, item, response), ==, 0);
+  return ((feed_item_t *)g_ptr_array_index (response->items, 0))->rollout;
+}
+
+/* Guards against an order that is read wrongly, or taken for finished by the
+   status of another version.  */
+static void
+orders_of_rollouts_are_read (void)
+{
+  static const char order[] = "{\"service\":\"s\",\"target-version\":\"v2\","
+                              "\"duration-s\":12.5}";
+  static const struct
+  {
+    const char *status;
+    rollout_phase_t phase;
+  } rows[] = {
+    { "null", ROLLOUT_PHASE_COUNT },
+    { "{\"state\":\"running\",\"target-version\":\"v2\"}", ROLLOUT_CANARY },
+    { "{\"state\":\"completed\",\"target-version\":\"v2\"}",
+      ROLLOUT_COMPLETED },
+    { "{\"state\":\"rolled_back\",\"target-version\":\"v2\"}",
+      ROLLOUT_ROLLED_BACK },
+    { "{\"state\":\"completed\",\"target-version\":\"v1\"}",
+      ROLLOUT_PHASE_COUNT },
+    { "{\"state\":\"odd\",\"target-version\":\"v2\"}", ROLLOUT_PHASE_COUNT },
+  };
+  static const char *const invalid[] = {
+    "{}",
+    "{\"service\":\"other\",\"target-version\":\"v2\",\"duration-s\":12}",
+    "{\"service\":\"s\",\"target-version\":\"\",\"duration-s\":12}",
+    "{\"service\":\"s\",\"target-version\":\"v2\",\"duration-s\":-1}",
+    "{\"service\":\"s\",\"target-version\":\"v2\",\"duration-s\":1e9}",
+  };
+  feed_response_t response;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const feed_rollout_t *rollout
+          = decode_order (order, rows[i].status, &response);
+
+      g_assert_nonnull (rollout);
+      g_assert_cmpstr (rollout->version, ==, "v2");
+      g_assert_cmpint (rollout->duration, ==, 12500);
+      g_assert_cmpuint (rollout->created.number, ==, 3);
+      g_assert_cmpint (rollout->stored_phase, ==, rows[i].phase);
+      g_ptr_array_free (response.items, TRUE);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
+    {
+      g_assert_null (decode_order (invalid[i], "null", &response));
+      g_ptr_array_free (response.items, TRUE);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -409,5 +539,8 @@
                    malformed_responses_are_errors);
   g_test_add_func ("/platform/members_are_read_back", members_are_read_back);
   g_test_add_func ("/platform/settings_are_checked", settings_are_checked);
+  g_test_add_func ("/platform/invalid_tenants", invalid_tenants_are_rejected);
+  g_test_add_func ("/platform/many_tenants", many_tenants_are_read);
+  g_test_add_func ("/platform/orders", orders_of_rollouts_are_read);
   return g_test_run ();
 }
