Instances that are not weak take over first from a reader

Traced with the logs of all instances: the store is silent for the reader; the next in the order of names is a weak instance (10 Mbit/s), which takes over at 3.95 s and announces 189 new endpoints; the new version waits behind them, three more weak instances take over meanwhile, and it is in force at 4.5 s at the median and 5.6 to 7.0 s at the last instance.

The digest of the table covers it.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -686,8 +686,14 @@
     {
       const feed_member_t *member = g_ptr_array_index (item->members, i);
 
+      bool is_known = members_find (feed->members, member->name) != NULL;
+
       (void)members_put (feed->members, member->name, member->data_centre,
                          member->ip, now);
-      feed->stored_digest ^= members_entry_digest (member->name, member->ip);
+      /* A member's own word is newer than the list.  */
+      if (!is_known)
+        (void)members_set_weak (feed->members, member->name, member->weak);
+      feed->stored_digest
+          ^= members_entry_digest (member->name, member->ip, member->weak);
     }
 }
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -40,6 +40,7 @@
   char *name;
   char *data_centre;
   uint32_t ip; /* IPv4 address in network byte order */
+  bool weak;   /* see member_t */
 } feed_member_t;
 
 /* An operator's order to replace the software of a service.  */
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -110,6 +110,7 @@
   string name<FLEET_NAME_MAX>;
   string data_centre<FLEET_NAME_MAX>;
   unsigned int ip;
+  bool weak;
 };
 
 /* What an endpoint has stated in its responses: the rate of requests that it
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -142,6 +142,7 @@
 	char *name;
 	char *data_centre;
 	u_int ip;
+	bool_t weak;
 };
 typedef struct fleet_wire_member fleet_wire_member;
 
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -346,6 +346,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ip))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->weak))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -83,7 +83,8 @@
 {
   const member_t *member = g_ptr_array_index (members->table, index);
 
-  members->digest ^= members_entry_digest (member->name, member->ip);
+  members->digest
+      ^= members_entry_digest (member->name, member->ip, member->weak);
   g_hash_table_remove (members->by_name, member->name);
   g_ptr_array_remove_index (members->table, index);
 }
@@ -99,8 +100,8 @@
       bool changed
           = member->ip != ip || strcmp (member->data_centre, data_centre) != 0;
 
-      members->digest ^= members_entry_digest (name, member->ip);
-      members->digest ^= members_entry_digest (name, ip);
+      members->digest ^= members_entry_digest (name, member->ip, member->weak);
+      members->digest ^= members_entry_digest (name, ip, member->weak);
       member->ip = ip;
       member->is_retained = true;
       if (changed)
@@ -120,7 +121,20 @@
   g_ptr_array_insert (members->table, (gint)lower_bound (members, name),
                       member);
   g_hash_table_insert (members->by_name, member->name, member);
-  members->digest ^= members_entry_digest (name, ip);
+  members->digest ^= members_entry_digest (name, ip, false);
+  return true;
+}
+
+bool
+members_set_weak (members_t *members, const char *name, bool weak)
+{
+  member_t *member = members_find (members, name);
+
+  if (member == NULL || member->weak == weak)
+    return false;
+  members->digest ^= members_entry_digest (name, member->ip, member->weak);
+  members->digest ^= members_entry_digest (name, member->ip, weak);
+  member->weak = weak;
   return true;
 }
 
@@ -154,9 +168,9 @@
 }
 
 uint64_t
-members_entry_digest (const char *name, uint32_t ip)
+members_entry_digest (const char *name, uint32_t ip, bool weak)
 {
-  return XXH64 (name, strlen (name), ip);
+  return XXH64 (name, strlen (name), ip | (uint64_t)weak << 32);
 }
 
 uint64_t
@@ -259,6 +273,7 @@
 int
 members_takeover_rank (const members_t *members, const char *from)
 {
+  bool is_before = true;
   int rank = 0;
   guint own = 0;
 
@@ -276,11 +291,15 @@
       const member_t *member = g_ptr_array_index (members->table, at);
 
       if (from != NULL && strcmp (member->name, from) == 0)
-        break;
+        is_before = false;
       if (from == NULL && at > own)
-        break;
-      if (member->ready && member != members->own)
-        rank++;
+        is_before = false;
+      if (!member->ready || member == members->own)
+        continue;
+      if (member->weak == members->own->weak)
+        rank += is_before ? 1 : 0;
+      else
+        rank += members->own->weak ? 1 : 0;
     }
   return rank;
 }
--- a/lib/fleet/members.h
+++ b/lib/fleet/members.h
@@ -23,6 +23,8 @@
                                received, or when this instance became the
                                reader, whichever is later; 0: never */
   clock_ms_t added_at;      /* ms; when the member was added to the table */
+  bool weak;        /* it has little bandwidth or CPU time, and reads the store
+                       only if no other member does */
   bool ready;       /* the member accepts requests, as last stated in its hello
                        or the reader's announcement */
   bool is_retained; /* members_end_replace() keeps the member: it is this
@@ -50,6 +52,8 @@
    order.  Return: whether the member is new or has changed.  */
 bool members_put (members_t *members, const char *name,
                   const char *data_centre, uint32_t ip, clock_ms_t now);
+/* Sets whether a member is weak.  Return: whether that has changed.  */
+bool members_set_weak (members_t *members, const char *name, bool weak);
 /* Replaces the table: members_end_replace() removes the members for which
    members_put() was not called since members_begin_replace(), except this
    instance.  */
@@ -59,8 +63,9 @@
 /* Returns the member with this name, or NULL.  */
 member_t *members_find (const members_t *members, const char *name);
 
-/* Digest of a member's name and address.  @ip: network byte order.  */
-uint64_t members_entry_digest (const char *name, uint32_t ip);
+/* Digest of a member's name, its address and whether it is weak.  @ip: network
+   byte order.  */
+uint64_t members_entry_digest (const char *name, uint32_t ip, bool weak);
 /* Digest of the table: the exclusive or of the digests of its members.  */
 uint64_t members_digest (const members_t *members);
 
@@ -94,8 +99,9 @@
 void members_set_initial_rank (members_t *members, int initial_rank);
 
 /* Number of ready members that try to take over from the reader @from (its
-   name) before this instance does.  The order is the cyclic order of names
-   that begins after @from or, if that is NULL, with the lowest name.  While
+   name) before this instance does.  Those that are not weak come first.  Apart
+   from that, the order is the cyclic order of names that begins after @from
+   or, if that is NULL, with the lowest name.  While
    this instance knows no other member, returns @members->initial_rank.  */
 int members_takeover_rank (const members_t *members, const char *from);
 
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -309,6 +309,8 @@
   bool changed = members_put (relay->members, wire->member.name,
                               wire->member.data_centre, wire->member.ip, now);
 
+  changed |= members_set_weak (relay->members, wire->member.name,
+                               wire->member.weak != 0);
   relay_handle_limits (relay, wire->limits.limits_val, wire->limits.limits_len,
                        now);
   relay_tell_missing_refused (relay, wire->member.ip, wire->refused_digest, 1,
@@ -402,6 +404,8 @@
 
   (void)members_put (relay->members, wire->member.name,
                      wire->member.data_centre, wire->member.ip, now);
+  (void)members_set_weak (relay->members, wire->member.name,
+                          wire->member.weak != 0);
   relay_handle_limits (relay, wire->limits.limits_val, wire->limits.limits_len,
                        now);
   relay_tell_missing_refused (relay, ip, wire->refused_digest,
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -334,7 +334,8 @@
 
   return (fleet_wire_member){ .name = own->name,
                               .data_centre = own->data_centre,
-                              .ip = own->ip };
+                              .ip = own->ip,
+                              .weak = own->weak };
 }
 
 void
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -318,7 +318,8 @@
       wire.members.members_val[i]
           = (fleet_wire_member){ .name = member->name,
                                  .data_centre = member->data_centre,
-                                 .ip = member->ip };
+                                 .ip = member->ip,
+                                 .weak = member->weak };
     }
   size = (u_int)xdr_sizeof ((xdrproc_t)xdr_fleet_wire_snapshot, &wire);
   data = g_byte_array_sized_new (size);
@@ -409,6 +410,7 @@
 
           (void)members_put (members, member->name, member->data_centre,
                              member->ip, now);
+          (void)members_set_weak (members, member->name, member->weak != 0);
         }
       members_end_replace (members);
     }
--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -133,6 +133,7 @@
   instance.members
       = members_new (settings->name, settings->data_centre,
                      settings->peer_listen_address.sin_addr.s_addr);
+  (void)members_set_weak (instance.members, settings->name, settings->weak);
   source = make_source (source_context, instance.loop);
   instance.feed = feed_new (instance.loop, &source, instance.view,
                             instance.members, &instance.reader);
