Take no response with a status outside of 100 to 599 for one

Cause: the parser takes any number of up to three digits as a status. A response with the status 000, 099 or 150, a signature and a body larger than the buffer was streamed to the caller as a success, and one with 600 and more was passed on.

Change: such a response is none; its connection is closed and the request goes on as after any broken response. An interim response has no body.

--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -13,6 +13,10 @@
    bodies is used up, so that a large one does not end others.  */
 #define SMALL_BODY_BYTES 16384
 
+/* Range of the statuses of HTTP.  A response with another one is none.  */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 static int on_response_begin (http_parser *parser);
 static int on_status (http_parser *parser, const char *data, size_t length);
 static int on_field_name (http_parser *parser, const char *data,
@@ -294,6 +298,10 @@
 
   finish_field (uplink);
   uplink->response.status = (int)parser->status_code;
+  /* The parser takes any number of up to three digits.  */
+  if (uplink->response.status < STATUS_MIN
+      || uplink->response.status > STATUS_MAX)
+    return -1;
   /* The proxy never asks for an upgrade, so the parser must not act on
      one.  */
   parser->upgrade = 0;
@@ -313,6 +321,9 @@
     }
   if (request == NULL)
     return -1;
+  /* An interim response has no body, whatever its header states.  */
+  if (uplink->response.status < 200)
+    return 1;
   uplink->is_foreign = uplink->has_request_id && !uplink->request_id_matches;
   if (uplink->request_id_matches)
     {
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -341,7 +341,8 @@
 class Endpoint:
     """Simulated backend server.  The test sets its faults: probabilities by
     kind of fault.  A response is lost, cut short, sent twice ("extra"), sent
-    again while the connection may carry the next request ("late"), sent
+    again while the connection may carry the next request ("late"), sent with
+    another status line ("status " and its rest), sent
     without its length ("unframed"), ended within its head ("head"), or replaced
     by status 500 or by garbage ("rot").  An earlier refusal may be sent once
     more before the response ("refusal"), or a refusal of no stated request
@@ -565,6 +566,9 @@
                               + "\r\n".join(lines) + "\r\n\r\n").encode()
                              + response_body)
                 writer.close()
+            elif fault.startswith("status "):
+                writer.write(message("HTTP/1.1 " + fault[7:], fields,
+                                     response_body))
             elif fault == "errors":
                 writer.write(message("HTTP/1.1 500 -",
                                      {ATTEMPT_ID: request_id}))
