peridotctl: commands rollouts and tenants

They list, from log files, the last step of each service's rollout with its reason and the answers of both versions, and the tenants whose requests were refused because their allowance was used up. The detail of such a refusal names the allowance, so that explain shows it as the cause.

--- a/lib/proxy/tenancy.c
+++ b/lib/proxy/tenancy.c
@@ -198,13 +198,14 @@
 refuse_first (token_queue_t *queue, int rank, clock_ms_t wait)
 {
   request_t *request = queue->waiting[rank].head->data;
+  g_autofree char *detail = g_strdup_printf ("allowance of %s", queue->tenant);
 
   telemetry_counter_increment (TELEMETRY_ALLOWANCE_REQUESTS, 2);
   /* Clients that were refused together come back one after the other.  */
   request->retry_after = wait / 2
                          + (clock_ms_t)decide_rng_below (
                              &queue->proxy->rng, (uint32_t)MAX (wait, 1));
-  request_refuse (request, TELEMETRY_OUTCOME_ALLOWANCE, queue->tenant);
+  request_refuse (request, TELEMETRY_OUTCOME_ALLOWANCE, detail);
 }
 
 static void
--- a/peridotctl/logs.c
+++ b/peridotctl/logs.c
@@ -1,4 +1,4 @@
-#include "logs.h"
+#include "logs_read.h"
 
 #include <err.h>
 #include <errno.h>
@@ -16,12 +16,6 @@
    ended; its digest follows.  */
 #define SUSPECT_DETAIL "suspect "
 
-typedef struct log_entry
-{
-  json_object *object;
-  const char *time; /* time of the entry; belongs to @object */
-} log_entry_t;
-
 /* A request under which endpoints have ended, as the log shows it.  */
 typedef struct log_suspect
 {
@@ -31,10 +25,8 @@
   int refusal_count;
 } log_suspect_t;
 
-static int read_files (const char *const files[], int count, GArray *entries);
 static int read_stream (FILE *stream, const char *name, GArray *entries);
 static gint compare_times (gconstpointer a, gconstpointer b);
-static void clear_entry (gpointer data);
 static void print_entry (const ctl_options_t *opts, const log_entry_t *entry,
                          bool is_of_request);
 static void print_preceding (const ctl_options_t *opts, const GArray *entries,
@@ -87,10 +79,8 @@
   return result;
 }
 
-/* Reads the log entries of all files into @entries, sorted by time.
-   Return: 0 or a negative error number.  */
-static int
-read_files (const char *const files[], int count, GArray *entries)
+int
+logs_read_files (const char *const files[], int count, GArray *entries)
 {
   int result = 0;
 
@@ -122,8 +112,8 @@
   return strcmp (left->time, right->time);
 }
 
-static void
-clear_entry (gpointer data)
+void
+logs_clear_entry (gpointer data)
 {
   log_entry_t *entry = data;
 
@@ -191,8 +181,8 @@
   ctl_exit_t result = CTL_REFUSED;
   bool found = false;
 
-  g_array_set_clear_func (entries, clear_entry);
-  if (read_files (files, count, entries) != 0)
+  g_array_set_clear_func (entries, logs_clear_entry);
+  if (logs_read_files (files, count, entries) != 0)
     goto out;
   for (guint i = 0; i < entries->len; i++)
     {
@@ -270,8 +260,8 @@
   json_object *totals = json_object_new_object ();
   ctl_exit_t result = CTL_REFUSED;
 
-  g_array_set_clear_func (entries, clear_entry);
-  if (read_files (files, count, entries) != 0)
+  g_array_set_clear_func (entries, logs_clear_entry);
+  if (logs_read_files (files, count, entries) != 0)
     goto out;
   for (guint i = 0; i < entries->len; i++)
     {
@@ -378,8 +368,8 @@
   GList *suspects = NULL;
   ctl_exit_t result = CTL_REFUSED;
 
-  g_array_set_clear_func (entries, clear_entry);
-  if (read_files (files, count, entries) != 0)
+  g_array_set_clear_func (entries, logs_clear_entry);
+  if (logs_read_files (files, count, entries) != 0)
     goto out;
   for (guint i = 0; i < entries->len; i++)
     {
--- a/peridotctl/logs.h
+++ b/peridotctl/logs.h
@@ -31,4 +31,16 @@
 ctl_exit_t logs_list_suspects (const ctl_options_t *opts,
                                const char *const files[], int count);
 
+/* Prints the last step of each service's rollout: version, phase, share of the
+   requests, time and reason, and the answers of both versions as last logged.
+   Return: as logs_summarize().  */
+ctl_exit_t logs_list_rollouts (const ctl_options_t *opts,
+                               const char *const files[], int count);
+
+/* Prints the tenants whose requests were refused because their allowance was
+   used up: the number of refusals that were logged, the time of the first and
+   the last, and the last request.  Return: as logs_summarize().  */
+ctl_exit_t logs_list_tenants (const ctl_options_t *opts,
+                              const char *const files[], int count);
+
 #endif
--- /dev/null
+++ b/peridotctl/logs_state.c
@@ -0,0 +1,215 @@
+/* Commands that show the last state of rollouts and of tenants' allowances
+   according to log files.  */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "logs_read.h"
+
+/* Beginning of the detail of a refusal because a tenant's allowance was used
+   up; the name of the tenant follows.  */
+#define ALLOWANCE_DETAIL "allowance of "
+
+/* A rollout, as the log shows it.  */
+typedef struct log_rollout
+{
+  const log_entry_t *step;   /* last entry on a step */
+  const log_entry_t *counts; /* last entry with the answers of both versions;
+                                NULL: none */
+} log_rollout_t;
+
+/* A tenant whose allowance was used up.  */
+typedef struct log_tenant
+{
+  const log_entry_t *first; /* refusal */
+  const log_entry_t *last;
+  int refusal_count;
+} log_tenant_t;
+
+static gint compare_names (gconstpointer a, gconstpointer b);
+static void print_rows (const ctl_options_t *opts,
+                        const char *const headings[], int n_headings,
+                        GHashTable *rows,
+                        void (*print) (table_t *table, json_object *item,
+                                       const char *name, gpointer row));
+static void print_rollout (table_t *table, json_object *item,
+                           const char *service, gpointer row);
+static void print_tenant (table_t *table, json_object *item, const char *name,
+                          gpointer row);
+static void add_text (table_t *table, json_object *item, const char *key,
+                      const char *text);
+
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (a, b);
+}
+
+/* Adds a cell to the table, and the same to the JSON object.  */
+static void
+add_text (table_t *table, json_object *item, const char *key, const char *text)
+{
+  table_add (table, text);
+  json_object_object_add (item, key, json_object_new_string (text));
+}
+
+/* Prints the rows by name.  */
+static void
+print_rows (const ctl_options_t *opts, const char *const headings[],
+            int n_headings, GHashTable *rows,
+            void (*print) (table_t *table, json_object *item, const char *name,
+                           gpointer row))
+{
+  table_t *table = table_new (n_headings);
+  json_object *list = json_object_new_array ();
+  GList *names = g_list_sort (g_hash_table_get_keys (rows), compare_names);
+
+  for (int i = 0; i < n_headings; i++)
+    table_add (table, headings[i]);
+  for (GList *link = names; link != NULL; link = link->next)
+    {
+      json_object *item = json_object_new_object ();
+
+      print (table, item, link->data, g_hash_table_lookup (rows, link->data));
+      json_object_array_add (list, item);
+    }
+  if (opts->json)
+    puts (json_object_to_json_string_ext (list, JSON_C_TO_STRING_PLAIN));
+  else
+    table_print (table);
+  g_list_free (names);
+  table_free (table);
+  json_object_put (list);
+}
+
+static void
+print_rollout (table_t *table, json_object *item, const char *service,
+               gpointer row)
+{
+  static const char *const keys[]
+      = { "version", "phase", "share", "time", "reason" };
+  const log_rollout_t *rollout = row;
+
+  add_text (table, item, "service", service);
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    add_text (table, item, keys[i],
+              ctl_get_text (rollout->step->object, keys[i]));
+  add_text (table, item, "new",
+            rollout->counts != NULL
+                ? ctl_get_text (rollout->counts->object, "new")
+                : "");
+  add_text (table, item, "old",
+            rollout->counts != NULL
+                ? ctl_get_text (rollout->counts->object, "old")
+                : "");
+}
+
+ctl_exit_t
+logs_list_rollouts (const ctl_options_t *opts, const char *const files[],
+                    int count)
+{
+  static const char *const headings[]
+      = { "SERVICE", "VERSION", "PHASE", "SHARE",
+          "SINCE",   "REASON",  "NEW",   "OLD" };
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (log_entry_t));
+  GHashTable *rollouts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  ctl_exit_t result = CTL_REFUSED;
+
+  g_array_set_clear_func (entries, logs_clear_entry);
+  if (logs_read_files (files, count, entries) != 0)
+    goto out;
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const log_entry_t *entry = &g_array_index (entries, log_entry_t, i);
+      const char *service = ctl_get_text (entry->object, "service");
+      log_rollout_t *rollout = g_hash_table_lookup (rollouts, service);
+
+      if (*ctl_get_text (entry->object, "phase") == '\0')
+        continue;
+      if (*ctl_get_text (entry->object, "share") == '\0')
+        {
+          if (rollout != NULL && *ctl_get_text (entry->object, "new") != '\0')
+            rollout->counts = entry;
+          continue;
+        }
+      if (rollout == NULL)
+        {
+          rollout = g_new0 (log_rollout_t, 1);
+          g_hash_table_insert (rollouts, (gpointer)service, rollout);
+        }
+      if (rollout->step != NULL
+          && strcmp (ctl_get_text (rollout->step->object, "version"),
+                     ctl_get_text (entry->object, "version"))
+                 != 0)
+        rollout->counts = NULL;
+      rollout->step = entry;
+    }
+  print_rows (opts, headings, (int)G_N_ELEMENTS (headings), rollouts,
+              print_rollout);
+  result = CTL_OK;
+
+out:
+  g_hash_table_destroy (rollouts);
+  g_array_free (entries, TRUE);
+  return result;
+}
+
+static void
+print_tenant (table_t *table, json_object *item, const char *name,
+              gpointer row)
+{
+  const log_tenant_t *tenant = row;
+
+  add_text (table, item, "tenant", name);
+  table_add_number (table, (uint64_t)tenant->refusal_count);
+  json_object_object_add (item, "refused",
+                          json_object_new_int (tenant->refusal_count));
+  add_text (table, item, "first", tenant->first->time);
+  add_text (table, item, "last", tenant->last->time);
+  add_text (table, item, "request",
+            ctl_get_text (tenant->last->object, "request"));
+}
+
+ctl_exit_t
+logs_list_tenants (const ctl_options_t *opts, const char *const files[],
+                   int count)
+{
+  static const char *const headings[]
+      = { "TENANT", "REFUSED", "FIRST", "LAST", "REQUEST" };
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (log_entry_t));
+  GHashTable *tenants
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  ctl_exit_t result = CTL_REFUSED;
+
+  g_array_set_clear_func (entries, logs_clear_entry);
+  if (logs_read_files (files, count, entries) != 0)
+    goto out;
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const log_entry_t *entry = &g_array_index (entries, log_entry_t, i);
+      const char *detail = ctl_get_text (entry->object, "detail");
+      const char *name = detail + strlen (ALLOWANCE_DETAIL);
+      log_tenant_t *tenant;
+
+      if (!g_str_has_prefix (detail, ALLOWANCE_DETAIL))
+        continue;
+      tenant = g_hash_table_lookup (tenants, name);
+      if (tenant == NULL)
+        {
+          tenant = g_new0 (log_tenant_t, 1);
+          tenant->first = entry;
+          g_hash_table_insert (tenants, (gpointer)name, tenant);
+        }
+      tenant->last = entry;
+      tenant->refusal_count++;
+    }
+  print_rows (opts, headings, (int)G_N_ELEMENTS (headings), tenants,
+              print_tenant);
+  result = CTL_OK;
+
+out:
+  g_hash_table_destroy (tenants);
+  g_array_free (entries, TRUE);
+  return result;
+}
--- a/peridotctl/main.c
+++ b/peridotctl/main.c
@@ -112,7 +112,9 @@
                "[--timeout SECONDS]]\n"
                "          explain REQUEST-ID LOG-FILE...\n"
                "          summary LOG-FILE...\n"
-               "          suspects LOG-FILE...\n",
+               "          suspects LOG-FILE...\n"
+               "          rollouts LOG-FILE...\n"
+               "          tenants LOG-FILE...\n",
                stderr);
   return CTL_USAGE;
 }
@@ -168,6 +170,10 @@
     return logs_summarize (opts, &args[1], count - 1);
   if (strcmp (noun, "suspects") == 0 && count >= 2)
     return logs_list_suspects (opts, &args[1], count - 1);
+  if (strcmp (noun, "rollouts") == 0 && count >= 2)
+    return logs_list_rollouts (opts, &args[1], count - 1);
+  if (strcmp (noun, "tenants") == 0 && count >= 2)
+    return logs_list_tenants (opts, &args[1], count - 1);
   warnx ("no such command, or a wrong number of arguments");
   return print_usage (options);
 }
