Keep counts within a datagram, and the holdings of connections in their own file

A datagram of 32 counts could exceed the 1,400 bytes that others keep; 24 take 1,250. Evidence of a rollout takes 256 endpoints instead of 64: in a long rollout the chosen endpoints change.

--- a/lib/balance/rollout_judge.h
+++ b/lib/balance/rollout_judge.h
@@ -11,7 +11,7 @@
 #include "rollouts.h"
 
 /* Limits of what is judged; further routes and endpoints are left out.  */
-#define ROLLOUT_ENDPOINTS_MAX 64
+#define ROLLOUT_ENDPOINTS_MAX 256
 /* Times of the evidence that is remembered, and the time from one to the
    next.  They span the window in which a version that has turned bad shows,
    although it was good before.  */
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -13,7 +13,7 @@
 const FLEET_ROLLOUTS_MAX = 4;
 const FLEET_KEYS_MAX = 64;
 const FLEET_RANKS = 3;
-const FLEET_COUNTS_MAX = 32;
+const FLEET_COUNTS_MAX = 24;
 const FLEET_COUNT_VALUES = 4;
 
 typedef string fleet_wire_name<FLEET_NAME_MAX>;
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -25,7 +25,7 @@
 #define FLEET_ROLLOUTS_MAX 4
 #define FLEET_KEYS_MAX 64
 #define FLEET_RANKS 3
-#define FLEET_COUNTS_MAX 32
+#define FLEET_COUNTS_MAX 24
 #define FLEET_COUNT_VALUES 4
 
 typedef char *fleet_wire_name;
--- a/lib/fleet/relay_counts.c
+++ b/lib/fleet/relay_counts.c
@@ -52,7 +52,7 @@
 send_message (outgoing_t *outgoing)
 {
   fleet_wire_message message = { .body.type = FLEET_COUNTS };
-  char data[RELAY_DATAGRAM_MAX_BYTES * 2];
+  char data[RELAY_DATAGRAM_MAX_BYTES];
   size_t length;
 
   message.body.fleet_wire_body_u.counts = outgoing->wire;
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
-#include <stddef.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,13 +11,7 @@
 
 /* Greatest number of bytes that one read from a connection returns.  */
 #define READ_BUFFER_BYTES 16384
-/* Limit of the pipelined requests of one connection that are processed at the
-   same time.  */
-#define PIPELINED_REQUESTS_MAX 16
-/* No further request of a connection is processed while its client does not
-   read and it holds more than this.  */
-#define BLOCKED_BYTES_MAX (256 << 10)
-/* While PIPELINED_REQUESTS_MAX requests are processed, up to about this many
+/* While a connection is full (see connection_is_full()), up to about this many
    bytes of further input are read and kept.  */
 #define PENDING_INPUT_MAX_BYTES 65536
 /* Time that the client has for closing its side of the connection after the
@@ -31,9 +24,6 @@
 #define ACCEPT_RETRY_DELAY_MS 100
 
 static void on_accept (struct ev_loop *loop, ev_io *watcher, int events);
-static void close_held (holding_t *holding);
-static void shed_connections (server_t *server);
-static size_t get_exchange_bytes (const exchange_t *exchange);
 static void on_accept_retry (struct ev_loop *loop, ev_timer *watcher,
                              int events);
 static void connection_new (server_t *server, int fd);
@@ -128,84 +118,6 @@
   g_free (server);
 }
 
-static void
-close_held (holding_t *holding)
-{
-  connection_t *connection
-      = (connection_t *)(void *)((char *)holding
-                                 - offsetof (connection_t, holding));
-
-  connection_close (connection);
-}
-
-void
-server_set_holdings (server_t *server, holdings_t *holdings)
-{
-  server->holdings = holdings;
-  holdings->close = close_held;
-}
-
-/* Closes connections if the clients make the servers hold too much.  */
-static void
-shed_connections (server_t *server)
-{
-  int n;
-
-  if (!holdings_are_exceeded (server->holdings))
-    return;
-  n = holdings_shed (server->holdings, clock_now ());
-  telemetry_counter_add (TELEMETRY_SHED_CONNECTIONS, 0, (uint64_t)n);
-}
-
-bool
-connection_is_blocked (const connection_t *connection)
-{
-  return connection->output_sent_bytes < connection->output->len
-         || connection->output_body != NULL;
-}
-
-bool
-connection_is_full (const connection_t *connection)
-{
-  return g_queue_get_length ((GQueue *)&connection->exchanges)
-             >= PIPELINED_REQUESTS_MAX
-         || (connection_is_blocked (connection)
-             && connection->holding.bytes > BLOCKED_BYTES_MAX);
-}
-
-/* Returns the bytes that an exchange takes.  */
-static size_t
-get_exchange_bytes (const exchange_t *exchange)
-{
-  return exchange->head_bytes
-         + exchange->fields->len / 2 * HOLDINGS_FIELD_BYTES
-         + exchange->body->len
-         + (exchange->output != NULL ? exchange->output->len : 0);
-}
-
-void
-connection_update_holding (connection_t *connection)
-{
-  size_t bytes = HOLDINGS_CONNECTION_BYTES + connection->pending_input->len
-                 + connection->output->len;
-  bool is_blocked = connection_is_blocked (connection);
-
-  if (connection->closed)
-    return;
-  if (connection->output_body != NULL)
-    bytes += connection->output_body->len;
-  if (connection->incoming != NULL)
-    bytes += get_exchange_bytes (connection->incoming);
-  for (GList *link = connection->exchanges.head; link != NULL;
-       link = link->next)
-    bytes += get_exchange_bytes (link->data);
-  holdings_set_bytes (connection->server->holdings, &connection->holding,
-                      bytes);
-  holdings_set_waiting (&connection->holding,
-                        is_blocked || connection->exchanges.head == NULL,
-                        clock_now ());
-}
-
 void
 server_set_body_memory (server_t *server, size_t bytes)
 {
@@ -294,7 +206,7 @@
       if (fd >= 0)
         {
           connection_new (server, fd);
-          shed_connections (server);
+          server_shed (server);
           continue;
         }
       if (errno == EMFILE || errno == ENFILE || errno == ENOMEM)
@@ -380,7 +292,7 @@
 {
   (void)loop;
   (void)events;
-  shed_connections (watcher->data);
+  server_shed (watcher->data);
   free_closed_connections (watcher->data);
   body_resume_waiting (watcher->data);
 }
@@ -455,7 +367,7 @@
 
   (void)events;
   /* What is read now may take many times its length.  */
-  shed_connections (connection->server);
+  server_shed (connection->server);
   if (connection->closed)
     return;
   n = recv (connection->fd, data, sizeof data, 0);
--- a/lib/net/server_private.h
+++ b/lib/net/server_private.h
@@ -90,12 +90,6 @@
 /* Parses the pending input, unless the limit of pipelined requests that are
    processed at the same time is reached.  */
 void connection_resume (connection_t *connection);
-/* Records what the connection holds, after that has changed.  */
-void connection_update_holding (connection_t *connection);
-/* Whether responses wait for the client to read them.  */
-bool connection_is_blocked (const connection_t *connection);
-/* Whether no further request may be parsed until others have ended.  */
-bool connection_is_full (const connection_t *connection);
 /* Closes the socket at once; the memory is freed later.  Calls the
    disconnected hook for each request whose response is incomplete.  */
 void connection_close (connection_t *connection);
@@ -119,6 +113,17 @@
    server is freed.  */
 void body_forget_all (server_t *server);
 
+/* ---- server_holdings.c ---- */
+
+/* Records what the connection holds, after that has changed.  */
+void connection_update_holding (connection_t *connection);
+/* Whether responses wait for the client to read them.  */
+bool connection_is_blocked (const connection_t *connection);
+/* Whether no further request may be parsed until others have ended.  */
+bool connection_is_full (const connection_t *connection);
+/* Closes connections if the clients make the servers hold too much; any of
+   them may be closed afterwards.  */
+void server_shed (server_t *server);
 /* ---- server.c ---- */
 
 /* Frees an exchange, which must not be in a connection's queue any more.  */
