Weak instances keep their extra ranks after a start

On a start an instance hears the reader before it knows which others are live, so that its rank is 0; after 600 ms without an announcement 107 of 115 instances read the store at the same time.

Test: weak_instances_wait_for_others, red before.

--- a/lib/fleet/reader.c
+++ b/lib/fleet/reader.c
@@ -23,8 +23,9 @@
    reader.h), so that such an instance becomes the reader soon after an
    outage.  */
 #define READER_RETRY_MAX_MS 4000
-/* Added to the takeover rank of a weak instance that has just started and does
-   not know which others are weak, so that others try first.  */
+/* Added to the takeover rank of a weak instance, so that others try first. The
+   rank alone does not tell: when all start, an instance has heard the reader
+   before it knows which others are live, and takes itself for the first.  */
 #define WEAK_EXTRA_RANKS 10
 /* An instance that is not weak takes over from a weak reader this long after
    it received the reader's first announcement, plus READER_RANK_DELAY_MS for
@@ -117,7 +118,7 @@
   if (can_preempt (reader, now))
     return now - reader->weak_since
            >= PREEMPT_DELAY_MS + (clock_ms_t)rank * READER_RANK_DELAY_MS;
-  if (reader->weak && !reader->has_heard_reader)
+  if (reader->weak)
     rank += WEAK_EXTRA_RANKS;
   if (reader->stale_since != 0
       && now - reader->stale_since
--- a/test/unit/fleet_reader.c
+++ b/test/unit/fleet_reader.c
@@ -332,6 +332,27 @@
   g_assert_cmpint (get_greatest_age (&fixture), <, 2000);
 }
 
+/* Guards against a read of the store by all weak instances at the same time
+   (107 of 115 on a start): each has heard a reader but knows no other live
+   instance, so that its rank is 0.  Others are to try before, up to those of
+   rank 9.  */
+static void
+weak_instances_wait_for_others (void)
+{
+  const reader_announcement_t announcement = { .name = "a", .fresh = true };
+  reader_t weak;
+  reader_t other;
+
+  reader_init (&weak, true, 1000);
+  reader_init (&other, false, 1000);
+  (void)reader_handle_announcement (&weak, "b", &announcement, 1100);
+  (void)reader_handle_announcement (&other, "c", &announcement, 1100);
+  for (clock_ms_t now = 1100; !reader_should_take_over (&other, 9, now);
+       now += STEP_MS)
+    g_assert_false (reader_should_take_over (&weak, 0, now));
+  g_assert_true (reader_should_take_over (&weak, 0, 3000));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -347,6 +368,8 @@
                    partitioned_instance_reads);
   g_test_add_func ("/reader/small_reader_is_relieved",
                    weak_reader_is_preempted);
+  g_test_add_func ("/reader/weak_instances_wait_for_others",
+                   weak_instances_wait_for_others);
   g_test_add_func ("/reader/all_start_again",
                    all_restart_after_a_power_failure);
   g_test_add_func ("/reader/tries_are_few_while_away",
