Own interface: take no response with a status above 599 for one

Cause: lib/backend rejects statuses below 200 but passed on 600 and 999 (the test of 000, 001, 099, 600 and 999 failed before; only what is above 599 is changed). Change: such a response is broken, and its connection is closed. Measured: unit-backend, statuses, red before, green now.

--- a/lib/backend/answer.c
+++ b/lib/backend/answer.c
@@ -6,6 +6,9 @@
 #include <strings.h>
 
 #define HEADERS_MAX 256
+/* Largest status that exists (RFC 9110, section 15).  Clients treat others in
+   different ways.  */
+#define STATUS_MAX 599
 /* When the backend server sheds a request, the body of its response is read up
    to this size and discarded, so that the connection can be reused.  */
 #define SHED_BODY_MAX_BYTES 65536
@@ -158,7 +161,8 @@
   attempt->closes_connection
       = version != CURL_HTTP_VERSION_1_1
         || (value != NULL && strcasestr (value, "close") != NULL);
-  if (status < 200 || !parse_framing (attempt, (uint32_t)status, &length))
+  if (status < 200 || status > STATUS_MAX
+      || !parse_framing (attempt, (uint32_t)status, &length))
     {
       attempt->abort_reason = ABORT_MALFORMED;
       return -1;
--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -83,6 +83,23 @@
   g_assert_cmpuint (result.body_bytes, ==, 3);
 }
 
+/* Guards against passing on a response with a status that does not exist, as
+   an endpoint in trouble sent 000, and against reusing its connection.  */
+static void
+test_statuses (void)
+{
+  static const char *const odd[]
+      = { "/status-000", "/status-001", "/status-099", "/status-600",
+          "/status-999" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      assert_result ("GET", odd[i], DECIDE_ATTEMPT_BROKEN);
+      g_assert_cmpuint (get_idle_count (), ==, 0);
+    }
+  assert_result ("GET", "/status-599", DECIDE_ATTEMPT_ANSWERED);
+}
+
 /* Guards against a non-idempotent request being sent again by libcurl when the
    backend server closes a reused connection.  */
 static void
@@ -345,6 +362,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_data_func ("/backend/headers", test_headers, with_server);
   g_test_add_data_func ("/backend/broken", test_broken, with_server);
+  g_test_add_data_func ("/backend/statuses", test_statuses, with_server);
   g_test_add_data_func ("/backend/post-once", test_post_once, with_server);
   g_test_add_data_func ("/backend/get-repeat", test_get_repeat, with_server);
   g_test_add_data_func ("/backend/no-repeat", test_no_repeat, with_server);
--- a/test/unit/backend_fixture.c
+++ b/test/unit/backend_fixture.c
@@ -43,6 +43,9 @@
                           "Content-Length: 2\r\n\r\nabc");
   else if (strcmp (path, "/garbage") == 0)
     httpserver_write (fd, "no http at all\r\n\r\n");
+  else if (g_str_has_prefix (path, "/status-"))
+    httpserver_write (fd, "HTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\nok",
+                      path + strlen ("/status-"));
   else if (strcmp (path, "/close-reused") == 0 && request->number > 1)
     return false;
   else if (strcmp (path, "/silent") == 0)
