Leave descriptors for everything else than clients and endpoints

Change: 32 descriptors are set aside before clients and endpoints get their shares (2,034 and 1,627 of 4,100; no instance of the sheets has more than some hundred).

--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -51,14 +51,19 @@
 /* The same for the bodies of requests that need none, such as those to the
    port for readiness.  */
 #define OTHER_BODY_MEMORY_SHARE 0.01
-/* Shares of the process's descriptors that connections of clients and those to
+/* Descriptors that are left for everything else: 12 for files, sockets that
+   listen and the event loop; connections to the store and to other instances;
+   one for a connection that is accepted before another one is closed.  */
+#define OTHER_DESCRIPTORS 32
+/* Shares of the remaining descriptors that connections of clients and those to
    endpoints may take.  */
 #define CLIENT_DESCRIPTOR_SHARE 0.5
 #define UPLINK_DESCRIPTOR_SHARE 0.4
 /* Memory of the process if it is not known.  */
 #define MEMORY_DEFAULT_BYTES (128 << 20)
 
-static double get_descriptors_max (const instance_settings_t *settings);
+static unsigned int get_descriptor_share (const instance_settings_t *settings,
+                                          double share);
 static int open_servers (instance_t *instance);
 static server_t *
 open_server (instance_t *instance, const struct sockaddr_in *address,
@@ -116,8 +121,7 @@
     .retry_rules = settings->retry_rules,
     .probes_per_round = PROBES_PER_ROUND,
     .probes_per_s = settings->probes_per_s,
-    .uplinks_max
-    = (unsigned int)(get_descriptors_max (settings) * UPLINK_DESCRIPTOR_SHARE),
+    .uplinks_max = get_descriptor_share (settings, UPLINK_DESCRIPTOR_SHARE),
     .buffer_bytes_max = get_memory_share (settings, RESPONSE_MEMORY_SHARE),
     .log_sample_share = LOG_SAMPLE_SHARE,
     .log_lines_per_s = LOG_LINES_PER_S,
@@ -223,16 +227,20 @@
   return (size_t)((double)bytes * share);
 }
 
-/* Returns the number of descriptors that the process may have.  */
-static double
-get_descriptors_max (const instance_settings_t *settings)
+/* Returns a share of the descriptors that connections may have.  At least one,
+   as 0 would mean that there is no limit.  */
+static unsigned int
+get_descriptor_share (const instance_settings_t *settings, double share)
 {
   struct rlimit limit = { 0 };
+  double all = settings->descriptors_max;
 
-  if (settings->descriptors_max > 0)
-    return settings->descriptors_max;
-  (void)getrlimit (RLIMIT_NOFILE, &limit);
-  return (double)MIN (limit.rlim_cur, INT32_MAX);
+  if (all <= 0)
+    {
+      (void)getrlimit (RLIMIT_NOFILE, &limit);
+      all = (double)MIN (limit.rlim_cur, INT32_MAX);
+    }
+  return (unsigned int)MAX ((all - OTHER_DESCRIPTORS) * share, 1.0);
 }
 
 static int
@@ -244,8 +252,8 @@
 
   instance->holdings.bytes_max
       = get_memory_share (settings, CLIENT_MEMORY_SHARE);
-  instance->holdings.count_max = (unsigned int)(get_descriptors_max (settings)
-                                                * CLIENT_DESCRIPTOR_SHARE);
+  instance->holdings.count_max
+      = get_descriptor_share (settings, CLIENT_DESCRIPTOR_SHARE);
 
   instance->client_server = server_new (
       instance->loop, &settings->client_listen_address, &hooks, &result);
