--- a/peridotctl/logs_state.c
+++ b/peridotctl/logs_state.c
@@ -26,12 +26,24 @@
   int refusal_count;
 } log_tenant_t;
 
+/* What a command lists, by name.  */
+typedef struct listing
+{
+  const char *headings[8];
+  int n_headings;
+  void (*add) (GHashTable *rows, const log_entry_t *entry);
+  void (*print) (table_t *table, json_object *item, const char *name,
+                 gpointer row);
+} listing_t;
+
 static gint compare_names (gconstpointer a, gconstpointer b);
-static void print_rows (const ctl_options_t *opts,
-                        const char *const headings[], int n_headings,
-                        GHashTable *rows,
-                        void (*print) (table_t *table, json_object *item,
-                                       const char *name, gpointer row));
+static void print_rows (const ctl_options_t *opts, const listing_t *listing,
+                        GHashTable *rows);
+static ctl_exit_t print_listing (const ctl_options_t *opts,
+                                 const listing_t *listing,
+                                 const char *const files[], int count);
+static void add_rollout_entry (GHashTable *rollouts, const log_entry_t *entry);
+static void add_tenant_entry (GHashTable *tenants, const log_entry_t *entry);
 static void print_rollout (table_t *table, json_object *item,
                            const char *service, gpointer row);
 static void print_tenant (table_t *table, json_object *item, const char *name,
@@ -55,22 +67,21 @@
 
 /* Prints the rows by name.  */
 static void
-print_rows (const ctl_options_t *opts, const char *const headings[],
-            int n_headings, GHashTable *rows,
-            void (*print) (table_t *table, json_object *item, const char *name,
-                           gpointer row))
+print_rows (const ctl_options_t *opts, const listing_t *listing,
+            GHashTable *rows)
 {
-  table_t *table = table_new (n_headings);
+  table_t *table = table_new (listing->n_headings);
   json_object *list = json_object_new_array ();
   GList *names = g_list_sort (g_hash_table_get_keys (rows), compare_names);
 
-  for (int i = 0; i < n_headings; i++)
-    table_add (table, headings[i]);
+  for (int i = 0; i < listing->n_headings; i++)
+    table_add (table, listing->headings[i]);
   for (GList *link = names; link != NULL; link = link->next)
     {
       json_object *item = json_object_new_object ();
 
-      print (table, item, link->data, g_hash_table_lookup (rows, link->data));
+      listing->print (table, item, link->data,
+                      g_hash_table_lookup (rows, link->data));
       json_object_array_add (list, item);
     }
   if (opts->json)
@@ -82,6 +93,29 @@
   json_object_put (list);
 }
 
+/* Prints what the entries of log files show, a row for each name.  */
+static ctl_exit_t
+print_listing (const ctl_options_t *opts, const listing_t *listing,
+               const char *const files[], int count)
+{
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (log_entry_t));
+  GHashTable *rows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  ctl_exit_t result = CTL_REFUSED;
+
+  g_array_set_clear_func (entries, logs_clear_entry);
+  if (logs_read_files (files, count, entries) == 0)
+    {
+      for (guint i = 0; i < entries->len; i++)
+        listing->add (rows, &g_array_index (entries, log_entry_t, i));
+      print_rows (opts, listing, rows);
+      result = CTL_OK;
+    }
+  g_hash_table_destroy (rows);
+  g_array_free (entries, TRUE);
+  return result;
+}
+
 static void
 print_rollout (table_t *table, json_object *item, const char *service,
                gpointer row)
@@ -104,55 +138,46 @@
                 : "");
 }
 
-ctl_exit_t
-logs_list_rollouts (const ctl_options_t *opts, const char *const files[],
-                    int count)
+/* Takes an entry of the log, if it is about a rollout, into the rollouts.  */
+static void
+add_rollout_entry (GHashTable *rollouts, const log_entry_t *entry)
 {
-  static const char *const headings[]
-      = { "SERVICE", "VERSION", "PHASE", "SHARE",
-          "SINCE",   "REASON",  "NEW",   "OLD" };
-  GArray *entries = g_array_new (FALSE, TRUE, sizeof (log_entry_t));
-  GHashTable *rollouts
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  ctl_exit_t result = CTL_REFUSED;
+  const char *service = ctl_get_text (entry->object, "service");
+  log_rollout_t *rollout = g_hash_table_lookup (rollouts, service);
 
-  g_array_set_clear_func (entries, logs_clear_entry);
-  if (logs_read_files (files, count, entries) != 0)
-    goto out;
-  for (guint i = 0; i < entries->len; i++)
+  if (*ctl_get_text (entry->object, "phase") == '\0')
+    return;
+  if (*ctl_get_text (entry->object, "share") == '\0')
+    {
+      if (rollout != NULL && *ctl_get_text (entry->object, "new") != '\0')
+        rollout->counts = entry;
+      return;
+    }
+  if (rollout == NULL)
     {
-      const log_entry_t *entry = &g_array_index (entries, log_entry_t, i);
-      const char *service = ctl_get_text (entry->object, "service");
-      log_rollout_t *rollout = g_hash_table_lookup (rollouts, service);
-
-      if (*ctl_get_text (entry->object, "phase") == '\0')
-        continue;
-      if (*ctl_get_text (entry->object, "share") == '\0')
-        {
-          if (rollout != NULL && *ctl_get_text (entry->object, "new") != '\0')
-            rollout->counts = entry;
-          continue;
-        }
-      if (rollout == NULL)
-        {
-          rollout = g_new0 (log_rollout_t, 1);
-          g_hash_table_insert (rollouts, (gpointer)service, rollout);
-        }
-      if (rollout->step != NULL
-          && strcmp (ctl_get_text (rollout->step->object, "version"),
-                     ctl_get_text (entry->object, "version"))
-                 != 0)
-        rollout->counts = NULL;
-      rollout->step = entry;
+      rollout = g_new0 (log_rollout_t, 1);
+      g_hash_table_insert (rollouts, (gpointer)service, rollout);
     }
-  print_rows (opts, headings, (int)G_N_ELEMENTS (headings), rollouts,
-              print_rollout);
-  result = CTL_OK;
+  if (rollout->step != NULL
+      && strcmp (ctl_get_text (rollout->step->object, "version"),
+                 ctl_get_text (entry->object, "version"))
+             != 0)
+    rollout->counts = NULL;
+  rollout->step = entry;
+}
 
-out:
-  g_hash_table_destroy (rollouts);
-  g_array_free (entries, TRUE);
-  return result;
+ctl_exit_t
+logs_list_rollouts (const ctl_options_t *opts, const char *const files[],
+                    int count)
+{
+  static const listing_t listing
+      = { .headings = { "SERVICE", "VERSION", "PHASE", "SHARE", "SINCE",
+                        "REASON", "NEW", "OLD" },
+          .n_headings = 8,
+          .add = add_rollout_entry,
+          .print = print_rollout };
+
+  return print_listing (opts, &listing, files, count);
 }
 
 static void
@@ -171,45 +196,37 @@
             ctl_get_text (tenant->last->object, "request"));
 }
 
+/* Takes an entry of the log, if it is a refusal because an allowance was used
+   up, into the tenants.  */
+static void
+add_tenant_entry (GHashTable *tenants, const log_entry_t *entry)
+{
+  const char *detail = ctl_get_text (entry->object, "detail");
+  const char *name = detail + strlen (ALLOWANCE_DETAIL);
+  log_tenant_t *tenant;
+
+  if (!g_str_has_prefix (detail, ALLOWANCE_DETAIL))
+    return;
+  tenant = g_hash_table_lookup (tenants, name);
+  if (tenant == NULL)
+    {
+      tenant = g_new0 (log_tenant_t, 1);
+      tenant->first = entry;
+      g_hash_table_insert (tenants, (gpointer)name, tenant);
+    }
+  tenant->last = entry;
+  tenant->refusal_count++;
+}
+
 ctl_exit_t
 logs_list_tenants (const ctl_options_t *opts, const char *const files[],
                    int count)
 {
-  static const char *const headings[]
-      = { "TENANT", "REFUSED", "FIRST", "LAST", "REQUEST" };
-  GArray *entries = g_array_new (FALSE, TRUE, sizeof (log_entry_t));
-  GHashTable *tenants
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  ctl_exit_t result = CTL_REFUSED;
+  static const listing_t listing
+      = { .headings = { "TENANT", "REFUSED", "FIRST", "LAST", "REQUEST" },
+          .n_headings = 5,
+          .add = add_tenant_entry,
+          .print = print_tenant };
 
-  g_array_set_clear_func (entries, logs_clear_entry);
-  if (logs_read_files (files, count, entries) != 0)
-    goto out;
-  for (guint i = 0; i < entries->len; i++)
-    {
-      const log_entry_t *entry = &g_array_index (entries, log_entry_t, i);
-      const char *detail = ctl_get_text (entry->object, "detail");
-      const char *name = detail + strlen (ALLOWANCE_DETAIL);
-      log_tenant_t *tenant;
-
-      if (!g_str_has_prefix (detail, ALLOWANCE_DETAIL))
-        continue;
-      tenant = g_hash_table_lookup (tenants, name);
-      if (tenant == NULL)
-        {
-          tenant = g_new0 (log_tenant_t, 1);
-          tenant->first = entry;
-          g_hash_table_insert (tenants, (gpointer)name, tenant);
-        }
-      tenant->last = entry;
-      tenant->refusal_count++;
-    }
-  print_rows (opts, headings, (int)G_N_ELEMENTS (headings), tenants,
-              print_tenant);
-  result = CTL_OK;
-
-out:
-  g_hash_table_destroy (tenants);
-  g_array_free (entries, TRUE);
-  return result;
+  return print_listing (opts, &listing, files, count);
 }
