--- a/lib/balance/routes.c
+++ b/lib/balance/routes.c
@@ -10,6 +10,7 @@
 
 static gint compare_prefix (gconstpointer a, gconstpointer b);
 static int advance (route_split_t *split);
+static int draw (const route_split_t *split, decide_rng_t *rng);
 static uint64_t greatest_common_divisor (uint64_t a, uint64_t b);
 static void start (route_split_t *split, const route_t *route,
                    decide_rng_t *rng);
@@ -25,6 +26,8 @@
   routes->tenants = g_ptr_array_new_with_free_func (tenant_free);
   routes->by_key = g_hash_table_new (g_str_hash, g_str_equal);
   routes->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  routes->by_digest = g_hash_table_new (g_int64_hash, g_int64_equal);
+  routes->by_service = g_hash_table_new (g_str_hash, g_str_equal);
   return routes;
 }
 
@@ -34,9 +37,11 @@
   if (routes == NULL)
     return;
   g_ptr_array_free (routes->routes, TRUE);
+  g_hash_table_destroy (routes->by_service);
   g_ptr_array_free (routes->services, TRUE);
   g_hash_table_destroy (routes->by_key);
   g_hash_table_destroy (routes->by_name);
+  g_hash_table_destroy (routes->by_digest);
   g_ptr_array_free (routes->tenants, TRUE);
   g_free (routes);
 }
@@ -48,6 +53,7 @@
 
   for (int i = 0; i < route->n_parts; i++)
     g_free (route->parts[i].service);
+  g_free (route->parts);
   g_free (route->name);
   g_free (route->host);
   g_free (route->prefix);
@@ -64,6 +70,15 @@
   g_free (rules);
 }
 
+void
+route_add_part (route_t *route, const char *service, uint32_t weight)
+{
+  route->parts
+      = g_renew (route_part_t, route->parts, (gsize)route->n_parts + 1);
+  route->parts[route->n_parts++]
+      = (route_part_t){ .service = g_strdup (service), .weight = weight };
+}
+
 route_t *
 route_copy (const route_t *route)
 {
@@ -73,8 +88,10 @@
   copy->name = g_strdup (route->name);
   copy->host = g_strdup (route->host);
   copy->prefix = g_strdup (route->prefix);
+  copy->parts = NULL;
+  copy->n_parts = 0;
   for (int i = 0; i < route->n_parts; i++)
-    copy->parts[i].service = g_strdup (route->parts[i].service);
+    route_add_part (copy, route->parts[i].service, route->parts[i].weight);
   return copy;
 }
 
@@ -99,6 +116,7 @@
 routes_add_service (routes_t *routes, service_rules_t *rules)
 {
   g_ptr_array_add (routes->services, rules);
+  g_hash_table_insert (routes->by_service, rules->name, rules);
 }
 
 void
@@ -129,6 +147,7 @@
       tenant_t *tenant = g_ptr_array_index (routes->tenants, i);
 
       g_hash_table_insert (routes->by_name, tenant->name, tenant);
+      g_hash_table_insert (routes->by_digest, &tenant->digest, tenant);
       for (guint j = 0; j < tenant->keys->len; j++)
         {
           char *key = g_ptr_array_index (tenant->keys, j);
@@ -149,6 +168,12 @@
   return g_hash_table_lookup (routes->by_name, name);
 }
 
+const tenant_t *
+routes_get_tenant_by_digest (const routes_t *routes, uint64_t digest)
+{
+  return g_hash_table_lookup (routes->by_digest, &digest);
+}
+
 const tenant_t *
 routes_find_tenant (const routes_t *routes, const char *key)
 {
@@ -176,21 +201,23 @@
 const service_rules_t *
 routes_find_service (const routes_t *routes, const char *name)
 {
-  for (guint i = 0; i < routes->services->len; i++)
-    {
-      const service_rules_t *rules = g_ptr_array_index (routes->services, i);
+  return g_hash_table_lookup (routes->by_service, name);
+}
 
-      if (strcmp (rules->name, name) == 0)
-        return rules;
-    }
-  return NULL;
+void
+route_split_clear (route_split_t *split)
+{
+  g_free (split->parts);
+  *split = (route_split_t){ 0 };
 }
 
 bool
 route_split_has_changed (const route_split_t *split, const route_t *route)
 {
-  for (int i = 0; i < ROUTE_PARTS_MAX; i++)
-    if (split->weights[i] != (i < route->n_parts ? route->parts[i].weight : 0))
+  if (split->n_parts != route->n_parts)
+    return true;
+  for (int i = 0; i < route->n_parts; i++)
+    if (split->parts[i].weight != route->parts[i].weight)
       return true;
   return false;
 }
@@ -202,17 +229,38 @@
   int64_t total = 0;
   int best = 0;
 
-  for (int i = 0; i < ROUTE_PARTS_MAX; i++)
+  for (int i = 0; i < split->n_parts; i++)
     {
-      split->current_weight[i] += split->weights[i];
-      total += split->weights[i];
-      if (split->current_weight[i] > split->current_weight[best])
+      split_part_t *part = &split->parts[i];
+
+      part->current_weight += part->weight;
+      total += part->weight;
+      if (part->current_weight > split->parts[best].current_weight)
         best = i;
     }
-  split->current_weight[best] -= total;
+  split->parts[best].current_weight -= total;
   return best;
 }
 
+/* Returns the index of a random part, with the probability that its weight
+   says.  */
+static int
+draw (const route_split_t *split, decide_rng_t *rng)
+{
+  uint64_t total = 0;
+  uint64_t position;
+  int part = 0;
+
+  for (int i = 0; i < split->n_parts; i++)
+    total += split->parts[i].weight;
+  if (total == 0)
+    return 0;
+  position = decide_rng_next (rng) % total;
+  while (position >= split->parts[part].weight)
+    position -= split->parts[part++].weight;
+  return part;
+}
+
 static uint64_t
 greatest_common_divisor (uint64_t a, uint64_t b)
 {
@@ -234,14 +282,17 @@
   uint64_t divisor = 0;
   uint32_t position;
 
-  *split = (route_split_t){ .starts = 1 };
+  route_split_clear (split);
+  split->starts = 1;
+  split->n_parts = route->n_parts;
+  split->parts = g_new0 (split_part_t, (gsize)route->n_parts);
   for (int i = 0; i < route->n_parts; i++)
     {
-      split->weights[i] = route->parts[i].weight;
-      total += split->weights[i];
-      divisor = greatest_common_divisor (divisor, split->weights[i]);
+      split->parts[i].weight = route->parts[i].weight;
+      total += route->parts[i].weight;
+      divisor = greatest_common_divisor (divisor, route->parts[i].weight);
     }
-  if (total == 0)
+  if (total == 0 || route->n_parts > ROUTE_ROUND_ROBIN_PARTS_MAX)
     return;
   position = decide_rng_below (
       rng, (uint32_t)MIN (total / divisor, SPLIT_POSITIONS_MAX));
@@ -257,7 +308,8 @@
 
   if (route_split_has_changed (split, route))
     start (split, route, rng);
-  part = advance (split);
-  split->requests[part]++;
+  part = route->n_parts > ROUTE_ROUND_ROBIN_PARTS_MAX ? draw (split, rng)
+                                                      : advance (split);
+  split->parts[part].requests++;
   return part;
 }
--- a/lib/balance/routes.h
+++ b/lib/balance/routes.h
@@ -12,9 +12,6 @@
 #include "decide.h"
 #include "tenants.h"
 
-/* Largest number of services among which a route's requests are divided.  */
-#define ROUTE_PARTS_MAX 8
-
 /* One service of a route, with its share of the route's requests.  */
 typedef struct route_part
 {
@@ -41,7 +38,7 @@
                          sent */
   bool is_public;     /* requests need no key of a tenant */
   int n_parts;
-  route_part_t parts[ROUTE_PARTS_MAX];
+  route_part_t *parts;
 } route_t;
 
 /* Configuration of a service.  */
@@ -75,15 +72,20 @@
   bool requires_key;   /* requests need a key of a tenant, except on public
                           routes */
   GPtrArray *tenants;  /* tenant_t * */
-  /* Set by routes_index(): keys and names of tenants to tenant_t *.  */
+  /* Set by routes_index(): keys, names and digests of names of tenants to
+     tenant_t *.  */
   GHashTable *by_key;
   GHashTable *by_name;
+  GHashTable *by_digest;
+  GHashTable *by_service; /* names of services to service_rules_t * */
   client_limits_t limits;
 } routes_t;
 
 routes_t *routes_new (uint64_t version);
 void routes_free (routes_t *routes);
 
+/* Adds a service to those among which a route's requests are divided.  */
+void route_add_part (route_t *route, const char *service, uint32_t weight);
 /* Copies and frees one row of the configuration.  */
 route_t *route_copy (const route_t *route);
 void route_free (gpointer route);
@@ -108,6 +110,9 @@
 
 /* Returns the tenant with a name, or NULL.  */
 const tenant_t *routes_get_tenant (const routes_t *routes, const char *name);
+/* Returns the tenant with this tenant_name_digest(), or NULL.  */
+const tenant_t *routes_get_tenant_by_digest (const routes_t *routes,
+                                             uint64_t digest);
 /* Returns the tenant that has a key, or NULL.  */
 const tenant_t *routes_find_tenant (const routes_t *routes, const char *key);
 
@@ -127,22 +132,34 @@
 
 /* ---- Distribution of a route's requests among its services ---- */
 
+/* Greatest number of parts for which the round-robin is used: its start takes
+   time that grows with their number.  */
+#define ROUTE_ROUND_ROBIN_PARTS_MAX 64
+
+/* State of one part in a division of requests.  */
+typedef struct split_part
+{
+  uint32_t weight;        /* of the part to which the state belongs */
+  int64_t current_weight; /* the part with the highest one gets the next
+                             request */
+  uint64_t requests;      /* that the part got since the weights of the parts
+                             last changed */
+} split_part_t;
+
 /* State of smooth weighted round-robin.  The number of requests that each
    service got since any time differs from its exact share by less than three
    requests.  The state must be all zero at first.  */
 typedef struct route_split
 {
-  uint32_t weights[ROUTE_PARTS_MAX];       /* weights of the parts to which the
-                                              state belongs */
-  int64_t current_weight[ROUTE_PARTS_MAX]; /* current weight of each part; the
-                                              part with the highest one gets
-                                              the next request */
-  /* Since the weights of the parts last changed: number of requests that each
-     part got, and number of times that the round-robin was started.  */
-  uint64_t requests[ROUTE_PARTS_MAX];
-  uint64_t starts;
+  int n_parts;
+  split_part_t *parts;
+  uint64_t starts; /* times that the round-robin was started since the weights
+                      of the parts last changed */
 } route_split_t;
 
+/* Frees what the state owns and makes it all zero.  */
+void route_split_clear (route_split_t *split);
+
 /**
  * route_split_next() - select the service for the next request of a route
  *
@@ -152,7 +169,10 @@
  * instance: many instances that each get few requests keep the weights
  * together.
  *
- * Return: index into @route's parts.
+ * With more than ROUTE_ROUND_ROBIN_PARTS_MAX parts, each request goes to a
+ * random part, with the probability that its weight says.
+ *
+ * Return: index into @route's parts, of which there must be one.
  */
 int route_split_next (route_split_t *split, const route_t *route,
                       decide_rng_t *rng);
--- a/lib/balance/tenants.c
+++ b/lib/balance/tenants.c
@@ -1,6 +1,7 @@
 #include "tenants.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define SCHEME "Bearer"
 
@@ -10,6 +11,7 @@
   tenant_t *tenant = g_new0 (tenant_t, 1);
 
   tenant->name = g_strdup (name);
+  tenant->digest = tenant_name_digest (name);
   tenant->keys = g_ptr_array_new_with_free_func (g_free);
   tenant->priority = -1;
   return tenant;
@@ -45,6 +47,12 @@
   return tenant->rate_per_s > 0 && tenant->rate_per_s < TENANT_RATE_MAX;
 }
 
+uint64_t
+tenant_name_digest (const char *name)
+{
+  return XXH64 (name, strlen (name), 5);
+}
+
 const char *
 tenant_parse_key (const char *text)
 {
--- a/lib/balance/tenants.h
+++ b/lib/balance/tenants.h
@@ -6,9 +6,8 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 
-/* Limit of the number of keys of one tenant.  */
-#define TENANT_KEYS_MAX 64
 /* A rate or burst from here on is no limit.  */
 #define TENANT_RATE_MAX 1e9
 
@@ -16,6 +15,7 @@
 typedef struct tenant
 {
   char *name;
+  uint64_t digest;   /* tenant_name_digest() of the name */
   GPtrArray *keys;   /* char * */
   int priority;      /* of its requests, in place of the route's; 0 is the most
                         urgent; -1: the route's holds */
@@ -28,6 +28,8 @@
 tenant_t *tenant_copy (const tenant_t *tenant);
 void tenant_free (gpointer tenant);
 bool tenant_is_limited (const tenant_t *tenant);
+/* Digest of a tenant's name, by which messages between instances name it.  */
+uint64_t tenant_name_digest (const char *name);
 
 /**
  * tenant_parse_key() - find the key in the value of an Authorization field
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -29,10 +29,11 @@
 } feed_kind_t;
 
 /* Limits of the lengths of texts in the store's objects, without their NUL.
-   Messages between instances cannot hold longer ones.  */
-#define FEED_NAME_MAX_BYTES 128 /* names, ids and versions of software */
-#define FEED_HOST_MAX_BYTES 512
-#define FEED_PATH_MAX_BYTES 4096
+   Ids of endpoints, versions of software and names of data centres have to fit
+   into datagrams.  Other texts, and the lists of a configuration, have no
+   limit but the size of their object.  */
+#define FEED_ID_MAX_BYTES 512
+#define FEED_OBJECT_MAX_BYTES (4 << 20)
 
 /* An instance in the list that the store holds.  */
 typedef struct feed_member
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -1,22 +1,27 @@
 /* Messages between instances on the platform: what the reader of the store
    has learnt, and who is live.  Times are durations in ms.  */
 
-const FLEET_NAME_MAX = 128;
+const FLEET_NAME_MAX = 128;  /* bytes of an instance's name */
+/* Bytes of a text that datagrams hold: ids of endpoints, versions of software,
+   names of data centres, and names of services in orders of rollouts.  */
+const FLEET_ID_MAX = 512;
+/* Bytes of an object of the store: no text in it is longer.  */
+const FLEET_OBJECT_MAX = 4194304;
+/* A key takes four bytes of an object at least.  */
+const FLEET_KEYS_MAX = 1048576;
 const FLEET_LIST_MAX = 100000;
-const FLEET_PARTS_MAX = 8;
 const FLEET_CHANGES_MAX = 24;
-const FLEET_ZONES_MAX = 64;
 const FLEET_FORWARD_MAX = 128;
 const FLEET_LIMITS_MAX = 24;
 const FLEET_ENDINGS_MAX = 2;
 const FLEET_SUSPECTS_MAX = 24;
 const FLEET_ROLLOUTS_MAX = 4;
-const FLEET_KEYS_MAX = 64;
 const FLEET_RANKS = 3;
 const FLEET_COUNTS_MAX = 24;
 const FLEET_COUNT_VALUES = 4;
 
-typedef string fleet_wire_name<FLEET_NAME_MAX>;
+typedef string fleet_wire_id<FLEET_ID_MAX>;
+typedef string fleet_wire_name<FLEET_OBJECT_MAX>;
 
 /* A revision of the store.  */
 struct fleet_wire_revision
@@ -27,10 +32,10 @@
 
 struct fleet_wire_backend
 {
-  string id<FLEET_NAME_MAX>;
-  string service<FLEET_NAME_MAX>;
-  string data_centre<FLEET_NAME_MAX>;
-  string software<FLEET_NAME_MAX>;
+  string id<FLEET_ID_MAX>;
+  string service<FLEET_OBJECT_MAX>;
+  string data_centre<FLEET_ID_MAX>;
+  string software<FLEET_ID_MAX>;
   unsigned int ip;
   unsigned int port;
   unsigned int slots;
@@ -50,15 +55,15 @@
 
 struct fleet_wire_part
 {
-  string service<FLEET_NAME_MAX>;
+  string service<FLEET_OBJECT_MAX>;
   unsigned int weight;
 };
 
 struct fleet_wire_route
 {
-  string name<FLEET_NAME_MAX>;
-  string host<512>;
-  string prefix<4096>;
+  string name<FLEET_OBJECT_MAX>;
+  string host<FLEET_OBJECT_MAX>;
+  string prefix<FLEET_OBJECT_MAX>;
   bool idempotent;
   bool bulk;
   hyper timeout;
@@ -66,20 +71,20 @@
   int priority;
   int endpoints_max;
   bool is_public;
-  fleet_wire_part parts<FLEET_PARTS_MAX>;
+  fleet_wire_part parts<FLEET_LIST_MAX>;
 };
 
 struct fleet_wire_service
 {
-  string name<FLEET_NAME_MAX>;
-  string health_path<4096>;
+  string name<FLEET_OBJECT_MAX>;
+  string health_path<FLEET_OBJECT_MAX>;
   int connections_max;
   double cold_per_s;
 };
 
 struct fleet_wire_tenant
 {
-  string name<FLEET_NAME_MAX>;
+  string name<FLEET_OBJECT_MAX>;
   int priority;
   double rate_per_s;
   double burst;
@@ -108,7 +113,7 @@
 struct fleet_wire_member
 {
   string name<FLEET_NAME_MAX>;
-  string data_centre<FLEET_NAME_MAX>;
+  string data_centre<FLEET_ID_MAX>;
   unsigned int ip;
   bool weak;
 };
@@ -117,7 +122,7 @@
    takes from all instances together, and that it is leaving.  */
 struct fleet_wire_limit
 {
-  string id<FLEET_NAME_MAX>; /* of the endpoint */
+  string id<FLEET_ID_MAX>;   /* of the endpoint */
   bool is_limited;
   double per_s;
   unsigned int sources;      /* kinds of response that state it */
@@ -129,8 +134,8 @@
 /* A rollout of a new version of a service's software; see rollouts.h.  */
 struct fleet_wire_rollout
 {
-  string service<FLEET_NAME_MAX>;
-  string software<FLEET_NAME_MAX>; /* the new version */
+  string service<FLEET_ID_MAX>;
+  string software<FLEET_ID_MAX>; /* the new version */
   hyper duration;
   fleet_wire_revision created;
   fleet_wire_revision ordered;
@@ -159,7 +164,7 @@
 
 struct fleet_wire_gone
 {
-  string id<FLEET_NAME_MAX>;
+  string id<FLEET_ID_MAX>;
   unsigned hyper born;     /* of its last entry */
   unsigned hyper sequence;
   fleet_wire_revision revision;
@@ -180,7 +185,7 @@
   fleet_wire_config config<1>;
   fleet_wire_backend backends<FLEET_LIST_MAX>;
   fleet_wire_gone gone<FLEET_LIST_MAX>;
-  fleet_wire_name out<FLEET_ZONES_MAX>;
+  fleet_wire_id out<FLEET_LIST_MAX>;
   fleet_wire_member members<FLEET_LIST_MAX>;
   fleet_wire_limit limits<FLEET_LIST_MAX>; /* sent with the endpoints */
   fleet_wire_rollout rollouts<FLEET_LIST_MAX>;
@@ -196,7 +201,7 @@
   bool fresh;                    /* the store was read a moment ago */
   bool weak;                     /* a small machine: others go before it */
   fleet_wire_member member;      /* the sender */
-  fleet_wire_name out<FLEET_ZONES_MAX>;
+  fleet_wire_id out<FLEET_LIST_MAX>;
   /* One bit for each member by name, the lowest of a byte first; of use to
      those whose members have the same digest.  */
   opaque ready<FLEET_LIST_MAX>;
@@ -231,7 +236,7 @@
 
 struct fleet_wire_permit_reply
 {
-  string id<FLEET_NAME_MAX>; /* of the endpoint */
+  string id<FLEET_ID_MAX>; /* of the endpoint */
   hyper asked_at;
   bool is_issued;
   unsigned int wait; /* until the permit can be used, or until it is worth to
@@ -286,7 +291,7 @@
 /* Asks the keeper of a tenant's allowance for tokens; see allowance.h.  */
 struct fleet_wire_allowance_ask
 {
-  string tenant<FLEET_NAME_MAX>;
+  unsigned hyper tenant;   /* digest of its name; see tenant_name_digest() */
   hyper asked_at;          /* on the sender's clock; returned in the reply */
   unsigned int wanted[FLEET_RANKS]; /* tokens, by rank of the requests */
   unsigned int unused;     /* tokens that are given back */
@@ -295,7 +300,7 @@
 
 struct fleet_wire_allowance_reply
 {
-  string tenant<FLEET_NAME_MAX>;
+  unsigned hyper tenant;   /* digest of its name */
   hyper asked_at;
   unsigned int granted[FLEET_RANKS];
   unsigned int wait;       /* after which a refused client may come back */
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -14,20 +14,22 @@
 #endif
 
 #define FLEET_NAME_MAX 128
+#define FLEET_ID_MAX 512
+#define FLEET_OBJECT_MAX 4194304
+#define FLEET_KEYS_MAX 1048576
 #define FLEET_LIST_MAX 100000
-#define FLEET_PARTS_MAX 8
 #define FLEET_CHANGES_MAX 24
-#define FLEET_ZONES_MAX 64
 #define FLEET_FORWARD_MAX 128
 #define FLEET_LIMITS_MAX 24
 #define FLEET_ENDINGS_MAX 2
 #define FLEET_SUSPECTS_MAX 24
 #define FLEET_ROLLOUTS_MAX 4
-#define FLEET_KEYS_MAX 64
 #define FLEET_RANKS 3
 #define FLEET_COUNTS_MAX 24
 #define FLEET_COUNT_VALUES 4
 
+typedef char *fleet_wire_id;
+
 typedef char *fleet_wire_name;
 
 struct fleet_wire_revision {
@@ -212,7 +214,7 @@
 	} gone;
 	struct {
 		u_int out_len;
-		fleet_wire_name *out_val;
+		fleet_wire_id *out_val;
 	} out;
 	struct {
 		u_int members_len;
@@ -239,7 +241,7 @@
 	fleet_wire_member member;
 	struct {
 		u_int out_len;
-		fleet_wire_name *out_val;
+		fleet_wire_id *out_val;
 	} out;
 	struct {
 		u_int ready_len;
@@ -347,7 +349,7 @@
 typedef struct fleet_wire_counts fleet_wire_counts;
 
 struct fleet_wire_allowance_ask {
-	char *tenant;
+	u_quad_t tenant;
 	quad_t asked_at;
 	u_int wanted[FLEET_RANKS];
 	u_int unused;
@@ -356,7 +358,7 @@
 typedef struct fleet_wire_allowance_ask fleet_wire_allowance_ask;
 
 struct fleet_wire_allowance_reply {
-	char *tenant;
+	u_quad_t tenant;
 	quad_t asked_at;
 	u_int granted[FLEET_RANKS];
 	u_int wait;
@@ -404,6 +406,7 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
+extern  bool_t xdr_fleet_wire_id (XDR *, fleet_wire_id*);
 extern  bool_t xdr_fleet_wire_name (XDR *, fleet_wire_name*);
 extern  bool_t xdr_fleet_wire_revision (XDR *, fleet_wire_revision*);
 extern  bool_t xdr_fleet_wire_backend (XDR *, fleet_wire_backend*);
@@ -436,6 +439,7 @@
 extern  bool_t xdr_fleet_wire_message (XDR *, fleet_wire_message*);
 
 #else /* K&R C */
+extern bool_t xdr_fleet_wire_id ();
 extern bool_t xdr_fleet_wire_name ();
 extern bool_t xdr_fleet_wire_revision ();
 extern bool_t xdr_fleet_wire_backend ();
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -5,12 +5,22 @@
 
 #include "fleet.h"
 
+bool_t
+xdr_fleet_wire_id (XDR *xdrs, fleet_wire_id *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, FLEET_ID_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_wire_name (XDR *xdrs, fleet_wire_name *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, objp, FLEET_OBJECT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -34,13 +44,13 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->id, FLEET_ID_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->service, FLEET_OBJECT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->data_centre, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->data_centre, FLEET_ID_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->software, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->software, FLEET_ID_MAX))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -70,13 +80,13 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->id, FLEET_ID_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->service, FLEET_OBJECT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->data_centre, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->data_centre, FLEET_ID_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->software, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->software, FLEET_ID_MAX))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -107,13 +117,13 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->id, FLEET_ID_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->service, FLEET_OBJECT_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->data_centre, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->data_centre, FLEET_ID_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->software, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->software, FLEET_ID_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ip))
 		 return FALSE;
@@ -151,7 +161,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->service, FLEET_OBJECT_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->weight))
 		 return FALSE;
@@ -165,11 +175,11 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->name, FLEET_OBJECT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->host, 512))
+		 if (!xdr_string (xdrs, &objp->host, FLEET_OBJECT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->prefix, 4096))
+		 if (!xdr_string (xdrs, &objp->prefix, FLEET_OBJECT_MAX))
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->idempotent))
 			 return FALSE;
@@ -193,16 +203,16 @@
 		IXDR_PUT_LONG(buf, objp->endpoints_max);
 		IXDR_PUT_BOOL(buf, objp->is_public);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_PARTS_MAX,
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_LIST_MAX,
 			sizeof (fleet_wire_part), (xdrproc_t) xdr_fleet_wire_part))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->name, FLEET_OBJECT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->host, 512))
+		 if (!xdr_string (xdrs, &objp->host, FLEET_OBJECT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->prefix, 4096))
+		 if (!xdr_string (xdrs, &objp->prefix, FLEET_OBJECT_MAX))
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->idempotent))
 			 return FALSE;
@@ -226,17 +236,17 @@
 		objp->endpoints_max = IXDR_GET_LONG(buf);
 		objp->is_public = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_PARTS_MAX,
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_LIST_MAX,
 			sizeof (fleet_wire_part), (xdrproc_t) xdr_fleet_wire_part))
 			 return FALSE;
 	 return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->name, FLEET_OBJECT_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->host, 512))
+	 if (!xdr_string (xdrs, &objp->host, FLEET_OBJECT_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->prefix, 4096))
+	 if (!xdr_string (xdrs, &objp->prefix, FLEET_OBJECT_MAX))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->idempotent))
 		 return FALSE;
@@ -252,7 +262,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_public))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_PARTS_MAX,
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_part), (xdrproc_t) xdr_fleet_wire_part))
 		 return FALSE;
 	return TRUE;
@@ -263,9 +273,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->name, FLEET_OBJECT_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->health_path, 4096))
+	 if (!xdr_string (xdrs, &objp->health_path, FLEET_OBJECT_MAX))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->connections_max))
 		 return FALSE;
@@ -279,7 +289,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->name, FLEET_OBJECT_MAX))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->priority))
 		 return FALSE;
@@ -342,7 +352,7 @@
 
 	 if (!xdr_string (xdrs, &objp->name, FLEET_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->data_centre, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->data_centre, FLEET_ID_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ip))
 		 return FALSE;
@@ -358,7 +368,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->id, FLEET_ID_MAX))
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->is_limited))
 			 return FALSE;
@@ -382,7 +392,7 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->id, FLEET_ID_MAX))
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->is_limited))
 			 return FALSE;
@@ -407,7 +417,7 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->id, FLEET_ID_MAX))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_limited))
 		 return FALSE;
@@ -429,9 +439,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->service, FLEET_ID_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->software, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->software, FLEET_ID_MAX))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->duration))
 		 return FALSE;
@@ -477,7 +487,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->id, FLEET_ID_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->born))
 		 return FALSE;
@@ -512,8 +522,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->gone.gone_val, (u_int *) &objp->gone.gone_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_gone), (xdrproc_t) xdr_fleet_wire_gone))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_ZONES_MAX,
-		sizeof (fleet_wire_name), (xdrproc_t) xdr_fleet_wire_name))
+	 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_LIST_MAX,
+		sizeof (fleet_wire_id), (xdrproc_t) xdr_fleet_wire_id))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_member), (xdrproc_t) xdr_fleet_wire_member))
@@ -546,8 +556,8 @@
 		 return FALSE;
 	 if (!xdr_fleet_wire_member (xdrs, &objp->member))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_ZONES_MAX,
-		sizeof (fleet_wire_name), (xdrproc_t) xdr_fleet_wire_name))
+	 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_LIST_MAX,
+		sizeof (fleet_wire_id), (xdrproc_t) xdr_fleet_wire_id))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->ready.ready_val, (u_int *) &objp->ready.ready_len, FLEET_LIST_MAX))
 		 return FALSE;
@@ -610,7 +620,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->id, FLEET_ID_MAX))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->asked_at))
 		 return FALSE;
@@ -715,7 +725,7 @@
 	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+		 if (!xdr_u_quad_t (xdrs, &objp->tenant))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->asked_at))
 			 return FALSE;
@@ -742,7 +752,7 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+		 if (!xdr_u_quad_t (xdrs, &objp->tenant))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->asked_at))
 			 return FALSE;
@@ -770,7 +780,7 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+	 if (!xdr_u_quad_t (xdrs, &objp->tenant))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->asked_at))
 		 return FALSE;
@@ -792,7 +802,7 @@
 	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+		 if (!xdr_u_quad_t (xdrs, &objp->tenant))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->asked_at))
 			 return FALSE;
@@ -816,7 +826,7 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+		 if (!xdr_u_quad_t (xdrs, &objp->tenant))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->asked_at))
 			 return FALSE;
@@ -841,7 +851,7 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->tenant, FLEET_NAME_MAX))
+	 if (!xdr_u_quad_t (xdrs, &objp->tenant))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->asked_at))
 		 return FALSE;
--- a/lib/fleet/relay_allowance.c
+++ b/lib/fleet/relay_allowance.c
@@ -14,7 +14,8 @@
 _Static_assert(FLEET_RANKS == ALLOWANCE_RANKS,
                "messages must hold the ranks of requests");
 
-static allowance_reply_t grant (relay_t *relay, const char *name,
+static const tenant_t *get_tenant (const relay_t *relay, uint64_t digest);
+static allowance_reply_t grant (relay_t *relay, const tenant_t *tenant,
                                 const allowance_ask_t *ask, clock_ms_t now);
 static uint32_t find_keeper_ip (relay_t *relay, const char *tenant,
                                 allowance_t *allowance);
@@ -22,15 +23,22 @@
                           const allowance_reply_t *reply, clock_ms_t asked_at,
                           clock_ms_t now);
 
-/* Decides on a question as the keeper.  A tenant that is not in this
-   instance's configuration any more gets nothing.  */
+/* Returns the tenant that a message names, or NULL: it is not in this
+   instance's configuration.  */
+static const tenant_t *
+get_tenant (const relay_t *relay, uint64_t digest)
+{
+  return relay->view->routes != NULL
+             ? routes_get_tenant_by_digest (relay->view->routes, digest)
+             : NULL;
+}
+
+/* Decides on a question as the keeper.  @tenant: NULL: it is not in this
+   instance's configuration any more and gets nothing.  */
 static allowance_reply_t
-grant (relay_t *relay, const char *name, const allowance_ask_t *ask,
+grant (relay_t *relay, const tenant_t *tenant, const allowance_ask_t *ask,
        clock_ms_t now)
 {
-  const tenant_t *tenant = relay->view->routes != NULL
-                               ? routes_get_tenant (relay->view->routes, name)
-                               : NULL;
   allowance_reply_t reply = { .wait = UNKNOWN_TENANT_WAIT_MS };
 
   if (tenant == NULL)
@@ -39,11 +47,12 @@
     for (int i = 0; i < ALLOWANCE_RANKS; i++)
       reply.granted[i] = ask->wanted[i];
   else
-    reply = allowance_grant (allowances_get (relay->view->allowances, name),
-                             tenant, &relay->allowance_bounds,
-                             (double)members_count_ready (relay->members)
-                                 / (double)relay->members->table->len,
-                             ask, now);
+    reply = allowance_grant (
+        allowances_get (relay->view->allowances, tenant->name), tenant,
+        &relay->allowance_bounds,
+        (double)members_count_ready (relay->members)
+            / (double)relay->members->table->len,
+        ask, now);
   for (int i = 0; i < ALLOWANCE_RANKS; i++)
     {
       telemetry_counter_add (TELEMETRY_ALLOWANCE_TOKENS, 0, reply.granted[i]);
@@ -83,12 +92,13 @@
   allowance_begin_ask (allowance, ask, now);
   if (keeper_ip == 0)
     {
-      allowance_reply_t reply = grant (relay, tenant, ask, now);
+      allowance_reply_t reply = grant (
+          relay, get_tenant (relay, tenant_name_digest (tenant)), ask, now);
 
       handle_reply (relay, tenant, &reply, now, now);
       return;
     }
-  wire->tenant = (char *)tenant;
+  wire->tenant = tenant_name_digest (tenant);
   wire->asked_at = now;
   for (int i = 0; i < ALLOWANCE_RANKS; i++)
     wire->wanted[i] = ask->wanted[i];
@@ -110,7 +120,7 @@
 
   for (int i = 0; i < ALLOWANCE_RANKS; i++)
     ask.wanted[i] = wire->wanted[i];
-  reply = grant (relay, wire->tenant, &ask, now);
+  reply = grant (relay, get_tenant (relay, wire->tenant), &ask, now);
   *to = (fleet_wire_allowance_reply){ .tenant = wire->tenant,
                                       .asked_at = wire->asked_at,
                                       .wait = (u_int)reply.wait };
@@ -135,13 +145,13 @@
                               clock_ms_t now)
 {
   allowance_reply_t reply = { .wait = MIN (wire->wait, INT32_MAX) };
+  const tenant_t *tenant = get_tenant (relay, wire->tenant);
 
   for (int i = 0; i < ALLOWANCE_RANKS; i++)
     reply.granted[i] = wire->granted[i];
   /* A message may name a tenant that this instance does not know.  */
-  if (relay->view->routes != NULL
-      && routes_get_tenant (relay->view->routes, wire->tenant) != NULL)
-    handle_reply (relay, wire->tenant, &reply, wire->asked_at, now);
+  if (tenant != NULL)
+    handle_reply (relay, tenant->name, &reply, wire->asked_at, now);
 }
 
 void
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -25,6 +25,9 @@
 /* Greatest length of an encoded change of the configuration in an
    announcement; a longer one is fetched.  */
 #define CONFIG_CHANGE_MAX_BYTES 640
+/* Greatest length of an encoded change of an endpoint in an announcement; a
+   longer one is fetched.  */
+#define ENDPOINT_CHANGE_MAX_BYTES 640
 /* Greatest length of the limits of endpoints in an announcement, which leaves
    room for changes.  */
 #define LIMITS_MAX_BYTES 600
@@ -92,6 +95,11 @@
       wire_from_backend (&to->backend, &change->entry, change->entry.cold);
       to->backend.revision = wire_from_revision (change->revision);
       size = xdr_sizeof ((xdrproc_t)xdr_fleet_wire_change, to);
+      if (size > ENDPOINT_CHANGE_MAX_BYTES)
+        {
+          change->announce_count = CHANGE_ANNOUNCEMENTS_MAX;
+          continue;
+        }
       if (size > *bytes_left)
         return true;
       *bytes_left -= size;
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -6,8 +6,10 @@
 
 #include "feed.h"
 
-_Static_assert(FEED_NAME_MAX_BYTES <= FLEET_NAME_MAX,
-               "names of the store must fit into messages");
+_Static_assert(FEED_ID_MAX_BYTES <= FLEET_ID_MAX,
+               "ids of the store must fit into messages");
+_Static_assert(FEED_OBJECT_MAX_BYTES <= FLEET_OBJECT_MAX,
+               "texts of the store must fit into messages");
 
 static void add_all_backends (fleet_wire_snapshot *wire, const view_t *view,
                               clock_ms_t now);
--- a/lib/fleet/wire_config.c
+++ b/lib/fleet/wire_config.c
@@ -116,12 +116,9 @@
   route->priority = wire->priority;
   route->endpoints_max = wire->endpoints_max;
   route->is_public = wire->is_public != 0;
-  route->n_parts = MIN ((int)wire->parts.parts_len, ROUTE_PARTS_MAX);
-  for (int i = 0; i < route->n_parts; i++)
-    {
-      route->parts[i].service = g_strdup (wire->parts.parts_val[i].service);
-      route->parts[i].weight = wire->parts.parts_val[i].weight;
-    }
+  for (u_int i = 0; i < wire->parts.parts_len; i++)
+    route_add_part (route, wire->parts.parts_val[i].service,
+                    wire->parts.parts_val[i].weight);
   return route;
 }
 
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -31,8 +31,8 @@
   proxy->pools = g_ptr_array_new ();
   proxy->uplinks = g_ptr_array_new ();
   proxy->accusations = suspicion_new_accusations ();
-  proxy->route_states
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  proxy->route_states = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                               request_free_route_state);
   proxy->instance_count = 1;
   proxy->queues = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          tenancy_free_queue);
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -491,6 +491,8 @@
    of it: it was not run, or may have run, or its response breaks off.  */
 void request_end_unfinished (request_t *request);
 /* Returns the proxy's state for a service; creates it if there is none.  */
+/* Frees a route_state_t.  */
+void request_free_route_state (gpointer data);
 service_state_t *service_state_get (proxy_t *proxy, service_index_t service);
 
 /* ---- request_end.c ---- */
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -97,6 +97,15 @@
   return state;
 }
 
+void
+request_free_route_state (gpointer data)
+{
+  route_state_t *state = data;
+
+  route_split_clear (&state->split);
+  g_free (state);
+}
+
 /* Sets the time until which the client waits, the target and the response
    deadline of a request.  */
 static void
--- a/lib/proxy/split_metrics.c
+++ b/lib/proxy/split_metrics.c
@@ -35,9 +35,9 @@
       append_label (text, route->name);
       g_string_append (text, "\",service=\"");
       append_label (text, route->parts[i].service);
-      g_string_append_printf (text,
-                              "\",weight=\"%u\"} %" G_GUINT64_FORMAT "\n",
-                              route->parts[i].weight, split->requests[i]);
+      g_string_append_printf (
+          text, "\",weight=\"%u\"} %" G_GUINT64_FORMAT "\n",
+          route->parts[i].weight, split->parts[i].requests);
     }
   g_string_append (text, "peridot_split_starts{route=\"");
   append_label (text, route->name);
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -711,6 +711,7 @@
         self.seen_fields = {}
         # Tenants of the configuration; None: requests need no key.
         self.tenants = None
+        self.configured_services = ["slots", "files"]
         # Bounds and limits in the instances' settings beside the usual ones.
         self.bounds = {}
         self.limits = {}
@@ -770,7 +771,7 @@
         await self.store.put("config", "main", {
             "version": self.version,
             "routes": {k: v for k, v in routes.items() if v is not None},
-            "services": {"slots": service, "files": service},
+            "services": {name: service for name in self.configured_services},
             **({} if self.tenants is None else {"tenants": self.tenants}),
             "limits": {"max-header-bytes": 16384,
                        "max-body-bytes": 1048576, "header-timeout-s": 3,
--- a/test/unit/balance.c
+++ b/test/unit/balance.c
@@ -19,9 +19,7 @@
   route->name = g_strdup (name);
   route->host = g_strdup ("here.example");
   route->prefix = g_strdup (prefix);
-  route->n_parts = 1;
-  route->parts[0].service = g_strdup ("slots");
-  route->parts[0].weight = 1;
+  route_add_part (route, "slots", 1);
   return route;
 }
 
@@ -52,11 +50,12 @@
   route_t *route = new_route ("split", "/");
 
   g_free (route->parts[0].service);
-  route->n_parts = count;
+  route->n_parts = 0;
   for (int i = 0; i < count; i++)
     {
-      route->parts[i].service = g_strdup_printf ("s%d", i);
-      route->parts[i].weight = weights[i];
+      g_autofree char *service = g_strdup_printf ("s%d", i);
+
+      route_add_part (route, service, weights[i]);
     }
   return route;
 }
@@ -67,7 +66,6 @@
 split_keeps_weights (void)
 {
   const uint32_t weights[3] = { 70, 25, 5 };
-  const int64_t cycle_start[ROUTE_PARTS_MAX] = { 0 };
   route_t *route = new_split_route (weights, 3);
   route_split_t split = { 0 };
   int counts[3] = { 0 };
@@ -76,13 +74,49 @@
   decide_rng_seed (&rng, 1);
   do
     (void)route_split_next (&split, route, &rng);
-  while (memcmp (split.current_weight, cycle_start, sizeof cycle_start) != 0);
+  while (split.parts[0].current_weight != 0
+         || split.parts[1].current_weight != 0
+         || split.parts[2].current_weight != 0);
   for (int n = 1; n <= 1000; n++)
     {
       counts[route_split_next (&split, route, &rng)]++;
       for (int i = 0; i < 3; i++)
         g_assert_cmpint (ABS (counts[i] * 100 - n * (int)weights[i]), <=, 100);
     }
+  route_split_clear (&split);
+  route_free (route);
+}
+
+/* Guards against a split with many parts that is cut short, or whose parts get
+   other shares than their weights say.  */
+static void
+split_has_any_number_of_parts (void)
+{
+  enum
+  {
+    PARTS = 300,
+    REQUESTS = 300000
+  };
+  static uint32_t weights[PARTS];
+  static int counts[PARTS];
+  route_split_t split = { 0 };
+  route_t *route;
+  decide_rng_t rng;
+  double total = 0;
+
+  for (int i = 0; i < PARTS; i++)
+    {
+      weights[i] = (uint32_t)(i % 3);
+      total += weights[i];
+    }
+  decide_rng_seed (&rng, 4);
+  route = new_split_route (weights, PARTS);
+  for (int n = 0; n < REQUESTS; n++)
+    counts[route_split_next (&split, route, &rng)]++;
+  for (int i = 0; i < PARTS; i++)
+    g_assert_cmpfloat_with_epsilon (counts[i], REQUESTS * weights[i] / total,
+                                    200);
+  route_split_clear (&split);
   route_free (route);
 }
 
@@ -122,6 +156,7 @@
           for (int n = 0; n < REQUESTS; n++)
             counts[had_other_weights][n]
                   [route_split_next (&split, route, &rng)]++;
+          route_split_clear (&split);
         }
       for (int k = 0; k < 2; k++)
         for (int n = 0; n < REQUESTS; n++)
@@ -158,7 +193,8 @@
       route_free (route);
     }
   g_assert_cmpuint (split.starts, ==, 1);
-  g_assert_cmpuint (split.requests[0], ==, (guint64)counts[0]);
+  g_assert_cmpuint (split.parts[0].requests, ==, (guint64)counts[0]);
+  route_split_clear (&split);
 }
 
 /* Guards against a retry storm: in any window, the retries of all instances
@@ -679,6 +715,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/balance/longest_prefix_wins", longest_prefix_wins);
   g_test_add_func ("/balance/split_keeps_weights", split_keeps_weights);
+  g_test_add_func ("/routes/split_has_any_number_of_parts",
+                   split_has_any_number_of_parts);
   g_test_add_func ("/balance/split_keeps_weights_from_first_request",
                    split_keeps_weights_from_first_request);
   g_test_add_func ("/balance/split_continues_across_versions",
--- a/test/unit/fleet_config.c
+++ b/test/unit/fleet_config.c
@@ -22,9 +22,7 @@
   route->prefix = g_strdup_printf ("/r%d/", number);
   route->idempotent = true;
   route->timeout = timeout;
-  route->n_parts = 1;
-  route->parts[0]
-      = (route_part_t){ .service = g_strdup ("slots"), .weight = 1 };
+  route_add_part (route, "slots", 1);
   routes_add (routes, route);
 }
 
@@ -232,6 +230,60 @@
   backends_free (receiver_backends);
 }
 
+/* Guards against rows that messages cannot hold: an instance that is told of
+   them would keep its older version, with keys that were withdrawn since.  */
+static void
+large_rows_reach_other_instances (void)
+{
+  const view_hooks_t hooks
+      = { .routes_changed = ignore_routes, .backends_changed = ignore };
+  g_autofree char *name = g_strnfill (20000, 'n');
+  backends_t *backends[2]
+      = { backends_new ("front-1", "a"), backends_new ("front-2", "a") };
+  view_t *views[2]
+      = { view_new (backends[0], &hooks), view_new (backends[1], &hooks) };
+  members_t *members = members_new ("front-1", "a", 1);
+  const wire_request_t request = { .parts = FLEET_PART_CONFIG };
+  wire_received_t received;
+  routes_t *routes = make_version (2, 0, 1, 800);
+  tenant_t *tenant = tenant_new (name);
+  route_t *route = g_new0 (route_t, 1);
+  service_rules_t *rules = g_new0 (service_rules_t, 1);
+  GByteArray *data;
+
+  for (int i = 0; i < 5000; i++)
+    g_ptr_array_add (tenant->keys, g_strdup_printf ("%.200s-%d", name, i));
+  routes_add_tenant (routes, tenant);
+  rules->name = g_strdup (name);
+  rules->health_path = g_strdup (name);
+  routes_add_service (routes, rules);
+  route->name = g_strdup (name);
+  route->host = g_strdup (name);
+  route->prefix = g_strdup (name);
+  for (uint32_t i = 0; i < 500; i++)
+    route_add_part (route, name, i);
+  routes_add (routes, route);
+  g_assert_cmpint (routes_index (routes), ==, 0);
+  view_set_routes (views[0], routes);
+  data = wire_encode_snapshot (views[0], members, &request, 0, 1);
+  g_assert_cmpint (wire_apply_snapshot ((char *)data->data, data->len,
+                                        views[1], members, &received, 1),
+                   ==, 0);
+  g_assert_cmpint (received.config_error, ==, 0);
+  g_assert_cmpuint (views[1]->config_digest, ==, views[0]->config_digest);
+  g_assert_cmpstr (
+      routes_get_tenant_by_digest (views[1]->routes, tenant_name_digest (name))
+          ->name,
+      ==, name);
+  g_byte_array_free (data, TRUE);
+  members_free (members);
+  for (int i = 0; i < 2; i++)
+    {
+      view_free (views[i]);
+      backends_free (backends[i]);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -243,5 +295,7 @@
                    old_versions_get_the_whole_configuration);
   g_test_add_func ("/config/random_changes_arrive_in_any_order",
                    random_changes_arrive_in_any_order);
+  g_test_add_func ("/config/large_rows_reach_other_instances",
+                   large_rows_reach_other_instances);
   return g_test_run ();
 }
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -720,9 +720,7 @@
   route->prefix = g_strdup ("/look/");
   route->idempotent = true;
   route->timeout = 800;
-  route->n_parts = 1;
-  route->parts[0]
-      = (route_part_t){ .service = g_strdup ("slots"), .weight = 3 };
+  route_add_part (route, "slots", 3);
   routes_add (routes, route);
   fixture_start (&sender);
   fixture_start (&receiver);
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -581,9 +581,7 @@
       route->host = g_strdup_printf ("host-%04d.example", i);
       route->prefix = g_strdup_printf ("/prefix-%04d/", i);
       route->timeout = i == 0 ? timeout : 800;
-      route->n_parts = 1;
-      route->parts[0]
-          = (route_part_t){ .service = g_strdup ("slots"), .weight = 1 };
+      route_add_part (route, "slots", 1);
       routes_add (routes, route);
     }
   g_assert_cmpint (routes_index (routes), ==, 0);
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -160,14 +160,19 @@
     }
 }
 
-/* Guards against an entry with a name that is too long for the messages
+/* Guards against an entry with an id that is too long for the datagrams
    between instances: no message with it could be encoded, so that the other
-   instances would stop following the store.  */
+   instances would stop following the store.  The name of a service may be as
+   long as in the configuration.  */
 static void
-endpoints_with_long_names_are_skipped (void)
+endpoints_with_long_ids_are_skipped (void)
 {
-  g_autofree char *name = g_strnfill (FLEET_NAME_MAX + 1, 'n');
-  static const char *const fields[] = { "service", "zone", "version" };
+  g_autofree char *name = g_strnfill (FLEET_ID_MAX + 1, 'n');
+  static const char *const fields[] = { "zone", "version" };
+  g_autofree char *long_service = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+      "\"slots\":3,\"state\":\"ready\"}",
+      name);
   g_autofree char *item = g_strdup_printf (
       "{\"metadata\":{\"name\":\"%s\"},\"spec\":{\"service\":\"s\","
       "\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":3,"
@@ -175,6 +180,7 @@
       name);
   feed_response_t response;
 
+  g_assert_true (decodes_to_backend (long_service));
   g_assert_cmpint (decode (FEED_BACKENDS, item, &response), ==, 0);
   g_assert_cmpint (count_backends (&response), ==, 0);
   g_ptr_array_free (response.items, TRUE);
@@ -454,6 +460,46 @@
   g_string_free (text, TRUE);
 }
 
+/* Guards against a valid configuration that is rejected because of a limit
+   below the size of its object: withdrawn keys would stay valid.  */
+static void
+only_the_object_limits_a_configuration (void)
+{
+  g_autofree char *name = g_strnfill (20000, 'n');
+  GString *keys = g_string_new (NULL);
+  GString *parts = g_string_new (NULL);
+  g_autofree char *tenants = NULL;
+  g_autofree char *spec = NULL;
+  routes_t *routes;
+
+  for (int i = 0; i < 5000; i++)
+    g_string_append_printf (keys, "%s\"%.200s-%d\"", i > 0 ? "," : "", name,
+                            i);
+  tenants = g_strdup_printf ("\"%s\":{\"api-keys\":[%s]}", name, keys->str);
+  routes = decode_tenants_of (tenants);
+  g_assert_nonnull (routes);
+  g_assert_nonnull (routes_get_tenant (routes, name));
+  g_assert_cmpuint (routes_get_tenant (routes, name)->keys->len, ==, 5000);
+  routes_free (routes);
+  for (int i = 0; i < 500; i++)
+    g_string_append_printf (parts, "%s{\"service\":\"s\",\"weight\":%d}",
+                            i > 0 ? "," : "", i);
+  spec = g_strdup_printf ("{\"host\":\"%s\",\"path-prefix\":\"/%s/\","
+                          "\"kind\":\"safe\",\"traffic-split\":[%s]},"
+                          "\"%s\":{\"host\":\"h\",\"path-prefix\":\"/a/\","
+                          "\"kind\":\"safe\",\"service\":\"s\"}",
+                          name, name, parts->str, name);
+  routes = decode_config (spec);
+  g_assert_nonnull (routes);
+  g_assert_cmpuint (routes->routes->len, ==, 2);
+  g_assert_cmpint (
+      ((const route_t *)g_ptr_array_index (routes->routes, 0))->n_parts, ==,
+      500);
+  routes_free (routes);
+  g_string_free (keys, TRUE);
+  g_string_free (parts, TRUE);
+}
+
 /* Returns the rollout that an object is decoded to, to be freed with
    feed_item_free() of @item; NULL: the object is skipped.  */
 static feed_rollout_t *
@@ -529,8 +575,8 @@
                    odd_entry_does_not_hide_the_others);
   g_test_add_func ("/platform/endpoints_with_values_out_of_range_are_skipped",
                    endpoints_with_values_out_of_range_are_skipped);
-  g_test_add_func ("/platform/endpoints_with_long_names_are_skipped",
-                   endpoints_with_long_names_are_skipped);
+  g_test_add_func ("/platform/endpoints_with_long_ids_are_skipped",
+                   endpoints_with_long_ids_are_skipped);
   g_test_add_func ("/platform/configuration_is_decoded",
                    configuration_is_decoded);
   g_test_add_func ("/platform/bad_configuration_is_refused_whole",
@@ -541,6 +587,8 @@
   g_test_add_func ("/platform/settings_are_checked", settings_are_checked);
   g_test_add_func ("/platform/invalid_tenants", invalid_tenants_are_rejected);
   g_test_add_func ("/platform/many_tenants", many_tenants_are_read);
+  g_test_add_func ("/platform/only_the_object_limits_a_configuration",
+                   only_the_object_limits_a_configuration);
   g_test_add_func ("/platform/orders", orders_of_rollouts_are_read);
   return g_test_run ();
 }
