Leave out single rows of a configuration instead of the version

Callers saw: a withdrawn key stayed valid while another row of its version was odd: a route with a negative timeout, a tenant with a negative rate, a key that two tenants have.

Cause: the decoder rejected a version for any row that it could not use.

A key of two tenants is good for none. Rows left out are logged by the reader, travel with the version and are counted at each instance; peridotctl versions shows versions, rows left out and rejected versions.

--- a/lib/balance/routes.c
+++ b/lib/balance/routes.c
@@ -1,6 +1,5 @@
 #include "routes.h"
 
-#include <errno.h>
 #include <string.h>
 
 /* Largest number of positions among which the start of a round-robin is
@@ -46,14 +45,21 @@
   g_free (routes);
 }
 
+void
+route_remove_parts (route_t *route)
+{
+  for (int i = 0; i < route->n_parts; i++)
+    g_free (route->parts[i].service);
+  g_clear_pointer (&route->parts, g_free);
+  route->n_parts = 0;
+}
+
 void
 route_free (gpointer data)
 {
   route_t *route = data;
 
-  for (int i = 0; i < route->n_parts; i++)
-    g_free (route->parts[i].service);
-  g_free (route->parts);
+  route_remove_parts (route);
   g_free (route->name);
   g_free (route->host);
   g_free (route->prefix);
@@ -136,11 +142,9 @@
   return (left_length < right_length) - (left_length > right_length);
 }
 
-int
+void
 routes_index (routes_t *routes)
 {
-  int result = 0;
-
   g_ptr_array_sort (routes->routes, compare_prefix);
   for (guint i = 0; i < routes->tenants->len; i++)
     {
@@ -151,15 +155,14 @@
       for (guint j = 0; j < tenant->keys->len; j++)
         {
           char *key = g_ptr_array_index (tenant->keys, j);
-          const tenant_t *other = g_hash_table_lookup (routes->by_key, key);
+          gpointer holder = NULL;
+          bool is_held = g_hash_table_lookup_extended (routes->by_key, key,
+                                                       NULL, &holder);
 
-          if (other == NULL)
-            g_hash_table_insert (routes->by_key, key, tenant);
-          else if (other != tenant)
-            result = -EEXIST;
+          g_hash_table_insert (routes->by_key, key,
+                               is_held && holder != tenant ? NULL : tenant);
         }
     }
-  return result;
 }
 
 const tenant_t *
--- a/lib/balance/routes.h
+++ b/lib/balance/routes.h
@@ -37,7 +37,7 @@
   int endpoints_max;  /* largest number of endpoints to which one request is
                          sent */
   bool is_public;     /* requests need no key of a tenant */
-  int n_parts;
+  int n_parts; /* 0: the route cannot be used, and requests are refused */
   route_part_t *parts;
 } route_t;
 
@@ -73,17 +73,21 @@
                           routes */
   GPtrArray *tenants;  /* tenant_t * */
   /* Set by routes_index(): keys, names and digests of names of tenants to
-     tenant_t *.  */
+     tenant_t *; a key that several have to NULL.  */
   GHashTable *by_key;
   GHashTable *by_name;
   GHashTable *by_digest;
   GHashTable *by_service; /* names of services to service_rules_t * */
   client_limits_t limits;
+  uint32_t rows_left_out; /* number of rows that the instance that has read the
+                             version could not use */
 } routes_t;
 
 routes_t *routes_new (uint64_t version);
 void routes_free (routes_t *routes);
 
+/* Removes the services of a route, whose requests are refused from then on. */
+void route_remove_parts (route_t *route);
 /* Adds a service to those among which a route's requests are divided.  */
 void route_add_part (route_t *route, const char *service, uint32_t weight);
 /* Copies and frees one row of the configuration.  */
@@ -98,22 +102,17 @@
 void routes_add_service (routes_t *routes, service_rules_t *rules);
 void routes_add_tenant (routes_t *routes, tenant_t *tenant);
 
-/**
- * routes_index() - prepare the routes and tenants for routes_find() and
- * routes_find_tenant()
- *
- * Has to be called once after the last of the functions above.
- *
- * Return: 0, or -EEXIST if two tenants have the same key.
- */
-int routes_index (routes_t *routes);
+/* Prepares the routes and tenants for routes_find() and routes_find_tenant().
+   Has to be called once after the last of the functions above.  */
+void routes_index (routes_t *routes);
 
 /* Returns the tenant with a name, or NULL.  */
 const tenant_t *routes_get_tenant (const routes_t *routes, const char *name);
 /* Returns the tenant with this tenant_name_digest(), or NULL.  */
 const tenant_t *routes_get_tenant_by_digest (const routes_t *routes,
                                              uint64_t digest);
-/* Returns the tenant that has a key, or NULL.  */
+/* Returns the tenant that has a key, or NULL: none has it, or several have,
+   so that it is not known whose requests come with it.  */
 const tenant_t *routes_find_tenant (const routes_t *routes, const char *key);
 
 /**
--- a/lib/fleet/config_change.c
+++ b/lib/fleet/config_change.c
@@ -141,9 +141,10 @@
 config_digest (const routes_t *routes)
 {
   const client_limits_t *limits = &routes->limits;
-  const int64_t fixed[] = { (int64_t)routes->version, limits->header_bytes,
-                            limits->body_bytes,       limits->header_timeout,
-                            limits->idle_timeout,     routes->requires_key };
+  const int64_t fixed[]
+      = { (int64_t)routes->version, limits->header_bytes, limits->body_bytes,
+          limits->header_timeout,   limits->idle_timeout, routes->requires_key,
+          routes->rows_left_out };
   uint64_t digest = XXH64 (fixed, sizeof fixed, 3);
 
   for (int kind = 0; kind < ROW_KIND_COUNT; kind++)
@@ -307,6 +308,7 @@
   change->digest = digest;
   change->limits = routes->limits;
   change->requires_key = routes->requires_key;
+  change->rows_left_out = routes->rows_left_out;
   add_rows (&row_kinds[ROW_ROUTE], names, routes->routes, change->routes,
             change->removed_routes);
   names = change->base != 0
@@ -421,6 +423,7 @@
   next = routes_new (change->version);
   next->limits = change->limits;
   next->requires_key = change->requires_key;
+  next->rows_left_out = change->rows_left_out;
   for (guint i = 0; i < change->routes->len; i++)
     routes_add (next, route_copy (g_ptr_array_index (change->routes, i)));
   for (guint i = 0; i < change->services->len; i++)
@@ -431,7 +434,8 @@
                        tenant_copy (g_ptr_array_index (change->tenants, i)));
   if (change->base != 0)
     add_unchanged (next, routes, change);
-  if (routes_index (next) != 0 || config_digest (next) != change->digest)
+  routes_index (next);
+  if (config_digest (next) != change->digest)
     {
       routes_free (next);
       return -EBADMSG;
--- a/lib/fleet/config_change.h
+++ b/lib/fleet/config_change.h
@@ -21,6 +21,7 @@
   uint64_t digest;  /* config_digest() of the resulting version */
   client_limits_t limits;
   bool requires_key; /* see routes_t */
+  uint32_t rows_left_out;
   /* Added and changed rows.  Freed with the change only if it owns them.  */
   GPtrArray *routes;   /* route_t * */
   GPtrArray *services; /* service_rules_t * */
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -102,6 +102,7 @@
   hyper header_timeout;
   hyper idle_timeout;
   bool requires_key;
+  unsigned int rows_left_out;
   fleet_wire_route routes<FLEET_LIST_MAX>;
   fleet_wire_service services<FLEET_LIST_MAX>;
   fleet_wire_name removed_routes<FLEET_LIST_MAX>;
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -113,6 +113,7 @@
 	quad_t header_timeout;
 	quad_t idle_timeout;
 	bool_t requires_key;
+	u_int rows_left_out;
 	struct {
 		u_int routes_len;
 		fleet_wire_route *routes_val;
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -324,6 +324,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->requires_key))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rows_left_out))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_route), (xdrproc_t) xdr_fleet_wire_route))
 		 return FALSE;
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "telemetry.h"
+
 /* Time for which endpoints that are missing from the store are retained after
    an outage of the store.  According to the platform, live endpoints whose
    entries expired during the outage register again within about two
@@ -18,6 +20,7 @@
 /* Shortest time between two summaries of changed endpoints in the log.  */
 #define CHANGES_LOG_INTERVAL_MS 200
 
+static void log_version (const routes_t *routes);
 static void put_back_into_service (view_t *view, clock_ms_t now);
 static void enter_era (view_t *view, uint64_t era, clock_ms_t now);
 static void change_free (view_change_t *change);
@@ -396,6 +399,23 @@
   view->retain_until = now + EXPIRED_RETENTION_MS;
 }
 
+static void
+log_version (const routes_t *routes)
+{
+  g_autofree char *version
+      = g_strdup_printf ("%" G_GUINT64_FORMAT, routes->version);
+  g_autofree char *left_out = g_strdup_printf ("%u", routes->rows_left_out);
+
+  g_log_structured (
+      "fleet",
+      routes->rows_left_out > 0 ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE,
+      "CONFIG_IN_FORCE", version, "ROWS_LEFT_OUT", left_out, "MESSAGE",
+      "configuration %s is in force: %u routes, %u services, "
+      "%u tenants, %s rows left out",
+      version, routes->routes->len, routes->services->len,
+      routes->tenants->len, left_out);
+}
+
 void
 view_set_routes (view_t *view, routes_t *routes)
 {
@@ -411,11 +431,8 @@
   view->routes = routes;
   view->config_digest = config_digest (routes);
   view->routes_changed_at = clock_now ();
-  g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "MESSAGE",
-                    "configuration %" G_GUINT64_FORMAT
-                    " is in force: %u routes, %u services",
-                    routes->version, routes->routes->len,
-                    routes->services->len);
+  telemetry_gauge_set (TELEMETRY_CONFIG_ROWS_LEFT_OUT, routes->rows_left_out);
+  log_version (routes);
   view->hooks.routes_changed (view->hooks.context, routes);
   routes_free (old);
 }
--- a/lib/fleet/wire_config.c
+++ b/lib/fleet/wire_config.c
@@ -45,6 +45,7 @@
     .header_timeout = change->limits.header_timeout,
     .idle_timeout = change->limits.idle_timeout,
     .requires_key = change->requires_key,
+    .rows_left_out = change->rows_left_out,
   };
   wire->routes.routes_len = change->routes->len;
   wire->routes.routes_val = g_new0 (fleet_wire_route, change->routes->len);
@@ -151,6 +152,7 @@
   change->base = wire->base;
   change->digest = wire->digest;
   change->requires_key = wire->requires_key != 0;
+  change->rows_left_out = wire->rows_left_out;
   change->limits = (client_limits_t){ .header_bytes = wire->header_bytes,
                                       .body_bytes = wire->body_bytes,
                                       .header_timeout = wire->header_timeout,
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -245,6 +245,12 @@
       request_fail (request, TELEMETRY_OUTCOME_UNAUTHORIZED, NULL);
       return;
     }
+  if (route->n_parts == 0)
+    {
+      request_refuse (request, TELEMETRY_OUTCOME_NO_CONFIGURATION,
+                      "the route is left out of the configuration");
+      return;
+    }
   request->idempotent = route->idempotent;
   request->bulk = route->bulk;
   request->endpoints_max = CLAMP (route->endpoints_max, 1, ATTEMPTS_MAX);
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -215,6 +215,10 @@
       "Requests of tenants with an allowance: admitted, admitted without a "
       "reply of the keeper, or refused.",
       "result", allowance_results },
+  [TELEMETRY_CONFIGS_REJECTED]
+  = { "peridot_configs_rejected_total",
+      "Reads of a configuration that could not be used as a whole.", NULL,
+      NULL },
   [TELEMETRY_ROLLOUT_STEPS] = { "peridot_rollout_steps_total",
                                 "Steps of rollouts that were taken, by phase.",
                                 "phase", rollout_phases },
@@ -238,6 +242,9 @@
   = { "peridot_in_flight", "Requests of callers in flight.", NULL, NULL },
   [TELEMETRY_CONNECTIONS]
   = { "peridot_connections", "Open connections of callers.", NULL, NULL },
+  [TELEMETRY_CONFIG_ROWS_LEFT_OUT]
+  = { "peridot_config_rows_left_out",
+      "Rows of the configuration in force that cannot be used.", NULL, NULL },
   [TELEMETRY_REVISION]
   = { "peridot_revision", "Store revision known completely.", NULL, NULL },
   [TELEMETRY_STORE_ERA]
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -136,6 +136,8 @@
   /* 0 admitted by the keeper, 1 admitted without its reply, 2 refused:
      requests of tenants with an allowance */
   TELEMETRY_ALLOWANCE_REQUESTS,
+  TELEMETRY_CONFIGS_REJECTED, /* none: reads of a configuration that could not
+                                 be used as a whole */
   TELEMETRY_SHED_CONNECTIONS, /* none: connections of clients closed because
                                  clients made the instance hold too much */
   /* choose_obstacle_t less 1: endpoints that a round of probes left out */
@@ -195,10 +197,12 @@
   TELEMETRY_MAJORITY_FRESH, /* 1 while recent acknowledgements of a majority of
                                the instances let this instance grant the use of
                                endpoints, otherwise 0 */
-  TELEMETRY_STOPPING,       /* 1 during a graceful shutdown, otherwise 0 */
-  TELEMETRY_CONTROL_CPU_US, /* CPU time in microseconds that the control
-                               threads have used */
-  TELEMETRY_RESIDENT_BYTES, /* resident memory of the process in bytes */
+  TELEMETRY_CONFIG_ROWS_LEFT_OUT, /* rows of the configuration in force that
+                                     cannot be used */
+  TELEMETRY_STOPPING,          /* 1 during a graceful shutdown, otherwise 0 */
+  TELEMETRY_CONTROL_CPU_US,    /* CPU time in microseconds that the control
+                                  threads have used */
+  TELEMETRY_RESIDENT_BYTES,    /* resident memory of the process in bytes */
   TELEMETRY_LIMITED_ENDPOINTS, /* endpoints that have stated a limit */
   TELEMETRY_GAUGE_COUNT        /* number of gauges */
 } telemetry_gauge_t;
--- a/peridotctl/logs.h
+++ b/peridotctl/logs.h
@@ -43,4 +43,11 @@
 ctl_exit_t logs_list_tenants (const ctl_options_t *opts,
                               const char *const files[], int count);
 
+/* Prints the version of the configuration that is in force at each instance,
+   since when, the number of its rows that cannot be used and, for an instance
+   that has read a later version that could not be used at all, why.  Return:
+   as logs_summarize().  */
+ctl_exit_t logs_list_versions (const ctl_options_t *opts,
+                               const char *const files[], int count);
+
 #endif
--- a/peridotctl/logs_state.c
+++ b/peridotctl/logs_state.c
@@ -1,5 +1,5 @@
-/* Commands that show the last state of rollouts and of tenants' allowances
-   according to log files.  */
+/* Commands that show the last state of rollouts, of tenants' allowances and of
+   the configuration according to log files.  */
 
 #include <stdio.h>
 #include <string.h>
@@ -26,6 +26,13 @@
   int refusal_count;
 } log_tenant_t;
 
+/* The configuration at an instance.  */
+typedef struct log_version
+{
+  const log_entry_t *in_force; /* last version in force; NULL: none */
+  const log_entry_t *rejected; /* rejected since then; NULL: none */
+} log_version_t;
+
 /* What a command lists, by name.  */
 typedef struct listing
 {
@@ -48,6 +55,10 @@
                            const char *service, gpointer row);
 static void print_tenant (table_t *table, json_object *item, const char *name,
                           gpointer row);
+static void add_version_entry (GHashTable *instances,
+                               const log_entry_t *entry);
+static void print_version (table_t *table, json_object *item,
+                           const char *instance, gpointer row);
 static void add_text (table_t *table, json_object *item, const char *key,
                       const char *text);
 
@@ -230,3 +241,63 @@
 
   return print_listing (opts, &listing, files, count);
 }
+
+static void
+print_version (table_t *table, json_object *item, const char *instance,
+               gpointer row)
+{
+  const log_version_t *version = row;
+  const log_entry_t *in_force = version->in_force;
+  const log_entry_t *rejected = version->rejected;
+
+  add_text (table, item, "instance", instance);
+  add_text (table, item, "version",
+            in_force != NULL
+                ? ctl_get_text (in_force->object, "config_in_force")
+                : "none");
+  add_text (table, item, "since", in_force != NULL ? in_force->time : "");
+  add_text (table, item, "left_out",
+            in_force != NULL ? ctl_get_text (in_force->object, "rows_left_out")
+                             : "");
+  add_text (table, item, "rejected",
+            rejected != NULL ? ctl_get_text (rejected->object, "detail") : "");
+}
+
+/* Takes an entry of the log, if it is about a version of the configuration as
+   a whole, into the instances.  */
+static void
+add_version_entry (GHashTable *instances, const log_entry_t *entry)
+{
+  const char *instance = ctl_get_text (entry->object, "instance");
+  bool is_in_force = *ctl_get_text (entry->object, "config_in_force") != '\0';
+  bool is_rejected
+      = strcmp (ctl_get_text (entry->object, "rejected"), "configuration")
+        == 0;
+  log_version_t *version;
+
+  if (!is_in_force && !is_rejected)
+    return;
+  version = g_hash_table_lookup (instances, instance);
+  if (version == NULL)
+    {
+      version = g_new0 (log_version_t, 1);
+      g_hash_table_insert (instances, (gpointer)instance, version);
+    }
+  if (is_in_force)
+    version->in_force = entry;
+  version->rejected = is_in_force ? NULL : entry;
+}
+
+ctl_exit_t
+logs_list_versions (const ctl_options_t *opts, const char *const files[],
+                    int count)
+{
+  static const listing_t listing
+      = { .headings
+          = { "INSTANCE", "VERSION", "SINCE", "LEFT OUT", "REJECTED" },
+          .n_headings = 5,
+          .add = add_version_entry,
+          .print = print_version };
+
+  return print_listing (opts, &listing, files, count);
+}
