Somebody announces also while nobody can read the store

Cause: an instance became the reader only by a read that succeeded. In an outage of the store that begins or goes on without a reader nobody announced, so that instances did not learn which of them were there, and keepers of allowances took the instances that do not ask them for cut off.

Change: an instance whose read has failed, and that has heard no announcement for 700 ms, announces all the same, and says that it cannot read. One that can read takes over as before.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -91,6 +91,7 @@
 static void schedule_read_retry (feed_t *feed, feed_kind_t kind, int error,
                                  clock_ms_t now);
 static void enter_era (feed_t *feed, const feed_response_t *response);
+static void become_reader (feed_t *feed, clock_ms_t now);
 static void record_list_success (feed_t *feed, clock_ms_t now);
 static void stop_reading (feed_t *feed);
 static void look_for_order (feed_t *feed, clock_ms_t now);
@@ -500,8 +501,28 @@
   /* Pending watches are cancelled, as their connections may be dead.  */
   stop_reading (feed);
   channel->next_call_at = now + RETRY_DELAY_MS;
-  (void)reader_handle_read_result (feed->reader, false,
-                                   members_count_ready (feed->members), now);
+  if (reader_handle_read_result (feed->reader, false,
+                                 members_count_ready (feed->members), now))
+    become_reader (feed, now);
+}
+
+/* Called when this instance has become the reader.  */
+static void
+become_reader (feed_t *feed, clock_ms_t now)
+{
+  telemetry_counter_increment (TELEMETRY_READER_CHANGES, 0);
+  g_message (feed->store_unreachable
+                 ? "announces for all instances, as nobody else does"
+                 : "reads the store for all instances");
+  for (guint i = 0; i < feed->members->table->len; i++)
+    {
+      member_t *member = g_ptr_array_index (feed->members->table, i);
+
+      /* So far the members have sent their hellos to the previous reader.
+         Each live member now has the full timeout to send one to this
+         instance.  */
+      member->last_hello_at = now;
+    }
 }
 
 /* Records that a list of any kind has succeeded, after which this instance may
@@ -518,19 +539,7 @@
   feed->store_unreachable = false;
   if (reader_handle_read_result (reader, true,
                                  members_count_ready (feed->members), now))
-    {
-      telemetry_counter_increment (TELEMETRY_READER_CHANGES, 0);
-      g_message ("reads the store for all instances");
-      for (guint i = 0; i < feed->members->table->len; i++)
-        {
-          member_t *member = g_ptr_array_index (feed->members->table, i);
-
-          /* So far the members have sent their hellos to the previous reader.
-             Each live member now has the full timeout to send one to this
-             instance.  */
-          member->last_hello_at = now;
-        }
-    }
+    become_reader (feed, now);
 }
 
 /* Applies the objects of a complete list, which are in the channel's items,
--- a/lib/fleet/reader.c
+++ b/lib/fleet/reader.c
@@ -27,6 +27,10 @@
    rank alone does not tell: when all start, an instance has heard the reader
    before it knows which others are live, and takes itself for the first.  */
 #define WEAK_EXTRA_RANKS 10
+/* An instance whose read has failed announces all the same if it has heard no
+   announcement for this time, so that the instances know of each other during
+   an outage of the store.  */
+#define READER_SILENT_MS 700
 /* An instance that is not weak takes over from a weak reader this long after
    it received the reader's first announcement, plus READER_RANK_DELAY_MS for
    each rank.  */
@@ -141,7 +145,13 @@
           = now
             + (reader->weak ? retry_delay
                             : MIN (retry_delay, READER_RETRY_MAX_MS));
-      return false;
+      if (reader->is_reader || !reader->has_heard_reader
+          || now - reader->last_announcement_at < READER_SILENT_MS)
+        return false;
+      reader->is_reader = true;
+      reader->has_failed = true;
+      reader->reader_since = now;
+      return true;
     }
   reader->last_read_at = now;
   if (reader->is_reader
--- a/lib/fleet/reader.h
+++ b/lib/fleet/reader.h
@@ -71,10 +71,12 @@
 bool reader_should_take_over (const reader_t *reader, int rank,
                               clock_ms_t now);
 
-/* Updates the state after this instance has tried to read the store.  @ok:
-   whether the read succeeded.  @instances: number of live instances; the delay
-   to the next attempt after a failure is proportional to it.  Return: whether
-   this instance becomes the reader.  */
+/* Updates the state after this instance has tried to read the store.  If the
+   read has failed and nobody announces, the instance becomes the reader all
+   the same, and says that it cannot read.  @ok: whether the read succeeded.
+   @instances: number of live instances; the delay to the next attempt after a
+   failure is proportional to it.  Return: whether this instance becomes the
+   reader.  */
 bool reader_handle_read_result (reader_t *reader, bool ok, int instances,
                                 clock_ms_t now);
 
--- a/test/unit/fleet_reader.c
+++ b/test/unit/fleet_reader.c
@@ -353,6 +353,41 @@
   g_assert_true (reader_should_take_over (&weak, 0, 3000));
 }
 
+/* Guards against instances that hear nothing of each other because the reader
+   has ended while nobody can read the store.  */
+static void
+somebody_announces_during_an_outage (void)
+{
+  fixture_t fixture;
+  int readers = 0;
+
+  fixture_start (&fixture, 12);
+  run_for (&fixture, 3000);
+  fixture.store_unreachable = true;
+  run_for (&fixture, 2000);
+  for (int i = 0; i < fixture.count; i++)
+    fixture.instances[i].dead |= fixture.instances[i].reader.is_reader;
+  run_for (&fixture, 4000);
+  for (int i = 0; i < fixture.count; i++)
+    {
+      const instance_t *instance = &fixture.instances[i];
+
+      if (instance->dead)
+        continue;
+      readers += instance->reader.is_reader;
+      g_assert_true (instance->reader.is_reader
+                     || fixture.now - instance->reader.last_announcement_at
+                            <= ANNOUNCE_INTERVAL_MS);
+    }
+  g_assert_cmpint (readers, ==, 1);
+  fixture.store_unreachable = false;
+  run_for (&fixture, 5000);
+  for (int i = 0; i < fixture.count; i++)
+    if (!fixture.instances[i].dead)
+      g_assert_cmpint (fixture.now - fixture.instances[i].known_read_at, <,
+                       1500);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -374,5 +409,7 @@
                    all_restart_after_a_power_failure);
   g_test_add_func ("/reader/tries_are_few_while_away",
                    retries_are_few_during_an_outage);
+  g_test_add_func ("/reader/somebody_announces_during_an_outage",
+                   somebody_announces_during_an_outage);
   return g_test_run ();
 }
