Allowances: unused tokens are given back to the keeper only

A successor that was asked while the keeper was silent dropped the tokens that were given back with the question. Found while reading the change; allowance/late_replies checks it (red before: 1 token instead of 0 for the successor). The share of an announcement is always known; comments.

--- a/lib/balance/allowance.c
+++ b/lib/balance/allowance.c
@@ -212,8 +212,9 @@
 allowance_begin_ask (allowance_t *allowance, int candidate,
                      allowance_ask_t *ask, clock_ms_t now)
 {
-  ask->unused = allowance->unused;
-  allowance->unused = 0;
+  /* A successor has no use for them.  */
+  ask->unused = candidate == 0 ? allowance->unused : 0;
+  allowance->unused -= ask->unused;
   allowance->asked = candidate;
   allowance->asked_at = now;
 }
--- a/lib/balance/keeper.c
+++ b/lib/balance/keeper.c
@@ -5,21 +5,18 @@
 static void set_share (late_share_t *late, double share, clock_ms_t now);
 static void reset_share (late_share_t *late, double share, clock_ms_t now);
 
+/* Sets a share that may rise at once.  */
 static void
 reset_share (late_share_t *late, double share, clock_ms_t now)
 {
-  if (share < 0)
-    return;
-  share = MIN (share, 1.0);
+  share = CLAMP (share, 0.0, 1.0);
   *late = (late_share_t){ .value = share, .next = share, .next_since = now };
 }
 
 static void
 set_share (late_share_t *late, double share, clock_ms_t now)
 {
-  if (share < 0)
-    return;
-  share = MIN (share, 1.0);
+  share = CLAMP (share, 0.0, 1.0);
   late->value = MIN (late->value, share);
   late->next = MIN (late->next, share);
   if (now - late->next_since < KEEPER_HANDOVER_MS)
@@ -35,7 +32,6 @@
 {
   bool is_regained
       = contact->heard_at == 0 || now - contact->heard_at > KEEPER_CONTACT_MS;
-
   bool is_starting
       = contact->term == 0
         || (contact->term == 1 && now - contact->term_at < KEEPER_START_MS);
--- a/lib/balance/keeper.h
+++ b/lib/balance/keeper.h
@@ -22,8 +22,8 @@
 #define KEEPER_CANDIDATES 3
 /* Rank of an instance that is none of them.  */
 #define KEEPER_NO_RANK (-1)
-/* Time from which a new keeper acts as such.  The one before it hears two
-   announcements in this time, or no more.  */
+/* Time after which a new keeper acts as such.  It is longer than that between
+   two announcements, by which the one before it hears that it is replaced.  */
 #define KEEPER_HANDOVER_MS 300
 /* An instance that has heard no announcement for this time may have been
    replaced as a keeper at the other instances.  It is less than the time after
@@ -62,7 +62,7 @@
 {
   bool tells_listing; /* whether it tells if the instance is listed as ready */
   bool is_listed;
-  double share; /* see contact_t; negative: not known */
+  double share; /* see contact_t */
 } contact_news_t;
 
 /* Records that an announcement was received, or was made by this instance.  */
--- a/test/unit/allowance.c
+++ b/test/unit/allowance.c
@@ -276,6 +276,8 @@
   allowance_handle_timeout (&allowance, 2060);
   g_assert_false (allowance_end_ask (&allowance, 2000, &reply, 2070));
   g_assert_false (allowance_end_ask (&allowance, 2000, &reply, 2071));
+  allowance_begin_ask (&allowance, 1, &question, 2900);
+  g_assert_cmpuint (question.unused, ==, 0);
   allowance_begin_ask (&allowance, 0, &question, 3000);
   g_assert_cmpuint (question.unused, ==, 1);
 }
