--- a/test/run/platform_endless.py
+++ b/test/run/platform_endless.py
@@ -31,10 +31,15 @@
     site.outcomes.clear()
     site.endless_sent.clear()
     before = [i.peak_memory_kb() for i in site.instances]
-    until = time.monotonic() + 2
-    await asyncio.gather(*(
-        site.simulate_caller("ab"[i % 2], 10, until, random.Random(i))
-        for i in range(6)))
+    # The endpoints draw at random which of some 90 requests get the fault; in
+    # one of a few hundred rounds it is none.
+    for _ in range(3):
+        until = time.monotonic() + 2
+        await asyncio.gather(*(
+            site.simulate_caller("ab"[i % 2], 10, until, random.Random(i))
+            for i in range(6)))
+        if site.endless_sent:
+            break
     for endpoint in site.endpoints.values():
         endpoint.faults = {}
     await asyncio.sleep(0.2)
