The reader says what it cannot read, and one that can takes over

Cause: a list of the endpoints, over a connection that is still open, was all that decided whether the reader counts as fresh. It vouched for what it could not read, and the others waited.

Change: a failed list of any kind makes the reader say so at once. An instance that hears it takes over only after it has read the objects of each kind, so that readers do not alternate while none can. Of two readers, the one that can read more remains. An announcement that was scheduled before its instance stepped down is not sent any more.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -39,10 +39,11 @@
    instead.  */
 typedef struct channel
 {
-  bool busy;     /* a list or watch is pending */
-  bool listing;  /* the pending or last call is a list, not a watch */
-  bool has_list; /* a complete list was read, and no failure has made it
-                    necessary to read a new one */
+  bool busy;       /* a list or watch is pending */
+  bool listing;    /* the pending or last call is a list, not a watch */
+  bool has_list;   /* a complete list was read, and no failure has made it
+                      necessary to read a new one */
+  bool has_failed; /* the last list of the kind has failed */
   store_revision_t revision; /* store revision of the last complete list or of
                         the last changes that a watch has reported */
   clock_ms_t next_call_at;   /* ms; time before which no call starts */
@@ -73,11 +74,22 @@
   clock_ms_t next_order_look_at; /* ms; see look_for_order() */
   bool stopping;                 /* feed_stop() was called */
   bool was_reader;        /* this instance was the reader at the last tick */
+  bool is_candidate;      /* this instance has read the endpoints and reads the
+                             other kinds, to take over from the reader */
   bool store_unreachable; /* the last call that listed the endpoints failed */
   bool knows_era;         /* a response of the store was received */
   uint64_t era;           /* newest era in the responses of the store */
 };
 
+/* Names of the kinds in the log.  */
+static const char *const kind_labels[FEED_KIND_COUNT] = {
+  [FEED_BACKENDS] = "the endpoints",
+  [FEED_CONFIG] = "the configuration",
+  [FEED_OUT_OF_SERVICE] = "the data centres out of service",
+  [FEED_ROLLOUTS] = "the rollouts",
+  [FEED_MEMBERS] = "the list of instances",
+};
+
 static void start_next_call (feed_t *feed, feed_kind_t kind, clock_ms_t now);
 static clock_ms_t get_watch_wait (const feed_t *feed, feed_kind_t kind);
 static void start_list (feed_t *feed, feed_kind_t kind, const char *after);
@@ -91,9 +103,16 @@
 static void schedule_read_retry (feed_t *feed, feed_kind_t kind, int error,
                                  clock_ms_t now);
 static void enter_era (feed_t *feed, const feed_response_t *response);
-static void become_reader (feed_t *feed, clock_ms_t now);
-static void record_list_success (feed_t *feed, clock_ms_t now);
+static void handle_read_result (feed_t *feed, reader_result_t result,
+                                clock_ms_t now);
+static void become_reader (feed_t *feed, const char *reason, clock_ms_t now);
+static void record_backends_list (feed_t *feed, clock_ms_t now);
+static bool is_needed (const feed_t *feed, feed_kind_t kind);
+static void become_candidate (feed_t *feed, clock_ms_t now);
+static void continue_candidacy (feed_t *feed, clock_ms_t now);
+static void update_partial (feed_t *feed);
 static void stop_reading (feed_t *feed);
+static int get_reader_state (const reader_t *reader, clock_ms_t now);
 static void look_for_order (feed_t *feed, clock_ms_t now);
 static void drop_rollout_list (feed_t *feed);
 static rollout_order_t make_order (const feed_item_t *item);
@@ -188,7 +207,10 @@
     return;
   if (feed->was_reader && !reader->is_reader)
     stop_reading (feed);
+  if (feed->is_candidate && !reader_must_read_all (reader, now))
+    stop_reading (feed);
   feed->was_reader = reader->is_reader;
+  telemetry_gauge_set (TELEMETRY_READER_STATE, get_reader_state (reader, now));
   view_log_each_change (feed->view, reader->is_reader);
   if (reader->is_reader)
     {
@@ -199,10 +221,21 @@
       return;
     }
   if (reader_should_take_over (reader, rank, now)
-      && !feed->channels[FEED_BACKENDS].busy)
+      && !feed->channels[FEED_BACKENDS].busy && !feed->is_candidate)
     start_list (feed, FEED_BACKENDS, NULL);
 }
 
+/* Returns the value of TELEMETRY_READER_STATE.  */
+static int
+get_reader_state (const reader_t *reader, clock_ms_t now)
+{
+  if (!reader->is_reader)
+    return 0;
+  if (!reader_is_fresh (reader, now))
+    return 1;
+  return reader->is_partial ? 2 : 3;
+}
+
 /* Lists the rollouts if endpoints of a version wait for an order, which a lost
    response of the watch may have had.  */
 static void
@@ -320,9 +353,60 @@
         feed->source.cancel (feed->source.context, (feed_kind_t)i);
       channel->busy = false;
       channel->has_list = false;
+      channel->has_failed = false;
       channel->next_call_at = 0;
       g_ptr_array_set_size (channel->items, 0);
     }
+  feed->is_candidate = false;
+}
+
+/* Whether the objects of a kind are of use to this site.  */
+static bool
+is_needed (const feed_t *feed, feed_kind_t kind)
+{
+  return kind != FEED_ROLLOUTS || feed->view->has_rollouts;
+}
+
+/* Starts to read the kinds other than the endpoints, which were just read.  */
+static void
+become_candidate (feed_t *feed, clock_ms_t now)
+{
+  feed->is_candidate = true;
+  for (int i = 0; i < FEED_KIND_COUNT; i++)
+    if (i != FEED_BACKENDS && is_needed (feed, (feed_kind_t)i))
+      start_list (feed, (feed_kind_t)i, NULL);
+  continue_candidacy (feed, now);
+}
+
+/* Takes over if all kinds were read, or ends the attempt if one cannot be
+   read.  */
+static void
+continue_candidacy (feed_t *feed, clock_ms_t now)
+{
+  bool has_all = true;
+
+  for (int i = 0; i < FEED_KIND_COUNT; i++)
+    {
+      const channel_t *channel = &feed->channels[i];
+
+      if (!is_needed (feed, (feed_kind_t)i))
+        continue;
+      if (channel->has_failed)
+        {
+          reader_delay_takeover (feed->reader,
+                                 members_count_ready (feed->members), now);
+          stop_reading (feed);
+          return;
+        }
+      has_all &= channel->has_list;
+    }
+  if (!has_all)
+    return;
+  feed->is_candidate = false;
+  handle_read_result (feed, READER_READ_ALL, now);
+  /* The reader may have recovered meanwhile.  */
+  if (!feed->reader->is_reader)
+    stop_reading (feed);
 }
 
 static void
@@ -337,7 +421,7 @@
      again.  */
   if (feed->store_unreachable && kind != FEED_BACKENDS)
     return;
-  if (kind == FEED_ROLLOUTS && !feed->view->has_rollouts)
+  if (!is_needed (feed, kind))
     return;
   /* The list of members needs no watch: only readers write it, and each knows
      its own writes.  */
@@ -406,6 +490,10 @@
   channel->busy = false;
   if (feed->stopping)
     return;
+  telemetry_counter_increment (response->error == 0
+                                   ? TELEMETRY_STORE_READS
+                                   : TELEMETRY_STORE_READ_FAILURES,
+                               (unsigned int)kind);
   if (response->error != 0)
     {
       schedule_read_retry (feed, kind, response->error, now);
@@ -442,12 +530,20 @@
           start_list (feed, kind, last->name);
           return;
         }
-      record_list_success (feed, now);
+      if (kind == FEED_BACKENDS)
+        record_backends_list (feed, now);
       apply_list (feed, kind, response->revision, now);
       channel->has_list = true;
+      channel->has_failed = false;
       channel->revision = response->revision;
       channel->next_call_at
           = now + (kind == FEED_BACKENDS ? BACKENDS_POLL_INTERVAL_MS : 0);
+      update_partial (feed);
+      if (feed->is_candidate)
+        continue_candidacy (feed, now);
+      else if (kind == FEED_BACKENDS
+               && reader_must_read_all (feed->reader, now))
+        become_candidate (feed, now);
     }
   else
     {
@@ -492,28 +588,47 @@
   /* A complete list is needed, as a watch may have missed changes before its
      connection broke and the store may have dropped their history.  */
   channel->has_list = false;
+  channel->has_failed = channel->listing;
   channel->next_call_at = channel->listing ? now + RETRY_DELAY_MS : now;
   if (kind != FEED_BACKENDS)
-    return;
+    {
+      if (feed->is_candidate)
+        continue_candidacy (feed, now);
+      update_partial (feed);
+      return;
+    }
   if (!feed->store_unreachable)
     g_warning ("cannot read the store: %s", g_strerror (-error));
   feed->store_unreachable = true;
   /* Pending watches are cancelled, as their connections may be dead.  */
   stop_reading (feed);
+  update_partial (feed);
   channel->next_call_at = now + RETRY_DELAY_MS;
-  if (reader_handle_read_result (feed->reader, false,
+  handle_read_result (feed, READER_FAILED, now);
+}
+
+/* Passes the result of an attempt to read the store to the reader, which this
+   instance may become.  */
+static void
+handle_read_result (feed_t *feed, reader_result_t result, clock_ms_t now)
+{
+  const char *reason = reader_get_takeover_reason (feed->reader, now);
+
+  if (reader_handle_read_result (feed->reader, result,
                                  members_count_ready (feed->members), now))
-    become_reader (feed, now);
+    become_reader (feed, reason, now);
 }
 
-/* Called when this instance has become the reader.  */
+/* Called when this instance has become the reader.  @reason: why.  */
 static void
-become_reader (feed_t *feed, clock_ms_t now)
+become_reader (feed_t *feed, const char *reason, clock_ms_t now)
 {
   telemetry_counter_increment (TELEMETRY_READER_CHANGES, 0);
-  g_message (feed->store_unreachable
-                 ? "announces for all instances, as nobody else does"
-                 : "reads the store for all instances");
+  g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "REASON", reason, "PEER",
+                    feed->reader->last_reader, "MESSAGE",
+                    feed->store_unreachable
+                        ? "announces for all instances, as nobody else does"
+                        : "reads the store for all instances");
   for (guint i = 0; i < feed->members->table->len; i++)
     {
       member_t *member = g_ptr_array_index (feed->members->table, i);
@@ -525,10 +640,10 @@
     }
 }
 
-/* Records that a list of any kind has succeeded, after which this instance may
-   become the reader.  */
+/* Records that a list of the endpoints has succeeded, after which this
+   instance may become the reader.  */
 static void
-record_list_success (feed_t *feed, clock_ms_t now)
+record_backends_list (feed_t *feed, clock_ms_t now)
 {
   reader_t *reader = feed->reader;
 
@@ -537,9 +652,28 @@
   if (feed->store_unreachable)
     g_message ("store can be read again");
   feed->store_unreachable = false;
-  if (reader_handle_read_result (reader, true,
-                                 members_count_ready (feed->members), now))
-    become_reader (feed, now);
+  handle_read_result (feed, READER_READ_ENDPOINTS, now);
+}
+
+/* Updates whether this instance, as the reader, says that it cannot read the
+   objects of some kind, so that one that can takes over.  */
+static void
+update_partial (feed_t *feed)
+{
+  reader_t *reader = feed->reader;
+  const char *unread = NULL;
+
+  for (int i = 0; i < FEED_KIND_COUNT && reader->is_reader; i++)
+    if (i != FEED_BACKENDS && feed->channels[i].has_failed)
+      unread = kind_labels[i];
+  if (reader->is_partial == (unread != NULL))
+    return;
+  reader->is_partial = unread != NULL;
+  if (unread != NULL)
+    g_warning ("cannot read all objects of the store: %s cannot be read",
+               unread);
+  else if (!feed->store_unreachable)
+    g_message ("all objects of the store can be read again");
 }
 
 /* Applies the objects of a complete list, which are in the channel's items,
--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -199,7 +199,8 @@
   unsigned hyper digest;         /* of the sender's table of endpoints */
   unsigned hyper config_version; /* 0: none */
   unsigned hyper members_digest;
-  bool fresh;                    /* the store was read a moment ago */
+  bool fresh;                    /* the endpoints were read a moment ago */
+  bool partial;                  /* objects of another kind cannot be read */
   bool weak;                     /* a small machine: others go before it */
   fleet_wire_member member;      /* the sender */
   fleet_wire_id out<FLEET_LIST_MAX>;
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -238,6 +238,7 @@
 	u_quad_t config_version;
 	u_quad_t members_digest;
 	bool_t fresh;
+	bool_t partial;
 	bool_t weak;
 	fleet_wire_member member;
 	struct {
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -544,6 +544,107 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->fresh))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->partial))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->weak))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->fresh);
+		IXDR_PUT_BOOL(buf, objp->partial);
+		IXDR_PUT_BOOL(buf, objp->weak);
+		}
+		 if (!xdr_fleet_wire_member (xdrs, &objp->member))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_LIST_MAX,
+			sizeof (fleet_wire_id), (xdrproc_t) xdr_fleet_wire_id))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->ready.ready_val, (u_int *) &objp->ready.ready_len, FLEET_LIST_MAX))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->heard))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, FLEET_CHANGES_MAX,
+			sizeof (fleet_wire_change), (xdrproc_t) xdr_fleet_wire_change))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->more))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->config.config_val, (u_int *) &objp->config.config_len, 1,
+			sizeof (fleet_wire_config), (xdrproc_t) xdr_fleet_wire_config))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIMITS_MAX,
+			sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->refused_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, FLEET_ROLLOUTS_MAX,
+			sizeof (fleet_wire_rollout), (xdrproc_t) xdr_fleet_wire_rollout))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->fresh))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->partial))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->weak))
+				 return FALSE;
+
+		} else {
+		objp->fresh = IXDR_GET_BOOL(buf);
+		objp->partial = IXDR_GET_BOOL(buf);
+		objp->weak = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_fleet_wire_member (xdrs, &objp->member))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_LIST_MAX,
+			sizeof (fleet_wire_id), (xdrproc_t) xdr_fleet_wire_id))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->ready.ready_val, (u_int *) &objp->ready.ready_len, FLEET_LIST_MAX))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->heard))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, FLEET_CHANGES_MAX,
+			sizeof (fleet_wire_change), (xdrproc_t) xdr_fleet_wire_change))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->more))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->config.config_val, (u_int *) &objp->config.config_len, 1,
+			sizeof (fleet_wire_config), (xdrproc_t) xdr_fleet_wire_config))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, FLEET_LIMITS_MAX,
+			sizeof (fleet_wire_limit), (xdrproc_t) xdr_fleet_wire_limit))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->refused_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, FLEET_ROLLOUTS_MAX,
+			sizeof (fleet_wire_rollout), (xdrproc_t) xdr_fleet_wire_rollout))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_fleet_wire_revision (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
@@ -554,6 +655,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->fresh))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->partial))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->weak))
 		 return FALSE;
 	 if (!xdr_fleet_wire_member (xdrs, &objp->member))
--- a/lib/fleet/reader.c
+++ b/lib/fleet/reader.c
@@ -49,6 +49,16 @@
    next successful read ends an outage.  */
 #define OUTAGE_MIN_MS 1500
 
+/* How much a reader can read.  Of two readers, the one that can read more
+   remains.  */
+typedef enum reach
+{
+  REACH_NOTHING,
+  REACH_ENDPOINTS,
+  REACH_ALL
+} reach_t;
+
+static reach_t get_reach (bool fresh, bool partial);
 static bool can_preempt (const reader_t *reader, clock_ms_t now);
 
 void
@@ -57,10 +67,21 @@
   *reader = (reader_t){ .started_at = now, .weak = weak };
 }
 
+static reach_t
+get_reach (bool fresh, bool partial)
+{
+  if (!fresh)
+    return REACH_NOTHING;
+  return partial ? REACH_ENDPOINTS : REACH_ALL;
+}
+
 bool
 reader_handle_announcement (reader_t *reader, const char *own,
                             const reader_announcement_t *other, clock_ms_t now)
 {
+  reach_t reach = get_reach (other->fresh, other->partial);
+  reach_t own_reach
+      = get_reach (reader_is_fresh (reader, now), reader->is_partial);
   bool steps_down;
 
   reader->last_announcement_at = now;
@@ -77,23 +98,26 @@
     }
   reader->last_reader_weak = other->weak;
   g_strlcpy (reader->last_reader, other->name, sizeof reader->last_reader);
+  reader->last_reader_partial = other->partial;
   if (other->fresh)
-    {
-      reader->last_fresh_at = now;
-      reader->stale_since = 0;
-    }
+    reader->last_fresh_at = now;
+  if (reach == REACH_ALL)
+    reader->stale_since = 0;
   else if (reader->stale_since == 0)
     reader->stale_since = now;
   if (!reader->is_reader)
     return false;
-  if (reader_is_fresh (reader, now) != other->fresh)
-    steps_down = other->fresh;
+  if (reach != own_reach)
+    steps_down = reach > own_reach;
   else if (reader->weak != other->weak)
     steps_down = reader->weak;
   else
     steps_down = strcmp (other->name, own) < 0;
   if (steps_down)
-    reader->is_reader = false;
+    {
+      reader->is_reader = false;
+      reader->is_partial = false;
+    }
   return steps_down;
 }
 
@@ -131,20 +155,46 @@
   return now - silent_since >= timeout + rank * rank_delay;
 }
 
+void
+reader_delay_takeover (reader_t *reader, int instances, clock_ms_t now)
+{
+  clock_ms_t delay = (clock_ms_t)instances * READER_RETRY_INTERVAL_MS;
+
+  reader->next_try_at
+      = now + (reader->weak ? delay : MIN (delay, READER_RETRY_MAX_MS));
+}
+
 bool
-reader_handle_read_result (reader_t *reader, bool ok, int instances,
-                           clock_ms_t now)
+reader_must_read_all (const reader_t *reader, clock_ms_t now)
 {
-  reader->has_failed = !ok && reader->is_reader;
-  if (!ok)
-    {
-      clock_ms_t retry_delay
-          = (clock_ms_t)instances * READER_RETRY_INTERVAL_MS;
+  if (reader->is_reader)
+    return false;
+  return can_preempt (reader, now)
+         || (reader->last_reader_partial
+             && now - reader->last_fresh_at < READER_TIMEOUT_MS);
+}
+
+const char *
+reader_get_takeover_reason (const reader_t *reader, clock_ms_t now)
+{
+  if (!reader->has_heard_reader)
+    return "no announcement since the start";
+  if (now - reader->last_announcement_at >= READER_TIMEOUT_MS)
+    return "the reader is silent";
+  if (can_preempt (reader, now))
+    return "the reader is a weak instance";
+  return reader->last_reader_partial ? "the reader cannot read all objects"
+                                     : "the reader cannot read the endpoints";
+}
 
-      reader->next_try_at
-          = now
-            + (reader->weak ? retry_delay
-                            : MIN (retry_delay, READER_RETRY_MAX_MS));
+bool
+reader_handle_read_result (reader_t *reader, reader_result_t result,
+                           int instances, clock_ms_t now)
+{
+  reader->has_failed = result == READER_FAILED && reader->is_reader;
+  if (result == READER_FAILED)
+    {
+      reader_delay_takeover (reader, instances, now);
       if (reader->is_reader || !reader->has_heard_reader
           || now - reader->last_announcement_at < READER_SILENT_MS)
         return false;
@@ -155,6 +205,7 @@
     }
   reader->last_read_at = now;
   if (reader->is_reader
+      || (result != READER_READ_ALL && reader_must_read_all (reader, now))
       || (now - reader->last_fresh_at < READER_TIMEOUT_MS
           && reader->stale_since == 0 && !can_preempt (reader, now)))
     return false;
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -140,6 +140,10 @@
     relay->hooks.members_changed (relay->hooks.context);
   if (now - relay->announced_at >= ANNOUNCE_INTERVAL_MS)
     relay_announce (relay, now);
+  /* The others may have to take over, and wait from the announcement on.  */
+  else if (reader_is_fresh (relay->reader, now) != relay->announced_fresh
+           || relay->reader->is_partial != relay->announced_partial)
+    relay_schedule_announcement (relay);
 }
 
 void
@@ -208,9 +212,13 @@
 static void
 on_announce_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
+  relay_t *relay = watcher->data;
+
   (void)loop;
   (void)events;
-  relay_announce (watcher->data, clock_now ());
+  /* This instance may have stepped down since the timer was started.  */
+  if (relay->reader->is_reader)
+    relay_announce (relay, clock_now ());
 }
 
 static void
@@ -422,8 +430,10 @@
 {
   reader_t *reader = relay->reader;
   bool fresh = wire->fresh != 0;
-  reader_announcement_t announcement
-      = { .name = sender, .fresh = fresh, .weak = wire->weak != 0 };
+  reader_announcement_t announcement = { .name = sender,
+                                         .fresh = fresh,
+                                         .partial = wire->partial != 0,
+                                         .weak = wire->weak != 0 };
   unsigned int missing_parts = 0;
   /* Address of the announcing instance, not of the forwarder.  */
   uint32_t ip = wire->member.ip;
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -31,6 +31,8 @@
   ev_timer announce_timer; /* delays an announcement, to coalesce changes */
   clock_ms_t announced_at; /* ms; when this instance last sent an announcement
                               to all members */
+  bool announced_fresh;    /* what it then said of itself; see */
+  bool announced_partial;  /* reader_announcement_t */
   clock_ms_t readerless_reply_at; /* ms; when this instance last replied to a
                                      hello with an announcement; limits such
                                      replies while there is no reader */
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -166,6 +166,9 @@
   wire->config_version = relay_config_version (relay);
   wire->members_digest = members_digest (relay->members);
   wire->fresh = reader_is_fresh (relay->reader, now);
+  /* An instance that answers a hello without being the reader watches
+     nothing.  */
+  wire->partial = relay->reader->is_partial || !relay->reader->is_reader;
   wire->weak = relay->reader->weak;
   wire->member = make_own_wire_member (relay);
   wire->out.out_len = relay->view->out->len;
@@ -266,6 +269,8 @@
   size_t message_length_max;
 
   relay->announced_at = now;
+  relay->announced_fresh = reader_is_fresh (relay->reader, now);
+  relay->announced_partial = relay->reader->is_partial;
   relay->sequence_number++;
   groups = spread_plan (relay->members, relay->sequence_number, now);
   message_length_max = RELAY_DATAGRAM_MAX_BYTES - forward_list_bytes (groups);
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -90,6 +90,9 @@
     = { "unused", "newer_config", NULL };
 static const char *const reader_changes[] = { "took_over", "gave_up", NULL };
 
+/* In the order of feed_kind_t.  */
+static const char *const object_kinds[]
+    = { "endpoints", "config", "out_of_service", "rollouts", "members", NULL };
 static const char *const transfer_kinds[]
     = { "all", "part", "turned_away", NULL };
 static const char *const config_transfer_kinds[]
@@ -182,6 +185,14 @@
   = { "peridot_reader_changes_total",
       "Times this instance began or ended reading the store for all.",
       "change", reader_changes },
+  [TELEMETRY_STORE_READS]
+  = { "peridot_store_reads_total",
+      "Lists and watches of the store that have succeeded, by kind of object.",
+      "kind", object_kinds },
+  [TELEMETRY_STORE_READ_FAILURES]
+  = { "peridot_store_read_failures_total",
+      "Lists and watches of the store that have failed, by kind of object.",
+      "kind", object_kinds },
   [TELEMETRY_OLDER_ANNOUNCEMENTS]
   = { "peridot_older_announcements_total",
       "Announcements with an older store revision than known, of which only "
@@ -276,6 +287,11 @@
   [TELEMETRY_RESIDENT_BYTES]
   = { "peridot_resident_bytes", "Resident memory of the process.", NULL,
       NULL },
+  [TELEMETRY_READER_STATE]
+  = { "peridot_reader_state",
+      "0: does not read the store for all; 1: does, but cannot read the "
+      "endpoints; 2: cannot read another kind of object; 3: reads all.",
+      NULL, NULL },
   [TELEMETRY_LIMITED_ENDPOINTS]
   = { "peridot_limited_endpoints", "Endpoints that have stated a limit.", NULL,
       NULL },
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -111,6 +111,10 @@
   TELEMETRY_CONFIG_TRANSFERS,
   TELEMETRY_READER_CHANGES, /* 0 began, 1 ended: times that this instance began
                                or ended reading the store on behalf of all */
+  /* kind of object: lists and watches of the store that have succeeded */
+  TELEMETRY_STORE_READS,
+  /* kind of object: lists and watches of the store that have failed */
+  TELEMETRY_STORE_READ_FAILURES,
   /* 0 without, 1 with a newer configuration: announcements whose store
      revision is older than this instance's */
   TELEMETRY_OLDER_ANNOUNCEMENTS,
@@ -204,6 +208,10 @@
   TELEMETRY_CONTROL_CPU_US,    /* CPU time in microseconds that the control
                                   threads have used */
   TELEMETRY_RESIDENT_BYTES,    /* resident memory of the process in bytes */
+  TELEMETRY_READER_STATE,      /* 0 if this instance does not read the store on
+                                  behalf of all, 1 if it does but cannot read
+                                  the endpoints, 2 if it cannot read some other
+                                  kind of object, 3 if it can read all */
   TELEMETRY_LIMITED_ENDPOINTS, /* endpoints that have stated a limit */
   TELEMETRY_GAUGE_COUNT        /* number of gauges */
 } telemetry_gauge_t;
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import functools
 import hashlib
 import json
 import os
@@ -123,7 +124,8 @@
 class Store:
     """Simulated store of the platform.  The mode selects a fault of all calls:
     None, "busy" (status 503), "silent" (no response), "reset" (connections are
-    reset) or "slow" (responses take 0.4 s longer)."""
+    reset) or "slow" (responses take 0.4 s longer).  cut_off() selects a fault
+    of the calls of one instance for some kinds of objects."""
 
     def __init__(self):
         self.objects = collections.defaultdict(dict)
@@ -134,6 +136,11 @@
         self.changed = asyncio.Condition()
         self.mode = None
         self.writers = set()
+        # Faults by (instance, kind of object), as for mode, or a copy from
+        # which lists are answered.
+        self.faults = {}
+        # Writers of the connections on which a watch waits.
+        self.watching = set()
         self.calls = 0
         self.lost_response_ratio = 0.0
         # Kinds of objects: the next response with changes to a watch of these
@@ -210,25 +217,47 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    async def serve(self, reader, writer):
+    def cut_off(self, instance, kinds, fault):
+        """Sets the fault of an instance's calls for some kinds of objects;
+        None: none.  Its watches of these kinds are cut off."""
+        for kind in kinds:
+            self.faults[instance.name, kind] = fault
+        for caller, kind, writer in list(self.watching):
+            if fault is not None and caller == instance.name \
+                    and kind in kinds:
+                writer.transport.abort()
+
+    async def serve(self, reader, writer, caller=None):
         self.writers.add(writer)
         try:
             while True:
                 start_line, _, body = await read_message(reader)
                 self.calls += 1
-                if self.mode == "reset":
+                method, target, _ = start_line.split(" ")
+                kind = target.split("?")[0].split("/")[2]
+                fault = self.faults.get((caller, kind)) or self.mode
+                if fault == "reset":
                     writer.transport.abort()
                     return
-                if self.mode == "silent":
+                if fault == "silent":
                     await asyncio.sleep(3600)
-                if self.mode == "slow":
+                if fault == "slow":
                     await asyncio.sleep(0.4)
-                if self.mode == "busy":
+                if fault == "busy":
                     writer.write(message("HTTP/1.1 503 Busy",
                                          {STORE_ERA: self.era}))
                     continue
-                method, target, _ = start_line.split(" ")
+                if isinstance(fault, tuple) and "watch=" not in target:
+                    writer.write(message(
+                        "HTTP/1.1 200 -", {STORE_ERA: self.era},
+                        json.dumps({"items": list(fault[1][kind].values()),
+                                    "more": False,
+                                    "store-revision": fault[0]}).encode()))
+                    continue
+                if "watch=" in target:
+                    self.watching.add((caller, kind, writer))
                 status, answer = await self.call(method, target, body)
+                self.watching.discard((caller, kind, writer))
                 if self.is_lost(target, answer):
                     await asyncio.sleep(3600)
                 if method != "GET" and self.rng.random() \
@@ -245,6 +274,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.watching = {w for w in self.watching if w[2] is not writer}
             writer.transport.abort()
 
     def is_lost(self, target, answer):
@@ -635,6 +665,14 @@
         self.signal_process(number)
         return await self.process.wait()
 
+    def is_reader(self):
+        # Whether the instance reads the store for all, according to its log.
+        with open(self.log_path, encoding="utf-8", errors="replace") as file:
+            text = file.read()
+        return (max(text.rfind("reads the store for all instances"),
+                    text.rfind("announces for all instances"))
+                > text.rfind("this instance stops reading the store"))
+
     def peak_memory_kb(self):
         with open(f"/proc/{self.process.pid}/status",
                   encoding="ascii") as status:
@@ -689,6 +727,7 @@
         network, self.reservation = reserve_network()
         self.network = f"127.{network}"
         self.store = Store()
+        self.store_servers = []
         self.instances = []
         self.endpoints = {}
         self.runs = collections.defaultdict(list)
@@ -720,13 +759,17 @@
                     prepare=None, bounds=None, limits=None):
         self.bounds = bounds or {}
         self.limits = limits or {}
-        self.store_server = await asyncio.start_server(
-            self.store.serve, "127.0.0.1", 0)
-        port = self.store_server.sockets[0].getsockname()[1]
         for i in range(instances):
             zone = zones[i % len(zones)]
-            self.instances.append(Instance(self, f"front-{zone}-{i}", zone,
-                                           f"{self.network}.1.{i + 1}", port))
+            name = f"front-{zone}-{i}"
+            # The port tells the store which instance calls.
+            server = await asyncio.start_server(
+                functools.partial(self.store.serve, caller=name),
+                "127.0.0.1", 0)
+            self.store_servers.append(server)
+            self.instances.append(Instance(
+                self, name, zone, f"{self.network}.1.{i + 1}",
+                server.sockets[0].getsockname()[1]))
         for service, count in (endpoints or {"slots": 4, "files": 2}).items():
             for i in range(count):
                 await self.add_endpoint(service, zones[i % len(zones)])
@@ -910,6 +953,16 @@
                 busiest, max_calls = instance, calls
         return busiest
 
+    async def current_reader(self):
+        """Returns the instance that now reads the store for all, according to
+        the logs.  Waits up to 2 s while there is none, or several."""
+        until = time.monotonic() + 2
+        while True:
+            found = [i for i in self.instances if i.is_reader()]
+            if len(found) == 1 or time.monotonic() > until:
+                return found[0]
+            await asyncio.sleep(0.05)
+
     async def ask(self, instance, target, fields=()):
         """Returns the status of a GET request to an instance.  fields: lines of
         further header fields."""
@@ -988,7 +1041,8 @@
             await instance.process.wait()
         for endpoint in self.endpoints.values():
             await endpoint.stop(forget=False)
-        self.store_server.close()
+        for server in self.store_servers:
+            server.close()
         self.reservation.close()
 
 
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -281,6 +281,103 @@
   fixture_end (&fixture);
 }
 
+/* Guards against a reader that hides that it cannot read the configuration or
+   the data centres out of service, because its lists of the endpoints succeed
+   (review case 12).  */
+static void
+reader_says_what_it_cannot_read (void)
+{
+  static const int errors[] = { -ECONNREFUSED, -ETIMEDOUT, -EREMOTEIO };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (errors); i++)
+    for (int kind = FEED_CONFIG; kind < FEED_KIND_COUNT; kind++)
+      {
+        fixture_t fixture;
+
+        fixture_start (&fixture);
+        respond_to_first_lists (&fixture);
+        /* The list of instances is not watched.  */
+        if (kind == FEED_MEMBERS)
+          feed_handle_store_result (fixture.feed, -EEXIST, in_era (0, 0));
+        else
+          reply (&fixture, (feed_kind_t)kind, -ECONNRESET, 0, false, NULL);
+        g_assert_false (fixture.reader.is_partial);
+        feed_tick (fixture.feed, clock_now () + 1);
+        g_assert_true (fixture.pending_call[kind].list);
+        reply (&fixture, (feed_kind_t)kind, errors[i], 0, false, NULL);
+        g_assert_true (fixture.reader.is_partial);
+        reply (&fixture, FEED_BACKENDS, 0, 60, false, NULL);
+        g_assert_true (fixture.reader.is_partial);
+        g_assert_true (reader_is_fresh (&fixture.reader, clock_now ()));
+        feed_tick (fixture.feed, clock_now () + 600);
+        reply (&fixture, (feed_kind_t)kind, 0, 60, false, NULL);
+        g_assert_false (fixture.reader.is_partial);
+        fixture_end (&fixture);
+      }
+}
+
+/* Starts an instance that hears a reader that cannot read everything, and lets
+   it try to take over and read the endpoints.  */
+static void
+start_beside_partial_reader (fixture_t *fixture)
+{
+  reader_announcement_t partial
+      = { .name = "front-0", .fresh = true, .partial = true };
+
+  fixture_start (fixture);
+  reader_init (&fixture->reader, false, clock_now ());
+  (void)reader_handle_announcement (&fixture->reader, "front-1", &partial,
+                                    clock_now ());
+  feed_tick (fixture->feed, clock_now () + 150);
+  g_assert_true (fixture->pending_call[FEED_BACKENDS].list);
+  reply (fixture, FEED_BACKENDS, 0, 50, false,
+         backend_item ("i-1", 40, false));
+  g_assert_false (fixture->reader.is_reader);
+  for (int i = FEED_CONFIG; i < FEED_KIND_COUNT; i++)
+    g_assert_true (fixture->pending_call[i].list);
+}
+
+/* Guards against readers that replace each other although none of them can
+   read everything.  */
+static void
+partial_reader_is_replaced_by_one_that_reads_all (void)
+{
+  reader_announcement_t whole = { .name = "front-0", .fresh = true };
+
+  for (int failing = FEED_CONFIG; failing <= FEED_KIND_COUNT; failing++)
+    {
+      fixture_t fixture;
+
+      start_beside_partial_reader (&fixture);
+      for (int i = FEED_CONFIG; i < FEED_KIND_COUNT; i++)
+        if (i != failing)
+          reply (&fixture, (feed_kind_t)i, 0, 50, false, NULL);
+      if (failing < FEED_KIND_COUNT)
+        {
+          reply (&fixture, (feed_kind_t)failing, -ECONNREFUSED, 0, false,
+                 NULL);
+          feed_tick (fixture.feed, clock_now () + 150);
+          g_assert_false (fixture.pending_call[FEED_BACKENDS].list);
+        }
+      g_assert_cmpint (fixture.reader.is_reader, ==,
+                       failing == FEED_KIND_COUNT);
+      g_assert_false (fixture.reader.is_partial);
+      fixture_end (&fixture);
+    }
+  /* The reader can read everything again.  */
+  {
+    fixture_t fixture;
+
+    start_beside_partial_reader (&fixture);
+    (void)reader_handle_announcement (&fixture.reader, "front-1", &whole,
+                                      clock_now ());
+    feed_tick (fixture.feed, clock_now ());
+    for (int i = FEED_CONFIG; i < FEED_KIND_COUNT; i++)
+      g_assert_false (fixture.pending_call[i].list);
+    fixture_end (&fixture);
+  }
+}
+
 /* Guards against endpoints that are lost because each page of a list replaces
    the page before it.  */
 static void
@@ -776,6 +873,10 @@
                    failed_watch_is_followed_by_a_list);
   g_test_add_func ("/feed/lost_watch_fails_in_time", lost_watch_fails_in_time);
   g_test_add_func ("/feed/outage_ends_watches", outage_ends_watches);
+  g_test_add_func ("/feed/reader_says_what_it_cannot_read",
+                   reader_says_what_it_cannot_read);
+  g_test_add_func ("/feed/partial_reader_is_replaced_by_one_that_reads_all",
+                   partial_reader_is_replaced_by_one_that_reads_all);
   g_test_add_func ("/feed/pages_are_joined", pages_are_joined);
   g_test_add_func ("/feed/members_are_stored_under_a_condition",
                    members_are_stored_under_a_condition);
