Orders to take data centres out of service have their own revision

Cause: an announcement states the data centres out of service under the store revision of the endpoints. A reader that had read the endpoints just now, but the orders before they were given or never, was believed.

Change: the orders have the revision at which they were read; an older statement is ignored, a newer one counts whatever the endpoints' revision.

relay/orders_that_the_reader_has_not_read_hold fails without the change.

--- a/lib/fleet/fleet.x
+++ b/lib/fleet/fleet.x
@@ -187,6 +187,7 @@
   fleet_wire_backend backends<FLEET_LIST_MAX>;
   fleet_wire_gone gone<FLEET_LIST_MAX>;
   fleet_wire_id out<FLEET_LIST_MAX>;
+  fleet_wire_revision out_revision; /* at which the orders were read */
   fleet_wire_member members<FLEET_LIST_MAX>;
   fleet_wire_limit limits<FLEET_LIST_MAX>; /* sent with the endpoints */
   fleet_wire_rollout rollouts<FLEET_LIST_MAX>;
@@ -204,6 +205,8 @@
   bool weak;                     /* a small machine: others go before it */
   fleet_wire_member member;      /* the sender */
   fleet_wire_id out<FLEET_LIST_MAX>;
+  fleet_wire_revision out_revision; /* at which the orders were read; zero:
+                                       never */
   /* One bit for each member by name, the lowest of a byte first; of use to
      those whose members have the same digest.  */
   opaque ready<FLEET_LIST_MAX>;
--- a/lib/fleet/gen/fleet.h
+++ b/lib/fleet/gen/fleet.h
@@ -217,6 +217,7 @@
 		u_int out_len;
 		fleet_wire_id *out_val;
 	} out;
+	fleet_wire_revision out_revision;
 	struct {
 		u_int members_len;
 		fleet_wire_member *members_val;
@@ -245,6 +246,7 @@
 		u_int out_len;
 		fleet_wire_id *out_val;
 	} out;
+	fleet_wire_revision out_revision;
 	struct {
 		u_int ready_len;
 		char *ready_val;
--- a/lib/fleet/gen/fleet_xdr.c
+++ b/lib/fleet/gen/fleet_xdr.c
@@ -527,6 +527,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_id), (xdrproc_t) xdr_fleet_wire_id))
 		 return FALSE;
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->out_revision))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_member), (xdrproc_t) xdr_fleet_wire_member))
 		 return FALSE;
@@ -573,6 +575,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_LIST_MAX,
 			sizeof (fleet_wire_id), (xdrproc_t) xdr_fleet_wire_id))
 			 return FALSE;
+		 if (!xdr_fleet_wire_revision (xdrs, &objp->out_revision))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->ready.ready_val, (u_int *) &objp->ready.ready_len, FLEET_LIST_MAX))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->heard))
@@ -622,6 +626,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_LIST_MAX,
 			sizeof (fleet_wire_id), (xdrproc_t) xdr_fleet_wire_id))
 			 return FALSE;
+		 if (!xdr_fleet_wire_revision (xdrs, &objp->out_revision))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->ready.ready_val, (u_int *) &objp->ready.ready_len, FLEET_LIST_MAX))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->heard))
@@ -664,6 +670,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->out.out_val, (u_int *) &objp->out.out_len, FLEET_LIST_MAX,
 		sizeof (fleet_wire_id), (xdrproc_t) xdr_fleet_wire_id))
 		 return FALSE;
+	 if (!xdr_fleet_wire_revision (xdrs, &objp->out_revision))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->ready.ready_val, (u_int *) &objp->ready.ready_len, FLEET_LIST_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->heard))
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -47,6 +47,9 @@
                            const char *data, size_t length, clock_ms_t now);
 static void apply_ready (relay_t *relay, const fleet_wire_announce *wire,
                          clock_ms_t now);
+static void apply_out_of_service (relay_t *relay,
+                                  const fleet_wire_announce *wire,
+                                  clock_ms_t now);
 static unsigned int apply_announced_state (relay_t *relay,
                                            const fleet_wire_announce *wire,
                                            clock_ms_t now);
@@ -378,22 +381,30 @@
     }
 }
 
-/* Applies what an announcement says about endpoints and data centres.  Return:
-   bit mask of FLEET_PART_BACKENDS and FLEET_PART_MEMBERS: the parts that are
-   to be fetched.  */
+/* Applies what an announcement says about data centres out of service.  */
+static void
+apply_out_of_service (relay_t *relay, const fleet_wire_announce *wire,
+                      clock_ms_t now)
+{
+  GPtrArray *out = g_ptr_array_new ();
+
+  for (u_int i = 0; i < wire->out.out_len; i++)
+    g_ptr_array_add (out, wire->out.out_val[i]);
+  view_set_out_of_service (relay->view, out,
+                           wire_to_revision (wire->out_revision), now);
+  g_ptr_array_free (out, TRUE);
+}
+
+/* Applies what an announcement says about endpoints.  Return: bit mask of
+   FLEET_PART_BACKENDS and FLEET_PART_MEMBERS: the parts that are to be
+   fetched.  */
 static unsigned int
 apply_announced_state (relay_t *relay, const fleet_wire_announce *wire,
                        clock_ms_t now)
 {
-  GPtrArray *out = g_ptr_array_new ();
   unsigned int missing_parts = 0;
 
   apply_changes (relay, wire, now);
-  for (u_int i = 0; i < wire->out.out_len; i++)
-    g_ptr_array_add (out, wire->out.out_val[i]);
-  view_set_out_of_service (relay->view, out, wire_to_revision (wire->revision),
-                           now);
-  g_ptr_array_free (out, TRUE);
   if (wire->members_digest != members_digest (relay->members))
     missing_parts |= FLEET_PART_MEMBERS;
   if (wire->digest == view_digest (relay->view))
@@ -475,10 +486,12 @@
       && wire_apply_config (wire->config.config_val, relay->view) == -EBADMSG)
     relay->needs_whole_config = true;
   apply_ready (relay, wire, now);
+  apply_out_of_service (relay, wire, now);
   if (wire->config_version > relay_config_version (relay))
     missing_parts |= FLEET_PART_CONFIG;
   /* Of an announcement with an older store revision than this instance's, only
-     the configuration is of use, which has an order of its own.  */
+     the configuration and the data centres out of service are of use, which
+     have an order of their own.  */
   if (store_revision_compare (wire_to_revision (wire->revision),
                               relay->view->revision)
       < 0)
--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -171,6 +171,7 @@
   wire->partial = relay->reader->is_partial || !relay->reader->is_reader;
   wire->weak = relay->reader->weak;
   wire->member = make_own_wire_member (relay);
+  wire->out_revision = wire_from_revision (relay->view->out_revision);
   wire->out.out_len = relay->view->out->len;
   wire->out.out_val = (fleet_wire_name *)(void *)relay->view->out->pdata;
   wire->heard = relay_count_heard (relay, now);
--- a/lib/fleet/view.c
+++ b/lib/fleet/view.c
@@ -461,8 +461,10 @@
 view_set_out_of_service (view_t *view, const GPtrArray *names,
                          store_revision_t revision, clock_ms_t now)
 {
-  if (revision.era < view->era)
+  if (revision.era < view->era
+      || store_revision_compare (revision, view->out_revision) < 0)
     return;
+  view->out_revision = revision;
   enter_era (view, revision.era, now);
   g_ptr_array_set_size (view->stated_out, 0);
   for (guint i = 0; i < names->len; i++)
--- a/lib/fleet/view.h
+++ b/lib/fleet/view.h
@@ -73,7 +73,10 @@
   GPtrArray *stated_out; /* char *; those that are according to the newest
                             statement; others in @out are kept there until
                             @retain_out_until */
-  clock_ms_t synced_at;  /* ms; when @revision was last confirmed */
+  store_revision_t
+      out_revision;          /* newest store revision at which the orders in
+                                @stated_out were read; zero: never */
+  clock_ms_t synced_at;      /* ms; when @revision was last confirmed */
   store_revision_t revision; /* newest store revision up to which @backends has
                                 all changes */
   bool has_all_backends;     /* a complete set of the endpoints was received */
@@ -175,10 +178,11 @@
  * @names: char *, copied
  * @revision: store revision of the set
  *
- * A set of an older era than known is ignored.  For a time after a restore of
- * the store, data centres stay out of service although the set lacks them:
- * what an operator has ordered since the copy was made is missing until it is
- * written again.
+ * A set of an older revision than the one known is ignored.  The revision is
+ * not that of the endpoints: a reader may have read these later than the
+ * operator's orders.  For a time after a restore of the store, data centres
+ * stay out of service although the set lacks them: what an operator has
+ * ordered since the copy was made is missing until it is written again.
  */
 void view_set_out_of_service (view_t *view, const GPtrArray *names,
                               store_revision_t revision, clock_ms_t now);
--- a/lib/fleet/wire.c
+++ b/lib/fleet/wire.c
@@ -300,6 +300,7 @@
         add_all_backends (&wire, view, now);
       add_limits (&wire, view, now);
     }
+  wire.out_revision = wire_from_revision (view->out_revision);
   wire.out.out_len = view->out->len;
   wire.out.out_val = g_new0 (fleet_wire_name, view->out->len);
   for (guint i = 0; i < view->out->len; i++)
@@ -385,7 +386,6 @@
                 members_t *members, clock_ms_t now)
 {
   GPtrArray *out = g_ptr_array_new ();
-  store_revision_t revision = wire_to_revision (wire->revision);
   int config_error = 0;
 
   if (wire->config.config_len > 0)
@@ -399,10 +399,8 @@
     (void)wire_apply_limit (&wire->limits.limits_val[i], view->backends, now);
   for (u_int i = 0; i < wire->out.out_len; i++)
     g_ptr_array_add (out, wire->out.out_val[i]);
-  /* If the sender has an older revision than this instance, its set of data
-     centres out of service may be outdated.  */
-  if (store_revision_compare (revision, view->revision) >= 0)
-    view_set_out_of_service (view, out, revision, now);
+  view_set_out_of_service (view, out, wire_to_revision (wire->out_revision),
+                           now);
   if ((wire->included & FLEET_PART_MEMBERS) != 0)
     {
       members_begin_replace (members);
--- a/lib/fleet/wire.h
+++ b/lib/fleet/wire.h
@@ -9,9 +9,9 @@
 #include "members.h"
 #include "view.h"
 
-/* First field of each datagram, "PRF8" in ASCII.  A datagram that begins with
+/* First field of each datagram, "PRF9" in ASCII.  A datagram that begins with
    another value is ignored.  */
-#define WIRE_MAGIC 0x50524638
+#define WIRE_MAGIC 0x50524639
 /* Length of an encoded fleet_wire_request in bytes.  */
 #define WIRE_REQUEST_BYTES 32
 
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -498,6 +498,50 @@
   fixture_end (&fixture);
 }
 
+/* Makes an instance know that the data centre "a" is out of service, or that
+   none is.  */
+static void
+set_out_of_service (instance_t *instance, bool is_out, uint64_t revision)
+{
+  GPtrArray *out = g_ptr_array_new ();
+
+  if (is_out)
+    g_ptr_array_add (out, "a");
+  view_set_out_of_service (instance->view, out,
+                           (store_revision_t){ .number = revision },
+                           clock_now ());
+  g_ptr_array_free (out, TRUE);
+}
+
+/* Guards against a data centre that is put back into service by a reader that
+   has not read the operator's orders, or has read them before they were given,
+   but has read the endpoints later than others (review case 11).  */
+static void
+orders_that_the_reader_has_not_read_hold (void)
+{
+  fixture_t fixture;
+  const instance_t *other = &fixture.instances[2];
+
+  fixture_start (&fixture, 3);
+  set_up_reader (&fixture, 100);
+  set_out_of_service (&fixture.instances[2], true, 30);
+  g_assert_true (run_until_synced (&fixture, 10));
+  run_for (&fixture, 0.5);
+  g_assert_true (backends_is_data_centre_out (other->backends, "a"));
+  set_out_of_service (&fixture.instances[0], false, 29);
+  run_for (&fixture, 0.5);
+  g_assert_true (backends_is_data_centre_out (other->backends, "a"));
+  set_out_of_service (&fixture.instances[0], false, 31);
+  run_for (&fixture, 0.5);
+  g_assert_false (backends_is_data_centre_out (other->backends, "a"));
+  /* An order counts also if the reader has read the endpoints before.  */
+  fixture.instances[2].view->revision.number = 1000;
+  set_out_of_service (&fixture.instances[0], true, 32);
+  run_for (&fixture, 0.5);
+  g_assert_true (backends_is_data_centre_out (other->backends, "a"));
+  fixture_end (&fixture);
+}
+
 /* Guards against an instance that stays with an older configuration because
    the instance that announces the newer one has an older store revision.  */
 static void
@@ -742,6 +786,8 @@
                    wrong_endpoints_are_replaced);
   g_test_add_func ("/relay/restored_store_is_followed",
                    restored_store_is_followed);
+  g_test_add_func ("/relay/orders_that_the_reader_has_not_read_hold",
+                   orders_that_the_reader_has_not_read_hold);
   g_test_add_func ("/relay/configuration_of_an_older_revision_is_fetched",
                    configuration_of_an_older_revision_is_fetched);
   g_test_add_func ("/relay/reader_gets_a_newer_configuration_from_others",
