The other kinds are read while the endpoints cannot be

What callers saw: while lists of the endpoints failed at all instances, a dropped route was served, although the configuration could be read.

Cause: a failed list of the endpoints counted as an outage of the whole store, in which nothing else was read.

Change: the reader lists the other kinds a second later and watches those that can be read; what fails is tried once a second. The end of the outage lists at once what could not be read.

feed/other_kinds_are_read_while_the_endpoints_cannot_be and two checks of run-platform_reader_cut (503, silent) fail without the change.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -23,6 +23,9 @@
 /* Delay from a failed list to the next list of the same kind.  After a failed
    watch, the objects are listed without delay.  */
 #define RETRY_DELAY_MS 500
+/* The same for the other kinds while the endpoints cannot be read, when
+   usually nothing can.  */
+#define OUTAGE_RETRY_DELAY_MS 1000
 /* Delay from a change of the list of members until it is written to the store,
    so that instances that start at the same time cause only one write.  */
 #define STORE_MEMBERS_DELAY_MS 1000
@@ -102,6 +105,9 @@
                         clock_ms_t now);
 static void schedule_read_retry (feed_t *feed, feed_kind_t kind, int error,
                                  clock_ms_t now);
+static clock_ms_t get_retry_delay (const feed_t *feed, feed_kind_t kind);
+static void begin_outage (feed_t *feed, int error, clock_ms_t now);
+static void end_outage (feed_t *feed);
 static void enter_era (feed_t *feed, const feed_response_t *response);
 static void handle_read_result (feed_t *feed, reader_result_t result,
                                 clock_ms_t now);
@@ -417,10 +423,6 @@
 
   if (channel->busy || now < channel->next_call_at)
     return;
-  /* During an outage, only the list of endpoints is tried until it succeeds
-     again.  */
-  if (feed->store_unreachable && kind != FEED_BACKENDS)
-    return;
   if (!is_needed (feed, kind))
     return;
   /* The list of members needs no watch: only readers write it, and each knows
@@ -577,6 +579,52 @@
   telemetry_gauge_set (TELEMETRY_STORE_ERA, (int64_t)feed->era);
 }
 
+/* Returns the delay from a failed list of a kind to the next one.  */
+static clock_ms_t
+get_retry_delay (const feed_t *feed, feed_kind_t kind)
+{
+  return feed->store_unreachable && kind != FEED_BACKENDS
+             ? OUTAGE_RETRY_DELAY_MS
+             : RETRY_DELAY_MS;
+}
+
+/* Called when the first list of the endpoints has failed.  The watches are
+   ended, as their connections may be dead.  The other kinds are read again
+   after a while, in case that only the endpoints cannot be read.  */
+static void
+begin_outage (feed_t *feed, int error, clock_ms_t now)
+{
+  g_warning ("cannot read the store: %s", g_strerror (-error));
+  feed->store_unreachable = true;
+  stop_reading (feed);
+  for (int i = 0; i < FEED_KIND_COUNT; i++)
+    feed->channels[i].next_call_at
+        = now + get_retry_delay (feed, (feed_kind_t)i);
+  update_partial (feed);
+}
+
+/* Called when a list of the endpoints has succeeded again.  What could not be
+   read meanwhile is listed at once, on new connections.  */
+static void
+end_outage (feed_t *feed)
+{
+  g_message ("store can be read again");
+  feed->store_unreachable = false;
+  for (int i = 0; i < FEED_KIND_COUNT; i++)
+    {
+      channel_t *channel = &feed->channels[i];
+
+      if (i == FEED_BACKENDS || channel->has_list)
+        continue;
+      if (channel->busy)
+        feed->source.cancel (feed->source.context, (feed_kind_t)i);
+      channel->busy = false;
+      channel->has_failed = false;
+      channel->next_call_at = 0;
+      g_ptr_array_set_size (channel->items, 0);
+    }
+}
+
 /* Schedules a complete list after a list or watch has failed.  If the failed
    call was a list of the endpoints, the store counts as unreachable until a
    list succeeds.  */
@@ -589,7 +637,8 @@
      connection broke and the store may have dropped their history.  */
   channel->has_list = false;
   channel->has_failed = channel->listing;
-  channel->next_call_at = channel->listing ? now + RETRY_DELAY_MS : now;
+  channel->next_call_at
+      = channel->listing ? now + get_retry_delay (feed, kind) : now;
   if (kind != FEED_BACKENDS)
     {
       if (feed->is_candidate)
@@ -598,12 +647,7 @@
       return;
     }
   if (!feed->store_unreachable)
-    g_warning ("cannot read the store: %s", g_strerror (-error));
-  feed->store_unreachable = true;
-  /* Pending watches are cancelled, as their connections may be dead.  */
-  stop_reading (feed);
-  update_partial (feed);
-  channel->next_call_at = now + RETRY_DELAY_MS;
+    begin_outage (feed, error, now);
   handle_read_result (feed, READER_FAILED, now);
 }
 
@@ -650,8 +694,7 @@
   if (reader_is_after_outage (reader, feed->view->has_all_backends, now))
     view_retain_missing (feed->view, now);
   if (feed->store_unreachable)
-    g_message ("store can be read again");
-  feed->store_unreachable = false;
+    end_outage (feed);
   handle_read_result (feed, READER_READ_ENDPOINTS, now);
 }
 
@@ -662,8 +705,10 @@
 {
   reader_t *reader = feed->reader;
   const char *unread = NULL;
+  /* A reader that cannot read the endpoints says only that.  */
+  bool is_reader = reader->is_reader && !feed->store_unreachable;
 
-  for (int i = 0; i < FEED_KIND_COUNT && reader->is_reader; i++)
+  for (int i = 0; i < FEED_KIND_COUNT && is_reader; i++)
     if (i != FEED_BACKENDS && feed->channels[i].has_failed)
       unread = kind_labels[i];
   if (reader->is_partial == (unread != NULL))
--- a/test/run/platform_reader_cut.py
+++ b/test/run/platform_reader_cut.py
@@ -67,6 +67,15 @@
     await site.store.remove("evacuations", "a")
     await restore(site)
 
+    # Nobody can list the endpoints, but the configuration can be read.
+    for fault in ("busy", "silent"):
+        for instance in site.instances:
+            site.store.cut_off(instance, ("servers",), fault)
+        await asyncio.sleep(3)
+        print(f"endpoints cannot be read, {fault}: "
+              "dropped route is gone in time:", await change_in_time(site))
+        await restore(site)
+
     # Nobody can read all objects: somebody goes on with the endpoints, the
     # readers do not alternate, and calls stay few.
     for instance in site.instances:
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -281,6 +281,39 @@
   fixture_end (&fixture);
 }
 
+/* Guards against a configuration that is in force nowhere because the
+   endpoints cannot be read, by any instance, while the configuration can.  */
+static void
+other_kinds_are_read_while_the_endpoints_cannot_be (void)
+{
+  fixture_t fixture;
+  clock_ms_t now = clock_now ();
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  feed_tick (fixture.feed, now + 700);
+  reply (&fixture, FEED_BACKENDS, -ETIMEDOUT, 0, false, NULL);
+  feed_tick (fixture.feed, now + 1100);
+  g_assert_true (fixture.pending_call[FEED_CONFIG].list);
+  g_assert_true (fixture.pending_call[FEED_OUT_OF_SERVICE].list);
+  reply (&fixture, FEED_CONFIG, 0, 70, false, NULL);
+  feed_tick (fixture.feed, now + 1101);
+  g_assert_true (fixture.pending_call[FEED_CONFIG].watch);
+  reply (&fixture, FEED_BACKENDS, -ETIMEDOUT, 0, false, NULL);
+  g_assert_true (fixture.pending_call[FEED_CONFIG].watch);
+  /* A call that has failed is not made again at once.  */
+  reply (&fixture, FEED_OUT_OF_SERVICE, -ETIMEDOUT, 0, false, NULL);
+  feed_tick (fixture.feed, clock_now () + 600);
+  g_assert_false (fixture.pending_call[FEED_OUT_OF_SERVICE].list);
+  g_assert_false (fixture.reader.is_partial);
+  reply (&fixture, FEED_BACKENDS, 0, 80, false,
+         backend_item ("i-1", 40, false));
+  g_assert_true (fixture.pending_call[FEED_CONFIG].watch);
+  g_assert_true (fixture.pending_call[FEED_OUT_OF_SERVICE].list);
+  g_assert_false (fixture.reader.is_partial);
+  fixture_end (&fixture);
+}
+
 /* Guards against a reader that hides that it cannot read the configuration or
    the data centres out of service, because its lists of the endpoints succeed
    (review case 12).  */
@@ -873,6 +906,8 @@
                    failed_watch_is_followed_by_a_list);
   g_test_add_func ("/feed/lost_watch_fails_in_time", lost_watch_fails_in_time);
   g_test_add_func ("/feed/outage_ends_watches", outage_ends_watches);
+  g_test_add_func ("/feed/other_kinds_are_read_while_the_endpoints_cannot_be",
+                   other_kinds_are_read_while_the_endpoints_cannot_be);
   g_test_add_func ("/feed/reader_says_what_it_cannot_read",
                    reader_says_what_it_cannot_read);
   g_test_add_func ("/feed/partial_reader_is_replaced_by_one_that_reads_all",
