Reads at an older revision than known count as failed

What callers saw, in run-platform_reader_cut only: while the reader's calls were answered from an older copy of the store, all instances served a dropped route.

Cause: the responses were valid, and their revision was compared with nothing, so that the reader counted as one that reads everything.

Change: a list, and a watch without changes, fails if its store revision is older than one stated to this instance when the call began; the store's responses are linearizable. Another instance then takes over.

feed/list_of_an_older_revision_counts_as_failed and the check "older copy" fail without the change.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -49,7 +49,10 @@
   bool has_failed; /* the last list of the kind has failed */
   store_revision_t revision; /* store revision of the last complete list or of
                         the last changes that a watch has reported */
-  clock_ms_t next_call_at;   /* ms; time before which no call starts */
+  store_revision_t revision_min; /* newest revision that a response had stated
+                                    when the last list or watch began: one of
+                                    an older revision is outdated */
+  clock_ms_t next_call_at;       /* ms; time before which no call starts */
   GPtrArray *items; /* feed_item_t *; while a list is read in pages, the
                        objects of the pages received so far */
 } channel_t;
@@ -82,6 +85,7 @@
   bool store_unreachable; /* the last call that listed the endpoints failed */
   bool knows_era;         /* a response of the store was received */
   uint64_t era;           /* newest era in the responses of the store */
+  store_revision_t newest_revision; /* newest revision in its responses */
 };
 
 /* Names of the kinds in the log.  */
@@ -105,6 +109,8 @@
                         clock_ms_t now);
 static void schedule_read_retry (feed_t *feed, feed_kind_t kind, int error,
                                  clock_ms_t now);
+static bool is_outdated (const feed_t *feed, const channel_t *channel,
+                         const feed_response_t *response);
 static clock_ms_t get_retry_delay (const feed_t *feed, feed_kind_t kind);
 static void begin_outage (feed_t *feed, int error, clock_ms_t now);
 static void end_outage (feed_t *feed);
@@ -439,6 +445,7 @@
   /* The watch starts at the revision of the last list or reported change, even
      if the store has a newer one by now.  If the store has dropped the changes
      after that revision, the watch fails and the objects are listed again.  */
+  channel->revision_min = feed->newest_revision;
   wait = get_watch_wait (feed, kind);
   feed->source.watch (feed->source.context, kind, channel->revision, wait,
                       wait + WATCH_RESPONSE_MS);
@@ -476,10 +483,27 @@
   channel->busy = true;
   channel->listing = true;
   if (after == NULL)
-    g_ptr_array_set_size (channel->items, 0);
+    {
+      g_ptr_array_set_size (channel->items, 0);
+      channel->revision_min = feed->newest_revision;
+    }
   feed->source.list (feed->source.context, kind, after, LIST_TIMEOUT_MS);
 }
 
+/* Whether a response is of an older era than known, or of an older revision
+   than a response had stated when the call began: what has answered then lags
+   behind what the store has acknowledged.  */
+static bool
+is_outdated (const feed_t *feed, const channel_t *channel,
+             const feed_response_t *response)
+{
+  if (response->revision.era < feed->era)
+    return true;
+  return (channel->listing || response->items->len == 0)
+         && store_revision_compare (response->revision, channel->revision_min)
+                < 0;
+}
+
 void
 feed_handle_response (feed_t *feed, feed_kind_t kind,
                       feed_response_t *response)
@@ -505,11 +529,19 @@
   is_new_era = !feed->knows_era || response->revision.era > feed->era;
   if (is_new_era)
     enter_era (feed, response);
-  if (response->revision.era < feed->era)
+  if (is_outdated (feed, channel, response))
     {
+      g_log_structured (
+          "fleet", G_LOG_LEVEL_INFO, "MESSAGE",
+          "%s: read at an older store "
+          "revision " STORE_REVISION_FORMAT " than " STORE_REVISION_FORMAT,
+          kind_labels[kind], STORE_REVISION_ARGS (response->revision),
+          STORE_REVISION_ARGS (channel->revision_min));
       schedule_read_retry (feed, kind, -ESTALE, now);
       return;
     }
+  if (store_revision_compare (feed->newest_revision, response->revision) < 0)
+    feed->newest_revision = response->revision;
   /* A response that continues a list or a watch of an older era is dropped. */
   if (is_new_era && !is_whole_list)
     {
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -125,7 +125,8 @@
     """Simulated store of the platform.  The mode selects a fault of all calls:
     None, "busy" (status 503), "silent" (no response), "reset" (connections are
     reset) or "slow" (responses take 0.4 s longer).  cut_off() selects a fault
-    of the calls of one instance for some kinds of objects."""
+    of the calls of one instance for some kinds of objects, which may also be a
+    copy from which its reads are answered."""
 
     def __init__(self):
         self.objects = collections.defaultdict(dict)
@@ -136,8 +137,7 @@
         self.changed = asyncio.Condition()
         self.mode = None
         self.writers = set()
-        # Faults by (instance, kind of object), as for mode, or a copy from
-        # which lists are answered.
+        # Faults by (instance, kind of object); see cut_off().
         self.faults = {}
         # Writers of the connections on which a watch waits.
         self.watching = set()
@@ -247,12 +247,8 @@
                     writer.write(message("HTTP/1.1 503 Busy",
                                          {STORE_ERA: self.era}))
                     continue
-                if isinstance(fault, tuple) and "watch=" not in target:
-                    writer.write(message(
-                        "HTTP/1.1 200 -", {STORE_ERA: self.era},
-                        json.dumps({"items": list(fault[1][kind].values()),
-                                    "more": False,
-                                    "store-revision": fault[0]}).encode()))
+                if isinstance(fault, tuple):
+                    writer.write(await self.answer_from(fault, kind, target))
                     continue
                 if "watch=" in target:
                     self.watching.add((caller, kind, writer))
@@ -277,6 +273,20 @@
             self.watching = {w for w in self.watching if w[2] is not writer}
             writer.transport.abort()
 
+    async def answer_from(self, copy, kind, target):
+        # The response to a read from an older copy, which does not change.
+        revision, objects = copy
+        query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(target)
+                                            .query))
+        answer = {"events": []}
+        if "watch" in query:
+            await asyncio.sleep(int(query["wait-ms"]) / 1000)
+        else:
+            answer = {"items": list(objects.get(kind, {}).values()),
+                      "more": False}
+        return message("HTTP/1.1 200 -", {STORE_ERA: self.era}, json.dumps(
+            answer | {"store-revision": revision}).encode())
+
     def is_lost(self, target, answer):
         kind = target.split("?")[0].split("/")[2]
         if kind not in self.lost_watches or not answer.get("events"):
--- a/test/run/platform_reader_cut.py
+++ b/test/run/platform_reader_cut.py
@@ -1,6 +1,6 @@
 """The reader can list the endpoints, but not read the other objects of the
-store: its calls for them are reset, never answered, or answered with an
-error, and its watches are cut off.  Five instances.
+store: its calls for them are reset, never answered, answered with an error or
+from an older copy, and its watches are cut off.  Five instances.
 
 Guards against a change of the configuration, or a data centre out of service,
 that is in force nowhere because the instance that reads the store for all
@@ -40,9 +40,10 @@
 
 
 async def script(site):
-    for fault in ("reset", "silent", "busy"):
+    for name, fault in (("reset", "reset"), ("silent", "silent"),
+                        ("busy", "busy"), ("older copy", site.store.copy())):
         site.store.cut_off(await site.current_reader(), OTHERS, fault)
-        print(f"reader, {fault}: dropped route is gone in time:",
+        print(f"reader, {name}: dropped route is gone in time:",
               await change_in_time(site))
         await restore(site)
 
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -314,6 +314,35 @@
   fixture_end (&fixture);
 }
 
+/* Guards against an older configuration that is taken for the current one: a
+   part of the store that lags behind answers the list.  */
+static void
+list_of_an_older_revision_counts_as_failed (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture);
+  respond_to_first_lists (&fixture);
+  reply (&fixture, FEED_CONFIG, -ECONNRESET, 0, false, NULL);
+  feed_tick (fixture.feed, clock_now () + 1);
+  reply (&fixture, FEED_CONFIG, 0, 49, false, NULL);
+  g_assert_true (fixture.reader.is_partial);
+  g_assert_false (fixture.pending_call[FEED_CONFIG].watch);
+  feed_tick (fixture.feed, clock_now () + 600);
+  g_assert_true (fixture.pending_call[FEED_CONFIG].list);
+  /* What was read after the list had begun does not count.  */
+  reply (&fixture, FEED_BACKENDS, 0, 60, false,
+         backend_item ("i-1", 40, false));
+  reply (&fixture, FEED_CONFIG, 0, 50, false, NULL);
+  g_assert_false (fixture.reader.is_partial);
+  g_assert_true (fixture.pending_call[FEED_CONFIG].watch);
+  /* Nor does a watch end without changes at an older revision.  */
+  reply (&fixture, FEED_CONFIG, 0, 59, false, NULL);
+  feed_tick (fixture.feed, clock_now () + 1);
+  g_assert_true (fixture.pending_call[FEED_CONFIG].list);
+  fixture_end (&fixture);
+}
+
 /* Guards against a reader that hides that it cannot read the configuration or
    the data centres out of service, because its lists of the endpoints succeed
    (review case 12).  */
@@ -908,6 +937,8 @@
   g_test_add_func ("/feed/outage_ends_watches", outage_ends_watches);
   g_test_add_func ("/feed/other_kinds_are_read_while_the_endpoints_cannot_be",
                    other_kinds_are_read_while_the_endpoints_cannot_be);
+  g_test_add_func ("/feed/list_of_an_older_revision_counts_as_failed",
+                   list_of_an_older_revision_counts_as_failed);
   g_test_add_func ("/feed/reader_says_what_it_cannot_read",
                    reader_says_what_it_cannot_read);
   g_test_add_func ("/feed/partial_reader_is_replaced_by_one_that_reads_all",
