Refusals that an endpoint does not confirm are answered 502

Cause: for a request that is not idempotent, each response with its id was passed on with its status, whole or streamed. Towards a client 408, 429 and 503 promise that a request has not run; from an endpoint only the field, or 421, does. Evidence: the responses have the endpoint's signature, and no line "refused" of the instance.

Change: such a response counts as a failed attempt that may have run, so that the client gets 502 without the endpoint's signature. One function decides for kept and streamed responses, with the head: a response that stalls is answered at once. Confirmed refusals, requests that may be repeated, and what the response says about the endpoint are as before; it counts as a failure of the endpoint and of a canary.

--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -353,6 +353,11 @@
 extern const http_parser_settings uplink_parser_settings;
 /* Prepares the connection for reading the next response.  */
 void uplink_begin_response (uplink_t *uplink);
+/* Whether the head of the response that is being read has a status with which
+   a client takes its request for one that has not run and never will, while
+   the endpoint does not state that it has not run it.  Only of requests that
+   are not idempotent, which the client would then repeat.  */
+bool uplink_has_unconfirmed_refusal (const uplink_t *uplink);
 /* Frees the contents of a response and makes it empty.  */
 void response_clear (response_t *response);
 /* Gives back the part of the memory for incomplete bodies that the response of
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -35,6 +35,8 @@
 /* When more bytes than this of a streamed response wait to be sent to the
    client, reading from the endpoint is paused until they have been sent.  */
 #define STREAM_PENDING_MAX_BYTES (256 << 10)
+/* Status that the client gets in place of an unconfirmed refusal.  */
+#define STATUS_BAD_GATEWAY 502
 
 static void on_deadline (struct ev_loop *loop, ev_timer *watcher, int events);
 static void on_hedge_timer (struct ev_loop *loop, ev_timer *watcher,
@@ -580,6 +582,17 @@
       uplink_release (uplink);
       return;
     }
+  if (uplink_has_unconfirmed_refusal (uplink))
+    {
+      telemetry_counter_increment (TELEMETRY_UNCONFIRMED_REFUSALS, 0);
+      suspicion_clear (request);
+      canary_count_attempt (request, uplink, STATUS_BAD_GATEWAY);
+      request_handle_attempt_failure (
+          request, uplink, FAILURE_MAY_HAVE_RUN,
+          "refusal without a statement that the request has not run");
+      uplink_release (uplink);
+      return;
+    }
   canary_count_attempt (request, uplink, response->status);
   if (!succeeded && request->idempotent && request->state != REQUEST_STREAMING)
     {
--- a/lib/proxy/uplink.c
+++ b/lib/proxy/uplink.c
@@ -403,6 +403,14 @@
             request_handle_response (uplink->request, uplink);
           break;
         }
+      /* Nothing of such a response is for the client, so that its end need not
+         be awaited.  */
+      if (uplink_has_unconfirmed_refusal (uplink))
+        {
+          uplink->is_reusable = false;
+          request_handle_response (uplink->request, uplink);
+          break;
+        }
     }
 }
 
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -344,6 +344,17 @@
   return request->exchange->no_body ? 1 : 0;
 }
 
+bool
+uplink_has_unconfirmed_refusal (const uplink_t *uplink)
+{
+  int status = uplink->response.status;
+
+  if (uplink->request == NULL || uplink->request->idempotent
+      || !uplink->request_id_matches || uplink->not_run)
+    return false;
+  return status == 408 || status == 429 || status == 503;
+}
+
 /* Whether the response that is being read is one for the client, so that a
    part of it may be sent before its end.  A failure may be followed by a
    retry.  */
@@ -352,7 +363,8 @@
 {
   int status = uplink->response.status;
 
-  if (!uplink->request_id_matches || uplink->not_run || status == 421)
+  if (!uplink->request_id_matches || uplink->not_run || status == 421
+      || uplink_has_unconfirmed_refusal (uplink))
     return false;
   return status < 300 ? uplink->has_signature : status < 500;
 }
--- a/lib/telemetry/metrics.c
+++ b/lib/telemetry/metrics.c
@@ -212,6 +212,12 @@
   = { "peridot_withheld_total",
       "Endpoints that a round of probes left out, by the reason.", "reason",
       obstacles },
+  [TELEMETRY_UNCONFIRMED_REFUSALS]
+  = { "peridot_unconfirmed_refusals_total",
+      "Responses 408, 429 or 503 to requests that may run only once, of "
+      "endpoints that do not state that they have not run them; the client "
+      "gets 502.",
+      NULL, NULL },
   [TELEMETRY_SHED_CONNECTIONS]
   = { "peridot_shed_connections_total",
       "Connections of clients closed because unfinished requests, unread "
--- a/lib/telemetry/telemetry.h
+++ b/lib/telemetry/telemetry.h
@@ -143,6 +143,10 @@
   TELEMETRY_ALLOWANCE_REQUESTS,
   TELEMETRY_CONFIGS_REJECTED, /* none: reads of a configuration that could not
                                  be used as a whole */
+  TELEMETRY_UNCONFIRMED_REFUSALS, /* none: responses to requests that are not
+                                     idempotent with a status that would tell
+                                     the client that the request has not run,
+                                     which the endpoint does not state */
   TELEMETRY_SHED_CONNECTIONS, /* none: connections of clients closed because
                                  clients made the instance hold too much */
   /* choose_obstacle_t less 1: endpoints that a round of probes left out */
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -382,7 +382,8 @@
     """Simulated backend server.  The test sets its faults: probabilities by
     kind of fault.  A response is lost, cut short, sent twice ("extra"), sent
     again while the connection may carry the next request ("late"), sent with
-    another status line ("status " and its rest), sent
+    another status line ("status " and its rest; framing is "length", "chunked"
+    or "stalled": it ends half-way while the connection stays open), sent
     without its length ("unframed"), ended within its head ("head"), or replaced
     by status 500 or by garbage ("rot").  An earlier refusal may be sent once
     more before the response ("refusal"), or a refusal of no stated request
@@ -418,6 +419,7 @@
         self.state = "ready"
         self.drained_at = None
         self.faults = {}
+        self.framing = "length"
         self.endless = None
         self.endless_pause_s = 0
         self.rng = random.Random(name)
@@ -607,8 +609,8 @@
                              + response_body)
                 writer.close()
             elif fault.startswith("status "):
-                writer.write(message("HTTP/1.1 " + fault[7:], fields,
-                                     response_body))
+                writer.write(self.frame("HTTP/1.1 " + fault[7:], fields,
+                                        response_body))
             elif fault == "errors":
                 writer.write(message("HTTP/1.1 500 -",
                                      {ATTEMPT_ID: request_id}))
@@ -621,6 +623,19 @@
         writer.write(response)
 
 
+    def frame(self, start_line, fields, body):
+        # The response of a fault of the status, framed as self.framing says.
+        whole = message(start_line, fields, body)
+        if self.framing == "length":
+            return whole
+        if self.framing == "stalled":
+            return whole[:-len(body) // 2]
+        lines = [f"{k}: {v}" for k, v in fields.items()]
+        head = "\r\n".join([start_line, "Transfer-Encoding: chunked", *lines])
+        return head.encode("latin-1") + b"\r\n\r\n" + b"".join(
+            b"%x\r\n%b\r\n" % (len(part), part) for part in
+            [body[i:i + 8192] for i in range(0, len(body), 8192)] + [b""])
+
     @staticmethod
     def write_if_open(writer, data):
         if not writer.transport.is_closing():
