A reader that has stepped down does not become a candidate before it stops

If its list of the endpoints succeeded in between, it began to list the other kinds, whose clients were busy: an assertion of call_send() would have ended the process.

feed/reader_that_steps_down_starts_no_second_call fails before; the test's store now rejects a second call of a kind, as call_send() does.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -575,7 +575,9 @@
       update_partial (feed);
       if (feed->is_candidate)
         continue_candidacy (feed, now);
-      else if (kind == FEED_BACKENDS
+      /* A reader that has stepped down since the last tick still has its
+         watches.  */
+      else if (kind == FEED_BACKENDS && !feed->was_reader
                && reader_must_read_all (feed->reader, now))
         become_candidate (feed, now);
     }
@@ -741,7 +743,7 @@
   bool is_reader = reader->is_reader && !feed->store_unreachable;
 
   for (int i = 0; i < FEED_KIND_COUNT && is_reader; i++)
-    if (i != FEED_BACKENDS && feed->channels[i].has_failed)
+    if (i != FEED_BACKENDS && feed->channels[i].has_failed && unread == NULL)
       unread = kind_labels[i];
   if (reader->is_partial == (unread != NULL))
     return;
--- a/test/unit/fleet_feed.c
+++ b/test/unit/fleet_feed.c
@@ -42,6 +42,8 @@
   fixture_t *fixture = context;
 
   (void)timeout;
+  g_assert_false (fixture->pending_call[kind].list
+                  || fixture->pending_call[kind].watch);
   fixture->pending_call[kind] = (pending_call_t){ .list = true };
   g_strlcpy (fixture->pending_call[kind].after, after != NULL ? after : "",
              sizeof fixture->pending_call[kind].after);
@@ -53,6 +55,8 @@
 {
   fixture_t *fixture = context;
 
+  g_assert_false (fixture->pending_call[kind].list
+                  || fixture->pending_call[kind].watch);
   fixture->pending_call[kind] = (pending_call_t){ .watch = true,
                                                   .revision = revision.number,
                                                   .wait = wait,
@@ -440,6 +444,37 @@
   }
 }
 
+/* Guards against a process that ends because it starts a call of the store
+   while one of the same kind is pending: the reader steps down while its
+   watches wait, and its list of the endpoints succeeds before the next tick.
+ */
+static void
+reader_that_steps_down_starts_no_second_call (void)
+{
+  static const reader_announcement_t others[]
+      = { { .name = "front-0", .fresh = true, .weak = true },
+          { .name = "front-0", .fresh = true, .partial = true } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      fixture_t fixture;
+
+      fixture_start (&fixture);
+      respond_to_first_lists (&fixture);
+      feed_tick (fixture.feed, clock_now () + 700);
+      g_assert_true (fixture.pending_call[FEED_BACKENDS].list);
+      fixture.reader.is_partial = true;
+      g_assert_true (reader_handle_announcement (&fixture.reader, "front-1",
+                                                 &others[i], clock_now ()));
+      reply (&fixture, FEED_BACKENDS, 0, 60, false, NULL);
+      feed_tick (fixture.feed, clock_now ());
+      for (int kind = 0; kind < FEED_KIND_COUNT; kind++)
+        g_assert_false (fixture.pending_call[kind].list
+                        || fixture.pending_call[kind].watch);
+      fixture_end (&fixture);
+    }
+}
+
 /* Guards against endpoints that are lost because each page of a list replaces
    the page before it.  */
 static void
@@ -943,6 +978,8 @@
                    reader_says_what_it_cannot_read);
   g_test_add_func ("/feed/partial_reader_is_replaced_by_one_that_reads_all",
                    partial_reader_is_replaced_by_one_that_reads_all);
+  g_test_add_func ("/feed/reader_that_steps_down_starts_no_second_call",
+                   reader_that_steps_down_starts_no_second_call);
   g_test_add_func ("/feed/pages_are_joined", pages_are_joined);
   g_test_add_func ("/feed/members_are_stored_under_a_condition",
                    members_are_stored_under_a_condition);
