lib/fleet: split the feed; the reader's log lines have a field

It now calls the store only; feed_apply.c applies what was read, feed_takeover.c decides whether this instance becomes the reader and what it says that it cannot read.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -1,7 +1,6 @@
-#include "feed.h"
+#include "feed_private.h"
 
 #include <errno.h>
-#include <string.h>
 
 #include "telemetry.h"
 
@@ -37,102 +36,16 @@
    wait for an order.  */
 #define ORDER_LOOK_INTERVAL_MS 1000
 
-/* State of the calls that read one kind of object.  After a complete list, the
-   objects are watched for changes; endpoints are listed periodically
-   instead.  */
-typedef struct channel
-{
-  bool busy;       /* a list or watch is pending */
-  bool listing;    /* the pending or last call is a list, not a watch */
-  bool has_list;   /* a complete list was read, and no failure has made it
-                      necessary to read a new one */
-  bool has_failed; /* the last list of the kind has failed */
-  store_revision_t revision; /* store revision of the last complete list or of
-                        the last changes that a watch has reported */
-  store_revision_t revision_min; /* newest revision that a response had stated
-                                    when the last list or watch began: one of
-                                    an older revision is outdated */
-  clock_ms_t next_call_at;       /* ms; time before which no call starts */
-  GPtrArray *items; /* feed_item_t *; while a list is read in pages, the
-                       objects of the pages received so far */
-} channel_t;
-
-struct feed
-{
-  struct ev_loop *loop;
-  feed_source_t source;
-  view_t *view;
-  members_t *members;
-  reader_t *reader;
-  channel_t channels[FEED_KIND_COUNT];
-  feed_bounds_t bounds;
-  bool storing;             /* a call of store_members() is pending */
-  clock_ms_t next_store_at; /* ms; time before which store_members() is not
-                               called; 0: no call is scheduled */
-  uint64_t storing_digest;  /* digest of the members that the pending call of
-                               store_members() writes */
-  uint64_t stored_digest;   /* digest of the members that the store lists */
-  store_revision_t members_revision; /* store revision of the list of members;
-                                zero: the store has no list */
-  char *storing_rollout; /* service of the rollout whose phase a pending call
-                            of store_rollout() writes; NULL: none is pending */
-  rollout_phase_t storing_phase; /* that phase */
-  clock_ms_t next_order_look_at; /* ms; see look_for_order() */
-  bool stopping;                 /* feed_stop() was called */
-  bool was_reader;        /* this instance was the reader at the last tick */
-  bool is_candidate;      /* this instance has read the endpoints and reads the
-                             other kinds, to take over from the reader */
-  bool store_unreachable; /* the last call that listed the endpoints failed */
-  bool knows_era;         /* a response of the store was received */
-  uint64_t era;           /* newest era in the responses of the store */
-  store_revision_t newest_revision; /* newest revision in its responses */
-};
-
-/* Names of the kinds in the log.  */
-static const char *const kind_labels[FEED_KIND_COUNT] = {
-  [FEED_BACKENDS] = "the endpoints",
-  [FEED_CONFIG] = "the configuration",
-  [FEED_OUT_OF_SERVICE] = "the data centres out of service",
-  [FEED_ROLLOUTS] = "the rollouts",
-  [FEED_MEMBERS] = "the list of instances",
-};
-
 static void start_next_call (feed_t *feed, feed_kind_t kind, clock_ms_t now);
 static clock_ms_t get_watch_wait (const feed_t *feed, feed_kind_t kind);
-static void start_list (feed_t *feed, feed_kind_t kind, const char *after);
-static void apply_list (feed_t *feed, feed_kind_t kind,
-                        store_revision_t revision, clock_ms_t now);
-static void apply_watched_changes (feed_t *feed, feed_kind_t kind,
-                                   const GPtrArray *items,
-                                   store_revision_t revision, clock_ms_t now);
-static void apply_item (feed_t *feed, feed_kind_t kind, feed_item_t *item,
-                        clock_ms_t now);
 static void schedule_read_retry (feed_t *feed, feed_kind_t kind, int error,
                                  clock_ms_t now);
 static bool is_outdated (const feed_t *feed, const channel_t *channel,
                          const feed_response_t *response);
-static clock_ms_t get_retry_delay (const feed_t *feed, feed_kind_t kind);
-static void begin_outage (feed_t *feed, int error, clock_ms_t now);
-static void end_outage (feed_t *feed);
 static void enter_era (feed_t *feed, const feed_response_t *response);
-static void handle_read_result (feed_t *feed, reader_result_t result,
-                                clock_ms_t now);
-static void become_reader (feed_t *feed, const char *reason, clock_ms_t now);
-static void record_backends_list (feed_t *feed, clock_ms_t now);
-static bool is_needed (const feed_t *feed, feed_kind_t kind);
-static void become_candidate (feed_t *feed, clock_ms_t now);
-static void continue_candidacy (feed_t *feed, clock_ms_t now);
-static void update_partial (feed_t *feed);
-static void stop_reading (feed_t *feed);
-static int get_reader_state (const reader_t *reader, clock_ms_t now);
 static void look_for_order (feed_t *feed, clock_ms_t now);
 static void drop_rollout_list (feed_t *feed);
-static rollout_order_t make_order (const feed_item_t *item);
-static void apply_rollouts (feed_t *feed, const GPtrArray *items,
-                            clock_ms_t now);
 static void store_members (feed_t *feed, clock_ms_t now);
-static void apply_members (feed_t *feed, const feed_item_t *item,
-                           clock_ms_t now);
 
 void
 feed_member_free (gpointer data)
@@ -205,7 +118,7 @@
 feed_stop (feed_t *feed)
 {
   feed->stopping = true;
-  stop_reading (feed);
+  feed_stop_reading (feed);
 }
 
 void
@@ -218,11 +131,12 @@
   if (feed->stopping)
     return;
   if (feed->was_reader && !reader->is_reader)
-    stop_reading (feed);
+    feed_stop_reading (feed);
   if (feed->is_candidate && !reader_must_read_all (reader, now))
-    stop_reading (feed);
+    feed_stop_reading (feed);
   feed->was_reader = reader->is_reader;
-  telemetry_gauge_set (TELEMETRY_READER_STATE, get_reader_state (reader, now));
+  telemetry_gauge_set (TELEMETRY_READER_STATE,
+                       feed_get_reader_state (reader, now));
   view_log_each_change (feed->view, reader->is_reader);
   if (reader->is_reader)
     {
@@ -234,18 +148,7 @@
     }
   if (reader_should_take_over (reader, rank, now)
       && !feed->channels[FEED_BACKENDS].busy && !feed->is_candidate)
-    start_list (feed, FEED_BACKENDS, NULL);
-}
-
-/* Returns the value of TELEMETRY_READER_STATE.  */
-static int
-get_reader_state (const reader_t *reader, clock_ms_t now)
-{
-  if (!reader->is_reader)
-    return 0;
-  if (!reader_is_fresh (reader, now))
-    return 1;
-  return reader->is_partial ? 2 : 3;
+    feed_start_list (feed, FEED_BACKENDS, NULL);
 }
 
 /* Lists the rollouts if endpoints of a version wait for an order, which a lost
@@ -352,10 +255,8 @@
   drop_rollout_list (feed);
 }
 
-/* Cancels the pending lists and watches.  When the feed reads again, it begins
-   with complete lists.  */
-static void
-stop_reading (feed_t *feed)
+void
+feed_stop_reading (feed_t *feed)
 {
   for (int i = 0; i < FEED_KIND_COUNT; i++)
     {
@@ -372,55 +273,12 @@
   feed->is_candidate = false;
 }
 
-/* Whether the objects of a kind are of use to this site.  */
-static bool
-is_needed (const feed_t *feed, feed_kind_t kind)
+bool
+feed_is_needed (const feed_t *feed, feed_kind_t kind)
 {
   return kind != FEED_ROLLOUTS || feed->view->has_rollouts;
 }
 
-/* Starts to read the kinds other than the endpoints, which were just read.  */
-static void
-become_candidate (feed_t *feed, clock_ms_t now)
-{
-  feed->is_candidate = true;
-  for (int i = 0; i < FEED_KIND_COUNT; i++)
-    if (i != FEED_BACKENDS && is_needed (feed, (feed_kind_t)i))
-      start_list (feed, (feed_kind_t)i, NULL);
-  continue_candidacy (feed, now);
-}
-
-/* Takes over if all kinds were read, or ends the attempt if one cannot be
-   read.  */
-static void
-continue_candidacy (feed_t *feed, clock_ms_t now)
-{
-  bool has_all = true;
-
-  for (int i = 0; i < FEED_KIND_COUNT; i++)
-    {
-      const channel_t *channel = &feed->channels[i];
-
-      if (!is_needed (feed, (feed_kind_t)i))
-        continue;
-      if (channel->has_failed)
-        {
-          reader_delay_takeover (feed->reader,
-                                 members_count_ready (feed->members), now);
-          stop_reading (feed);
-          return;
-        }
-      has_all &= channel->has_list;
-    }
-  if (!has_all)
-    return;
-  feed->is_candidate = false;
-  handle_read_result (feed, READER_READ_ALL, now);
-  /* The reader may have recovered meanwhile.  */
-  if (!feed->reader->is_reader)
-    stop_reading (feed);
-}
-
 static void
 start_next_call (feed_t *feed, feed_kind_t kind, clock_ms_t now)
 {
@@ -429,7 +287,7 @@
 
   if (channel->busy || now < channel->next_call_at)
     return;
-  if (!is_needed (feed, kind))
+  if (!feed_is_needed (feed, kind))
     return;
   /* The list of members needs no watch: only readers write it, and each knows
      its own writes.  */
@@ -437,7 +295,7 @@
     return;
   if (kind == FEED_BACKENDS || !channel->has_list)
     {
-      start_list (feed, kind, NULL);
+      feed_start_list (feed, kind, NULL);
       return;
     }
   channel->busy = true;
@@ -473,10 +331,8 @@
                 WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS);
 }
 
-/* Requests a page of a list.  @after: last name on the previous page; NULL:
-   the first page.  */
-static void
-start_list (feed_t *feed, feed_kind_t kind, const char *after)
+void
+feed_start_list (feed_t *feed, feed_kind_t kind, const char *after)
 {
   channel_t *channel = &feed->channels[kind];
 
@@ -535,7 +391,7 @@
           "fleet", G_LOG_LEVEL_INFO, "MESSAGE",
           "%s: read at an older store "
           "revision " STORE_REVISION_FORMAT " than " STORE_REVISION_FORMAT,
-          kind_labels[kind], STORE_REVISION_ARGS (response->revision),
+          feed_kind_labels[kind], STORE_REVISION_ARGS (response->revision),
           STORE_REVISION_ARGS (channel->revision_min));
       schedule_read_retry (feed, kind, -ESTALE, now);
       return;
@@ -561,30 +417,30 @@
           const feed_item_t *last
               = g_ptr_array_index (channel->items, channel->items->len - 1);
 
-          start_list (feed, kind, last->name);
+          feed_start_list (feed, kind, last->name);
           return;
         }
       if (kind == FEED_BACKENDS)
-        record_backends_list (feed, now);
-      apply_list (feed, kind, response->revision, now);
+        feed_record_backends_list (feed, now);
+      feed_apply_list (feed, kind, response->revision, now);
       channel->has_list = true;
       channel->has_failed = false;
       channel->revision = response->revision;
       channel->next_call_at
           = now + (kind == FEED_BACKENDS ? BACKENDS_POLL_INTERVAL_MS : 0);
-      update_partial (feed);
+      feed_update_partial (feed);
       if (feed->is_candidate)
-        continue_candidacy (feed, now);
+        feed_continue_candidacy (feed, now);
       /* A reader that has stepped down since the last tick still has its
          watches.  */
       else if (kind == FEED_BACKENDS && !feed->was_reader
                && reader_must_read_all (feed->reader, now))
-        become_candidate (feed, now);
+        feed_become_candidate (feed, now);
     }
   else
     {
-      apply_watched_changes (feed, kind, response->items, response->revision,
-                             now);
+      feed_apply_watched_changes (feed, kind, response->items,
+                                  response->revision, now);
       if (response->items->len > 0)
         channel->revision = response->revision;
       channel->next_call_at = 0;
@@ -606,59 +462,21 @@
                         " after " STORE_REVISION_FORMAT,
                         STORE_REVISION_ARGS (response->revision),
                         STORE_REVISION_ARGS (feed->view->revision));
-      stop_reading (feed);
+      feed_stop_reading (feed);
     }
   feed->era = response->revision.era;
   feed->knows_era = true;
   telemetry_gauge_set (TELEMETRY_STORE_ERA, (int64_t)feed->era);
 }
 
-/* Returns the delay from a failed list of a kind to the next one.  */
-static clock_ms_t
-get_retry_delay (const feed_t *feed, feed_kind_t kind)
+clock_ms_t
+feed_get_retry_delay (const feed_t *feed, feed_kind_t kind)
 {
   return feed->store_unreachable && kind != FEED_BACKENDS
              ? OUTAGE_RETRY_DELAY_MS
              : RETRY_DELAY_MS;
 }
 
-/* Called when the first list of the endpoints has failed.  The watches are
-   ended, as their connections may be dead.  The other kinds are read again
-   after a while, in case that only the endpoints cannot be read.  */
-static void
-begin_outage (feed_t *feed, int error, clock_ms_t now)
-{
-  g_warning ("cannot read the store: %s", g_strerror (-error));
-  feed->store_unreachable = true;
-  stop_reading (feed);
-  for (int i = 0; i < FEED_KIND_COUNT; i++)
-    feed->channels[i].next_call_at
-        = now + get_retry_delay (feed, (feed_kind_t)i);
-  update_partial (feed);
-}
-
-/* Called when a list of the endpoints has succeeded again.  What could not be
-   read meanwhile is listed at once, on new connections.  */
-static void
-end_outage (feed_t *feed)
-{
-  g_message ("store can be read again");
-  feed->store_unreachable = false;
-  for (int i = 0; i < FEED_KIND_COUNT; i++)
-    {
-      channel_t *channel = &feed->channels[i];
-
-      if (i == FEED_BACKENDS || channel->has_list)
-        continue;
-      if (channel->busy)
-        feed->source.cancel (feed->source.context, (feed_kind_t)i);
-      channel->busy = false;
-      channel->has_failed = false;
-      channel->next_call_at = 0;
-      g_ptr_array_set_size (channel->items, 0);
-    }
-}
-
 /* Schedules a complete list after a list or watch has failed.  If the failed
    call was a list of the endpoints, the store counts as unreachable until a
    list succeeds.  */
@@ -672,250 +490,15 @@
   channel->has_list = false;
   channel->has_failed = channel->listing;
   channel->next_call_at
-      = channel->listing ? now + get_retry_delay (feed, kind) : now;
+      = channel->listing ? now + feed_get_retry_delay (feed, kind) : now;
   if (kind != FEED_BACKENDS)
     {
       if (feed->is_candidate)
-        continue_candidacy (feed, now);
-      update_partial (feed);
+        feed_continue_candidacy (feed, now);
+      feed_update_partial (feed);
       return;
     }
   if (!feed->store_unreachable)
-    begin_outage (feed, error, now);
-  handle_read_result (feed, READER_FAILED, now);
-}
-
-/* Passes the result of an attempt to read the store to the reader, which this
-   instance may become.  */
-static void
-handle_read_result (feed_t *feed, reader_result_t result, clock_ms_t now)
-{
-  const char *reason = reader_get_takeover_reason (feed->reader, now);
-
-  if (reader_handle_read_result (feed->reader, result,
-                                 members_count_ready (feed->members), now))
-    become_reader (feed, reason, now);
-}
-
-/* Called when this instance has become the reader.  @reason: why.  */
-static void
-become_reader (feed_t *feed, const char *reason, clock_ms_t now)
-{
-  telemetry_counter_increment (TELEMETRY_READER_CHANGES, 0);
-  g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "REASON", reason, "PEER",
-                    feed->reader->last_reader, "MESSAGE",
-                    feed->store_unreachable
-                        ? "announces for all instances, as nobody else does"
-                        : "reads the store for all instances");
-  for (guint i = 0; i < feed->members->table->len; i++)
-    {
-      member_t *member = g_ptr_array_index (feed->members->table, i);
-
-      /* So far the members have sent their hellos to the previous reader.
-         Each live member now has the full timeout to send one to this
-         instance.  */
-      member->last_hello_at = now;
-    }
-}
-
-/* Records that a list of the endpoints has succeeded, after which this
-   instance may become the reader.  */
-static void
-record_backends_list (feed_t *feed, clock_ms_t now)
-{
-  reader_t *reader = feed->reader;
-
-  if (reader_is_after_outage (reader, feed->view->has_all_backends, now))
-    view_retain_missing (feed->view, now);
-  if (feed->store_unreachable)
-    end_outage (feed);
-  handle_read_result (feed, READER_READ_ENDPOINTS, now);
-}
-
-/* Updates whether this instance, as the reader, says that it cannot read the
-   objects of some kind, so that one that can takes over.  */
-static void
-update_partial (feed_t *feed)
-{
-  reader_t *reader = feed->reader;
-  const char *unread = NULL;
-  /* A reader that cannot read the endpoints says only that.  */
-  bool is_reader = reader->is_reader && !feed->store_unreachable;
-
-  for (int i = 0; i < FEED_KIND_COUNT && is_reader; i++)
-    if (i != FEED_BACKENDS && feed->channels[i].has_failed && unread == NULL)
-      unread = kind_labels[i];
-  if (reader->is_partial == (unread != NULL))
-    return;
-  reader->is_partial = unread != NULL;
-  if (unread != NULL)
-    g_warning ("cannot read all objects of the store: %s cannot be read",
-               unread);
-  else if (!feed->store_unreachable)
-    g_message ("all objects of the store can be read again");
-}
-
-/* Applies the objects of a complete list, which are in the channel's items,
-   and frees them.  */
-static void
-apply_list (feed_t *feed, feed_kind_t kind, store_revision_t revision,
-            clock_ms_t now)
-{
-  channel_t *channel = &feed->channels[kind];
-  GPtrArray *values; /* backend_entry_t * or char *, owned by the items */
-
-  switch (kind)
-    {
-    case FEED_BACKENDS:
-      values = g_ptr_array_new ();
-      for (guint i = 0; i < channel->items->len; i++)
-        {
-          feed_item_t *item = g_ptr_array_index (channel->items, i);
-
-          if (item->backend != NULL)
-            g_ptr_array_add (values, item->backend);
-        }
-      view_replace_backends (feed->view, values, revision, now);
-      g_ptr_array_free (values, TRUE);
-      break;
-    case FEED_MEMBERS:
-      /* The list may be missing, also after it was there: the store may have
-         been restored.  */
-      feed->members_revision = (store_revision_t){ 0 };
-      feed->stored_digest = 0;
-      if (channel->items->len > 0)
-        apply_item (feed, kind, g_ptr_array_index (channel->items, 0), now);
-      break;
-    case FEED_OUT_OF_SERVICE:
-      values = g_ptr_array_new ();
-      for (guint i = 0; i < channel->items->len; i++)
-        {
-          feed_item_t *item = g_ptr_array_index (channel->items, i);
-
-          g_ptr_array_add (values, item->name);
-        }
-      view_set_out_of_service (feed->view, values, revision, now);
-      g_ptr_array_free (values, TRUE);
-      break;
-    case FEED_ROLLOUTS:
-      apply_rollouts (feed, channel->items, now);
-      break;
-    default:
-      for (guint i = 0; i < channel->items->len; i++)
-        apply_item (feed, kind, g_ptr_array_index (channel->items, i), now);
-      break;
-    }
-  g_ptr_array_set_size (channel->items, 0);
-}
-
-/* Applies the changes that a watch has reported.  A configuration stays in
-   use when it is deleted from the store, as only removals of the kind
-   FEED_OUT_OF_SERVICE are applied.  */
-static void
-apply_watched_changes (feed_t *feed, feed_kind_t kind, const GPtrArray *items,
-                       store_revision_t revision, clock_ms_t now)
-{
-  for (guint i = 0; i < items->len; i++)
-    {
-      feed_item_t *item = g_ptr_array_index (items, i);
-
-      if (kind == FEED_OUT_OF_SERVICE)
-        {
-          const GPtrArray *stated = feed->view->stated_out;
-          GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
-
-          for (guint j = 0; j < stated->len; j++)
-            {
-              const char *name = g_ptr_array_index (stated, j);
-
-              if (strcmp (name, item->name) != 0)
-                g_ptr_array_add (names, g_strdup (name));
-            }
-          if (!item->removed)
-            g_ptr_array_add (names, g_strdup (item->name));
-          view_set_out_of_service (feed->view, names, revision, now);
-          g_ptr_array_free (names, TRUE);
-        }
-      else if (kind == FEED_ROLLOUTS && item->removed)
-        view_cancel_rollouts (feed->view, item->name, NULL, now);
-      else if (!item->removed)
-        apply_item (feed, kind, item, now);
-    }
-}
-
-static void
-apply_item (feed_t *feed, feed_kind_t kind, feed_item_t *item, clock_ms_t now)
-{
-  if (kind == FEED_CONFIG && item->routes != NULL)
-    {
-      view_set_routes (feed->view, item->routes);
-      item->routes = NULL;
-    }
-  else if (kind == FEED_MEMBERS && item->members != NULL)
-    apply_members (feed, item, now);
-  else if (kind == FEED_BACKENDS && item->backend != NULL)
-    view_put_backend (feed->view, item->backend, now);
-  else if (kind == FEED_ROLLOUTS && item->rollout != NULL)
-    {
-      rollout_order_t order = make_order (item);
-
-      view_put_rollout (feed->view, &order, item->rollout->stored_phase, now);
-    }
-}
-
-static rollout_order_t
-make_order (const feed_item_t *item)
-{
-  const feed_rollout_t *rollout = item->rollout;
-
-  return (rollout_order_t){ .service = rollout->service,
-                            .version = rollout->version,
-                            .duration = rollout->duration,
-                            .created = rollout->created,
-                            .revision = item->revision };
-}
-
-/* Applies a complete list of the orders.  */
-static void
-apply_rollouts (feed_t *feed, const GPtrArray *items, clock_ms_t now)
-{
-  GPtrArray *orders = g_ptr_array_new_with_free_func (g_free);
-
-  for (guint i = 0; i < items->len; i++)
-    {
-      feed_item_t *item = g_ptr_array_index (items, i);
-      rollout_order_t order;
-
-      if (item->rollout == NULL)
-        continue;
-      order = make_order (item);
-      apply_item (feed, FEED_ROLLOUTS, item, now);
-      g_ptr_array_add (orders, g_memdup2 (&order, sizeof order));
-    }
-  view_cancel_rollouts (feed->view, NULL, orders, now);
-  g_ptr_array_free (orders, TRUE);
-}
-
-/* Adds the instances in the store's list to the table of members.  Members
-   that the list lacks stay in the table; store_members() writes them to the
-   store.  */
-static void
-apply_members (feed_t *feed, const feed_item_t *item, clock_ms_t now)
-{
-  feed->members_revision = item->revision;
-  feed->stored_digest = 0;
-  for (guint i = 0; i < item->members->len; i++)
-    {
-      const feed_member_t *member = g_ptr_array_index (item->members, i);
-
-      bool is_known = members_find (feed->members, member->name) != NULL;
-
-      (void)members_put (feed->members, member->name, member->data_centre,
-                         member->ip, now);
-      /* A member's own word is newer than the list.  */
-      if (!is_known)
-        (void)members_set_weak (feed->members, member->name, member->weak);
-      feed->stored_digest
-          ^= members_entry_digest (member->name, member->ip, member->weak);
-    }
+    feed_begin_outage (feed, error, now);
+  feed_handle_read_result (feed, READER_FAILED, now);
 }
--- a/lib/fleet/feed.h
+++ b/lib/fleet/feed.h
@@ -161,8 +161,9 @@
 void feed_member_free (gpointer member);
 
 /* Starts the store calls that are due.  An instance that is not the reader
-   starts only one call: it lists the endpoints when it should take over as the
-   reader (see reader_should_take_over()).  Must be called a few times a
+   lists the endpoints when it should take over as the reader (see
+   reader_should_take_over()), and then, if it must (see
+   reader_must_read_all()), the other kinds.  Must be called a few times a
    second.  */
 void feed_tick (feed_t *feed, clock_ms_t now);
 
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -468,9 +468,11 @@
                                   &announcement, now))
     {
       telemetry_counter_increment (TELEMETRY_READER_CHANGES, 1);
-      g_message ("this instance stops reading the store; instance %s reads it "
-                 "now",
-                 sender);
+      g_log_structured ("fleet", G_LOG_LEVEL_MESSAGE, "READER", "ended",
+                        "PEER", sender, "MESSAGE",
+                        "this instance stops reading the store; instance %s "
+                        "reads it now",
+                        sender);
     }
   if (reader->is_reader
       || now - relay->hello_sent_at >= RELAY_HELLO_MIN_INTERVAL_MS)
