peridotctl readers: who read the store, since when and why

An operator had to find the lines of all instances by hand to see why the reader has changed and what it cannot read.

--- a/peridotctl/logs.h
+++ b/peridotctl/logs.h
@@ -50,4 +50,10 @@
 ctl_exit_t logs_list_versions (const ctl_options_t *opts,
                                const char *const files[], int count);
 
+/* Prints which instances have read the store on behalf of all: since when and
+   why, until when and which one came next, and the kind of objects that one
+   cannot read.  Return: as logs_summarize().  */
+ctl_exit_t logs_list_readers (const ctl_options_t *opts,
+                              const char *const files[], int count);
+
 #endif
--- a/peridotctl/logs_state.c
+++ b/peridotctl/logs_state.c
@@ -33,6 +33,16 @@
   const log_entry_t *rejected; /* rejected since then; NULL: none */
 } log_version_t;
 
+/* The part of an instance in reading the store for all.  */
+typedef struct log_reader
+{
+  const log_entry_t *began;  /* last time that it became the reader; NULL: it
+                                is not known to have been */
+  const log_entry_t *ended;  /* it has handed over since then; NULL: no */
+  const log_entry_t *unread; /* since then it cannot read some kind of objects;
+                                NULL: it can */
+} log_reader_t;
+
 /* What a command lists, by name.  */
 typedef struct listing
 {
@@ -59,6 +69,9 @@
                                const log_entry_t *entry);
 static void print_version (table_t *table, json_object *item,
                            const char *instance, gpointer row);
+static void add_reader_entry (GHashTable *instances, const log_entry_t *entry);
+static void print_reader (table_t *table, json_object *item,
+                          const char *instance, gpointer row);
 static void add_text (table_t *table, json_object *item, const char *key,
                       const char *text);
 
@@ -301,3 +314,66 @@
 
   return print_listing (opts, &listing, files, count);
 }
+
+static void
+print_reader (table_t *table, json_object *item, const char *instance,
+              gpointer row)
+{
+  const log_reader_t *reader = row;
+  const log_entry_t *began = reader->began;
+
+  add_text (table, item, "instance", instance);
+  add_text (table, item, "began", began != NULL ? began->time : "");
+  add_text (table, item, "reason",
+            began != NULL ? ctl_get_text (began->object, "reason") : "");
+  add_text (table, item, "ended",
+            reader->ended != NULL ? reader->ended->time : "");
+  add_text (table, item, "successor",
+            reader->ended != NULL
+                ? ctl_get_text (reader->ended->object, "peer")
+                : "");
+  add_text (table, item, "unread",
+            reader->unread != NULL
+                ? ctl_get_text (reader->unread->object, "unread")
+                : "");
+}
+
+/* Takes an entry of the log, if it is about reading the store for all, into
+   the instances.  */
+static void
+add_reader_entry (GHashTable *instances, const log_entry_t *entry)
+{
+  const char *instance = ctl_get_text (entry->object, "instance");
+  const char *change = ctl_get_text (entry->object, "reader");
+  log_reader_t *reader = g_hash_table_lookup (instances, instance);
+
+  if (*change == '\0')
+    return;
+  if (reader == NULL)
+    {
+      reader = g_new0 (log_reader_t, 1);
+      g_hash_table_insert (instances, (gpointer)instance, reader);
+    }
+  if (strcmp (change, "began") == 0)
+    *reader = (log_reader_t){ .began = entry };
+  else if (strcmp (change, "ended") == 0)
+    reader->ended = entry;
+  else if (strcmp (change, "partial") == 0)
+    reader->unread = entry;
+  else if (strcmp (change, "complete") == 0)
+    reader->unread = NULL;
+}
+
+ctl_exit_t
+logs_list_readers (const ctl_options_t *opts, const char *const files[],
+                   int count)
+{
+  static const listing_t listing
+      = { .headings = { "INSTANCE", "READS SINCE", "REASON", "UNTIL",
+                        "SUCCESSOR", "CANNOT READ" },
+          .n_headings = 6,
+          .add = add_reader_entry,
+          .print = print_reader };
+
+  return print_listing (opts, &listing, files, count);
+}
--- a/peridotctl/main.c
+++ b/peridotctl/main.c
@@ -115,7 +115,8 @@
                "          suspects LOG-FILE...\n"
                "          rollouts LOG-FILE...\n"
                "          tenants LOG-FILE...\n"
-               "          versions LOG-FILE...\n",
+               "          versions LOG-FILE...\n"
+               "          readers LOG-FILE...\n",
                stderr);
   return CTL_USAGE;
 }
@@ -177,6 +178,8 @@
     return logs_list_tenants (opts, &args[1], count - 1);
   if (strcmp (noun, "versions") == 0 && count >= 2)
     return logs_list_versions (opts, &args[1], count - 1);
+  if (strcmp (noun, "readers") == 0 && count >= 2)
+    return logs_list_readers (opts, &args[1], count - 1);
   warnx ("no such command, or a wrong number of arguments");
   return print_usage (options);
 }
