Reply without a reader only to instances that are not ready

Cause: the instances that were ready replied to each other's hellos. A reply counts as the announcement of a reader, so that for 700 ms its receiver neither replied to the newcomer nor took over. Now only an instance that is not ready gets a reply.

--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -22,10 +22,10 @@
 #define READER_LOST_MS 700
 /* Time between the hellos that an instance sends to the seeds.  */
 #define SEED_HELLO_INTERVAL_MS 100
-/* While there is no reader, any instance may reply to a hello with an
-   announcement.  This is the shortest time between two such replies of one
-   instance.  If a reply is lost, or the fetch that its receiver starts fails,
-   the next reply causes another fetch.  */
+/* While there is no reader, any instance may reply to the hello of one that is
+   not ready with an announcement.  This is the shortest time between two such
+   replies of one instance.  If a reply is lost, or the fetch that its receiver
+   starts fails, the next reply causes another fetch.  */
 #define READERLESS_REPLY_INTERVAL_MS 100
 /* Members reply to announcements with hellos.  A member that has sent no hello
    for longer than this may have missed announcements; when its next hello
@@ -42,7 +42,9 @@
                             clock_ms_t now);
 static void handle_hello (relay_t *relay, const fleet_wire_hello *wire,
                           clock_ms_t now);
-static bool can_reply_without_reader (const relay_t *relay, clock_ms_t now);
+static bool can_reply_without_reader (const relay_t *relay,
+                                      const fleet_wire_hello *wire,
+                                      clock_ms_t now);
 static void forward_hello (relay_t *relay, const char *sender,
                            const char *data, size_t length, clock_ms_t now);
 static void apply_ready (relay_t *relay, const fleet_wire_announce *wire,
@@ -311,12 +313,15 @@
 }
 
 /* Whether this instance may reply to a hello with an announcement although it
-   is not the reader: it knows the endpoints, there is no reader, and its last
-   such announcement is old enough.  */
+   is not the reader: it knows the endpoints, there is no reader, its last such
+   announcement is old enough, and the sender is not ready.  Others need no
+   reply, and would count it as the announcement of a reader: they would not
+   reply to those that start, nor take over.  */
 static bool
-can_reply_without_reader (const relay_t *relay, clock_ms_t now)
+can_reply_without_reader (const relay_t *relay, const fleet_wire_hello *wire,
+                          clock_ms_t now)
 {
-  return relay->view->has_all_backends
+  return wire->ready == 0 && relay->view->has_all_backends
          && now - relay->reader->last_announcement_at > READER_LOST_MS
          && now - relay->readerless_reply_at > READERLESS_REPLY_INTERVAL_MS;
 }
@@ -342,9 +347,9 @@
   /* The reader sends an announcement at once to a member that has just started
      or has sent no hello for MEMBER_STALE_MS.  If there is no reader, as
      during an outage of the store, any instance that knows the endpoints
-     replies with an announcement.  */
+     replies with an announcement to one that is not ready.  */
   if (relay->reader->is_reader ? now - member->last_hello_at > MEMBER_STALE_MS
-                               : can_reply_without_reader (relay, now))
+                               : can_reply_without_reader (relay, wire, now))
     {
       relay->readerless_reply_at = now;
       relay_announce_to (relay, member->ip, now);
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -578,6 +578,35 @@
   fixture_end (&fixture);
 }
 
+/* Guards against an instance that starts while nobody reads the store and
+   learns nothing for a second: the others replied to each other's hellos, and
+   a reply that an instance has got kept it from replying to the newcomer.  */
+static void
+instance_that_starts_without_a_reader_is_told (void)
+{
+  fixture_t fixture;
+
+  fixture_start (&fixture, 5);
+  /* The last instance sends nothing before it is counted.  */
+  fixture.count = 4;
+  set_up_reader (&fixture, 20);
+  g_assert_true (run_until_synced (&fixture, 10));
+  for (int i = 0; i < fixture.count; i++)
+    relay_set_ready (fixture.instances[i].relay, true);
+  run_for (&fixture, 0.5);
+  /* The reader falls silent.  */
+  fixture.instances[0].reader.is_reader = false;
+  fixture.instances[0].relay->seeds.count = 0;
+  for (int i = 1; i < 5; i++)
+    fixture.instances[i].relay->seeds
+        = (relay_seeds_t){ .ip = { address_of (1), address_of (2) },
+                           .count = 2 };
+  run_for (&fixture, 0.9);
+  fixture.count = 5;
+  g_assert_true (run_until_synced (&fixture, 0.4));
+  fixture_end (&fixture);
+}
+
 /* Guards against requests of other instances to an endpoint that has told one
    of them that it leaves, while the store says nothing; and against a
    statement of another start of the endpoint that is believed.  */
@@ -792,6 +821,8 @@
                    configuration_of_an_older_revision_is_fetched);
   g_test_add_func ("/relay/reader_gets_a_newer_configuration_from_others",
                    reader_gets_a_newer_configuration_from_others);
+  g_test_add_func ("/relay/instance_that_starts_without_a_reader_is_told",
+                   instance_that_starts_without_a_reader_is_told);
   g_test_add_func ("/relay/leaving_endpoint_is_told_to_all",
                    leaving_endpoint_is_told_to_all);
   g_test_add_func ("/relay/configuration_arrives_while_tables_are_sent",
