Fetch later what an instance without endpoints cannot fetch now

Callers saw: an instance that starts while nobody reads the store answers 503 for 0.7 s longer than it has to. Cause, shown with a log line for each fetch: the newcomer has just fetched the configuration, which a hello has named, and may not fetch again for 200 to 500 ms. It dropped what the reply of another instance made necessary, and sends its next hello only 700 ms after a reply. Now it remembers the parts and fetches them as soon as it may, also those of a fetch that one of the configuration replaces.

--- a/lib/fleet/relay_fetch.c
+++ b/lib/fleet/relay_fetch.c
@@ -41,6 +41,7 @@
                                int events);
 static void on_fetch_timer (struct ev_loop *loop, ev_timer *watcher,
                             int events);
+static void fetch_later (relay_t *relay, uint32_t ip, unsigned int parts);
 static void fetch_from (relay_t *relay, uint32_t ip, unsigned int parts,
                         clock_ms_t now);
 static void handle_response (relay_t *relay, const wire_received_t *received,
@@ -51,13 +52,30 @@
 void
 relay_fetch (relay_t *relay, uint32_t ip, unsigned int parts, clock_ms_t now)
 {
-  if (relay->fetch_fd >= 0 || now < relay->next_fetch_at)
+  if (relay->fetch_fd >= 0)
     return;
+  if (now < relay->next_fetch_at)
+    {
+      fetch_later (relay, ip, parts);
+      return;
+    }
   relay->fetch_redirects = 0;
-  relay->refused_parts = 0;
+  relay->due_parts &= ~parts;
   fetch_from (relay, ip, parts, now);
 }
 
+/* Makes relay_fetch_tick() fetch parts of the state that cannot be fetched
+   now, if this instance does not know the endpoints yet.  While nobody reads
+   the store, no announcement may come soon that would make it try again.  */
+static void
+fetch_later (relay_t *relay, uint32_t ip, unsigned int parts)
+{
+  if (relay->view->has_all_backends)
+    return;
+  relay->due_parts |= parts;
+  relay->due_from = ip;
+}
+
 static void
 fetch_from (relay_t *relay, uint32_t ip, unsigned int parts, clock_ms_t now)
 {
@@ -100,8 +118,12 @@
 {
   if (relay->fetch_fd >= 0 && relay->fetch_request.parts == FLEET_PART_CONFIG)
     return;
-  if ((relay->refused_parts & FLEET_PART_CONFIG) != 0)
+  if ((relay->due_parts & FLEET_PART_CONFIG) != 0)
     return;
+  if (relay->fetch_fd >= 0)
+    fetch_later (relay, relay->fetch_ip,
+                 relay->fetch_request.parts
+                     & ~(unsigned int)FLEET_PART_CONFIG);
   relay_fetch_close (relay);
   relay->next_fetch_at = now;
   relay_fetch (relay, ip, FLEET_PART_CONFIG, now);
@@ -110,8 +132,8 @@
 void
 relay_fetch_tick (relay_t *relay, clock_ms_t now)
 {
-  if (relay->refused_parts != 0 && now >= relay->next_fetch_at)
-    relay_fetch (relay, relay->refused_by, relay->refused_parts, now);
+  if (relay->due_parts != 0 && now >= relay->next_fetch_at)
+    relay_fetch (relay, relay->due_from, relay->due_parts, now);
 }
 
 static void
@@ -221,8 +243,8 @@
       fetch_from (relay, redirect_ip, refused, now);
       return;
     }
-  relay->refused_parts = refused;
-  relay->refused_by
+  relay->due_parts = refused;
+  relay->due_from
       = relay->announced_by != 0 ? relay->announced_by : relay->fetch_ip;
   relay->next_fetch_at = now + REFUSED_RETRY_MS
                          + g_random_int_range (0, REFUSED_RETRY_JITTER_MAX_MS);
--- a/lib/fleet/relay_private.h
+++ b/lib/fleet/relay_private.h
@@ -68,10 +68,10 @@
                                    order */
   bool needs_whole_config; /* the last fetched changes of the configuration did
                               not fit this instance's version */
-  unsigned int refused_parts; /* parts of the state that an instance has not
-                                 sent, to be fetched from @refused_by at
-                                 @next_fetch_at; 0: none */
-  uint32_t refused_by;
+  unsigned int due_parts;  /* parts of the state that an instance has not sent,
+                              or could not be asked for yet, to be fetched from
+                              @due_from at @next_fetch_at; 0: none */
+  uint32_t due_from;
   /* What the last announcement said.  */
   uint64_t announced_config_version;
   uint32_t announced_by; /* address of its sender; network byte order */
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -607,6 +607,28 @@
   fixture_end (&fixture);
 }
 
+/* Guards against an instance that starts while nobody reads the store and
+   drops the only announcement that it gets, because it has just fetched the
+   configuration and may not fetch again yet.  */
+static void
+only_announcement_is_not_dropped (void)
+{
+  fixture_t fixture;
+  relay_t *starting;
+
+  fixture_start (&fixture, 3);
+  fixture.count = 2;
+  set_up_reader (&fixture, 20);
+  g_assert_true (run_until_synced (&fixture, 10));
+  fixture.instances[0].reader.is_reader = false;
+  run_for (&fixture, 0.8);
+  starting = fixture.instances[2].relay;
+  starting->next_fetch_at = clock_now () + 300;
+  fixture.count = 3;
+  g_assert_true (run_until_synced (&fixture, 0.6));
+  fixture_end (&fixture);
+}
+
 /* Guards against requests of other instances to an endpoint that has told one
    of them that it leaves, while the store says nothing; and against a
    statement of another start of the endpoint that is believed.  */
@@ -823,6 +845,8 @@
                    reader_gets_a_newer_configuration_from_others);
   g_test_add_func ("/relay/instance_that_starts_without_a_reader_is_told",
                    instance_that_starts_without_a_reader_is_told);
+  g_test_add_func ("/relay/only_announcement_is_not_dropped",
+                   only_announcement_is_not_dropped);
   g_test_add_func ("/relay/leaving_endpoint_is_told_to_all",
                    leaving_endpoint_is_told_to_all);
   g_test_add_func ("/relay/configuration_arrives_while_tables_are_sent",
