State the endpoints' time in each refusal while all have asked for one

Callers saw: while all endpoints of their service had asked for 3 s without requests, some were told to come back after 12 ms, and were refused again. Cause: only the refusal of a waiting request stated the endpoints' time; the refusal after two endpoints had declined the request stated the time for endpoints that shed with slots free. Now every refusal states it, unless the instance is stopping or a limit or allowance names its own time.

The callers are told what the endpoints have asked for.

--- a/lib/proxy/permit.c
+++ b/lib/proxy/permit.c
@@ -28,8 +28,6 @@
                                   clock_ms_t now);
 static void ask (service_state_t *state, int count, clock_ms_t wait_max,
                  bool skip_subsetting, clock_ms_t now);
-static void refuse_until (assign_request_t *assigned, clock_ms_t from,
-                          clock_ms_t now);
 static void refuse (assign_request_t *assigned, clock_ms_t next_at,
                     clock_ms_t now);
 
@@ -103,21 +101,21 @@
       = CLAMP (next_at - now, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
 }
 
-/* Marks a request for refusal because all endpoints have asked for no requests
-   before @from.  The clients return spread over a time after that.  */
-static void
-refuse_until (assign_request_t *assigned, clock_ms_t from, clock_ms_t now)
+clock_ms_t
+permits_get_declined_delay (request_t *request)
 {
-  request_t *request = assigned->user;
+  proxy_t *proxy = request->proxy;
+  clock_ms_t now = clock_now ();
+  clock_ms_t from
+      = choose_get_declined_until (proxy->backends, request->service, now);
   double spread = MAX ((double)(from - now) * RETURN_SPREAD_SHARE,
                        request->admission.service_time_ms);
 
-  assigned->result = ADMISSION_REFUSE;
-  assigned->is_limited = true;
-  request->retry_after
-      = from - now
-        + (clock_ms_t)decide_rng_below (&request->proxy->rng,
-                                        (uint32_t)MAX (spread, 1.0));
+  if (from == 0)
+    return 0;
+  return from - now
+         + (clock_ms_t)decide_rng_below (&proxy->rng,
+                                         (uint32_t)MAX (spread, 1.0));
 }
 
 /* Returns the longest time in ms that a request may wait so that it can still
@@ -144,7 +142,13 @@
   for (int i = 0; from != 0 && i < count; i++)
     if (requests[i].result == ADMISSION_WAIT
         && from - now > useful_wait_ms (requests[i].request, now))
-      refuse_until (&requests[i], from, now);
+      {
+        request_t *request = requests[i].user;
+
+        requests[i].result = ADMISSION_REFUSE;
+        requests[i].is_limited = true;
+        request->retry_after = permits_get_declined_delay (request);
+      }
 }
 
 void
--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -463,6 +463,10 @@
    permits_refuse_hopeless().  */
 void permits_refuse_declined (service_state_t *state,
                               assign_request_t *requests, int count);
+/* Returns how long a client has to wait, in ms, because all endpoints of the
+   request's service have asked for no requests; 0 if one may take it now.  The
+   clients return spread over a time after that.  */
+clock_ms_t permits_get_declined_delay (request_t *request);
 
 /* ---- request.c ---- */
 
--- a/lib/proxy/request_end.c
+++ b/lib/proxy/request_end.c
@@ -8,7 +8,7 @@
    no configuration yet.  */
 #define RETRY_AFTER_UNROUTED_MS 1000
 
-static clock_ms_t compute_retry_after (const request_t *request,
+static clock_ms_t compute_retry_after (request_t *request,
                                        telemetry_outcome_t outcome);
 static void respond_and_free (request_t *request, int status,
                               const char *reason, const char *fields,
@@ -99,9 +99,10 @@
 
 /* Returns the delay that Retry-After states, in ms.  */
 static clock_ms_t
-compute_retry_after (const request_t *request, telemetry_outcome_t outcome)
+compute_retry_after (request_t *request, telemetry_outcome_t outcome)
 {
   proxy_t *proxy = request->proxy;
+  clock_ms_t declined_delay;
 
   /* This instance is stopping; the client can go to another one at once.  */
   if (outcome == TELEMETRY_OUTCOME_STOPPING)
@@ -111,6 +112,9 @@
   if (outcome == TELEMETRY_OUTCOME_LIMITED
       || outcome == TELEMETRY_OUTCOME_ALLOWANCE)
     return request->retry_after;
+  declined_delay = permits_get_declined_delay (request);
+  if (declined_delay != 0)
+    return declined_delay;
   return admission_retry_after_ms (outcome == TELEMETRY_OUTCOME_NOT_RUN,
                                    request->admission.service_time_ms,
                                    &proxy->rng);
