Count a watch that times out as a kind that cannot be read

Callers saw: where the reader's open watch goes silent together with its new calls, the endpoints excepted, a version was in force 3.3 to 3.4 s after its acknowledgement; 3.0 are allowed. Cause: the reader said that it cannot read the kind only after the list that follows the watch had timed out as well. Now it says so when the watch times out, until a list succeeds.

--- a/lib/fleet/feed.c
+++ b/lib/fleet/feed.c
@@ -488,7 +488,9 @@
   /* A complete list is needed, as a watch may have missed changes before its
      connection broke and the store may have dropped their history.  */
   channel->has_list = false;
-  channel->has_failed = channel->listing;
+  /* Where a watch has got no response, a list may get none either.  Waiting
+     for its timeout as well would take too long.  */
+  channel->has_failed = channel->listing || error == -ETIMEDOUT;
   channel->next_call_at
       = channel->listing ? now + feed_get_retry_delay (feed, kind) : now;
   if (kind != FEED_BACKENDS)
--- a/lib/fleet/feed_private.h
+++ b/lib/fleet/feed_private.h
@@ -16,7 +16,8 @@
   bool listing;    /* the pending or last call is a list, not a watch */
   bool has_list;   /* a complete list was read, and no failure has made it
                       necessary to read a new one */
-  bool has_failed; /* the last list of the kind has failed */
+  bool has_failed; /* the last list of the kind has failed, or a watch has got
+                      no response since */
   store_revision_t revision; /* store revision of the last complete list or of
                         the last changes that a watch has reported */
   store_revision_t revision_min; /* newest revision that a response had stated
