Apply an operator's change from the store's acknowledgement

Callers saw, on the product's own interface: a data centre that an operator had taken out of service got new work until 5.3 to 6.0 s after the command, 3 s are allowed, where the store failed right after it had acknowledged the change. Cause: the instance that had made the change learnt it, like the others, by a read of the store that begins after the acknowledgement; it failed, and nobody knew the change. Now the instance applies the object as acknowledged and sends it to the other members.

Ruled out: loss between instances; no instance stopped sending.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -694,6 +694,19 @@
 int decide_object (decide_t *node, clock_ms_t now, uint64_t previous,
                    const decide_object_t *object);
 
+/**
+ * decide_handle_own_change() - apply a configuration object that this instance
+ * has changed in the store, and send it to the other members
+ * @object: as the store has acknowledged it
+ *
+ * The others would else learn of the change only from the store, which may
+ * have failed since.
+ *
+ * Return: as for decide_object().
+ */
+int decide_handle_own_change (decide_t *node, clock_ms_t now,
+                              const decide_object_t *object);
+
 /**
  * decide_handle_store_read_result() - a read of the store ended
  * @sent: time at which the read was sent, in ms
--- a/lib/decide/node_config.c
+++ b/lib/decide/node_config.c
@@ -165,6 +165,34 @@
   return 0;
 }
 
+int
+decide_handle_own_change (decide_t *node, clock_ms_t now,
+                          const decide_object_t *object)
+{
+  decide_msg_t msg = { .type = DECIDE_MSG_OBJECT_PUSH,
+                       .incarnation = node->settings.incarnation };
+  const decide_record_t *record;
+  int error = decide_object (node, now, object->revision - 1, object);
+
+  if (error != 0)
+    return error;
+  msg.u.object = (decide_msg_object_t){ .previous = object->revision - 1,
+                                        .version = object->version,
+                                        .revision = object->revision,
+                                        .deleted = object->deleted,
+                                        .name = object->name,
+                                        .body = object->body };
+  record = ownership_get_record (node->ownership);
+  for (uint32_t i = 0; record != NULL && i < record->member_count; i++)
+    {
+      decide_id_t member = decide_id (record->members[i].name);
+
+      if (member != node->id)
+        node_send (node, member, &msg);
+    }
+  return 0;
+}
+
 void
 node_read_store (decide_t *node)
 {
--- a/peridotrouter/control.c
+++ b/peridotrouter/control.c
@@ -107,6 +107,21 @@
   return read_error_to_errno (error);
 }
 
+/* Applies a change that the store has acknowledged, at this instance and the
+   others.  The store may fail before any of them has read it.  */
+static void
+apply_change (control_t *control, const char *name, const char *body,
+              const admin_change_t *change)
+{
+  conf_object_t *object;
+  conf_error_t problem;
+
+  if (conf_parse_object (name, body, change->version, change->revision,
+                         body == NULL, &object, &problem)
+      == 0)
+    engine_handle_own_change (control->engine, object);
+}
+
 /* Puts an object, or deletes it when @body is NULL.  */
 static int
 change_object (control_t *control, const char *name, const char *body,
@@ -130,6 +145,8 @@
   pthread_mutex_unlock (&control->lock);
   change->version = written.version;
   change->revision = written.revision;
+  if (result == STORE_OK && !written.was_read_back)
+    apply_change (control, name, body, change);
   /* Read the store at once, so that this instance, and through it the others,
      have the change before the next periodic read.  */
   if (result == STORE_OK)
--- a/peridotrouter/engine.c
+++ b/peridotrouter/engine.c
@@ -213,7 +213,7 @@
     {
       if (event->type == EVENT_MESSAGE)
         peer_msg_free (event->u.message.msg);
-      else if (event->type == EVENT_OBJECT)
+      else if (event->type == EVENT_OBJECT || event->type == EVENT_OWN_CHANGE)
         conf_object_free (event->u.object.object);
       free (event);
     }
--- a/peridotrouter/engine.h
+++ b/peridotrouter/engine.h
@@ -67,6 +67,10 @@
                                                       clock_ms_t now),
                                     void *context);
 
+/* Applies an object as this instance has changed it in the store, and tells
+   the other instances.  Takes ownership of the object.  */
+void engine_handle_own_change (engine_t *engine, conf_object_t *object);
+
 /* Starts a read of the store without waiting for the next periodic read.  This
    function is called after this instance has changed an object.  */
 void engine_read_store (engine_t *engine);
--- a/peridotrouter/engine_event.c
+++ b/peridotrouter/engine_event.c
@@ -166,6 +166,15 @@
   return 0;
 }
 
+void
+engine_handle_own_change (engine_t *engine, conf_object_t *object)
+{
+  event_t *event = engine_event_new (EVENT_OWN_CHANGE);
+
+  event->u.object.object = object;
+  engine_post_blocking (engine, event);
+}
+
 void
 engine_read_store (engine_t *engine)
 {
@@ -291,8 +300,16 @@
   clock_ms_t now = clock_now_ms ();
   int error;
 
-  record_object (engine->recording, now, previous, &object->object);
-  error = decide_object (engine->node, now, previous, &object->object);
+  if (event->type == EVENT_OWN_CHANGE)
+    {
+      record_own_change (engine->recording, now, &object->object);
+      error = decide_handle_own_change (engine->node, now, &object->object);
+    }
+  else
+    {
+      record_object (engine->recording, now, previous, &object->object);
+      error = decide_object (engine->node, now, previous, &object->object);
+    }
   if (error != 0 && error != -ESTALE)
     {
       telemetry_counter_increment (TELEMETRY_OBJECTS_REJECTED, 0);
@@ -343,6 +360,7 @@
       peer_msg_free (event->u.message.msg);
       break;
     case EVENT_OBJECT:
+    case EVENT_OWN_CHANGE:
       update_configuration (engine, event);
       break;
     case EVENT_STORE_SYNCED:
--- a/peridotrouter/engine_state.h
+++ b/peridotrouter/engine_state.h
@@ -21,6 +21,7 @@
   EVENT_ATTEMPT_DONE,
   EVENT_MESSAGE,
   EVENT_OBJECT,
+  EVENT_OWN_CHANGE,
   EVENT_STORE_SYNCED,
   EVENT_STORE_PUT_DONE,
   EVENT_PROBE_DONE,
@@ -62,8 +63,9 @@
     } message;
     struct
     {
-      /* The sending peer has no change between this store revision and that of
-         the object; UINT64_MAX if the object was read from the store.  */
+      /* EVENT_OBJECT: the sending peer has no change between this store
+         revision and that of the object; UINT64_MAX if the object was read
+         from the store.  */
       uint64_t previous;
       conf_object_t *object; /* owned by the event */
     } object;
--- a/peridotrouter/record.c
+++ b/peridotrouter/record.c
@@ -17,6 +17,8 @@
 
 static void write_load (FILE *file, const decide_load_t *load);
 static void write_bytes (FILE *file, const void *bytes, size_t length);
+static void write_object (const recording_t *recording,
+                          const decide_object_t *object);
 
 recording_t *
 record_open_stream (FILE *file)
@@ -104,19 +106,34 @@
     fprintf (recording->file, "%" PRId64 " read\n", now);
 }
 
+static void
+write_object (const recording_t *recording, const decide_object_t *object)
+{
+  fprintf (recording->file, " %" PRIu64 " %" PRIu64 " %d %s", object->version,
+           object->revision, object->deleted, object->name);
+  write_bytes (recording->file, object->body,
+               object->body == NULL ? 0 : strlen (object->body));
+  fputc ('\n', recording->file);
+}
+
 void
 record_object (recording_t *recording, clock_ms_t now, uint64_t previous,
                const decide_object_t *object)
 {
   if (recording == NULL)
     return;
-  fprintf (recording->file,
-           "%" PRId64 " object %" PRIu64 " %" PRIu64 " %" PRIu64 " %d %s", now,
-           previous, object->version, object->revision, object->deleted,
-           object->name);
-  write_bytes (recording->file, object->body,
-               object->body == NULL ? 0 : strlen (object->body));
-  fputc ('\n', recording->file);
+  fprintf (recording->file, "%" PRId64 " object %" PRIu64, now, previous);
+  write_object (recording, object);
+}
+
+void
+record_own_change (recording_t *recording, clock_ms_t now,
+                   const decide_object_t *object)
+{
+  if (recording == NULL)
+    return;
+  fprintf (recording->file, "%" PRId64 " change", now);
+  write_object (recording, object);
 }
 
 void
--- a/peridotrouter/record.h
+++ b/peridotrouter/record.h
@@ -34,6 +34,8 @@
 void record_read_store (recording_t *recording, clock_ms_t now);
 void record_object (recording_t *recording, clock_ms_t now, uint64_t previous,
                     const decide_object_t *object);
+void record_own_change (recording_t *recording, clock_ms_t now,
+                        const decide_object_t *object);
 void record_store_synced (recording_t *recording, clock_ms_t now,
                           clock_ms_t sent, bool ok, uint64_t revision);
 void record_store_put_done (recording_t *recording, clock_ms_t now,
--- a/test/replay/replay.c
+++ b/test/replay/replay.c
@@ -142,30 +142,48 @@
     errx (1, "the recorded settings are contradictory");
 }
 
-static void
-feed_object (replay_t *replay, clock_ms_t now, char **fields)
+/* Returns the object in the five last fields of its line.  */
+static conf_object_t *
+parse_object (char **fields)
 {
   g_autofree char *body = NULL;
   conf_object_t *parsed;
   conf_error_t error;
   size_t length = 0;
 
-  if (strcmp (fields[5], "-") != 0)
+  if (strcmp (fields[4], "-") != 0)
     {
-      guchar *bytes = g_base64_decode (fields[5], &length);
+      guchar *bytes = g_base64_decode (fields[4], &length);
 
       body = g_strndup ((char *)bytes, length);
       g_free (bytes);
     }
-  if (conf_parse_object (fields[4], body, parse_id (fields[1]),
-                         parse_id (fields[2]), parse_int (fields[3]) != 0,
+  if (conf_parse_object (fields[3], body, parse_id (fields[0]),
+                         parse_id (fields[1]), parse_int (fields[2]) != 0,
                          &parsed, &error)
       != 0)
     errx (1, "%s", error.text);
+  return parsed;
+}
+
+static void
+feed_object (replay_t *replay, clock_ms_t now, char **fields)
+{
+  conf_object_t *parsed = parse_object (fields + 1);
+
   decide_object (replay->node, now, parse_id (fields[0]), &parsed->object);
   conf_object_free (parsed);
 }
 
+static void
+feed_own_change (replay_t *replay, clock_ms_t now, char **fields)
+{
+  conf_object_t *parsed = parse_object (fields);
+
+  decide_handle_own_change (replay->node, now, &parsed->object);
+  conf_object_free (parsed);
+}
+
 static void
 feed_message (replay_t *replay, clock_ms_t now, char **fields)
 {
@@ -253,6 +271,8 @@
     decide_request_store_read (replay->node, now);
   else if (strcmp (type, "object") == 0 && count == 6)
     feed_object (replay, now, fields);
+  else if (strcmp (type, "change") == 0 && count == 5)
+    feed_own_change (replay, now, fields);
   else if (strcmp (type, "synced") == 0 && count == 3)
     decide_handle_store_read_result (replay->node, now, parse_int (fields[0]),
                                      parse_int (fields[1]) != 0,
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -38,6 +38,9 @@
   int64_t delay_ms;           /* delay of each request */
   int64_t lose_put_answers;   /* next N successful writes without a response */
   int64_t apply_put_after_ms; /* delay before a write takes effect */
+  char *down_after_put; /* the next successful write of an object whose name
+                           begins so is the last request before an outage;
+                           NULL: none */
 } faults_t;
 
 typedef struct platform
@@ -353,6 +356,15 @@
       platform->faults.lose_put_answers--;
       lose_response = true;
     }
+  if (status == 200 && platform->faults.down_after_put != NULL
+      && strncmp (name, platform->faults.down_after_put,
+                  strlen (platform->faults.down_after_put))
+             == 0)
+    {
+      platform->faults.outage = OUTAGE_REFUSING;
+      free (platform->faults.down_after_put);
+      platform->faults.down_after_put = NULL;
+    }
   pthread_mutex_unlock (&platform->lock);
   free (body);
   if (!lose_response)
@@ -457,6 +469,11 @@
     faults->lose_put_answers = json_object_get_int64 (member);
   if (json_object_object_get_ex (value, "apply_put_after_ms", &member))
     faults->apply_put_after_ms = json_object_get_int64 (member);
+  if (json_object_object_get_ex (value, "down_after_put", &member))
+    {
+      free (faults->down_after_put);
+      faults->down_after_put = strdup (json_object_get_string (member));
+    }
   pthread_mutex_unlock (&platform->lock);
   json_object_put (value);
   return standin_send_json (conn, 200, json_object_new_object ());
@@ -584,6 +601,7 @@
       free (platform.objects[i].change_id);
     }
   free (platform.objects);
+  free (platform.faults.down_after_put);
   json_object_put (platform.instance_changes);
   return 0;
 }
--- a/test/unit/node.c
+++ b/test/unit/node.c
@@ -3,6 +3,7 @@
 
 #include "decide.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
 
@@ -32,14 +33,21 @@
   uint64_t request;         /* id of the last request sent */
   uint64_t refused;         /* number of refused requests */
   decide_refusal_t refusal; /* last refusal */
+  uint32_t pushes;          /* number of objects sent to "b" */
+  uint64_t pushed_previous; /* of the last one; see decide_msg_object_t */
+  uint64_t pushed_revision;
 } fixture_t;
 
 static void
 on_send (void *context, decide_id_t instance, const decide_msg_t *msg)
 {
-  (void)context;
-  (void)instance;
-  (void)msg;
+  fixture_t *fixture = context;
+
+  if (msg->type != DECIDE_MSG_OBJECT_PUSH || instance != decide_id ("b"))
+    return;
+  fixture->pushes++;
+  fixture->pushed_previous = msg->u.object.previous;
+  fixture->pushed_revision = msg->u.object.revision;
 }
 
 static void
@@ -282,6 +290,36 @@
   decide_free (fixture.node);
 }
 
+/* Guards against a change that an operator has made through this instance, and
+   that neither it nor the others know if the store then fails.  */
+static void
+test_own_change (void)
+{
+  fixture_t fixture;
+  decide_object_t object = { .kind = DECIDE_OBJECT_OUT_CENTRE,
+                             .name = "shared/out/data-centre/d0",
+                             .version = 1,
+                             .body = "{}",
+                             .u.out = "d0" };
+
+  start_instance (&fixture, 2);
+  g_assert_true (send_request (&fixture));
+  fixture.store_down = true;
+  object.revision = ++fixture.revision;
+  g_assert_cmpint (
+      decide_handle_own_change (fixture.node, fixture.now, &object), ==, 0);
+  g_assert_cmpuint (fixture.pushes, ==, 1);
+  g_assert_cmpuint (fixture.pushed_previous, ==, object.revision - 1);
+  g_assert_cmpuint (fixture.pushed_revision, ==, object.revision);
+  g_assert_false (send_request (&fixture));
+  /* A store read has brought it before: there is nothing to tell.  */
+  g_assert_cmpint (
+      decide_handle_own_change (fixture.node, fixture.now, &object), ==,
+      -ESTALE);
+  g_assert_cmpuint (fixture.pushes, ==, 1);
+  decide_free (fixture.node);
+}
+
 /* Guards against two groups of one store that grant the same slots.  */
 static void
 test_second_group (void)
@@ -531,6 +569,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/node/centre-out", test_centre_out);
+  g_test_add_func ("/node/own-change", test_own_change);
   g_test_add_func ("/node/second-group", test_second_group);
   g_test_add_func ("/node/move", test_move);
   g_test_add_func ("/node/start-after-move", test_start_after_move);
