Tell members that are not ready of suspects also from other instances

Found by reading: a member that is not ready and whose last hello is 5 s old counts as silent and gets one of eight messages, by the sender's sequence number. Members send hellos to the reader only, and the number of the others does not change, so that they told a stopping instance never. Now only the reader takes members for silent.

--- a/lib/fleet/relay_send.c
+++ b/lib/fleet/relay_send.c
@@ -273,7 +273,7 @@
   relay->announced_fresh = reader_is_fresh (relay->reader, now);
   relay->announced_partial = relay->reader->is_partial;
   relay->sequence_number++;
-  groups = spread_plan (relay->members, relay->sequence_number, now);
+  groups = spread_plan (relay->members, true, relay->sequence_number, now);
   message_length_max = RELAY_DATAGRAM_MAX_BYTES - forward_list_bytes (groups);
   for (int i = 0; more && i < ANNOUNCE_DATAGRAMS_MAX; i++)
     {
--- a/lib/fleet/relay_suspects.c
+++ b/lib/fleet/relay_suspects.c
@@ -72,7 +72,8 @@
 tell_all (relay_t *relay, const GArray *positions, clock_ms_t now)
 {
   char data[RELAY_BUFFER_BYTES];
-  GArray *groups = spread_plan (relay->members, relay->sequence_number, now);
+  GArray *groups = spread_plan (relay->members, relay->reader->is_reader,
+                                relay->sequence_number, now);
 
   for (guint i = 0; i < positions->len; i += FLEET_SUSPECTS_MAX)
     {
--- a/lib/fleet/spread.c
+++ b/lib/fleet/spread.c
@@ -17,7 +17,7 @@
    member is sent every announcement, even if it has never sent a hello.  */
 #define SILENT_ANNOUNCEMENT_INTERVAL 8
 
-static GPtrArray *list_recipients (const members_t *members,
+static GPtrArray *list_recipients (const members_t *members, bool hears_hellos,
                                    unsigned int sequence_number,
                                    clock_ms_t now);
 static gint compare_data_centres (gconstpointer a, gconstpointer b);
@@ -33,15 +33,15 @@
 
 /* Returns the members (member_t *) that are to receive an announcement.  */
 static GPtrArray *
-list_recipients (const members_t *members, unsigned int sequence_number,
-                 clock_ms_t now)
+list_recipients (const members_t *members, bool hears_hellos,
+                 unsigned int sequence_number, clock_ms_t now)
 {
   GPtrArray *recipients = g_ptr_array_sized_new (members->table->len);
 
   for (guint i = 0; i < members->table->len; i++)
     {
       member_t *member = g_ptr_array_index (members->table, i);
-      bool silent = !member->ready
+      bool silent = hears_hellos && !member->ready
                     && now - MAX (member->last_hello_at, member->added_at)
                            > SILENT_AFTER_MS;
 
@@ -128,10 +128,11 @@
 }
 
 GArray *
-spread_plan (const members_t *members, unsigned int sequence_number,
-             clock_ms_t now)
+spread_plan (const members_t *members, bool hears_hellos,
+             unsigned int sequence_number, clock_ms_t now)
 {
-  GPtrArray *recipients = list_recipients (members, sequence_number, now);
+  GPtrArray *recipients
+      = list_recipients (members, hears_hellos, sequence_number, now);
   GArray *groups = g_array_new (FALSE, FALSE, sizeof (spread_group_t));
   guint group_size_max
       = MIN ((guint)ceil (sqrt (recipients->len)), SPREAD_RECIPIENTS_MAX);
--- a/lib/fleet/spread.h
+++ b/lib/fleet/spread.h
@@ -26,6 +26,8 @@
 
 /**
  * spread_plan() - divide the members into groups and choose their forwarders
+ * @hears_hellos: this instance is the reader, to which the members send their
+ *   hellos, so that it can tell which of them are silent
  * @sequence_number: sequence number of the announcement.  The forwarders
  *   differ from one announcement to the next, so that a forwarder that fails
  *   costs its group only one announcement.
@@ -38,7 +40,7 @@
  *
  * Return: array of spread_group_t; free with g_array_unref().
  */
-GArray *spread_plan (const members_t *members, unsigned int sequence_number,
-                     clock_ms_t now);
+GArray *spread_plan (const members_t *members, bool hears_hellos,
+                     unsigned int sequence_number, clock_ms_t now);
 
 #endif
--- a/test/unit/fleet_relay.c
+++ b/test/unit/fleet_relay.c
@@ -629,6 +629,38 @@
   fixture_end (&fixture);
 }
 
+/* Guards against an instance that is stopping, and is not told by an instance
+   other than the reader that an endpoint has ended under a request (soak-2).
+   The members send their hellos to the reader only.  */
+static void
+stopping_instance_is_told_of_a_suspect (void)
+{
+  fixture_t fixture;
+  suspects_t *suspects;
+  suspect_ending_t ending = { .endpoint = 1 };
+  member_t *stopping;
+
+  fixture_start (&fixture, 3);
+  set_up_reader (&fixture, 20);
+  g_assert_true (run_until_synced (&fixture, 10));
+  run_for (&fixture, 1.5);
+  stopping
+      = members_find (fixture.instances[1].members, fixture.instances[2].name);
+  g_assert_false (stopping->ready);
+  stopping->last_hello_at = 0;
+  stopping->added_at = clock_now () - 60000;
+  fixture.instances[1].relay->sequence_number = 1;
+  suspects = fixture.instances[1].view->suspects;
+  ending.at = clock_now ();
+  relay_tell_suspect (
+      fixture.instances[1].relay,
+      suspects_add_ending (suspects, 7, &ending, clock_now ()));
+  run_for (&fixture, 0.3);
+  g_assert_nonnull (
+      suspects_find (fixture.instances[2].view->suspects, 7, clock_now ()));
+  fixture_end (&fixture);
+}
+
 /* Guards against requests of other instances to an endpoint that has told one
    of them that it leaves, while the store says nothing; and against a
    statement of another start of the endpoint that is believed.  */
@@ -847,6 +879,8 @@
                    instance_that_starts_without_a_reader_is_told);
   g_test_add_func ("/relay/only_announcement_is_not_dropped",
                    only_announcement_is_not_dropped);
+  g_test_add_func ("/relay/stopping_instance_is_told_of_a_suspect",
+                   stopping_instance_is_told_of_a_suspect);
   g_test_add_func ("/relay/leaving_endpoint_is_told_to_all",
                    leaving_endpoint_is_told_to_all);
   g_test_add_func ("/relay/configuration_arrives_while_tables_are_sent",
--- a/test/unit/fleet_spread.c
+++ b/test/unit/fleet_spread.c
@@ -59,7 +59,7 @@
               const GHashTable *failed_forwarders, int *copies,
               int *direct_sends, int *largest_group)
 {
-  GArray *groups = spread_plan (members, sequence_number, NOW_MS);
+  GArray *groups = spread_plan (members, true, sequence_number, NOW_MS);
 
   *direct_sends = (int)groups->len;
   *largest_group = 0;
@@ -119,7 +119,7 @@
 groups_stay_in_a_data_centre (void)
 {
   members_t *members = new_members (300);
-  GArray *groups = spread_plan (members, 3, NOW_MS);
+  GArray *groups = spread_plan (members, true, 3, NOW_MS);
 
   for (guint i = 0; i < groups->len; i++)
     {
