Handle signals that arrive during the start

What users saw: a SIGTERM during the start ended the process with the kernel's status instead of its own shutdown, and a SIGHUP during the start, such as a change of the settings right after a restart, ended the process as well.

Cause: the handlers were installed last, after the settings, the log and the ports; until then both signals had the kernel's default action. The own interface blocked SIGTERM only after it had read its settings.

Both programs now block the signals first; what arrives meanwhile is pending and is handled once the instance runs.

Ruled out: the handlers are never removed again at the end.

--- a/lib/instance/instance.c
+++ b/lib/instance/instance.c
@@ -278,9 +278,29 @@
   return result;
 }
 
+static void
+get_watched_signals (sigset_t *signals)
+{
+  sigemptyset (signals);
+  sigaddset (signals, SIGTERM);
+  sigaddset (signals, SIGINT);
+  sigaddset (signals, SIGHUP);
+}
+
+void
+instance_block_signals (void)
+{
+  sigset_t signals;
+
+  get_watched_signals (&signals);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+}
+
 static void
 start_signal_watchers (instance_t *instance)
 {
+  sigset_t signals;
+
   ev_signal_init (&instance->sigterm_watcher, on_stop_signal, SIGTERM);
   ev_signal_init (&instance->sigint_watcher, on_stop_signal, SIGINT);
   ev_signal_init (&instance->sighup_watcher, on_reload_signal, SIGHUP);
@@ -290,6 +310,8 @@
   ev_signal_start (instance->loop, &instance->sigterm_watcher);
   ev_signal_start (instance->loop, &instance->sigint_watcher);
   ev_signal_start (instance->loop, &instance->sighup_watcher);
+  get_watched_signals (&signals);
+  pthread_sigmask (SIG_UNBLOCK, &signals, NULL);
 }
 
 static bool
--- a/lib/instance/instance.h
+++ b/lib/instance/instance.h
@@ -67,6 +67,14 @@
   void *context; /* first argument of the callbacks */
 } instance_hooks_t;
 
+/**
+ * instance_block_signals() - keep signals pending until the instance runs
+ *
+ * Call it before the first thread is created.  instance_run() then handles a
+ * SIGTERM, SIGINT or SIGHUP that has arrived meanwhile.
+ */
+void instance_block_signals (void);
+
 /**
  * instance_run() - run an instance until its graceful shutdown has ended
  * @make_source: creates the source that reads the store
--- a/peridotrouter/main.c
+++ b/peridotrouter/main.c
@@ -21,9 +21,11 @@
 #define SHUTDOWN_TIMEOUT_MS 15000
 #define SHUTDOWN_POLL_INTERVAL_US 20000
 
+static void block_stop_signals (sigset_t *signals);
 static void raise_descriptor_limit (void);
 static int run_router (const conf_settings_t *settings,
-                       const char *recording_path);
+                       const char *recording_path,
+                       const sigset_t *stop_signals);
 static void usage (poptContext options);
 static void wait_until_stopped (engine_t *engine, const serve_t *serve);
 
@@ -47,6 +49,7 @@
   poptContext options = poptGetContext ("peridotrouter", argc, argv, table, 0);
   conf_settings_t settings;
   conf_error_t error;
+  sigset_t stop_signals;
   int status;
 
   if (poptGetNextOpt (options) < -1
@@ -60,6 +63,8 @@
       return 0;
     }
   poptFreeContext (options);
+  if (!check_only)
+    block_stop_signals (&stop_signals);
   if (conf_read_settings (settings_path, &settings, &error) != 0)
     errx (1, "%s", error.text);
   free (settings_path);
@@ -68,7 +73,7 @@
       puts ("settings are valid");
       return 0;
     }
-  status = run_router (&settings, recording_path);
+  status = run_router (&settings, recording_path, &stop_signals);
   free (recording_path);
   return status == 0 ? 0 : 1;
 }
@@ -80,6 +85,18 @@
   exit (2);
 }
 
+/* Keeps the signals that stop the process pending until run_router() waits for
+   them.  To be called before any thread starts, since threads inherit the
+   signal mask.  */
+static void
+block_stop_signals (sigset_t *signals)
+{
+  sigemptyset (signals);
+  sigaddset (signals, SIGTERM);
+  sigaddset (signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, signals, NULL);
+}
+
 /* Each client connection and each idle connection to an endpoint needs
    descriptors, for which the usual soft limit of 1,024 is too small.  */
 static void
@@ -95,7 +112,8 @@
 }
 
 static int
-run_router (const conf_settings_t *settings, const char *recording_path)
+run_router (const conf_settings_t *settings, const char *recording_path,
+            const sigset_t *stop_signals)
 {
   telemetry_settings_t telemetry = { .instance = settings->instance,
                                      .log_level = settings->log_level,
@@ -104,16 +122,9 @@
   attempts_t *attempts = NULL;
   serve_t *serve = NULL;
   control_t *control = NULL;
-  sigset_t signals;
   int signal_number;
   int error;
 
-  /* Block the signals before any thread starts, since threads inherit the
-     signal mask.  */
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
   error = telemetry_start (&telemetry);
   if (error != 0)
@@ -133,7 +144,7 @@
     {
       g_message ("instance %s serves callers on %s", settings->instance,
                  settings->listen_clients);
-      sigwait (&signals, &signal_number);
+      sigwait (stop_signals, &signal_number);
       g_message ("stopping on signal %d", signal_number);
       engine_begin_shutdown (engine);
       wait_until_stopped (engine, serve);
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -672,6 +672,9 @@
 
     async def start(self):
         self.write_settings()
+        await self.start_process()
+
+    async def start_process(self):
         self.stopping = False
         with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
--- a/test/run/harness.py
+++ b/test/run/harness.py
@@ -5,6 +5,7 @@
 time and assumes that something has happened meanwhile.
 """
 
+import errno
 import http.client
 import json
 import os
@@ -42,6 +43,20 @@
         time.sleep(POLL_INTERVAL_S)
 
 
+def open_when_read(path):
+    """Opens a FIFO for writing as soon as a process has opened it to read;
+    returns the file."""
+    def open_it():
+        try:
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError as error:
+            if error.errno != errno.ENXIO:  # nobody reads
+                raise
+            return None
+    return os.fdopen(wait_for(f"{path} is read", open_it), "w",
+                     encoding="utf-8")
+
+
 class Response:
     """Status, headers (names in lower case) and body of a response."""
 
