Count a process of the runs as started once it keeps SIGTERM

Starting an instance now waits until SIGTERM is blocked or handled. The check of the status stays as it is; in addition, a process that does not get there within 5 s is reported as a fault, so a program that installs its handlers late or never still fails.

--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -35,6 +35,8 @@
 HISTORY_EVENTS_MAX = 2000
 NETWORK_NUMBERS = range(10, 240)
 RESERVATION_PORT = 8499
+# Time after which a process must have reached its main program.
+START_S = 5.0
 
 
 def reserve_network():
@@ -682,6 +684,30 @@
                 "--metrics-port", str(METRICS), stdout=log, stderr=log,
                 env={"ASAN_OPTIONS": os.environ.get("ASAN_OPTIONS", ""),
                      "PATH": os.environ.get("PATH", "")})
+        await self.wait_until_signals_are_kept()
+
+    async def wait_until_signals_are_kept(self):
+        """Waits until the process blocks or handles SIGTERM, which it does
+        first of all.  Before that, in the dynamic loader, SIGTERM ends every
+        program."""
+        until = time.monotonic() + START_S
+        while self.process.returncode is None and not self.keeps_signals():
+            if time.monotonic() > until:
+                self.site.report_fault(
+                    f"{self.name} does not handle SIGTERM {START_S} s after "
+                    "its start")
+                return
+            await asyncio.sleep(0.001)
+
+    def keeps_signals(self):
+        try:
+            with open(f"/proc/{self.process.pid}/status",
+                      encoding="ascii") as status:
+                lines = dict(line.split(":", 1) for line in status)
+        except OSError:  # it has ended
+            return False
+        mask = int(lines["SigBlk"], 16) | int(lines["SigCgt"], 16)
+        return bool(mask >> (signal.SIGTERM - 1) & 1)
 
     def signal_process(self, number):
         if self.process.returncode is None:
