Refuse malformed heads of endpoints' responses

Cause: http_parser, built without its strict mode, takes spaces in field names and does not check the reason; the proxy copied both.

Such a response now counts as broken off: a safe request is sent to another endpoint, one that may run once gets 502.

--- a/lib/proxy/proxy_private.h
+++ b/lib/proxy/proxy_private.h
@@ -151,6 +151,7 @@
   bool in_field_value;     /* part of @field_value has been read */
   bool has_request_id;     /* the response states a request ID */
   bool request_id_matches; /* that request ID is the ID of @request */
+  bool is_malformed; /* the head has characters that HTTP does not allow */
   bool is_oversized; /* there is no memory for the rest of the body, which is
                         not streamed */
   bool is_foreign; /* the response belongs to another request and is skipped */
--- a/lib/proxy/uplink.c
+++ b/lib/proxy/uplink.c
@@ -32,6 +32,8 @@
 static void fail_uplink (uplink_t *uplink, const char *why);
 static ssize_t send_rest (const uplink_t *uplink);
 static void handle_connection_end (uplink_t *uplink, int error);
+static const char *describe_parse_failure (const uplink_t *uplink,
+                                           enum http_errno error);
 static bool is_response_endless (uplink_t *uplink, size_t received_bytes);
 
 pool_t *
@@ -386,9 +388,7 @@
         {
           if (uplink->is_oversized)
             telemetry_counter_increment (TELEMETRY_ENDLESS_RESPONSES, 0);
-          fail_uplink (uplink, uplink->is_oversized
-                                   ? "no memory for the response"
-                                   : http_errno_name (error));
+          fail_uplink (uplink, describe_parse_failure (uplink, error));
           break;
         }
       if (uplink->response_complete)
@@ -414,6 +414,16 @@
     }
 }
 
+static const char *
+describe_parse_failure (const uplink_t *uplink, enum http_errno error)
+{
+  if (uplink->is_oversized)
+    return "no memory for the response";
+  if (uplink->is_malformed)
+    return "malformed head of the response";
+  return http_errno_name (error);
+}
+
 /* Counts received bytes.  Return: whether they are more than a response that
    is not being streamed to a client may have.  */
 static bool
--- a/lib/proxy/uplink_answer.c
+++ b/lib/proxy/uplink_answer.c
@@ -5,6 +5,8 @@
 #include <limits.h>
 #include <string.h>
 
+#include "syntax.h"
+
 /* Largest response body that is buffered whole, so that another endpoint can
    be tried if the response ends too early.  Larger bodies are streamed to the
    client.  */
@@ -89,6 +91,7 @@
   uplink->in_field_value = false;
   uplink->has_request_id = false;
   uplink->request_id_matches = false;
+  uplink->is_malformed = false;
   uplink->is_oversized = false;
   uplink->is_foreign = false;
   uplink->not_run = false;
@@ -111,6 +114,9 @@
 {
   uplink_t *uplink = parser->data;
 
+  uplink->is_malformed |= !syntax_is_text (data, length);
+  if (uplink->is_malformed)
+    return -1;
   g_string_append_len (uplink->response.reason, data, (gssize)length);
   return 0;
 }
@@ -120,6 +126,9 @@
 {
   uplink_t *uplink = parser->data;
 
+  uplink->is_malformed |= !syntax_is_token (data, length);
+  if (uplink->is_malformed)
+    return -1;
   if (uplink->in_field_value)
     finish_field (uplink);
   g_string_append_len (uplink->field_name, data, (gssize)length);
@@ -131,6 +140,9 @@
 {
   uplink_t *uplink = parser->data;
 
+  uplink->is_malformed |= !syntax_is_text (data, length);
+  if (uplink->is_malformed)
+    return -1;
   uplink->in_field_value = true;
   g_string_append_len (uplink->field_value, data, (gssize)length);
   return 0;
--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -384,7 +384,8 @@
     """Simulated backend server.  The test sets its faults: probabilities by
     kind of fault.  A response is lost, cut short, sent twice ("extra"), sent
     again while the connection may carry the next request ("late"), sent with
-    another status line ("status " and its rest; framing is "length", "chunked"
+    another line in its head ("line " and the line), sent with another status
+    line ("status " and its rest; framing is "length", "chunked"
     or "stalled": it ends half-way while the connection stays open), sent
     without its length ("unframed"), ended within its head ("head"), or replaced
     by status 500 or by garbage ("rot").  An earlier refusal may be sent once
@@ -610,6 +611,10 @@
                               + "\r\n".join(lines) + "\r\n\r\n").encode()
                              + response_body)
                 writer.close()
+            elif fault.startswith("line "):
+                start_line, rest = response.split(b"\r\n", 1)
+                writer.write(b"\r\n".join(
+                    [start_line, fault[5:].encode("latin-1"), rest]))
             elif fault.startswith("status "):
                 writer.write(self.frame("HTTP/1.1 " + fault[7:], fields,
                                         response_body))
