Refuse malformed response fields on the own interface as well

Before: unit-backend, malformed-fields: the first malformed line ended as a complete response (ANSWERED, expected BROKEN). After: white space in names and control characters in values end as BROKEN, and the connection is not used again; empty values, tabs and unusual names are still passed on. For an empty value libcurl gives the CR of the line, which was passed on as the value; it is now empty.

Not changed: libcurl refuses a first line that begins with a space (RESET) and drops what follows a bare CR.

--- a/lib/backend/answer.c
+++ b/lib/backend/answer.c
@@ -119,15 +119,20 @@
                                          header))
          != NULL)
     {
+      /* libcurl gives the CR of the line as the value of an empty field.  */
+      backend_header_t field
+          = { header->name,
+              strcmp (header->value, "\r") == 0 ? "" : header->value };
+
       if (is_hop_by_hop_or_framing (header->name))
         continue;
-      if (head.header_count == HEADERS_MAX)
+      if (head.header_count == HEADERS_MAX
+          || !backend_header_is_valid (&field))
         {
           attempt->abort_reason = ABORT_MALFORMED;
           return -1;
         }
-      headers[head.header_count++]
-          = (backend_header_t){ header->name, header->value };
+      headers[head.header_count++] = field;
     }
   attempt->result->head_delivered = true;
   if (request->on_head == NULL
--- a/lib/backend/attempt.h
+++ b/lib/backend/attempt.h
@@ -41,6 +41,8 @@
 
 /* headers.c */
 
+/* Return: whether HTTP allows the name and the value.  */
+bool backend_header_is_valid (const backend_header_t *header);
 /* Return: whether address, method, path and headers are well-formed.  */
 bool backend_request_is_valid (const backend_request_t *request);
 
--- a/lib/backend/headers.c
+++ b/lib/backend/headers.c
@@ -83,6 +83,12 @@
   return false;
 }
 
+bool
+backend_header_is_valid (const backend_header_t *header)
+{
+  return is_token (header->name) && is_field_value (header->value);
+}
+
 bool
 backend_request_is_valid (const backend_request_t *request)
 {
@@ -97,8 +103,7 @@
     if (values[i] != NULL && !is_field_value (values[i]))
       return false;
   for (size_t i = 0; i < request->header_count; i++)
-    if (!is_token (request->headers[i].name)
-        || !is_field_value (request->headers[i].value))
+    if (!backend_header_is_valid (&request->headers[i]))
       return false;
   return true;
 }
--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -100,6 +100,29 @@
   assert_result ("GET", "/status-599", DECIDE_ATTEMPT_ANSWERED);
 }
 
+/* Guards against passing on a field line that HTTP does not allow, which a
+   client may take for the framing, and against reusing its connection.  */
+static void
+test_malformed_fields (void)
+{
+  static const char *const bad[]
+      = { "X Note: a", "X-Note : a", "Transfer-Encoding : chunked",
+          "X-Note\t: a", "X-Note: a\001b" };
+  static const char *const good[] = { "X-Note:", "X-Note: a\tb", "!#$~: a" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      response_field = bad[i];
+      assert_result ("GET", "/field", DECIDE_ATTEMPT_BROKEN);
+      g_assert_cmpuint (get_idle_count (), ==, 0);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (good); i++)
+    {
+      response_field = good[i];
+      assert_result ("GET", "/field", DECIDE_ATTEMPT_ANSWERED);
+    }
+}
+
 /* Guards against a non-idempotent request being sent again by libcurl when the
    backend server closes a reused connection.  */
 static void
@@ -363,6 +386,8 @@
   g_test_add_data_func ("/backend/headers", test_headers, with_server);
   g_test_add_data_func ("/backend/broken", test_broken, with_server);
   g_test_add_data_func ("/backend/statuses", test_statuses, with_server);
+  g_test_add_data_func ("/backend/malformed-fields", test_malformed_fields,
+                        with_server);
   g_test_add_data_func ("/backend/post-once", test_post_once, with_server);
   g_test_add_data_func ("/backend/get-repeat", test_get_repeat, with_server);
   g_test_add_data_func ("/backend/no-repeat", test_no_repeat, with_server);
--- a/test/unit/backend_fixture.c
+++ b/test/unit/backend_fixture.c
@@ -17,6 +17,7 @@
 backend_pool_t *pool;
 int release_fd;
 int written_fd;
+const char *response_field;
 
 static bool
 handle_request (void *context, const httpserver_request_t *request)
@@ -46,6 +47,10 @@
   else if (g_str_has_prefix (path, "/status-"))
     httpserver_write (fd, "HTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\nok",
                       path + strlen ("/status-"));
+  else if (strcmp (path, "/field") == 0)
+    httpserver_write (fd,
+                      "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 2\r\n\r\nok",
+                      response_field);
   else if (strcmp (path, "/close-reused") == 0 && request->number > 1)
     return false;
   else if (strcmp (path, "/silent") == 0)
--- a/test/unit/backend_fixture.h
+++ b/test/unit/backend_fixture.h
@@ -21,6 +21,8 @@
 /* Eventfd that becomes readable when the server has sent the second response
    to /extra-later.  */
 extern int written_fd;
+/* Line that the server sends in the head of its response to /field.  */
+extern const char *response_field;
 
 /* Received response, filled in by the callbacks that make_request() sets.  */
 typedef struct response
