Parse kept requests once a full socket has drained

Cause: kept input was parsed only by the call that both took a response off the queue and sent everything. With a full socket in between, no call did both. What happens after all output was sent now depends on the connection's state only.

--- a/lib/net/server_output.c
+++ b/lib/net/server_output.c
@@ -265,14 +265,13 @@
 {
   server_t *server = connection->server;
   exchange_t *first;
-  bool any_ended = false;
 
   if (connection->closed || connection->lingering)
     return;
   do
     {
       while (collect_output (connection))
-        any_ended = true;
+        continue;
       if (!send_output (connection))
         return;
       first = g_queue_peek_head (&connection->exchanges);
@@ -293,7 +292,7 @@
     return;
   if (connection->closing && connection->exchanges.head == NULL)
     start_lingering_close (connection);
-  else if (any_ended)
+  else
     connection_resume (connection);
 }
 
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -11,9 +11,9 @@
 #include "socket.h"
 
 #define EXCHANGES_MAX 32
-/* Bytes of a body that is aborted later; more than the buffers of both sockets
-   of a connection hold.  */
-#define ABORTED_BYTES 12000000
+/* Bytes of a large body; more than the buffers of both sockets of a connection
+   hold.  */
+#define LARGE_BYTES 12000000
 
 typedef struct fixture
 {
@@ -216,7 +216,7 @@
   static const char head[] = "HTTP/1.1 200 OK\r\n"
                              "Content-Length: 12100000\r\n\r\n";
   fixture_t fixture;
-  g_autofree char *data = g_strnfill (ABORTED_BYTES, 'a');
+  g_autofree char *data = g_strnfill (LARGE_BYTES, 'a');
   GString *received;
   int fd;
 
@@ -225,12 +225,12 @@
                                    "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
   exchange_respond (fixture.exchanges[1], 200, "OK", NULL, "b", 1);
   exchange_start_response (fixture.exchanges[0], 200, "OK", NULL, 12100000);
-  exchange_write_body (fixture.exchanges[0], data, ABORTED_BYTES);
+  exchange_write_body (fixture.exchanges[0], data, LARGE_BYTES);
   g_assert_cmpuint (exchange_unsent_bytes (fixture.exchanges[0]), >, 0);
   exchange_abort_response (fixture.exchanges[0]);
   received = receive_slowly (&fixture, fd);
   g_assert_cmpuint (received->len, ==,
-                    strlen (head) + ABORTED_BYTES + strlen ("(end)"));
+                    strlen (head) + LARGE_BYTES + strlen ("(end)"));
   g_assert_true (g_str_has_prefix (received->str, head));
   g_assert_true (g_str_has_suffix (received->str, "a(end)"));
   g_string_free (received, TRUE);
@@ -585,7 +585,7 @@
 {
   fixture_t fixture;
   g_autofree char *beginning = make_upload ("/1", 1000);
-  g_autofree char *data = g_strnfill (ABORTED_BYTES, 'a');
+  g_autofree char *data = g_strnfill (LARGE_BYTES, 'a');
   GString *received;
   int first;
   int second;
@@ -598,7 +598,7 @@
                                        "Expect: 100-continue\r\n\r\n");
   g_assert_cmpint (fixture.request_count, ==, 1);
   exchange_start_response (fixture.exchanges[0], 200, "OK", NULL, 12100000);
-  exchange_write_body (fixture.exchanges[0], data, ABORTED_BYTES);
+  exchange_write_body (fixture.exchanges[0], data, LARGE_BYTES);
   g_assert_cmpuint (exchange_unsent_bytes (fixture.exchanges[0]), >, 0);
   exchange_abort_response (fixture.exchanges[0]);
   close (first);
@@ -611,6 +611,50 @@
   fixture_tear_down (&fixture);
 }
 
+/* Sends requests for /0, /1 and so on behind one another.  Return: the
+   socket.  */
+static int
+connect_and_send_requests (fixture_t *fixture, int count)
+{
+  GString *text = g_string_new (NULL);
+  int fd;
+
+  for (int i = 0; i < count; i++)
+    g_string_append_printf (text, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i);
+  fd = connect_and_send (fixture, text->str);
+  g_string_free (text, TRUE);
+  return fd;
+}
+
+/* Guards against a connection that waits for nothing: requests that were kept
+   because too many were in progress, while the responses to all of these were
+   written at once to a socket that was then full.  */
+static void
+test_requests_kept_while_socket_is_full (void)
+{
+  fixture_t fixture;
+  g_autofree char *data = g_strnfill (LARGE_BYTES, 'a');
+  GString *received;
+  int in_progress;
+  int fd;
+
+  fixture_set_up (&fixture);
+  fd = connect_and_send_requests (&fixture, 24);
+  in_progress = fixture.request_count;
+  g_assert_cmpint (in_progress, <, 24);
+  fixture.echo_target = true;
+  exchange_respond (fixture.exchanges[in_progress - 1], 200, "OK", NULL, data,
+                    LARGE_BYTES);
+  for (int i = in_progress - 2; i >= 0; i--)
+    exchange_respond (fixture.exchanges[i], 200, "OK", NULL, "b", 1);
+  received = receive_slowly (&fixture, fd);
+  g_assert_cmpint (fixture.request_count, ==, 24);
+  g_assert_nonnull (strstr (received->str, "\r\n\r\n/23"));
+  g_string_free (received, TRUE);
+  close (fd);
+  fixture_tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -621,6 +665,8 @@
                    test_aborted_response_before_others);
   g_test_add_func ("/net/aborted_answer_ends_short_before_body",
                    test_aborted_response_before_body);
+  g_test_add_func ("/net/kept_requests_are_resumed",
+                   test_requests_kept_while_socket_is_full);
   g_test_add_func ("/net/bad_input_is_refused", test_invalid_input);
   g_test_add_func ("/net/long_header_is_refused", test_long_header);
   g_test_add_func ("/net/drained_connections_end_whole", test_drain);
