Send "100 Continue" behind the response before it

Cause: a large body is sent from its own buffer after that of its head; the interim response was appended to the latter while the body waited for the socket. It now goes to the buffer that is sent last.

--- a/lib/net/server_body.c
+++ b/lib/net/server_body.c
@@ -67,9 +67,11 @@
       && connection->exchanges.head == NULL && !connection->truncated)
     {
       static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
+      GByteArray *last = connection->output_body != NULL
+                             ? connection->output_body
+                             : connection->output;
 
-      g_byte_array_append (connection->output,
-                           (const guint8 *)continue_response,
+      g_byte_array_append (last, (const guint8 *)continue_response,
                            sizeof continue_response - 1);
       connection_flush (connection);
     }
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -14,6 +14,9 @@
 /* Bytes of a large body; more than the buffers of both sockets of a connection
    hold.  */
 #define LARGE_BYTES 12000000
+/* Bytes of a body that fills the socket of a connection with a small buffer
+   for sending, but does not stop the server from reading requests.  */
+#define BLOCKING_BYTES 240000
 
 typedef struct fixture
 {
@@ -655,6 +658,59 @@
   fixture_tear_down (&fixture);
 }
 
+/* Gives the server's side of a connection a small buffer for sending.  */
+static void
+shrink_send_buffer (int client_fd)
+{
+  struct sockaddr_in client = { 0 };
+  struct sockaddr_in peer = { 0 };
+  socklen_t length = sizeof client;
+  int bytes = 4096;
+
+  g_assert_cmpint (
+      getsockname (client_fd, (struct sockaddr *)&client, &length), ==, 0);
+  for (int fd = 0; fd < 256; fd++)
+    {
+      length = sizeof peer;
+      if (getpeername (fd, (struct sockaddr *)&peer, &length) == 0
+          && peer.sin_port == client.sin_port)
+        g_assert_cmpint (
+            setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes), ==,
+            0);
+    }
+}
+
+/* Guards against an interim response between the head and the body of the
+   response before it, while the socket is full.  */
+static void
+test_interim_response_behind_body (void)
+{
+  static const char expected[] = "bbbHTTP/1.1 100 Continue\r\n\r\n";
+  static const char upload[] = "POST /2 HTTP/1.1\r\nHost: a\r\n"
+                               "Content-Length: 2\r\n"
+                               "Expect: 100-continue\r\n\r\n";
+  fixture_t fixture;
+  g_autofree char *first = g_strnfill (BLOCKING_BYTES, 'a');
+  g_autofree char *second = g_strnfill (8000, 'b');
+  GString *received;
+  int fd;
+
+  fixture_set_up (&fixture);
+  fd = connect_and_send_requests (&fixture, 2);
+  shrink_send_buffer (fd);
+  exchange_respond (fixture.exchanges[0], 200, "OK", NULL, first,
+                    BLOCKING_BYTES);
+  exchange_respond (fixture.exchanges[1], 200, "OK", NULL, second, 8000);
+  g_assert_cmpint (send (fd, upload, sizeof upload - 1, MSG_NOSIGNAL), ==,
+                   (ssize_t)sizeof upload - 1);
+  run_loop (&fixture, 40);
+  received = receive_slowly (&fixture, fd);
+  g_assert_nonnull (strstr (received->str, expected));
+  g_string_free (received, TRUE);
+  close (fd);
+  fixture_tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -667,6 +723,8 @@
                    test_aborted_response_before_body);
   g_test_add_func ("/net/kept_requests_are_resumed",
                    test_requests_kept_while_socket_is_full);
+  g_test_add_func ("/net/interim_answer_stands_behind_body",
+                   test_interim_response_behind_body);
   g_test_add_func ("/net/bad_input_is_refused", test_invalid_input);
   g_test_add_func ("/net/long_header_is_refused", test_long_header);
   g_test_add_func ("/net/drained_connections_end_whole", test_drain);
