Share the request of the runs that look at the status only

run-platform_spoiled_heads repeated it from run-platform_statuses. Now it also checks, as that one did, that no 503 follows an execution.

--- a/test/platform/platform_site.py
+++ b/test/platform/platform_site.py
@@ -1041,6 +1041,28 @@
         finally:
             writer.transport.abort()
 
+    async def ask_for_status(self, method, target):
+        """Returns the status that the first instance answers with, as text and
+        without a check of the rest, or "cut"."""
+        self.next_id += 1
+        request_id = f"o{self.next_id}"
+        body = b"x" if method == "POST" else b""
+        self.sent[request_id] = (method, target, body)
+        reader, writer = await asyncio.open_connection(
+            self.instances[0].ip, FRONT)
+        try:
+            writer.write(message(
+                f"{method} {target} HTTP/1.1",
+                {"Host": "here.example", ATTEMPT_ID: request_id,
+                 DEADLINE_MS: "1000"}, body))
+            line = await asyncio.wait_for(reader.readline(), 3)
+            status = line.decode("latin-1").split(" ")[1] if line else "cut"
+            if status == "503" and self.runs.get(request_id):
+                self.report_fault(f"refused after execution: {request_id}")
+            return status
+        finally:
+            writer.transport.abort()
+
     async def all_return_status(self, target, wanted, timeout_s, fields=()):
         """Whether each instance responds with the wanted status in time."""
         until = time.monotonic() + timeout_s
--- a/test/run/platform_spoiled_heads.py
+++ b/test/run/platform_spoiled_heads.py
@@ -10,7 +10,6 @@
 import collections
 
 import platformrun
-from platformrun import platform_site
 
 FAULTS = ["line Content Type: text/plain", "line Content-Type : text/plain",
           "line Transfer-Encoding : chunked", "line Content-Length : 3",
@@ -23,31 +22,12 @@
 REQUESTS = 12
 
 
-async def ask(site, method, target):
-    """Returns the status that the caller gets, as text, or "cut"."""
-    site.next_id += 1
-    request_id = f"h{site.next_id}"
-    body = b"x" if method == "POST" else b""
-    site.sent[request_id] = (method, target, body)
-    reader, writer = await asyncio.open_connection(
-        site.instances[0].ip, platform_site.FRONT)
-    try:
-        writer.write(platform_site.message(
-            f"{method} {target} HTTP/1.1",
-            {"Host": "here.example", platform_site.ATTEMPT_ID: request_id,
-             platform_site.DEADLINE_MS: "1000"}, body))
-        line = await asyncio.wait_for(reader.readline(), 3)
-        return line.decode("latin-1").split(" ")[1] if line else "cut"
-    finally:
-        writer.transport.abort()
-
-
 async def ask_all(site, fault, method, target, size):
     for endpoint in site.endpoints.values():
         endpoint.size = size
         endpoint.faults = {fault: 1.0}
     got = collections.Counter(await asyncio.gather(
-        *(ask(site, method, target) for _ in range(REQUESTS))))
+        *(site.ask_for_status(method, target) for _ in range(REQUESTS))))
     return sorted(got)
 
 
@@ -66,7 +46,7 @@
         endpoint.faults = {}
         endpoint.size = 400
     await asyncio.sleep(1.5)
-    print("afterwards:", {await ask(site, "GET", "/look/2")
+    print("afterwards:", {await site.ask_for_status("GET", "/look/2")
                           for _ in range(5)})
 
 
